Design, style and the contracts between the layers

Headers of net/ and store/ are the contracts that the parts are built against; nothing measured yet.

--- /dev/null
+++ b/net/http_message.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+// A whole HTTP/1.1 request or answer, as the programs pass them between libmicrohttpd,
+// libcurl and their own logic. Bodies are whole: streaming is not offered, and the server
+// and the client both bound the size that they accept.
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace camphorrock
+{
+
+struct http_header
+{
+    std::string name;
+    std::string value;
+};
+
+// Headers in the order in which they came. Names compare without regard to case.
+class http_headers
+{
+public:
+    // Adds a header, also where one of that name is present.
+    void add(std::string name, std::string value);
+
+    // Replaces all headers of that name by one.
+    void set(std::string_view name, std::string value);
+
+    // The value of the first header of that name. O(number of headers).
+    std::optional<std::string_view> find(std::string_view name) const;
+
+    const std::vector<http_header>& all() const
+    {
+        return rows_;
+    }
+
+private:
+    std::vector<http_header> rows_;
+};
+
+struct http_request
+{
+    std::string method; // "GET", "POST", ...
+    std::string target; // path and query as sent, still percent-encoded: "/a/b?c=d"
+    http_headers headers;
+    std::string body;
+};
+
+struct http_response
+{
+    int status = 200;
+    http_headers headers;
+    std::string body;
+};
+
+} // namespace camphorrock
--- /dev/null
+++ b/net/http_server.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+// An HTTP/1.1 server on the program's loop, by libmicrohttpd without threads.
+//
+//     auto server = http_server::create(loop, {.address = endpoint("127.0.0.1:8080")},
+//     handler);
+//
+// The handler is called once for each whole request, and answers through the responder,
+// at once or later. A request that libmicrohttpd cannot parse, or whose headers or body
+// exceed the options' bounds, is answered here (400, 413, 431) and never reaches the
+// handler.
+
+#include "core/base/names.hpp"
+#include "core/base/result.hpp"
+#include "net/event_loop.hpp"
+#include "net/http_message.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace camphorrock
+{
+
+// The way to answer one request. The handler keeps it alive until it has answered; one
+// that is destroyed unanswered cuts the connection.
+class http_responder
+{
+public:
+    virtual ~http_responder() = default;
+
+    // Sends the whole answer. Only the first call of respond() or abort() counts; it has
+    // no effect once the caller is gone.
+    virtual void respond(http_response answer) = 0;
+
+    // Cuts the connection without an answer, for an answer that cannot be given whole.
+    virtual void abort() = 0;
+
+    // Calls once if the caller goes away before it was answered. Called on the loop. The
+    // callback is dropped without a call when an answer has been sent.
+    virtual void on_gone(std::function<void()> what) = 0;
+};
+
+class http_handler
+{
+public:
+    virtual ~http_handler() = default;
+    virtual void handle(http_request request,
+                        std::shared_ptr<http_responder> responder) = 0;
+};
+
+struct http_server_options
+{
+    endpoint address;                         // "IP:port"; port 0 takes a free one
+    std::size_t max_header_bytes = 16 * 1024; // of the request line and headers
+    std::size_t max_body_bytes = 1024 * 1024; // of one request
+    unsigned max_connections = 4096;          // further ones are closed at accept
+    seconds idle_timeout = seconds(60);       // of a connection without a request
+};
+
+class http_server
+{
+public:
+    // Listens at once. Fails with error_code::io if the address cannot be bound. `loop`
+    // and `handler` must outlive the server.
+    static result<std::unique_ptr<http_server>>
+    create(event_loop& loop, http_server_options options, http_handler& handler);
+
+    virtual ~http_server() = default;
+
+    // The address with the port that was bound.
+    virtual endpoint bound() const = 0;
+
+    // Stops accepting connections; requests in flight are still answered.
+    virtual void stop_accepting() = 0;
+
+    // Requests whose answer has not been sent whole yet.
+    virtual std::size_t in_flight() const = 0;
+};
+
+} // namespace camphorrock
--- /dev/null
+++ b/net/rpc_client.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+// JSON-RPC 2.0 calls over an http_client: POST /rpc.
+//
+//     rpc.call(peer, "assignment.update", params, milliseconds(300), [&](rpc_result got)
+//     {...});
+//
+// Each call ends in exactly one callback, never inside call().
+
+#include "core/base/names.hpp"
+#include "core/base/time.hpp"
+#include "net/http_client.hpp"
+
+#include <json/value.h>
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace camphorrock
+{
+
+enum class rpc_end
+{
+    answered,  // `value` is the method's result
+    refused,   // the other side answered with an error object; see `text`
+    not_sent,  // no byte left
+    no_answer, // it may have taken effect
+};
+
+struct rpc_result
+{
+    rpc_end end = rpc_end::not_sent;
+    Json::Value value;
+    int code = 0;     // JSON-RPC error code, for `refused`
+    std::string text; // why there is no value
+};
+
+// One call of a batch.
+struct rpc_call
+{
+    std::string method;
+    Json::Value params;
+};
+
+class rpc_client
+{
+public:
+    using callback = std::function<void(rpc_result)>;
+    using batch_callback = std::function<void(std::vector<rpc_result>)>;
+
+    // `http` must outlive the client.
+    explicit rpc_client(http_client& http) : http_(http) {}
+
+    void call(const endpoint& to,
+              const std::string& method,
+              Json::Value params,
+              duration timeout,
+              callback done);
+
+    // One exchange for all calls; the results stand in the order of the calls. Where the
+    // exchange itself fails, each result says how.
+    void batch(const endpoint& to,
+               std::vector<rpc_call> calls,
+               duration timeout,
+               batch_callback done);
+
+private:
+    http_client& http_;
+    unsigned next_id_ = 1;
+};
+
+} // namespace camphorrock
--- /dev/null
+++ b/store/instance_list.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+// The platform's list of our instances, live and leaving. It lags: an instance in it may
+// be gone, and one that runs may be missing. Read over HTTP: GET /instances, a JSON array
+// of
+// {"id", "role": "router"|"assigner", "data_centre", "peer": "IP:port", "state":
+// "live"|"leaving"}. An instance enters itself with PUT /instances/ID (the same object)
+// and leaves with DELETE /instances/ID.
+
+#include "core/base/names.hpp"
+#include "core/base/time.hpp"
+#include "net/event_loop.hpp"
+#include "net/http_client.hpp"
+
+#include <functional>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace camphorrock
+{
+
+enum class instance_role
+{
+    router,
+    assigner,
+};
+
+enum class instance_state
+{
+    live,
+    leaving,
+};
+
+std::string_view name_of(instance_role value);
+std::string_view name_of(instance_state value);
+
+struct instance_entry
+{
+    instance_id id;
+    instance_role role = instance_role::router;
+    data_centre zone;
+    endpoint peer; // where the instance answers other instances
+    instance_state state = instance_state::live;
+};
+
+class instance_list
+{
+public:
+    // None where the platform did not answer or the answer could not be read.
+    using callback = std::function<void(std::optional<std::vector<instance_entry>>)>;
+
+    // `http` must outlive the list.
+    instance_list(http_client& http, endpoint platform) : http_(http), platform_(platform)
+    {
+    }
+
+    void read(callback done);
+    void enter(const instance_entry& self, std::function<void(bool)> done);
+    void leave(const instance_id& self, std::function<void(bool)> done);
+
+private:
+    http_client& http_;
+    endpoint platform_;
+};
+
+} // namespace camphorrock
--- /dev/null
+++ b/store/store_client.hpp
@@ -0,0 +1,131 @@
+#pragma once
+
+// The platform's key-value service: compare-and-swap, leases, watches. The one
+// implementation speaks the JSON form of etcd's v3 protocol (kv/range, kv/txn,
+// lease/grant, lease/keepalive, lease/revoke, watch); see docs/PLATFORM.md.
+//
+// Every call ends in exactly one callback, never inside the call. `unknown` means that
+// the call may have taken effect: the caller reads back to learn whether it did.
+
+#include "core/base/names.hpp"
+#include "core/base/result.hpp"
+#include "core/base/time.hpp"
+#include "net/event_loop.hpp"
+#include "net/http_client.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace camphorrock
+{
+
+// The store's revision at which a key was last written; 0 stands for "absent".
+struct store_revision
+{
+    std::uint64_t value = 0;
+
+    auto operator<=>(const store_revision&) const = default;
+};
+
+// A lease in the store; 0 stands for "none".
+struct store_lease
+{
+    std::uint64_t value = 0;
+
+    auto operator<=>(const store_lease&) const = default;
+};
+
+struct store_entry
+{
+    std::string key;
+    std::string value;
+    store_revision revision; // of the last write of this key
+};
+
+enum class store_end
+{
+    done,     // it took effect, or the read is complete
+    conflict, // compare-and-swap only: the key had another revision; see `current`
+    failed,   // it had no effect: not sent, or the store refused it
+    unknown,  // no answer: it may have taken effect
+};
+
+struct store_read
+{
+    store_end end = store_end::failed;
+    std::vector<store_entry> entries; // in the order of their keys
+    store_revision at;                // the store's revision when it was read
+};
+
+struct store_write
+{
+    store_end end = store_end::failed;
+    store_revision revision;            // of the write, for `done`
+    std::optional<store_entry> current; // for `conflict`; none where the key is absent
+};
+
+struct store_lease_grant
+{
+    store_end end = store_end::failed;
+    store_lease lease;
+    duration time_to_live{};
+};
+
+class store_client
+{
+public:
+    using read_callback = std::function<void(store_read)>;
+    using write_callback = std::function<void(store_write)>;
+    using lease_callback = std::function<void(store_lease_grant)>;
+    using watch_callback = std::function<void(std::vector<store_entry>)>;
+
+    virtual ~store_client() = default;
+
+    // Linearizable read of one key; no entry where it is absent.
+    virtual void get(const std::string& key, read_callback done) = 0;
+
+    // Linearizable read of all keys that begin with `prefix`.
+    virtual void get_prefix(const std::string& prefix, read_callback done) = 0;
+
+    // Writes `value` if the key's revision is `expected` (0: the key is absent). With a
+    // lease, the key goes when the lease ends.
+    virtual void compare_and_swap(const std::string& key,
+                                  store_revision expected,
+                                  std::string value,
+                                  store_lease lease,
+                                  write_callback done) = 0;
+
+    // Deletes the key if its revision is `expected`.
+    virtual void compare_and_delete(const std::string& key,
+                                    store_revision expected,
+                                    write_callback done) = 0;
+
+    virtual void grant_lease(duration time_to_live, lease_callback done) = 0;
+    // A lease that has lapsed answers `failed`.
+    virtual void keep_alive(store_lease lease, lease_callback done) = 0;
+    virtual void revoke_lease(store_lease lease, lease_callback done) = 0;
+
+    // Calls for each change of a key under `prefix` after revision `after`; a deleted key
+    // comes with an empty value and revision 0. The watch reconnects by itself; after a
+    // gap it reads the prefix anew, so the last state is always delivered. Ends with the
+    // handle.
+    virtual watch_handle
+    watch(const std::string& prefix, store_revision after, watch_callback changed) = 0;
+};
+
+struct store_client_options
+{
+    std::vector<endpoint> endpoints;            // tried in turn
+    duration call_timeout = milliseconds(1000); // of one call
+    duration watch_retry = milliseconds(500);   // pause before a broken watch reconnects
+};
+
+// `loop` and `http` must outlive the client.
+result<std::unique_ptr<store_client>>
+create_store_client(event_loop& loop, http_client& http, store_client_options options);
+
+} // namespace camphorrock
