HTTP and JSON-RPC on the one loop

The headers of net/ get their implementations: event_loop on libev (epoll only, since the machines give no io_uring), http_server on libmicrohttpd without threads, http_client on libcurl's multi interface, JSON-RPC by libjsonrpccpp's protocol handler.

Choices: - The server accepts connections itself and hands them to libmicrohttpd: at its limit the library stops to accept and lets callers wait in the backlog, where a connection looks open and stays silent. - libmicrohttpd does not watch a suspended connection, so a caller that leaves before its answer is seen by one edge-triggered epoll set of our own (hangup_watch). - One curl multi handle per endpoint: drop_connections has no other means in libcurl. - libcurl repeats a request whose reused connection died; the pre-request callback refuses the second sending once a byte of the first had left. - An answer without a length or chunks is cut, since its end cannot be told from a break.

--- /dev/null
+++ b/net/curl_exchange.cpp
@@ -0,0 +1,279 @@
+#include "net/curl_exchange.hpp"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr int first_final_status = 200;
+constexpr int no_content = 204;
+constexpr int not_modified = 304;
+
+// Headers that the client itself writes or that do not pass a hop.
+constexpr const char* own_headers[] = {
+    "Connection", "Content-Length", "Expect", "Host", "Keep-Alive", "Transfer-Encoding"};
+
+bool is_own_header(const std::string& name)
+{
+    return std::any_of(std::begin(own_headers),
+                       std::end(own_headers),
+                       [&](const char* it) { return strcasecmp(it, name.c_str()) == 0; });
+}
+
+void append(curl_list& list, const std::string& line)
+{
+    curl_slist* longer = curl_slist_append(list.get(), line.c_str());
+    if (longer != nullptr)
+    {
+        static_cast<void>(list.release());
+        list.reset(longer);
+    }
+}
+
+std::string_view trim(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t\r\n";
+    const std::size_t first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos)
+    {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+} // namespace
+
+curl_exchange::curl_exchange(exchange_id id,
+                             curl_easy easy,
+                             http_request request,
+                             exchange_options options)
+    : id_(id), easy_(std::move(easy)), request_(std::move(request)), options_(options)
+{
+}
+
+void curl_exchange::set_up(const endpoint& to,
+                           seconds max_idle,
+                           std::function<void()> on_stored_piece)
+{
+    CURL* easy = easy_.get();
+    on_stored_piece_ = std::move(on_stored_piece);
+    curl_easy_setopt(easy, CURLOPT_URL, ("http://" + to.str() + "/").c_str());
+    curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request_.target.c_str());
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(
+        easy,
+        CURLOPT_CONNECTTIMEOUT_MS,
+        static_cast<long>(
+            std::chrono::ceil<milliseconds>(options_.connect_timeout).count()));
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(max_idle.count()));
+    const long is_fresh = options_.connection == connection_choice::fresh ? 1 : 0;
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, is_fresh);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &curl_exchange::on_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &curl_exchange::on_body);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &curl_exchange::on_request);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
+    set_method();
+    set_headers(to);
+}
+
+void curl_exchange::set_method()
+{
+    CURL* easy = easy_.get();
+    const std::string& method = request_.method;
+    if (method == "HEAD")
+    {
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+        return;
+    }
+    // POST, PUT and PATCH state a length also where the body is empty.
+    const bool has_length = method == "POST" || method == "PUT" || method == "PATCH";
+    if (has_length || !request_.body.empty())
+    {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request_.body.data());
+        curl_easy_setopt(easy,
+                         CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(request_.body.size()));
+    }
+    else
+    {
+        curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+    }
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method.c_str());
+}
+
+void curl_exchange::set_headers(const endpoint& to)
+{
+    const std::optional<std::string_view> host = request_.headers.find("Host");
+    append(headers_, "Host: " + (host ? std::string(*host) : to.str()));
+    append(headers_, "Expect:");
+    if (!request_.headers.find("Accept"))
+    {
+        append(headers_, "Accept:");
+    }
+    if (!request_.headers.find("Content-Type"))
+    {
+        append(headers_, "Content-Type:");
+    }
+    for (const http_header& it : request_.headers.all())
+    {
+        if (!is_own_header(it.name))
+        {
+            // libcurl's form of a header without a value ends with a semicolon.
+            append(headers_,
+                   it.value.empty() ? it.name + ";" : it.name + ": " + it.value);
+        }
+    }
+    curl_easy_setopt(easy_.get(), CURLOPT_HTTPHEADER, headers_.get());
+}
+
+bool curl_exchange::has_sent() const
+{
+    long head_bytes = 0;
+    curl_off_t body_bytes = 0;
+    curl_easy_getinfo(easy_.get(), CURLINFO_REQUEST_SIZE, &head_bytes);
+    curl_easy_getinfo(easy_.get(), CURLINFO_SIZE_UPLOAD_T, &body_bytes);
+    return head_bytes > 0 || body_bytes > 0;
+}
+
+exchange_result curl_exchange::finish(CURLcode code)
+{
+    exchange_result made;
+    made.reused = is_reused();
+    if (is_too_large_)
+    {
+        made.end = exchange_end::too_large;
+    }
+    else if (code == CURLE_OK && is_whole())
+    {
+        made.end = exchange_end::answered;
+        made.answer = std::move(answer_);
+    }
+    else
+    {
+        made.end = has_sent() ? exchange_end::cut : exchange_end::not_connected;
+    }
+    return made;
+}
+
+exchange_result curl_exchange::time_out() const
+{
+    exchange_result made;
+    made.reused = is_reused();
+    made.end = has_sent() ? exchange_end::timed_out : exchange_end::timed_out_before_send;
+    return made;
+}
+
+std::string curl_exchange::take_pieces()
+{
+    return std::exchange(pieces_, {});
+}
+
+curl_easy curl_exchange::release()
+{
+    curl_easy_reset(easy_.get());
+    return std::move(easy_);
+}
+
+std::size_t
+curl_exchange::on_header(const char* data, std::size_t size, std::size_t n, void* self)
+{
+    auto* it = static_cast<curl_exchange*>(self);
+    if (!it->take_bytes(size * n))
+    {
+        return 0;
+    }
+    it->add_line(std::string_view(data, size * n));
+    return size * n;
+}
+
+std::size_t
+curl_exchange::on_body(const char* data, std::size_t size, std::size_t n, void* self)
+{
+    auto* it = static_cast<curl_exchange*>(self);
+    if (it->on_stored_piece_)
+    {
+        it->pieces_.append(data, size * n);
+        it->on_stored_piece_();
+        return size * n;
+    }
+    if (!it->take_bytes(size * n))
+    {
+        return 0;
+    }
+    it->answer_.body.append(data, size * n);
+    return size * n;
+}
+
+// Called by libcurl each time it is about to send the request.
+int curl_exchange::on_request(void* self, char*, char*, int, int)
+{
+    auto* it = static_cast<curl_exchange*>(self);
+    const bool is_repeated = std::exchange(it->is_requested_, true);
+    return is_repeated && it->has_sent() ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+bool curl_exchange::take_bytes(std::size_t n)
+{
+    answer_bytes_ += n;
+    is_too_large_ = answer_bytes_ > options_.max_answer_bytes;
+    return !is_too_large_;
+}
+
+// Interim answers (1xx) begin anew; lines after the final headers are trailers.
+void curl_exchange::add_line(std::string_view line)
+{
+    if (has_headers_)
+    {
+        return;
+    }
+    if (line.starts_with("HTTP/"))
+    {
+        long status = 0;
+        curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
+        answer_ = http_response{static_cast<int>(status), {}, {}};
+        return;
+    }
+    const std::size_t colon = line.find(':');
+    if (trim(line).empty())
+    {
+        has_headers_ = answer_.status >= first_final_status;
+    }
+    else if (colon != std::string_view::npos)
+    {
+        answer_.headers.add(std::string(trim(line.substr(0, colon))),
+                            std::string(trim(line.substr(colon + 1))));
+    }
+}
+
+// A body that ends where the connection ends cannot be told from one that was cut short.
+bool curl_exchange::is_whole() const
+{
+    if (request_.method == "HEAD" || answer_.status == no_content ||
+        answer_.status == not_modified)
+    {
+        return has_headers_;
+    }
+    return has_headers_ && (answer_.headers.find("Content-Length") ||
+                            answer_.headers.find("Transfer-Encoding"));
+}
+
+bool curl_exchange::is_reused() const
+{
+    long connects = 0;
+    curl_easy_getinfo(easy_.get(), CURLINFO_NUM_CONNECTS, &connects);
+    return connects == 0 && is_requested_;
+}
+
+} // namespace camphorrock
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -60,7 +60,7 @@
 {
     duration timeout = seconds(1); // of the whole exchange
     duration connect_timeout = milliseconds(250);
-    std::size_t max_answer_bytes = 8 * 1024 * 1024;
+    std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;
     connection_choice connection = connection_choice::pooled;
 };
 
--- a/net/http_message.hpp
+++ b/net/http_message.hpp
@@ -28,6 +28,9 @@
     // Replaces all headers of that name by one.
     void set(std::string_view name, std::string value);
 
+    // Removes all headers of that name.
+    void remove(std::string_view name);
+
     // The value of the first header of that name. O(number of headers).
     std::optional<std::string_view> find(std::string_view name) const;
 
--- /dev/null
+++ b/net/http_server.cpp
@@ -0,0 +1,456 @@
+#include "net/http_server.hpp"
+
+#include "net/hangup_watch.hpp"
+#include "net/mhd_exchange.hpp"
+#include "net/mhd_response.hpp"
+#include "net/request_check.hpp"
+#include "net/socket_address.hpp"
+
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdint>
+#include <unordered_map>
+#include <utility>
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr int content_too_large = 413;
+constexpr int accepts_at_once = 64;
+constexpr milliseconds accept_pause(100); // where the process has no descriptor left
+// libmicrohttpd's memory of a connection holds a request's headers and an answer's.
+constexpr std::size_t memory_per_header_byte = 2;
+
+struct connection
+{
+    std::uint64_t number = 0;
+    std::shared_ptr<mhd_exchange> current; // from the request line to the whole answer
+};
+
+http_response make_refusal(const request_refusal& why)
+{
+    http_response made;
+    made.status = why.status;
+    made.headers.add("Content-Type", "text/plain");
+    made.body = why.text + "\n";
+    return made;
+}
+
+MHD_Result add_header(void* to, MHD_ValueKind, const char* name, const char* value)
+{
+    static_cast<http_headers*>(to)->add(name, value == nullptr ? "" : value);
+    return MHD_YES;
+}
+
+std::size_t header_bytes_of(MHD_Connection* raw)
+{
+    const MHD_ConnectionInfo* info =
+        MHD_get_connection_info(raw, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+    return info == nullptr ? 0 : info->header_size;
+}
+
+connection* connection_of(MHD_Connection* raw)
+{
+    const MHD_ConnectionInfo* info =
+        MHD_get_connection_info(raw, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    return static_cast<connection*>(info->socket_context);
+}
+
+class mhd_server : public http_server, public mhd_runner
+{
+public:
+    mhd_server(event_loop& loop, http_server_options options, http_handler& handler)
+        : loop_(loop), options_(std::move(options)), handler_(handler)
+    {
+    }
+
+    ~mhd_server() override
+    {
+        stop_accepting();
+        timeout_.reset();
+        daemon_readable_.reset();
+        if (daemon_ != nullptr)
+        {
+            abort_all();
+            MHD_run(daemon_);
+            MHD_stop_daemon(daemon_);
+        }
+    }
+
+    result<void> start()
+    {
+        BOOST_LEAF_AUTO(fd, listen_at(options_.address));
+        listen_fd_ = fd;
+        bound_ = bound_endpoint(fd);
+        auto on_hangup = [this](std::uint64_t number)
+        {
+            hung_up(number);
+        };
+        BOOST_LEAF_AUTO(hangups, hangup_watch::create(loop_, on_hangup));
+        hangups_ = std::move(hangups);
+        BOOST_LEAF_CHECK(start_daemon());
+        watch_accepts();
+        return {};
+    }
+
+    endpoint bound() const override
+    {
+        return bound_;
+    }
+
+    void stop_accepting() override
+    {
+        accept_readable_.reset();
+        accept_pause_.reset();
+        if (listen_fd_ >= 0)
+        {
+            close(listen_fd_);
+            listen_fd_ = -1;
+        }
+    }
+
+    std::size_t in_flight() const override
+    {
+        return in_flight_;
+    }
+
+    std::size_t connections() const override
+    {
+        return connections_.size();
+    }
+
+    void run_soon() override
+    {
+        if (!is_run_posted_)
+        {
+            is_run_posted_ = true;
+            std::weak_ptr<mhd_server*> self = self_;
+            loop_.post(
+                [self]
+                {
+                    if (std::shared_ptr<mhd_server*> alive = self.lock())
+                    {
+                        (*alive)->is_run_posted_ = false;
+                        (*alive)->run();
+                    }
+                });
+        }
+    }
+
+private:
+    result<void> start_daemon()
+    {
+        const std::size_t memory = memory_per_header_byte * options_.max_header_bytes;
+        daemon_ = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME |
+                                       MHD_USE_NO_LISTEN_SOCKET,
+                                   0,
+                                   nullptr,
+                                   nullptr,
+                                   &mhd_server::on_access,
+                                   this,
+                                   MHD_OPTION_CONNECTION_LIMIT,
+                                   options_.max_connections + 1,
+                                   MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                                   memory,
+                                   MHD_OPTION_CONNECTION_TIMEOUT,
+                                   static_cast<unsigned>(options_.idle_timeout.count()),
+                                   MHD_OPTION_STRICT_FOR_CLIENT,
+                                   1,
+                                   MHD_OPTION_SIGPIPE_HANDLED_BY_APP,
+                                   1,
+                                   MHD_OPTION_URI_LOG_CALLBACK,
+                                   &mhd_server::on_request_line,
+                                   this,
+                                   MHD_OPTION_NOTIFY_COMPLETED,
+                                   &mhd_server::on_completed,
+                                   this,
+                                   MHD_OPTION_NOTIFY_CONNECTION,
+                                   &mhd_server::on_connection,
+                                   this,
+                                   MHD_OPTION_END);
+        if (daemon_ == nullptr)
+        {
+            return fail(error_code::io, "libmicrohttpd does not start");
+        }
+        const MHD_DaemonInfo* info =
+            MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_EPOLL_FD);
+        daemon_readable_ = loop_.on_readable(info->epoll_fd, [this] { run(); });
+        return {};
+    }
+
+    void run()
+    {
+        MHD_run(daemon_);
+        MHD_UNSIGNED_LONG_LONG wait_ms = 0;
+        if (MHD_get_timeout(daemon_, &wait_ms) != MHD_YES)
+        {
+            return;
+        }
+        if (wait_ms == 0)
+        {
+            run_soon();
+        }
+        else if (!timeout_)
+        {
+            // The earliest end of an idle connection only moves away, so one timer does.
+            timeout_ = loop_.after(milliseconds(wait_ms),
+                                   [this]
+                                   {
+                                       timeout_.reset();
+                                       run();
+                                   });
+        }
+    }
+
+    void watch_accepts()
+    {
+        accept_readable_ = loop_.on_readable(listen_fd_, [this] { accept_some(); });
+    }
+
+    void accept_some()
+    {
+        for (int i = 0; i < accepts_at_once; ++i)
+        {
+            socket_address from;
+            from.size = sizeof from.storage;
+            const int fd = accept4(listen_fd_,
+                                   reinterpret_cast<sockaddr*>(&from.storage),
+                                   &from.size,
+                                   SOCK_NONBLOCK | SOCK_CLOEXEC);
+            if (fd < 0)
+            {
+                pause_accepts(errno);
+                break;
+            }
+            add_connection(fd, from);
+        }
+        run_soon();
+    }
+
+    void pause_accepts(int ec)
+    {
+        if (ec == EMFILE || ec == ENFILE || ec == ENOBUFS || ec == ENOMEM)
+        {
+            accept_readable_.reset();
+            accept_pause_ = loop_.after(accept_pause, [this] { watch_accepts(); });
+        }
+    }
+
+    void add_connection(int fd, const socket_address& from)
+    {
+        if (connections_.size() >= options_.max_connections)
+        {
+            close(fd);
+            return;
+        }
+        const int on = 1;
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        MHD_add_connection(daemon_, fd, from.raw(), from.size);
+    }
+
+    void abort_all()
+    {
+        for (auto& [number, it] : connections_)
+        {
+            if (it->current)
+            {
+                it->current->on_gone = nullptr;
+                it->current->decide(mhd_exchange::decision::abort, {});
+            }
+        }
+    }
+
+    void hung_up(std::uint64_t number)
+    {
+        auto it = connections_.find(number);
+        if (it != connections_.end() && it->second->current)
+        {
+            std::shared_ptr<mhd_exchange> exchange = it->second->current;
+            exchange->report_gone();
+        }
+    }
+
+    static void on_connection(void* self,
+                              MHD_Connection* raw,
+                              void** context,
+                              MHD_ConnectionNotificationCode code)
+    {
+        auto* server = static_cast<mhd_server*>(self);
+        if (code == MHD_CONNECTION_NOTIFY_STARTED)
+        {
+            *context = server->open_connection(raw);
+        }
+        else
+        {
+            server->connections_.erase(static_cast<connection*>(*context)->number);
+        }
+    }
+
+    connection* open_connection(MHD_Connection* raw)
+    {
+        const std::uint64_t number = ++last_number_;
+        auto made = std::make_unique<connection>();
+        made->number = number;
+        connection* it = made.get();
+        connections_.emplace(number, std::move(made));
+        const MHD_ConnectionInfo* info =
+            MHD_get_connection_info(raw, MHD_CONNECTION_INFO_CONNECTION_FD);
+        hangups_->add(info->connect_fd, number);
+        return it;
+    }
+
+    static void* on_request_line(void* self, const char* target, MHD_Connection* raw)
+    {
+        auto exchange = std::make_shared<mhd_exchange>();
+        exchange->server = static_cast<mhd_server*>(self);
+        exchange->raw = raw;
+        exchange->request.target = target;
+        connection_of(raw)->current = std::move(exchange);
+        return nullptr;
+    }
+
+    static void
+    on_completed(void* self, MHD_Connection* raw, void**, MHD_RequestTerminationCode)
+    {
+        std::shared_ptr<mhd_exchange> exchange =
+            std::exchange(connection_of(raw)->current, nullptr);
+        if (!exchange)
+        {
+            return;
+        }
+        auto* server = static_cast<mhd_server*>(self);
+        server->in_flight_ -= exchange->is_handled ? 1 : 0;
+        exchange->end();
+        server->loop_.post([exchange] { exchange->report_gone(); });
+    }
+
+    static MHD_Result on_access(void* self,
+                                MHD_Connection* raw,
+                                const char*,
+                                const char* method,
+                                const char*,
+                                const char* piece,
+                                std::size_t* piece_size,
+                                void** seen)
+    {
+        auto* server = static_cast<mhd_server*>(self);
+        const std::shared_ptr<mhd_exchange> exchange = connection_of(raw)->current;
+        if (*seen == nullptr)
+        {
+            *seen = exchange.get();
+            exchange->request.method = method;
+            return server->begin(*exchange);
+        }
+        if (*piece_size != 0)
+        {
+            const std::string_view part(piece, *piece_size);
+            *piece_size = 0;
+            return server->add_piece(*exchange, part);
+        }
+        if (!exchange->is_handled)
+        {
+            return server->handle(exchange);
+        }
+        return server->carry_out(*exchange);
+    }
+
+    MHD_Result begin(mhd_exchange& exchange)
+    {
+        MHD_get_connection_values(
+            exchange.raw, MHD_HEADER_KIND, add_header, &exchange.request.headers);
+        const std::optional<request_refusal> why =
+            check_request(exchange.request.headers,
+                          header_bytes_of(exchange.raw),
+                          {options_.max_header_bytes, options_.max_body_bytes});
+        if (why)
+        {
+            return queue(exchange, make_refusal(*why), true);
+        }
+        return MHD_YES;
+    }
+
+    // A chunked body that is too large is read on, unkept, up to twice the bound, so that
+    // the other side can read the refusal; beyond that the connection is cut.
+    MHD_Result add_piece(mhd_exchange& exchange, std::string_view piece)
+    {
+        exchange.body_bytes += piece.size();
+        if (exchange.body_bytes <= options_.max_body_bytes)
+        {
+            exchange.request.body.append(piece);
+            return MHD_YES;
+        }
+        exchange.request.body = std::string();
+        return exchange.body_bytes <= 2 * options_.max_body_bytes ? MHD_YES : MHD_NO;
+    }
+
+    MHD_Result handle(const std::shared_ptr<mhd_exchange>& exchange)
+    {
+        if (exchange->body_bytes > options_.max_body_bytes)
+        {
+            const request_refusal why{content_too_large, "the body is too large"};
+            return queue(*exchange, make_refusal(why), true);
+        }
+        exchange->is_handled = true;
+        ++in_flight_;
+        handler_.handle(std::move(exchange->request), make_responder(exchange));
+        return carry_out(*exchange);
+    }
+
+    MHD_Result carry_out(mhd_exchange& exchange)
+    {
+        switch (exchange.decided)
+        {
+        case mhd_exchange::decision::answer:
+            return queue(exchange, std::move(exchange.answer), listen_fd_ < 0);
+        case mhd_exchange::decision::abort:
+            return MHD_NO;
+        case mhd_exchange::decision::none:
+            break;
+        }
+        exchange.suspend();
+        return MHD_YES;
+    }
+
+    static MHD_Result
+    queue(mhd_exchange& exchange, http_response answer, bool close_after)
+    {
+        const auto status = static_cast<unsigned>(answer.status);
+        const mhd_response made = make_mhd_response(std::move(answer), close_after);
+        return made ? MHD_queue_response(exchange.raw, status, made.get()) : MHD_NO;
+    }
+
+    event_loop& loop_;
+    http_server_options options_;
+    http_handler& handler_;
+    endpoint bound_;
+    int listen_fd_ = -1;
+    MHD_Daemon* daemon_ = nullptr;
+    std::unique_ptr<hangup_watch> hangups_;
+    std::unordered_map<std::uint64_t, std::unique_ptr<connection>> connections_;
+    std::uint64_t last_number_ = 0;
+    std::size_t in_flight_ = 0;
+    bool is_run_posted_ = false;
+    watch_handle daemon_readable_;
+    watch_handle accept_readable_;
+    timer_handle accept_pause_;
+    timer_handle timeout_;
+    std::shared_ptr<mhd_server*> self_ = std::make_shared<mhd_server*>(this);
+};
+
+} // namespace
+
+result<std::unique_ptr<http_server>>
+http_server::create(event_loop& loop, http_server_options options, http_handler& handler)
+{
+    auto made = std::make_unique<mhd_server>(loop, std::move(options), handler);
+    BOOST_LEAF_CHECK(made->start());
+    return made;
+}
+
+} // namespace camphorrock
--- a/net/http_server.hpp
+++ b/net/http_server.hpp
@@ -51,11 +51,12 @@
 
 struct http_server_options
 {
-    endpoint address;                         // "IP:port"; port 0 takes a free one
-    std::size_t max_header_bytes = 16 * 1024; // of the request line and headers
-    std::size_t max_body_bytes = 1024 * 1024; // of one request
-    unsigned max_connections = 4096;          // further ones are closed at accept
-    seconds idle_timeout = seconds(60);       // of a connection without a request
+    endpoint address; // "IP:port"; port 0 takes a free one
+    std::size_t max_header_bytes =
+        std::size_t{16} * 1024; // of the request line and headers
+    std::size_t max_body_bytes = std::size_t{1024} * 1024; // of one request
+    unsigned max_connections = 4096;    // further ones are closed at accept
+    seconds idle_timeout = seconds(60); // of a connection without a request
 };
 
 class http_server
@@ -71,11 +72,15 @@
     // The address with the port that was bound.
     virtual endpoint bound() const = 0;
 
-    // Stops accepting connections; requests in flight are still answered.
+    // Stops accepting connections; requests in flight are still answered. Each later
+    // answer closes its connection.
     virtual void stop_accepting() = 0;
 
     // Requests whose answer has not been sent whole yet.
     virtual std::size_t in_flight() const = 0;
+
+    // Open connections, with or without a request.
+    virtual std::size_t connections() const = 0;
 };
 
 } // namespace camphorrock
--- /dev/null
+++ b/net/mhd_response.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+// The conversion of answers to libmicrohttpd's form.
+
+#include "net/http_message.hpp"
+
+#include <memory>
+
+struct MHD_Response;
+
+namespace camphorrock
+{
+
+struct mhd_response_deleter
+{
+    void operator()(MHD_Response* raw) const;
+};
+
+using mhd_response = std::unique_ptr<MHD_Response, mhd_response_deleter>;
+
+// Takes the body over without a copy. Headers that describe the connection or the
+// length are left out, since libmicrohttpd writes its own, and so are those with an empty
+// value, which it does not send. With `close_after`, the connection ends with this
+// answer. None where memory runs out.
+mhd_response make_mhd_response(http_response answer, bool close_after);
+
+} // namespace camphorrock
--- /dev/null
+++ b/net/request_check.cpp
@@ -0,0 +1,86 @@
+#include "net/request_check.hpp"
+
+#include <strings.h>
+
+#include <charconv>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr int bad_request = 400;
+constexpr int content_too_large = 413;
+constexpr int headers_too_large = 431;
+constexpr int not_implemented = 501;
+
+std::vector<std::string> values_of(const http_headers& headers, const char* name)
+{
+    std::vector<std::string> found;
+    for (const http_header& it : headers.all())
+    {
+        if (strcasecmp(it.name.c_str(), name) == 0)
+        {
+            found.push_back(it.value);
+        }
+    }
+    return found;
+}
+
+std::optional<std::uint64_t> parse_length(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const char* end = text.data() + text.size();
+    auto [rest, ec] = std::from_chars(text.data(), end, value);
+    if (ec != std::errc() || rest != end)
+    {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::optional<request_refusal> check_length(const std::string& text, std::size_t bound)
+{
+    const std::optional<std::uint64_t> length = parse_length(text);
+    if (!length)
+    {
+        return request_refusal{bad_request, "Content-Length is not a number"};
+    }
+    if (*length > bound)
+    {
+        return request_refusal{content_too_large, "the body is too large"};
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<request_refusal> check_request(const http_headers& headers,
+                                             std::size_t header_bytes,
+                                             const request_bounds& bounds)
+{
+    if (header_bytes > bounds.max_header_bytes)
+    {
+        return request_refusal{headers_too_large, "the headers are too large"};
+    }
+    const std::vector<std::string> lengths = values_of(headers, "Content-Length");
+    const std::vector<std::string> encodings = values_of(headers, "Transfer-Encoding");
+    if (lengths.size() + encodings.size() > 1)
+    {
+        return request_refusal{bad_request, "the length of the body is ambiguous"};
+    }
+    if (!encodings.empty() && strcasecmp(encodings.front().c_str(), "chunked") != 0)
+    {
+        return request_refusal{not_implemented, "unknown Transfer-Encoding"};
+    }
+    if (!lengths.empty())
+    {
+        return check_length(lengths.front(), bounds.max_body_bytes);
+    }
+    return std::nullopt;
+}
+
+} // namespace camphorrock
--- a/net/rpc_client.hpp
+++ b/net/rpc_client.hpp
@@ -62,7 +62,7 @@
     // One exchange for all calls; the results stand in the order of the calls. Where the
     // exchange itself fails, each result says how.
     void batch(const endpoint& to,
-               std::vector<rpc_call> calls,
+               const std::vector<rpc_call>& calls,
                duration timeout,
                batch_callback done);
 
