--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -262,6 +262,7 @@
             {
                 it->current->on_gone = nullptr;
                 it->current->decide(mhd_exchange::decision::abort, {});
+                it->current->cut_stream();
             }
         }
     }
@@ -273,6 +274,7 @@
         {
             std::shared_ptr<mhd_exchange> exchange = it->second->current;
             exchange->report_gone();
+            exchange->cut_stream();
         }
     }
 
@@ -357,7 +359,7 @@
         {
             return server->handle(exchange);
         }
-        return server->carry_out(*exchange);
+        return server->carry_out(exchange);
     }
 
     MHD_Result begin(mhd_exchange& exchange)
@@ -399,24 +401,33 @@
         exchange->is_handled = true;
         ++in_flight_;
         handler_.handle(std::move(exchange->request), make_responder(exchange));
-        return carry_out(*exchange);
+        return carry_out(exchange);
     }
 
-    MHD_Result carry_out(mhd_exchange& exchange)
+    MHD_Result carry_out(const std::shared_ptr<mhd_exchange>& exchange)
     {
-        switch (exchange.decided)
+        switch (exchange->decided)
         {
         case mhd_exchange::decision::answer:
-            return queue(exchange, std::move(exchange.answer), listen_fd_ < 0);
+            return queue(*exchange, std::move(exchange->answer), listen_fd_ < 0);
+        case mhd_exchange::decision::stream:
+            return queue_stream(exchange);
         case mhd_exchange::decision::abort:
             return MHD_NO;
         case mhd_exchange::decision::none:
             break;
         }
-        exchange.suspend();
+        exchange->suspend();
         return MHD_YES;
     }
 
+    static MHD_Result queue_stream(const std::shared_ptr<mhd_exchange>& exchange)
+    {
+        const auto status = static_cast<unsigned>(exchange->answer.status);
+        const mhd_response made = make_mhd_stream(exchange);
+        return made ? MHD_queue_response(exchange->raw, status, made.get()) : MHD_NO;
+    }
+
     static MHD_Result
     queue(mhd_exchange& exchange, http_response answer, bool close_after)
     {
--- a/net/http_server.hpp
+++ b/net/http_server.hpp
@@ -18,12 +18,13 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace camphorrock
 {
 
 // The way to answer one request. The handler keeps it alive until it has answered; one
-// that is destroyed unanswered cuts the connection.
+// that is destroyed unanswered, or within a stream, cuts the connection.
 class http_responder
 {
 public:
@@ -33,11 +34,20 @@
     // no effect once the caller is gone.
     virtual void respond(http_response answer) = 0;
 
-    // Cuts the connection without an answer, for an answer that cannot be given whole.
+    // Sends the status and headers of `head` now, and its body in pieces until
+    // end_stream(), for an answer without an end in sight (a watch). Counts as the first
+    // call of respond() or abort() would. A caller that leaves 16 MB unread is cut off.
+    virtual void start_stream(http_response head) = 0;
+    virtual void add_piece(std::string_view piece) = 0;
+    virtual void end_stream() = 0;
+
+    // Cuts the connection without an answer or within a stream, for an answer that cannot
+    // be given whole.
     virtual void abort() = 0;
 
-    // Calls once if the caller goes away before it was answered. Called on the loop. The
-    // callback is dropped without a call when an answer has been sent.
+    // Calls once if the caller goes away before it was answered or its stream has ended.
+    // Called on the loop. The callback is dropped without a call when an answer was
+    // given.
     virtual void on_gone(std::function<void()> what) = 0;
 };
 
--- a/net/mhd_exchange.cpp
+++ b/net/mhd_exchange.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+// Of a stream whose caller does not read.
+constexpr std::size_t max_unsent_bytes = std::size_t{16} * 1024 * 1024;
+
 class mhd_responder : public http_responder
 {
 public:
@@ -19,7 +22,7 @@
 
     ~mhd_responder() override
     {
-        exchange_->decide(mhd_exchange::decision::abort, {});
+        abort();
     }
 
     void respond(http_response answer) override
@@ -27,9 +30,25 @@
         exchange_->decide(mhd_exchange::decision::answer, std::move(answer));
     }
 
+    void start_stream(http_response head) override
+    {
+        exchange_->decide(mhd_exchange::decision::stream, std::move(head));
+    }
+
+    void add_piece(std::string_view piece) override
+    {
+        exchange_->add_piece(piece);
+    }
+
+    void end_stream() override
+    {
+        exchange_->end_stream();
+    }
+
     void abort() override
     {
         exchange_->decide(mhd_exchange::decision::abort, {});
+        exchange_->cut_stream();
     }
 
     void on_gone(std::function<void()> what) override
@@ -55,14 +74,68 @@
     }
     decided = what;
     answer = std::move(with);
-    // Dropped only now: its captures may hold the responder itself.
-    const std::function<void()> dropped = std::exchange(on_gone, nullptr);
-    if (raw != nullptr && is_suspended)
+    if (decided != decision::stream)
     {
-        is_suspended = false;
-        MHD_resume_connection(raw);
-        server->run_soon();
+        // Destroyed only at the end: its captures may hold the responder itself.
+        const std::function<void()> dropped = std::exchange(on_gone, nullptr);
+        resume();
+        return;
     }
+    resume();
+}
+
+void mhd_exchange::add_piece(std::string_view piece)
+{
+    if (decided == decision::stream && is_open() && raw != nullptr)
+    {
+        pieces.append(piece);
+        if (pieces.size() > max_unsent_bytes)
+        {
+            cut_stream();
+            return;
+        }
+        resume();
+    }
+}
+
+void mhd_exchange::end_stream()
+{
+    if (decided == decision::stream && is_open())
+    {
+        is_stream_ended = true;
+        const std::function<void()> dropped = std::exchange(on_gone, nullptr);
+        resume();
+    }
+}
+
+void mhd_exchange::cut_stream()
+{
+    if (decided == decision::stream && is_open())
+    {
+        decided = decision::abort;
+        const std::function<void()> dropped = std::exchange(on_gone, nullptr);
+        resume();
+    }
+}
+
+std::ptrdiff_t mhd_exchange::read_stream(char* buf, std::size_t max)
+{
+    if (decided != decision::stream)
+    {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    if (!pieces.empty())
+    {
+        const std::size_t n = pieces.copy(buf, max);
+        pieces.erase(0, n);
+        return static_cast<std::ptrdiff_t>(n);
+    }
+    if (is_stream_ended)
+    {
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    }
+    suspend();
+    return 0;
 }
 
 void mhd_exchange::suspend()
@@ -71,6 +144,16 @@
     MHD_suspend_connection(raw);
 }
 
+void mhd_exchange::resume()
+{
+    if (raw != nullptr && is_suspended)
+    {
+        is_suspended = false;
+        MHD_resume_connection(raw);
+        server->run_soon();
+    }
+}
+
 void mhd_exchange::end()
 {
     raw = nullptr;
@@ -80,7 +163,7 @@
 void mhd_exchange::report_gone()
 {
     const std::function<void()> what = std::exchange(on_gone, nullptr);
-    if (what && decided == decision::none)
+    if (what && is_open())
     {
         what();
     }
--- a/net/mhd_exchange.hpp
+++ b/net/mhd_exchange.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 struct MHD_Connection;
 
@@ -34,6 +35,7 @@
     {
         none,
         answer,
+        stream,
         abort,
     };
 
@@ -45,18 +47,37 @@
     bool is_suspended = false;
     decision decided = decision::none;
     http_response answer;
+    std::string pieces; // of a stream, not sent yet
+    bool is_stream_ended = false;
     std::function<void()> on_gone;
 
+    // True until on_gone has lost its purpose.
+    bool is_open() const
+    {
+        return decided == decision::none ||
+               (decided == decision::stream && !is_stream_ended);
+    }
+
     // Takes the first decision; has no effect afterwards or once the exchange has ended.
     void decide(decision what, http_response with);
 
-    // Lets libmicrohttpd wait until the decision.
+    // Adds to a stream, ends it whole, or cuts it.
+    void add_piece(std::string_view piece);
+    void end_stream();
+    void cut_stream();
+
+    // Copies the next part of a stream to `buf`, as libmicrohttpd's content reader does:
+    // returns the number of bytes, or one of its marks for the end.
+    std::ptrdiff_t read_stream(char* buf, std::size_t max);
+
+    // Lets libmicrohttpd wait until resume().
     void suspend();
+    void resume();
 
     // The connection's part is over.
     void end();
 
-    // Calls on_gone, if the exchange is undecided; at most once.
+    // Calls on_gone, if the exchange is open; at most once.
     void report_gone();
 };
 
--- a/net/mhd_response.cpp
+++ b/net/mhd_response.cpp
@@ -1,9 +1,13 @@
 #include "net/mhd_response.hpp"
 
+#include "net/mhd_exchange.hpp"
+
 #include <microhttpd.h>
 #include <strings.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -34,6 +38,31 @@
         held->size(), held->data(), delete_body, held);
 }
 
+constexpr std::size_t stream_block_bytes = 4096;
+
+using held_exchange = std::shared_ptr<mhd_exchange>;
+
+ssize_t read_stream(void* held, std::uint64_t, char* buf, std::size_t max)
+{
+    return (*static_cast<held_exchange*>(held))->read_stream(buf, max);
+}
+
+void delete_exchange(void* held)
+{
+    delete static_cast<held_exchange*>(held);
+}
+
+void add_headers(MHD_Response* to, const http_headers& headers)
+{
+    for (const http_header& it : headers.all())
+    {
+        if (!is_own_header(it.name))
+        {
+            MHD_add_response_header(to, it.name.c_str(), it.value.c_str());
+        }
+    }
+}
+
 } // namespace
 
 void mhd_response_deleter::operator()(MHD_Response* raw) const
@@ -48,13 +77,7 @@
     {
         return made;
     }
-    for (const http_header& it : answer.headers.all())
-    {
-        if (!is_own_header(it.name))
-        {
-            MHD_add_response_header(made.get(), it.name.c_str(), it.value.c_str());
-        }
-    }
+    add_headers(made.get(), answer.headers);
     if (close_after)
     {
         MHD_add_response_header(made.get(), MHD_HTTP_HEADER_CONNECTION, "close");
@@ -62,4 +85,16 @@
     return made;
 }
 
+mhd_response make_mhd_stream(const std::shared_ptr<mhd_exchange>& exchange)
+{
+    auto* held = new held_exchange(exchange);
+    mhd_response made(MHD_create_response_from_callback(
+        MHD_SIZE_UNKNOWN, stream_block_bytes, read_stream, held, delete_exchange));
+    if (made)
+    {
+        add_headers(made.get(), exchange->answer.headers);
+    }
+    return made;
+}
+
 } // namespace camphorrock
--- a/net/mhd_response.hpp
+++ b/net/mhd_response.hpp
@@ -11,6 +11,8 @@
 namespace camphorrock
 {
 
+struct mhd_exchange;
+
 struct mhd_response_deleter
 {
     void operator()(MHD_Response* raw) const;
@@ -24,4 +26,7 @@
 // answer. None where memory runs out.
 mhd_response make_mhd_response(http_response answer, bool close_after);
 
+// The start of a streamed answer, which keeps its exchange alive while it is sent.
+mhd_response make_mhd_stream(const std::shared_ptr<mhd_exchange>& exchange);
+
 } // namespace camphorrock
--- a/net/rpc_client.cpp
+++ b/net/rpc_client.cpp
@@ -1,9 +1,7 @@
 #include "net/rpc_client.hpp"
 
-#include <json/reader.h>
-#include <json/writer.h>
+#include "net/json_text.hpp"
 
-#include <memory>
 #include <optional>
 
 namespace camphorrock
@@ -26,13 +24,11 @@
 
 http_request make_request(const Json::Value& content)
 {
-    Json::StreamWriterBuilder compact;
-    compact["indentation"] = "";
     http_request made;
     made.method = "POST";
     made.target = rpc_target;
     made.headers.add("Content-Type", "application/json");
-    made.body = Json::writeString(compact, content);
+    made.body = to_json_text(content);
     return made;
 }
 
@@ -44,26 +40,6 @@
     return made;
 }
 
-std::optional<Json::Value> parse(const std::string& text)
-{
-    Json::CharReaderBuilder builder;
-    Json::CharReaderBuilder::strictMode(&builder.settings_);
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value made;
-    try
-    {
-        if (reader->parse(text.data(), text.data() + text.size(), &made, nullptr))
-        {
-            return made;
-        }
-    }
-    catch (const Json::Exception&)
-    {
-        // Nested too deeply.
-    }
-    return std::nullopt;
-}
-
 bool is_answer_to(const Json::Value& value, unsigned id)
 {
     return value.isObject() && value["id"].isUInt() && value["id"].asUInt() == id;
@@ -120,7 +96,7 @@
     {
         return *failure;
     }
-    const std::optional<Json::Value> value = parse(got.answer.body);
+    const std::optional<Json::Value> value = parse_json(got.answer.body);
     if (!value || !is_answer_to(*value, id))
     {
         return make_failure(rpc_end::no_answer,
@@ -139,7 +115,7 @@
     }
     std::vector<rpc_result> made(
         n, make_failure(rpc_end::no_answer, "the batch has no answer to this call"));
-    const std::optional<Json::Value> value = parse(got.answer.body);
+    const std::optional<Json::Value> value = parse_json(got.answer.body);
     if (!value || !value->isArray())
     {
         return made;
--- /dev/null
+++ b/store/etcd_caller.cpp
@@ -0,0 +1,144 @@
+#include "store/etcd_caller.hpp"
+
+#include "net/json_text.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr int ok_status = 200;
+constexpr int first_client_error = 400;
+constexpr int first_server_error = 500;
+
+// What an HTTP answer means. An error of the store's own (5xx) does not say whether a
+// write took effect.
+call_answer read_answer(const http_response& answer, call_kind kind)
+{
+    call_answer made;
+    if (answer.status == ok_status)
+    {
+        std::optional<Json::Value> body = parse_json(answer.body);
+        made.end = body ? call_end::answered : call_end::no_answer;
+        made.body = body.value_or(Json::Value());
+        return made;
+    }
+    const bool is_refusal =
+        answer.status >= first_client_error && answer.status < first_server_error;
+    made.end =
+        is_refusal || kind == call_kind::read ? call_end::refused : call_end::no_answer;
+    return made;
+}
+
+} // namespace
+
+struct etcd_caller::attempt
+{
+    http_request request;
+    call_kind kind;
+    callback done;
+    time_point deadline;
+    std::size_t left; // attempts, with this one
+    bool is_repeated;
+};
+
+etcd_caller::etcd_caller(event_loop& loop,
+                         http_client& http,
+                         store_client_options options)
+    : loop_(loop), http_(http), options_(std::move(options))
+{
+}
+
+void etcd_caller::call(const char* target,
+                       const Json::Value& body,
+                       call_kind kind,
+                       callback done)
+{
+    // A read has one attempt to spare for a kept connection that turns out to be dead.
+    const std::size_t spare = kind == call_kind::read ? 1 : 0;
+    send(std::make_shared<attempt>(attempt{make_request(target, body),
+                                           kind,
+                                           std::move(done),
+                                           loop_.now() + options_.call_timeout,
+                                           options_.endpoints.size() + spare,
+                                           false}));
+}
+
+http_request etcd_caller::make_request(const char* target, const Json::Value& body) const
+{
+    http_request made;
+    made.method = "POST";
+    made.target = target;
+    made.headers.add("Content-Type", "application/json");
+    made.body = to_json_text(body);
+    return made;
+}
+
+const endpoint& etcd_caller::current() const
+{
+    return options_.endpoints[current_];
+}
+
+void etcd_caller::leave_current()
+{
+    http_.drop_connections(current());
+    current_ = (current_ + 1) % options_.endpoints.size();
+    has_answered_ = false;
+}
+
+bool etcd_caller::is_proven_alive() const
+{
+    return has_answered_ && loop_.now() - last_answer_ <= options_.proven_alive;
+}
+
+void etcd_caller::send(std::shared_ptr<attempt> it)
+{
+    const duration remaining = it->deadline - loop_.now();
+    const bool is_read = it->kind == call_kind::read;
+    exchange_options options;
+    options.timeout = is_read ? remaining / static_cast<int>(it->left) : remaining;
+    options.connect_timeout = std::min(options.connect_timeout, options.timeout);
+    if (it->is_repeated || (!is_read && !is_proven_alive()))
+    {
+        options.connection = connection_choice::fresh;
+    }
+    http_.send(current(),
+               it->request,
+               options,
+               [weak = weak_from_this(), it](exchange_result got)
+               {
+                   if (const std::shared_ptr<etcd_caller> self = weak.lock())
+                   {
+                       self->on_end(it, std::move(got));
+                   }
+               });
+}
+
+void etcd_caller::on_end(const std::shared_ptr<attempt>& it, exchange_result got)
+{
+    if (got.end == exchange_end::answered)
+    {
+        last_answer_ = loop_.now();
+        has_answered_ = true;
+        it->done(read_answer(got.answer, it->kind));
+        return;
+    }
+    leave_current();
+    --it->left;
+    it->is_repeated = true;
+    const bool may_repeat = it->kind == call_kind::read || is_nothing_sent(got.end);
+    if (may_repeat && it->left > 0 && loop_.now() < it->deadline)
+    {
+        send(it);
+        return;
+    }
+    call_answer made;
+    made.end = is_nothing_sent(got.end) ? call_end::not_sent : call_end::no_answer;
+    it->done(made);
+}
+
+} // namespace camphorrock
--- /dev/null
+++ b/store/etcd_watch.cpp
@@ -0,0 +1,253 @@
+#include "store/etcd_watch.hpp"
+
+#include "net/json_text.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorrock
+{
+namespace
+{
+
+// A message holds values of up to a megabyte, in base64.
+constexpr std::size_t max_line_bytes = std::size_t{32} * 1024 * 1024;
+
+} // namespace
+
+etcd_watch::etcd_watch(std::shared_ptr<etcd_caller> caller,
+                       std::string prefix,
+                       store_revision after,
+                       store_client::watch_callback changed,
+                       std::uint64_t seed)
+    : caller_(std::move(caller)), prefix_(std::move(prefix)), last_(after),
+      changed_(std::move(changed)), backoff_(caller_->options().watch_retry, seed)
+{
+}
+
+struct etcd_watch::handle_state : watch_handle::state
+{
+    explicit handle_state(std::shared_ptr<etcd_watch> held) : watch(std::move(held)) {}
+
+    ~handle_state() override
+    {
+        watch->stop();
+    }
+
+    std::shared_ptr<etcd_watch> watch;
+};
+
+watch_handle etcd_watch::start()
+{
+    open();
+    return watch_handle(std::make_shared<handle_state>(shared_from_this()));
+}
+
+void etcd_watch::stop()
+{
+    is_stopped_ = true;
+    close();
+}
+
+void etcd_watch::close()
+{
+    timer_.reset();
+    if (exchange_)
+    {
+        caller_->http().cancel(*exchange_);
+        exchange_.reset();
+    }
+}
+
+void etcd_watch::open()
+{
+    unread_.clear();
+    is_started_ = false;
+    exchange_options options;
+    options.timeout = caller_->options().watch_lifetime;
+    options.connection = connection_choice::fresh;
+    const std::weak_ptr<etcd_watch> weak = weak_from_this();
+    exchange_ = caller_->http().stream(
+        caller_->current(),
+        caller_->make_request(etcd_target::watch, make_watch(prefix_, last_)),
+        options,
+        [weak](std::string_view piece)
+        {
+            if (const std::shared_ptr<etcd_watch> self = weak.lock())
+            {
+                self->on_piece(piece);
+            }
+        },
+        [weak](const exchange_result& got)
+        {
+            if (const std::shared_ptr<etcd_watch> self = weak.lock())
+            {
+                self->on_end(got);
+            }
+        });
+    timer_ =
+        caller_->loop().after(caller_->options().call_timeout, [this] { on_no_start(); });
+}
+
+void etcd_watch::on_piece(std::string_view piece)
+{
+    unread_.append(piece);
+    std::size_t from = 0;
+    const std::string text = std::exchange(unread_, {});
+    for (std::size_t end = text.find('\n'); end != std::string::npos;
+         end = text.find('\n', from))
+    {
+        on_line(std::string_view(text).substr(from, end - from));
+        from = end + 1;
+        if (!exchange_)
+        {
+            return;
+        }
+    }
+    unread_ = text.substr(from);
+    if (unread_.size() > max_line_bytes)
+    {
+        close();
+        try_later();
+    }
+}
+
+void etcd_watch::on_line(std::string_view line)
+{
+    const std::optional<Json::Value> body = parse_json(line);
+    std::optional<watch_message> message =
+        body ? read_watch(*body) : std::optional<watch_message>();
+    if (message)
+    {
+        on_message(std::move(*message));
+        return;
+    }
+    close();
+    try_later();
+}
+
+void etcd_watch::on_message(watch_message message)
+{
+    if (message.is_canceled)
+    {
+        close();
+        read_anew();
+        return;
+    }
+    is_started_ = true;
+    timer_.reset();
+    backoff_.reset();
+    if (!message.changes.empty())
+    {
+        last_ = std::max(last_, message.last);
+        deliver(std::move(message.changes));
+    }
+}
+
+void etcd_watch::on_end(const exchange_result& got)
+{
+    exchange_.reset();
+    const bool is_lifetime_over = is_started_ && got.end == exchange_end::timed_out;
+    timer_.reset();
+    if (is_lifetime_over)
+    {
+        open();
+        return;
+    }
+    caller_->leave_current();
+    try_later();
+}
+
+// The connection was opened but the store does not answer on it.
+void etcd_watch::on_no_start()
+{
+    close();
+    caller_->leave_current();
+    try_later();
+}
+
+void etcd_watch::try_later()
+{
+    timer_ = caller_->loop().after(backoff_.next(),
+                                   [this]
+                                   {
+                                       if (is_gap_)
+                                       {
+                                           read_anew();
+                                       }
+                                       else
+                                       {
+                                           open();
+                                       }
+                                   });
+}
+
+void etcd_watch::read_anew()
+{
+    is_gap_ = true;
+    caller_->call(etcd_target::range,
+                  make_prefix_range(prefix_),
+                  call_kind::read,
+                  [weak = weak_from_this()](const call_answer& got)
+                  {
+                      if (const std::shared_ptr<etcd_watch> self = weak.lock())
+                      {
+                          self->on_read(got);
+                      }
+                  });
+}
+
+void etcd_watch::on_read(const call_answer& got)
+{
+    if (is_stopped_)
+    {
+        return;
+    }
+    const std::optional<store_read> read = got.end == call_end::answered
+                                               ? read_range(got.body)
+                                               : std::optional<store_read>();
+    if (!read)
+    {
+        try_later();
+        return;
+    }
+    std::vector<store_entry> changes;
+    std::unordered_set<std::string> gone = known_;
+    for (const store_entry& it : read->entries)
+    {
+        gone.erase(it.key);
+        if (it.revision > last_)
+        {
+            changes.push_back(it);
+        }
+    }
+    for (const std::string& key : gone)
+    {
+        changes.push_back({key, "", {}});
+    }
+    is_gap_ = false;
+    last_ = std::max(last_, read->at);
+    open();
+    if (!changes.empty())
+    {
+        deliver(std::move(changes));
+    }
+}
+
+void etcd_watch::deliver(std::vector<store_entry> changes)
+{
+    for (const store_entry& it : changes)
+    {
+        if (it.revision.value == 0)
+        {
+            known_.erase(it.key);
+        }
+        else
+        {
+            known_.insert(it.key);
+        }
+    }
+    changed_(std::move(changes));
+}
+
+} // namespace camphorrock
--- a/store/store_client.hpp
+++ b/store/store_client.hpp
@@ -85,7 +85,9 @@
 
     virtual ~store_client() = default;
 
-    // Linearizable read of one key; no entry where it is absent.
+    // Linearizable read of one key; no entry where it is absent. A read that meets a
+    // broken connection is repeated, at another endpoint where there is one. What changes
+    // something is sent at most once.
     virtual void get(const std::string& key, read_callback done) = 0;
 
     // Linearizable read of all keys that begin with `prefix`.
@@ -110,9 +112,10 @@
     virtual void revoke_lease(store_lease lease, lease_callback done) = 0;
 
     // Calls for each change of a key under `prefix` after revision `after`; a deleted key
-    // comes with an empty value and revision 0. The watch reconnects by itself; after a
-    // gap it reads the prefix anew, so the last state is always delivered. Ends with the
-    // handle.
+    // comes with an empty value and revision 0. The watch reconnects by itself and misses
+    // no change; after an outage so long that the store has dropped the revisions since,
+    // it reads the prefix anew and delivers what is there, and as deleted the keys it had
+    // delivered that are not. Ends with the handle.
     virtual watch_handle
     watch(const std::string& prefix, store_revision after, watch_callback changed) = 0;
 };
@@ -120,8 +123,17 @@
 struct store_client_options
 {
     std::vector<endpoint> endpoints;            // tried in turn
-    duration call_timeout = milliseconds(1000); // of one call
-    duration watch_retry = milliseconds(500);   // pause before a broken watch reconnects
+    duration call_timeout = milliseconds(1000); // of one call with its repetitions
+    // A call that changes something takes a new connection unless the endpoint answered
+    // within this time, so that it does not end `unknown` on a connection gone silent.
+    duration proven_alive = milliseconds(2000);
+    // A watch is opened anew after this time, since a connection that has gone silent
+    // looks like a prefix without changes.
+    duration watch_lifetime = milliseconds(4000);
+    // The mean pause before a broken watch reconnects. It doubles with each failure, up
+    // to 16 times, and is drawn between half and one and a half of the mean.
+    duration watch_retry = milliseconds(500);
+    std::uint64_t seed = 1; // of these draws; differs between processes
 };
 
 // `loop` and `http` must outlive the client.
