--- /dev/null
+++ b/core/routing/testing/route_table_test.cpp
@@ -0,0 +1,99 @@
+#include "core/routing/route_table.hpp"
+#include "testing/test_headers.hpp"
+
+using namespace camphorrock;
+
+namespace
+{
+
+const shard_id shard("valves");
+
+shard_record record_at(std::uint64_t version, const char* scheduler)
+{
+    shard_record record;
+    record.shard = shard;
+    record.version = epoch{version};
+    record.servers = {{server_id("s1"),
+                       endpoint("127.0.0.1:1"),
+                       true,
+                       instance_id(scheduler),
+                       endpoint("127.0.0.1:2"),
+                       epoch{version}}};
+    record.partitions = {{hash_range{{0}, {99}}, server_id("s1"), epoch{version}, {}},
+                         {hash_range{{100}, hash_range().last}, {}, epoch{version}, {}}};
+    return record;
+}
+
+} // namespace
+
+TEST_CASE("a router finds who schedules a key")
+{
+    route_table table(instance_id("r1"));
+
+    SECTION("without a record every key is refused")
+    {
+        CHECK(table.find(shard, key_hash{5}).kind == route_kind::refuse);
+    }
+    SECTION("with a record")
+    {
+        REQUIRE(table.offer(record_at(4, "r1")));
+        CHECK(table.find(shard, key_hash{5}).kind == route_kind::local);
+        CHECK(table.find(shard, key_hash{100}).kind == route_kind::refuse);
+
+        SECTION("a newer one replaces it")
+        {
+            REQUIRE(table.offer(record_at(5, "r2")));
+            route to = table.find(shard, key_hash{99});
+            CHECK(to.kind == route_kind::forward);
+            CHECK(to.since == epoch{5});
+
+            SECTION("and an older one never comes back")
+            {
+                CHECK_FALSE(table.offer(record_at(4, "r1")));
+                CHECK_FALSE(table.offer(record_at(5, "r1")));
+                CHECK(table.find(shard, key_hash{99}).kind == route_kind::forward);
+            }
+        }
+    }
+}
+
+TEST_CASE("a record that breaks its invariants is told from a whole one")
+{
+    shard_record record = record_at(4, "r1");
+    CHECK(validate(record));
+
+    SECTION("a gap")
+    {
+        record.partitions[1].range.first.value = 101;
+    }
+    SECTION("an overlap")
+    {
+        record.partitions[1].range.first.value = 99;
+    }
+    SECTION("an end missing")
+    {
+        record.partitions.pop_back();
+    }
+    SECTION("an unknown owner")
+    {
+        record.partitions[0].owner = server_id("s9");
+    }
+    SECTION("an unknown next owner")
+    {
+        record.partitions[0].moving_to = server_id("s9");
+    }
+    SECTION("a partition from the future")
+    {
+        record.partitions[0].since = epoch{5};
+    }
+    SECTION("a server from the future")
+    {
+        record.servers[0].since = epoch{5};
+    }
+    SECTION("a server twice")
+    {
+        record.servers.push_back(record.servers[0]);
+    }
+
+    CHECK_FALSE(validate(record));
+}
