--- /dev/null
+++ b/core/ownership/grant_guard.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+// The server's side of ownership: which partitions this server owns now, and whether a
+// request of some epoch may run. One guard stands for one shard.
+//
+//     server_reply reply = guard.grant(message, now);
+//     if (guard.check(at, since, now) != guard_verdict::accepted) ... // refuse: not run
+//
+// `now` is the server's boot clock, which goes on while the process is frozen.
+//
+// Invariants:
+//   - a grant lapses at as_of + ttl of its message, however late the message arrives; a
+//     reading from before the start of this process or from the future gives no grant;
+//   - for each hash only the highest epoch that was granted or revoked counts, and a
+//     revoked epoch is not granted again.
+// A range is forgotten once no message that could bring it back can still be valid, so
+// memory is bounded by the live partitions, and by max_partitions in any case. Each call
+// is O(log n) and O(ranges touched).
+
+#include "core/ownership/grant_message.hpp"
+#include "core/ownership/ownership_options.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string_view>
+
+namespace camphorrock
+{
+
+enum class guard_verdict
+{
+    accepted,
+    no_grant,    // nothing was granted for this hash, or only a lower epoch
+    lapsed,      // the grant ran out
+    revoked,     // the grant was taken back
+    stale_epoch, // a higher epoch is known
+};
+
+// "accepted", "no-grant", "lapsed", "revoked", "stale-epoch".
+std::string_view name_of(guard_verdict value);
+
+class grant_guard
+{
+public:
+    grant_guard(ownership_options options, time_point started_at);
+
+    server_reply grant(const grant_message& message, time_point now);
+    server_reply revoke(const revoke_message& message, time_point now);
+
+    // The answer to a clock message.
+    server_reply read_clock(time_point now) const;
+
+    // May a request of this epoch run now?
+    guard_verdict check(key_hash at, epoch since, time_point now) const;
+
+    // Would a request of some epoch be accepted now?
+    bool is_owner(key_hash at, time_point now) const;
+
+private:
+    struct segment
+    {
+        key_hash last;
+        epoch highest;        // granted or revoked
+        time_point lapses_at; // of the grant
+        time_point forget_at; // no older message counts after this
+        bool is_revoked = false;
+    };
+
+    using segment_map = std::map<key_hash, segment>; // by first hash, no overlaps
+
+    void cut_at(key_hash first);
+    void fill(hash_range range, const segment& empty);
+    void forget_old(time_point now);
+    bool apply_grant(segment& target, epoch since, time_point lapses_at, time_point now);
+    const segment* find(key_hash at) const;
+
+    ownership_options options_;
+    time_point started_at_;
+    segment_map segments_;
+};
+
+} // namespace camphorrock
--- /dev/null
+++ b/core/ownership/server_link.hpp
@@ -0,0 +1,125 @@
+#pragma once
+
+// What a scheduler keeps about one of its servers: the latest clock reading, the
+// exchanges without an answer, the grants that may still hold there, and the requests in
+// flight. A part of scheduler_authority; times are those of the router.
+
+#include "core/ownership/ownership_options.hpp"
+#include "core/ownership/scheduler_action.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace camphorrock
+{
+
+class server_link
+{
+public:
+    // No grant of an earlier process of this router outlives started_at + authority_ttl.
+    server_link(ownership_options options, time_point started_at, time_point now);
+
+    // Takes over what the record says of the server.
+    void update(const server_entry& entry,
+                std::vector<partition_entry> partitions,
+                time_point now);
+
+    // Sends what is due. `authority_until` bounds the grants; in the past: none is sent.
+    void drive(time_point authority_until,
+               time_point now,
+               exchange_id& last_exchange,
+               scheduler_actions& actions);
+
+    void answered(exchange_id exchange, const server_reply& reply, time_point now);
+    void failed(exchange_id exchange, bool is_connection_refused, time_point now);
+
+    // Until when a request for this partition is sure to be accepted; none: not now.
+    std::optional<time_point> admits_until(const partition_entry& partition,
+                                           time_point authority_until,
+                                           time_point now) const;
+
+    bool request_sent(std::uint64_t request, key_hash at, time_point now);
+    void request_ended(std::uint64_t request, bool is_definite);
+
+    bool is_lost(time_point now) const;
+    std::vector<granted_partition> released(time_point now) const;
+
+    const server_entry& entry() const
+    {
+        return entry_;
+    }
+
+private:
+    enum class exchange_kind
+    {
+        clock,
+        grant,
+        revoke,
+    };
+
+    struct exchange
+    {
+        exchange_id id;
+        exchange_kind kind = exchange_kind::clock;
+        time_point sent_at;
+        time_point valid_until; // of a grant: at least this long, on the router's clock
+    };
+
+    struct echo
+    {
+        server_clock clock;
+        time_point sent_at;     // the reading is not older than this
+        time_point received_at; // nor younger than this
+    };
+
+    struct partition_state
+    {
+        partition_entry entry;
+        time_point granted_until = time_point::min(); // sure to hold until then
+        time_point may_hold_until;                    // cannot hold after this
+        time_point drain_until;                       // for a moving partition
+        bool is_revoke_acknowledged = false;
+    };
+
+    struct request_in_flight
+    {
+        std::uint64_t request = 0;
+        key_hash at;
+        time_point sent_at;
+        bool is_ended = false; // here, not surely at the server
+    };
+
+    bool is_drained(const partition_state& state, time_point now) const;
+    bool is_released(const partition_state& state, time_point now) const;
+    std::size_t in_flight(const hash_range& range) const;
+    void forget_old_requests(time_point now);
+    exchange&
+    open_exchange(exchange_kind kind, time_point now, exchange_id& last_exchange);
+    std::optional<exchange> close_exchange(exchange_id id);
+    void send_grants(time_point authority_until,
+                     time_point now,
+                     exchange_id& last_exchange,
+                     scheduler_actions& actions);
+    void
+    send_revokes(time_point now, exchange_id& last_exchange, scheduler_actions& actions);
+    void apply_grant_reply(const exchange& ended, const server_reply& reply);
+    void apply_revoke_reply(const server_reply& reply);
+    bool has_new_grant(time_point now) const;
+
+    ownership_options options_;
+    time_point started_at_;
+    server_entry entry_;
+    std::map<key_hash, partition_state> partitions_; // by first hash
+    std::vector<exchange> exchanges_;
+    std::vector<request_in_flight> requests_;
+    std::optional<echo> echo_;
+    time_point heard_at_; // of the last answer, or when the link began
+    time_point refused_at_ = time_point::max(); // of the first refusal since
+    time_point renew_due_;
+    time_point retry_due_;
+    time_point revoke_due_;
+};
+
+} // namespace camphorrock
