Configuration types and strict JSON forms of record, configuration and messages

The first fault is reported with its path. Unsigned 64-bit numbers are JSON integers up to 2^53 and decimal strings above, so that every JSON reader keeps them exact.

--- /dev/null
+++ b/codec/json_scalars.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+// The JSON forms of the types that stand for one value: names are strings, durations are
+// whole milliseconds, ranges of hashes are hex, epochs and versions are unsigned numbers.
+//
+// An unsigned 64-bit number is written as a JSON integer up to 2^53, the largest that
+// every JSON reader keeps exact, and as a decimal string above; both are read.
+
+#include "core/base/epoch.hpp"
+#include "core/base/key_hash.hpp"
+#include "core/base/names.hpp"
+#include "core/base/outcome.hpp"
+#include "core/base/time.hpp"
+#include "core/config/config_version.hpp"
+
+#include <json/value.h>
+
+#include <cstdint>
+#include <string>
+
+namespace camphorrock
+{
+
+// The first fault found while reading.
+class json_fault
+{
+public:
+    // Has no effect after the first call.
+    void set(const std::string& path, const std::string& what);
+
+    bool is_set() const
+    {
+        return !text_.empty();
+    }
+
+    const std::string& text() const
+    {
+        return text_;
+    }
+
+private:
+    std::string text_;
+};
+
+void read_scalar(const Json::Value&, const std::string& path, bool& out, json_fault&);
+void read_scalar(const Json::Value&, const std::string& path, unsigned& out, json_fault&);
+void read_scalar(const Json::Value&,
+                 const std::string& path,
+                 std::uint64_t& out,
+                 json_fault&);
+void read_scalar(const Json::Value&,
+                 const std::string& path,
+                 std::string& out,
+                 json_fault&);
+void read_scalar(const Json::Value&, const std::string& path, duration& out, json_fault&);
+void read_scalar(const Json::Value&, const std::string& path, key_hash& out, json_fault&);
+void read_scalar(const Json::Value&,
+                 const std::string& path,
+                 hash_range& out,
+                 json_fault&);
+void read_scalar(const Json::Value&, const std::string& path, epoch& out, json_fault&);
+void read_scalar(const Json::Value&,
+                 const std::string& path,
+                 config_version& out,
+                 json_fault&);
+void read_scalar(const Json::Value&, const std::string& path, outcome& out, json_fault&);
+
+template<class Tag>
+void read_scalar(const Json::Value& value,
+                 const std::string& path,
+                 tagged<Tag>& out,
+                 json_fault& fault)
+{
+    std::string text;
+    read_scalar(value, path, text, fault);
+    out = tagged<Tag>(std::move(text));
+}
+
+Json::Value write_scalar(bool value);
+Json::Value write_scalar(unsigned value);
+Json::Value write_scalar(std::uint64_t value);
+Json::Value write_scalar(const std::string& value);
+Json::Value write_scalar(duration value);
+Json::Value write_scalar(key_hash value);
+Json::Value write_scalar(const hash_range& value);
+Json::Value write_scalar(epoch value);
+Json::Value write_scalar(config_version value);
+Json::Value write_scalar(outcome value);
+
+template<class Tag>
+Json::Value write_scalar(const tagged<Tag>& value)
+{
+    return write_scalar(value.str());
+}
+
+} // namespace camphorrock
--- /dev/null
+++ b/codec/messages.hpp
@@ -0,0 +1,196 @@
+#pragma once
+
+// The parameters and results of the JSON-RPC calls between our processes and to servers;
+// the table of methods is in docs/DESIGN.md, "Messages".
+
+#include "core/base/epoch.hpp"
+#include "core/base/key_hash.hpp"
+#include "core/base/names.hpp"
+#include "core/base/time.hpp"
+#include "core/config/config_version.hpp"
+#include "core/ownership/shard_record.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace camphorrock
+{
+
+// shard.vouch: does the voter vouch for this version?
+struct vouch_params
+{
+    shard_id shard;
+    epoch version;
+
+    bool operator==(const vouch_params&) const = default;
+};
+
+struct vouch_answer
+{
+    bool ok = false;
+    epoch highest; // the highest version that the voter has seen fenced
+    config_version config;
+
+    bool operator==(const vouch_answer&) const = default;
+};
+
+// shard.fence: refuse lower versions from now on.
+struct fence_params
+{
+    shard_id shard;
+    epoch version;
+
+    bool operator==(const fence_params&) const = default;
+};
+
+struct fence_answer
+{
+    bool ok = false;
+    epoch highest;
+
+    bool operator==(const fence_answer&) const = default;
+};
+
+// shard.update: a new version of the record.
+struct update_params
+{
+    shard_record record;
+    config_version config;
+    endpoint assigner_peer;
+
+    bool operator==(const update_params&) const = default;
+};
+
+struct update_answer
+{
+    epoch version; // the version that the router now has
+
+    bool operator==(const update_answer&) const = default;
+};
+
+// What a scheduler has observed of one of its servers since its last report.
+struct server_observation
+{
+    server_id id;
+    bool reachable = true; // false: no answer within the bound, on new connections too
+    std::uint64_t in_flight = 0;
+    std::uint64_t queued = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t shed = 0; // answers by which the server refused work
+    duration slot_time{};   // slot time used
+
+    bool operator==(const server_observation&) const = default;
+};
+
+// A partition whose moving owner serves it no more: revoked, or the last grant lapsed.
+struct released_partition
+{
+    hash_range range;
+    epoch since;
+
+    bool operator==(const released_partition&) const = default;
+};
+
+// A server that the router schedules no more, with nothing in flight.
+struct released_server
+{
+    server_id id;
+    epoch since;
+
+    bool operator==(const released_server&) const = default;
+};
+
+// The load of one key that stands out in its partition.
+struct key_load
+{
+    key_hash at;
+    std::uint64_t requests = 0;
+    duration slot_time{};
+
+    bool operator==(const key_load&) const = default;
+};
+
+// The load of a partition since the last report.
+struct partition_load
+{
+    hash_range range;
+    std::uint64_t requests = 0;
+    duration slot_time{};
+    std::vector<key_load> hot_keys; // heaviest first, a few
+
+    bool operator==(const partition_load&) const = default;
+};
+
+struct shard_status
+{
+    shard_id shard;
+    epoch version;
+    std::vector<server_observation> servers;
+    std::vector<released_partition> released_partitions;
+    std::vector<released_server> released_servers;
+    std::vector<partition_load> load;
+
+    bool operator==(const shard_status&) const = default;
+};
+
+// shard.report: one router's view, sent periodically.
+struct report_params
+{
+    instance_id router;
+    endpoint peer;
+    data_centre zone;
+    bool leaving = false; // the router hands its servers over
+    config_version config;
+    duration period{}; // the time that the figures cover
+    std::vector<shard_status> shards;
+
+    bool operator==(const report_params&) const = default;
+};
+
+// The version of one shard that the assigner has.
+struct shard_version
+{
+    shard_id shard;
+    epoch version;
+
+    bool operator==(const shard_version&) const = default;
+};
+
+struct report_answer
+{
+    std::vector<shard_version> shards; // in the order of the report
+    config_version config;
+
+    bool operator==(const report_answer&) const = default;
+};
+
+// ownership.clock has no parameters; its answer is the server's boot clock.
+struct clock_answer
+{
+    std::uint64_t clock_ms = 0;
+
+    bool operator==(const clock_answer&) const = default;
+};
+
+// ownership.grant, ownership.renew and ownership.revoke. The grant lapses at
+// `as_of_ms + ttl` on the server's clock; a revocation has neither.
+struct ownership_params
+{
+    shard_id shard;
+    hash_range partition;
+    epoch since; // "epoch" on the wire
+    duration ttl{};
+    std::uint64_t as_of_ms = 0;
+
+    bool operator==(const ownership_params&) const = default;
+};
+
+struct ownership_answer
+{
+    std::uint64_t clock_ms = 0;
+    epoch since; // the highest epoch that the server has seen for the partition
+
+    bool operator==(const ownership_answer&) const = default;
+};
+
+} // namespace camphorrock
--- /dev/null
+++ b/core/config/service_config.cpp
@@ -0,0 +1,39 @@
+#include "core/config/service_config.hpp"
+
+#include <algorithm>
+
+namespace camphorrock
+{
+namespace
+{
+
+bool is_prefix(std::string_view prefix, std::string_view path)
+{
+    if (prefix == "/")
+    {
+        return true;
+    }
+    if (!path.starts_with(prefix))
+    {
+        return false;
+    }
+    bool is_segment_end = prefix.ends_with('/') || path.size() == prefix.size();
+    return is_segment_end || path[prefix.size()] == '/';
+}
+
+} // namespace
+
+bool matches(const std::vector<route>& routes,
+             std::string_view method,
+             std::string_view path)
+{
+    return std::any_of(routes.begin(),
+                       routes.end(),
+                       [&](const route& it)
+                       {
+                           bool is_method = it.method == "*" || it.method == method;
+                           return is_method && is_prefix(it.prefix, path);
+                       });
+}
+
+} // namespace camphorrock
--- /dev/null
+++ b/core/config/service_config.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+// What operators declare about one service: its servers and how its requests are treated.
+
+#include "core/base/names.hpp"
+#include "core/base/time.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace camphorrock
+{
+
+// One server of a service.
+struct server_config
+{
+    server_id id;
+    endpoint address; // "IP:port"
+    data_centre zone;
+    bool checks_epoch = true; // the server refuses a request whose epoch is stale
+    bool drain = false;       // the server takes no new work and loses its partitions
+
+    bool operator==(const server_config&) const = default;
+};
+
+// Requests of one method whose path, after the key, begins with a prefix.
+struct route
+{
+    std::string method; // "POST"; "*" stands for every method
+    std::string prefix; // begins with "/"; "/" matches every path
+
+    bool operator==(const route&) const = default;
+};
+
+struct service_config
+{
+    service_name name;
+    std::vector<server_config> servers; // sorted by id
+    unsigned slots_per_server = 3;      // requests that a server works on at once
+    unsigned connections_per_server = 110;
+    unsigned partitions = 64; // of a new shard; splits and merges change it later
+    std::vector<route> repeatable_routes; // need no Idempotency-Key
+    std::vector<route> long_routes;       // hint: start in the class of long requests
+    bool servers_deduplicate = false;   // the servers recognise a repeated id themselves
+    duration max_request = seconds(30); // the longest time that a request may take
+    unsigned retry_percent = 10;        // retries allowed per 100 first attempts
+
+    bool operator==(const service_config&) const = default;
+};
+
+// True where one of the routes matches. `path` is the part after the key, "" or "/...".
+// A prefix matches whole segments only: "/a" matches "/a" and "/a/b", not "/ab".
+bool matches(const std::vector<route>& routes,
+             std::string_view method,
+             std::string_view path);
+
+} // namespace camphorrock
