Queue of one server: slots, room for short work, deadlines

Cause: the router needs the queue's types and a working policy to wire. queue_policy is the interface, server_queue the first version: classes of service time learned per route and caller, one of three slots at most for long work, start-time fair order between callers, refusal of what cannot finish before its deadline, a limit learned from answers only.

--- /dev/null
+++ b/core/admission/server_queue.cpp
@@ -0,0 +1,286 @@
+#include "core/admission/server_queue.hpp"
+
+#include <algorithm>
+
+namespace camphorrock
+{
+namespace
+{
+
+// The part of the slots that long requests may take: one of three.
+constexpr std::size_t slots_per_long = 3;
+
+// Bounds of the factor that spreads the times to come back.
+constexpr double min_jitter = 0.5;
+constexpr double max_jitter = 1.5;
+
+duration scaled(duration value, double factor)
+{
+    return duration(
+        static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
+}
+
+} // namespace
+
+result<std::unique_ptr<server_queue>> server_queue::create(server_queue_options options,
+                                                           std::mt19937_64& random)
+{
+    if (options.max_waiting == 0 || options.admission_share <= 0 ||
+        options.admission_share > 1 || options.unrepeatable_room < 1)
+    {
+        return fail(error_code::invalid_argument, "server queue: option out of range");
+    }
+    return std::unique_ptr<server_queue>(new server_queue(options, random));
+}
+
+server_queue::server_queue(server_queue_options options, std::mt19937_64& random)
+    : options_(options), random_(random), slots_(options.slots),
+      service_times_(options.service_times), limit_(options.limit)
+{
+}
+
+void server_queue::arrive(const queued_request& request,
+                          time_point now,
+                          queue_actions& out)
+{
+    refuse_late(now, out);
+    if (slots_ == 0)
+    {
+        refuse(request.id, refusal_reason::no_slots, out);
+        return;
+    }
+    if (waiting_.size() >= options_.max_waiting)
+    {
+        refuse(request.id, refusal_reason::queue_full, out);
+        return;
+    }
+    const service_time_estimate estimate =
+        service_times_.estimate(request.caller, request.route);
+    const time_point latest_start = request.deadline - room_needed(request, estimate);
+    const duration to_spare = scaled(latest_start - now, options_.admission_share);
+    const fair_position at =
+        line(estimate.is_long).next_position(request.caller, estimate.mean);
+    if (latest_start < now ||
+        expected_wait(estimate.is_long, at, to_spare, now) > to_spare)
+    {
+        refuse(request.id, refusal_reason::deadline, out);
+        return;
+    }
+    enqueue(request, estimate, latest_start);
+    start_allowed(now, out);
+}
+
+void server_queue::finished(ticket id,
+                            const service_report& report,
+                            time_point now,
+                            queue_actions& out)
+{
+    const auto it = running_.find(id);
+    if (it == running_.end())
+    {
+        return;
+    }
+    if (report.answer == answer_kind::good || report.answer == answer_kind::timed_out)
+    {
+        service_times_.observe(it->second.caller, it->second.route, report.service_time);
+    }
+    limit_.observe(report.answer, slots_, now);
+    running_.erase(it);
+    tick(now, out);
+}
+
+void server_queue::cancelled(ticket id, time_point now, queue_actions& out)
+{
+    if (waiting_.contains(id))
+    {
+        take_waiting(id);
+    }
+    running_.erase(id);
+    tick(now, out);
+}
+
+void server_queue::slots_changed(std::size_t slots, time_point now, queue_actions& out)
+{
+    slots_ = slots;
+    if (slots_ == 0)
+    {
+        refuse_all(out);
+    }
+    tick(now, out);
+}
+
+void server_queue::tick(time_point now, queue_actions& out)
+{
+    refuse_late(now, out);
+    start_allowed(now, out);
+}
+
+std::optional<time_point> server_queue::next_tick() const
+{
+    if (by_latest_start_.empty())
+    {
+        return std::nullopt;
+    }
+    return by_latest_start_.begin()->first + duration(1);
+}
+
+std::size_t server_queue::limit() const
+{
+    return limit_.allowed(slots_);
+}
+
+std::size_t server_queue::long_slots() const
+{
+    return std::max<std::size_t>(1, limit() / slots_per_long);
+}
+
+std::size_t server_queue::long_in_flight(time_point now) const
+{
+    const duration threshold = service_times_.long_threshold();
+    return static_cast<std::size_t>(std::count_if(
+        running_.begin(),
+        running_.end(),
+        [&](const auto& row)
+        { return row.second.is_long || now - row.second.since > threshold; }));
+}
+
+fair_queue& server_queue::line(bool is_long)
+{
+    return is_long ? long_line_ : short_line_;
+}
+
+// The work ahead, shared by the slots that this kind of request may count on.
+duration server_queue::expected_wait(bool is_long,
+                                     const fair_position& at,
+                                     duration enough,
+                                     time_point now) const
+{
+    const std::size_t allowed = limit();
+    const std::size_t of_long = long_slots();
+    const bool long_work = long_in_flight(now) > 0 || !long_line_.empty();
+    std::size_t usable = allowed;
+    if (is_long)
+    {
+        usable = of_long;
+    }
+    else if (long_work && allowed > of_long)
+    {
+        usable = allowed - of_long;
+    }
+    const fair_queue& ahead = is_long ? long_line_ : short_line_;
+    const auto n = static_cast<duration::rep>(usable);
+    return ahead.work_before(at, enough * n) / n;
+}
+
+duration server_queue::room_needed(const queued_request& request,
+                                   const service_time_estimate& estimate) const
+{
+    return request.repeatable ? estimate.bound
+                              : scaled(estimate.bound, options_.unrepeatable_room);
+}
+
+void server_queue::enqueue(const queued_request& request,
+                           const service_time_estimate& estimate,
+                           time_point latest_start)
+{
+    const fair_position at =
+        line(estimate.is_long).push(request.id, request.caller, estimate.mean);
+    waiting_.emplace(request.id,
+                     waiting_request{request, at, latest_start, estimate.is_long});
+    by_latest_start_.emplace(latest_start, request.id);
+}
+
+void server_queue::refuse_late(time_point now, queue_actions& out)
+{
+    while (!by_latest_start_.empty() && by_latest_start_.begin()->first < now)
+    {
+        const ticket id = by_latest_start_.begin()->second;
+        const waiting_request late = take_waiting(id);
+        refuse(late.request.id, refusal_reason::deadline, out);
+    }
+}
+
+void server_queue::refuse_all(queue_actions& out)
+{
+    while (!by_latest_start_.empty())
+    {
+        const ticket id = by_latest_start_.begin()->second;
+        take_waiting(id);
+        refuse(id, refusal_reason::no_slots, out);
+    }
+}
+
+void server_queue::start_allowed(time_point now, queue_actions& out)
+{
+    while (running_.size() < limit())
+    {
+        fair_queue* from = choose(now);
+        if (from == nullptr)
+        {
+            return;
+        }
+        start_front(*from, now, out);
+    }
+}
+
+// A long request goes first while its kind is below its share, since short ones have
+// slots that it never takes. With a single slot the lower tag decides.
+fair_queue* server_queue::choose(time_point now)
+{
+    const bool long_may_start = !long_line_.empty() && long_in_flight(now) < long_slots();
+    if (short_line_.empty())
+    {
+        return long_may_start ? &long_line_ : nullptr;
+    }
+    if (!long_may_start)
+    {
+        return &short_line_;
+    }
+    if (limit() > long_slots())
+    {
+        return &long_line_;
+    }
+    const bool long_is_earlier = long_line_.front() < short_line_.front();
+    return long_is_earlier ? &long_line_ : &short_line_;
+}
+
+void server_queue::start_front(fair_queue& from, time_point now, queue_actions& out)
+{
+    const fair_position at = from.front();
+    const auto it = waiting_.find(at.id);
+    const waiting_request& chosen = it->second;
+    running_.emplace(
+        at.id,
+        running_request{
+            chosen.request.caller, chosen.request.route, now, chosen.is_long});
+    by_latest_start_.erase({chosen.latest_start, at.id});
+    waiting_.erase(it);
+    from.start(at);
+    out.emplace_back(start_request{at.id});
+}
+
+void server_queue::refuse(ticket id, refusal_reason reason, queue_actions& out)
+{
+    out.emplace_back(refuse_request{id, reason, retry_after()});
+}
+
+// The time in which the work that waits now will have been done, jittered.
+duration server_queue::retry_after()
+{
+    const auto n = static_cast<duration::rep>(std::max<std::size_t>(1, limit()));
+    const duration backlog = (short_line_.work() + long_line_.work()) / n;
+    std::uniform_real_distribution<double> jitter(min_jitter, max_jitter);
+    return scaled(std::max(backlog, options_.min_retry_after), jitter(random_));
+}
+
+server_queue::waiting_request server_queue::take_waiting(ticket id)
+{
+    const auto it = waiting_.find(id);
+    waiting_request taken = std::move(it->second);
+    waiting_.erase(it);
+    by_latest_start_.erase({taken.latest_start, id});
+    line(taken.is_long).erase(taken.at, taken.request.caller);
+    return taken;
+}
+
+} // namespace camphorrock
--- /dev/null
+++ b/core/admission/service_time_table.cpp
@@ -0,0 +1,123 @@
+#include "core/admission/service_time_table.hpp"
+
+#include <algorithm>
+
+namespace camphorrock
+{
+namespace
+{
+
+// The step of the tracked quantiles, as a share of their value.
+constexpr double quantile_step = 0.05;
+
+// The step of the median, which must not follow a burst of long requests.
+constexpr double median_step = 0.02;
+
+// Samples after which a row is believed alone.
+constexpr std::size_t trusted_samples = 3;
+
+std::string pair_key(const caller_name& caller, const route_class& route)
+{
+    std::string key;
+    key.reserve(route.str().size() + 1 + caller.str().size());
+    key.append(route.str()).push_back('\n');
+    key.append(caller.str());
+    return key;
+}
+
+// Moves `value` towards the quantile `q` of the samples, in proportion to itself.
+void track_quantile(double& value, double sample, double q, double step)
+{
+    const double rise = step * q;
+    const double fall = step * (1 - q);
+    value *= sample > value ? 1 + rise : 1 - fall;
+}
+
+duration to_duration(double us)
+{
+    return duration(static_cast<duration::rep>(us));
+}
+
+} // namespace
+
+service_time_table::service_time_table(service_time_options options) : options_(options)
+{
+}
+
+service_time_estimate service_time_table::estimate(const caller_name& caller,
+                                                   const route_class& route) const
+{
+    auto it = rows_.find(pair_key(caller, route));
+    if (it == rows_.end() || it->second.samples < trusted_samples)
+    {
+        it = rows_.find(route.str());
+    }
+    if (it == rows_.end())
+    {
+        return {options_.unknown, options_.unknown, true};
+    }
+    const row& known = it->second;
+    return {to_duration(known.mean_us), to_duration(known.bound_us), is_long(known)};
+}
+
+void service_time_table::observe(const caller_name& caller,
+                                 const route_class& route,
+                                 duration service_time)
+{
+    const double us = std::max<double>(1, static_cast<double>(service_time.count()));
+    if (samples_++ == 0)
+    {
+        median_us_ = us;
+    }
+    track_quantile(median_us_, us, 0.5, median_step);
+    if (row* of_route = find_or_add(route.str()))
+    {
+        update(*of_route, us);
+    }
+    if (row* of_pair = find_or_add(pair_key(caller, route)))
+    {
+        update(*of_pair, us);
+    }
+}
+
+duration service_time_table::long_threshold() const
+{
+    return to_duration(median_us_ * options_.long_factor);
+}
+
+void service_time_table::update(row& target, double sample_us) const
+{
+    if (target.samples++ == 0)
+    {
+        target.mean_us = sample_us;
+        target.bound_us = 2 * sample_us;
+        return;
+    }
+    // The first samples weigh more, so that the first one is soon forgotten.
+    const double first = 1.0 / static_cast<double>(target.samples);
+    const double weight = std::max(options_.weight, first);
+    target.mean_us += weight * (sample_us - target.mean_us);
+    track_quantile(target.bound_us, sample_us, options_.quantile, quantile_step);
+    target.bound_us = std::max(target.bound_us, target.mean_us);
+}
+
+service_time_table::row* service_time_table::find_or_add(const std::string& key)
+{
+    const auto it = rows_.find(key);
+    if (it != rows_.end())
+    {
+        return &it->second;
+    }
+    if (rows_.size() >= options_.max_classes)
+    {
+        return nullptr;
+    }
+    return &rows_[key];
+}
+
+bool service_time_table::is_long(const row& from) const
+{
+    return from.mean_us > median_us_ * options_.long_factor;
+}
+
+} // namespace camphorrock
--- /dev/null
+++ b/core/admission/service_time_table.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+// Learns how long requests take, for each route and for each caller on a route, and says
+// which of them are long. A pair that has not been seen is estimated by its route, a
+// route that has not been seen by all requests.
+//
+// A class is long when its mean is `long_factor` times the median of all requests, so a
+// service whose requests all take long has no long class. Memory: at most `max_classes`
+// rows; where they are used up, new pairs share the row of their route, and new routes
+// the row of all requests. Look-ups and updates are O(1).
+
+#include "core/admission/queued_request.hpp"
+#include "core/base/time.hpp"
+
+#include <cstddef>
+#include <string>
+#include <unordered_map>
+
+namespace camphorrock
+{
+
+struct service_time_options
+{
+    std::size_t max_classes = 4096;      // rows kept
+    double weight = 0.05;                // of a new sample in the mean
+    double quantile = 0.99;              // of the service time that `bound` estimates
+    double long_factor = 8;              // times the median makes a class long
+    duration unknown = milliseconds(20); // the estimate before the first sample
+};
+
+// What is expected of a request.
+struct service_time_estimate
+{
+    duration mean{};
+    duration bound{};     // rarely exceeded
+    bool is_long = false; // or not known yet, which is treated with the same care
+};
+
+class service_time_table
+{
+public:
+    explicit service_time_table(service_time_options options);
+
+    service_time_estimate estimate(const caller_name& caller,
+                                   const route_class& route) const;
+
+    // A request was answered after so long.
+    void
+    observe(const caller_name& caller, const route_class& route, duration service_time);
+
+    // A request that has run for longer than this is long, whatever its class. Zero until
+    // the first sample.
+    duration long_threshold() const;
+
+    std::size_t size() const
+    {
+        return rows_.size();
+    }
+
+private:
+    struct row
+    {
+        double mean_us = 0;
+        double bound_us = 0;
+        std::size_t samples = 0;
+    };
+
+    void update(row& target, double sample_us) const;
+    row* find_or_add(const std::string& key);
+    bool is_long(const row& from) const;
+
+    service_time_options options_;
+    std::unordered_map<std::string, row> rows_; // by route, and by route and caller
+    double median_us_ = 0;
+    std::size_t samples_ = 0;
+};
+
+} // namespace camphorrock
