One name, one type: rename what two layers defined twice

Found on merging the parts: exchange_id, server_config, service_config, route and server_observation were each defined by two headers. Two definitions that never meet in one file are not reported by compiler or linker and would have broken the one-definition rule in the assigner.

--- a/core/assignment/shard_controller.hpp
+++ b/core/assignment/shard_controller.hpp
@@ -59,7 +59,7 @@
     void elected(time_point now, controller_actions& actions);
     void lost(time_point now);
 
-    void configured(const service_config& config, time_point now);
+    void configured(const service_view& config, time_point now);
     void routers_listed(const std::vector<router_instance>& routers, time_point now);
 
     // None: the record is absent.
@@ -133,7 +133,7 @@
     assignment_options options_;
     ownership_options ownership_;
     bool is_elected_ = false;
-    std::optional<service_config> config_;
+    std::optional<service_view> config_;
     std::optional<shard_record> record_;
     bool is_absent_ = false; // the store was read and holds no record
     store_call call_ = store_call::none;
--- a/core/ownership/scheduler_authority.hpp
+++ b/core/ownership/scheduler_authority.hpp
@@ -70,14 +70,14 @@
                         scheduler_actions& actions);
 
     void server_answered(const server_id& server,
-                         exchange_id exchange,
+                         server_exchange_id exchange,
                          const server_reply& reply,
                          time_point now,
                          scheduler_actions& actions);
 
     // The exchange ended without an answer.
     void server_failed(const server_id& server,
-                       exchange_id exchange,
+                       server_exchange_id exchange,
                        bool is_connection_refused,
                        time_point now,
                        scheduler_actions& actions);
@@ -128,7 +128,7 @@
     std::optional<shard_record> record_;
     vouch_rounds rounds_;
     std::map<server_id, server_link> links_;
-    exchange_id last_exchange_;
+    server_exchange_id last_exchange_;
     epoch fetched_;
     time_point fetch_due_;
     time_point report_due_;
--- a/core/ownership/server_link.hpp
+++ b/core/ownership/server_link.hpp
@@ -29,11 +29,11 @@
     // Sends what is due. `authority_until` bounds the grants; in the past: none is sent.
     void drive(time_point authority_until,
                time_point now,
-               exchange_id& last_exchange,
+               server_exchange_id& last_exchange,
                scheduler_actions& actions);
 
-    void answered(exchange_id exchange, const server_reply& reply, time_point now);
-    void failed(exchange_id exchange, bool is_connection_refused, time_point now);
+    void answered(server_exchange_id exchange, const server_reply& reply, time_point now);
+    void failed(server_exchange_id exchange, bool is_connection_refused, time_point now);
 
     // Until when a request for this partition is sure to be accepted; none: not now.
     std::optional<time_point> admits_until(const partition_entry& partition,
@@ -61,7 +61,7 @@
 
     struct exchange
     {
-        exchange_id id;
+        server_exchange_id id;
         exchange_kind kind = exchange_kind::clock;
         time_point sent_at;
         time_point valid_until; // of a grant: at least this long, on the router's clock
@@ -96,14 +96,15 @@
     std::size_t in_flight(const hash_range& range) const;
     void forget_old_requests(time_point now);
     exchange&
-    open_exchange(exchange_kind kind, time_point now, exchange_id& last_exchange);
-    std::optional<exchange> close_exchange(exchange_id id);
+    open_exchange(exchange_kind kind, time_point now, server_exchange_id& last_exchange);
+    std::optional<exchange> close_exchange(server_exchange_id id);
     void send_grants(time_point authority_until,
                      time_point now,
-                     exchange_id& last_exchange,
+                     server_exchange_id& last_exchange,
                      scheduler_actions& actions);
-    void
-    send_revokes(time_point now, exchange_id& last_exchange, scheduler_actions& actions);
+    void send_revokes(time_point now,
+                      server_exchange_id& last_exchange,
+                      scheduler_actions& actions);
     void apply_grant_reply(const exchange& ended, const server_reply& reply);
     void apply_revoke_reply(const server_reply& reply);
     bool has_new_grant(time_point now) const;
