Programs' common part: log, settings, metrics, admin port, command line

Cause: every program needs numbered events, strictly checked settings, metrics and the common options; they stand in app/ once.

The checks of unknown keys cover mappings that were opened; a mapping must be opened once.

--- /dev/null
+++ b/app/endpoint_text.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+// The text form of an address that a program listens on or connects to.
+
+#include <string>
+
+namespace camphorrock
+{
+
+// True for "IPv4:port" and "[IPv6]:port" with a port of 0 to 65535.
+bool is_endpoint_text(const std::string& text);
+
+} // namespace camphorrock
--- /dev/null
+++ b/app/events.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+// The table of numbered log events, one row an event. docs/EVENTS.md is its catalogue for
+// operators; a test compares the two. To add an event, add it to the enum, to the table
+// in events.cpp and to the catalogue. A number is never reused.
+//
+//   101-199  every program        401-499  store and instance list
+//   201-299  router               501-599  stand-ins
+//   301-399  assigner             601-699  load tool
+
+#include "app/severity.hpp"
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace camphorrock
+{
+
+// The value of an event is its number.
+enum class event_id : unsigned
+{
+    program_started = 101,
+    program_ready = 102,
+    program_stopping = 103,
+    program_stopped = 104,
+    listen_failed = 105,
+
+    grant_accepted = 501,
+    grant_refused = 502,
+    grant_revoked = 503,
+    grant_expired = 504,
+    relay_mode_changed = 511,
+
+    load_finished = 601,
+};
+
+struct event_row
+{
+    event_id id;
+    std::string_view name;
+    severity level;
+    std::string_view meaning; // one sentence for the catalogue
+};
+
+// All rows, in the order of their numbers.
+std::span<const event_row> all_events();
+
+// The row of one event. O(log n).
+const event_row& row_of(event_id id);
+
+// The event's line in docs/EVENTS.md: "| 101 | program_started | info | ... |".
+std::string catalogue_line(const event_row& row);
+
+} // namespace camphorrock
--- a/cmake/camphorrock.cmake
+++ b/cmake/camphorrock.cmake
@@ -7,7 +7,7 @@
 
 # The part every test program shares: Catch2's main and the trompeloeil reporter.
 function(camphorrock_test_main)
-    add_library(camphorrock_test_main OBJECT testing/test_main.cpp)
+    add_library(camphorrock_test_main OBJECT testing/test_main.cpp testing/precompiled.cpp)
     set_source_files_properties(testing/test_main.cpp PROPERTIES SKIP_PRECOMPILE_HEADERS ON)
     target_precompile_headers(camphorrock_test_main PUBLIC testing/test_headers.hpp)
 endfunction()
