--- /dev/null
+++ b/router/router_parts.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+// What the parts of one router share. Owned by `router`, which outlives all parts.
+
+#include "app/event_log.hpp"
+#include "app/metrics_registry.hpp"
+#include "core/ownership/ownership_options.hpp"
+#include "core/routing/route_table.hpp"
+#include "net/event_loop.hpp"
+#include "net/http_client.hpp"
+#include "net/rpc_client.hpp"
+#include "router/router_settings.hpp"
+#include "store/store_client.hpp"
+
+#include <random>
+
+namespace camphorrock
+{
+
+struct router_parts
+{
+    const router_settings& settings;
+    event_loop& loop;
+    http_client& http;  // to servers and to other routers
+    rpc_client& rpc;    // control messages
+    store_client& store;
+    event_log& log;
+    metrics_registry& metrics;
+    route_table& routes;
+    std::mt19937_64& random;
+    ownership_options ownership;
+};
+
+} // namespace camphorrock
--- /dev/null
+++ b/router/shard_agent.cpp
@@ -0,0 +1,471 @@
+#include "router/shard_agent.hpp"
+
+#include "codec/messages_json.hpp"
+#include "codec/shard_record_json.hpp"
+#include "core/ownership/record_keys.hpp"
+
+#include <utility>
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr duration tick_period = milliseconds(20);
+constexpr duration record_read_period = seconds(60);
+constexpr duration record_retry_period = seconds(1);
+constexpr duration vouch_timeout = milliseconds(400);
+constexpr duration server_call_timeout = milliseconds(250);
+constexpr duration report_timeout = milliseconds(400);
+
+// The params of one grant or revocation, as a call.
+rpc_call make_ownership_call(const char* method,
+                             const shard_id& shard,
+                             const granted_partition& partition,
+                             duration ttl,
+                             server_clock as_of)
+{
+    ownership_params params;
+    params.shard = shard;
+    params.partition = partition.range;
+    params.since = partition.since;
+    params.ttl = ttl;
+    params.as_of_ms = static_cast<std::uint64_t>(as_of.value.count());
+    return {method, write_message(params)};
+}
+
+bool is_refused_connection(const std::vector<rpc_result>& results)
+{
+    return !results.empty() && results.front().end == rpc_end::not_sent;
+}
+
+// What the server's answers say: its clock, and the partitions that it accepted.
+std::optional<server_reply> read_reply(const std::vector<granted_partition>& partitions,
+                                       const std::vector<rpc_result>& results)
+{
+    server_reply reply;
+    bool has_clock = false;
+    for (std::size_t n = 0; n < results.size(); ++n)
+    {
+        if (results[n].end != rpc_end::answered)
+        {
+            continue;
+        }
+        value_or_handle(
+            [&]() -> result<void>
+            {
+                BOOST_LEAF_AUTO(answer, read_message<ownership_answer>(results[n].value));
+                reply.clock = {milliseconds(answer.clock_ms)};
+                has_clock = true;
+                if (answer.since == partitions[n].since)
+                {
+                    reply.accepted.push_back(partitions[n]);
+                }
+                return {};
+            },
+            [](const error&) {});
+    }
+    return has_clock ? std::optional<server_reply>(std::move(reply)) : std::nullopt;
+}
+
+} // namespace
+
+shard_agent::shard_agent(router_parts& parts, config_agent& config, voter& votes, shard_id shard)
+    : parts_(parts), config_(config), votes_(votes), shard_(std::move(shard)),
+      authority_(shard_, parts.settings.id, parts.ownership, parts.loop.now()),
+      once_(parts, shard_, [this](const live_request_ptr& request, server_lane::callback done)
+            { run(request, std::move(done)); })
+{
+    tick_timer_ = parts_.loop.every(tick_period, [this] { tick(); });
+    read_record();
+}
+
+void shard_agent::configure(const service_config& service)
+{
+    bool has_other_slots = service.slots_per_server != service_.slots_per_server;
+    service_ = service;
+    if (has_other_slots)
+    {
+        lanes_version_ = {};
+    }
+    update_lanes();
+}
+
+void shard_agent::submit(const live_request_ptr& request)
+{
+    if (!authority_.is_scheduler_of(request->target.hash))
+    {
+        request->refuse(refusal::no_owner, "this router does not schedule the key");
+        return;
+    }
+    if (!request->id.empty())
+    {
+        once_.submit(request);
+        return;
+    }
+    run(request,
+        [request](lane_end end)
+        {
+            if (end.verdict == lane_verdict::answered)
+            {
+                request->answer(std::move(end.answer));
+                return;
+            }
+            request->refuse(end.why);
+        });
+}
+
+void shard_agent::run(const live_request_ptr& request, server_lane::callback done)
+{
+    std::optional<request_permit> permit = authority_.permit(request->target.hash, parts_.loop.now());
+    server_lane* lane = permit ? lane_of(permit->server) : nullptr;
+    if (lane == nullptr)
+    {
+        done({lane_verdict::not_run, {}, {refusal::no_authority, {}, {}}});
+        return;
+    }
+    ticket id = lane->submit(request, std::move(done));
+    server_id server = permit->server;
+    if (!request->is_ended() && request->id.empty())
+    {
+        request->on_gone = [this, server, id]
+        {
+            if (server_lane* it = lane_of(server))
+            {
+                it->withdraw(id);
+            }
+        };
+    }
+}
+
+void shard_agent::record_received(const shard_record& record, const endpoint& peer)
+{
+    assigner_peer_ = peer;
+    scheduler_actions actions;
+    authority_.record_received(record, parts_.loop.now(), actions);
+    took_record();
+    carry_out(actions);
+}
+
+void shard_agent::leave()
+{
+    scheduler_actions actions;
+    authority_.leave(parts_.loop.now(), actions);
+    carry_out(actions);
+}
+
+bool shard_agent::is_idle() const
+{
+    for (const auto& [id, lane] : lanes_)
+    {
+        if (lane->waiting() > 0 || lane->in_flight() > 0)
+        {
+            return false;
+        }
+    }
+    const std::optional<shard_record>& record = authority_.record();
+    if (!record)
+    {
+        return true;
+    }
+    return std::none_of(record->servers.begin(),
+                        record->servers.end(),
+                        [&](const server_entry& it) { return it.scheduler == parts_.settings.id; });
+}
+
+void shard_agent::tick()
+{
+    scheduler_actions actions;
+    authority_.tick(parts_.loop.now(), actions);
+    carry_out(actions);
+}
+
+void shard_agent::read_record()
+{
+    if (is_reading_)
+    {
+        return;
+    }
+    is_reading_ = true;
+    time_point begun_at = parts_.loop.now();
+    parts_.store.get(
+        record_key(shard_),
+        [this, begun_at](const store_read& got)
+        {
+            is_reading_ = false;
+            bool is_done = got.end == store_end::done;
+            duration next = is_done && !got.entries.empty() ? record_read_period : record_retry_period;
+            read_timer_ = parts_.loop.after(next, [this] { read_record(); });
+            if (!is_done)
+            {
+                return;
+            }
+            time_point now = parts_.loop.now();
+            if (got.entries.empty())
+            {
+                votes_.store_read(shard_, epoch{}, begun_at, now);
+                return;
+            }
+            value_or_handle(
+                [&]() -> result<void>
+                {
+                    BOOST_LEAF_AUTO(record, parse_shard_record(got.entries.front().value));
+                    votes_.store_read(shard_, record.version, begun_at, now);
+                    scheduler_actions actions;
+                    authority_.store_read(record, begun_at, now, actions);
+                    took_record();
+                    carry_out(actions);
+                    return {};
+                },
+                [&](const error& ec)
+                { parts_.log.write(event_id::record_unreadable, {{"shard", shard_}, {"fault", ec.text}}); });
+        });
+}
+
+void shard_agent::took_record()
+{
+    const std::optional<shard_record>& record = authority_.record();
+    if (record && parts_.routes.offer(*record))
+    {
+        parts_.log.write(event_id::record_adopted,
+                         {{"shard", shard_}, {"epoch", record->version}, {"assigner", record->assigner}});
+    }
+    update_lanes();
+}
+
+void shard_agent::update_lanes()
+{
+    const std::optional<shard_record>& record = authority_.record();
+    bool is_current = record && record->version == lanes_version_;
+    if (!record || is_current || service_.name.empty())
+    {
+        return;
+    }
+    lanes_version_ = record->version;
+    for (const server_entry& it : record->servers)
+    {
+        bool is_ours = it.scheduler == parts_.settings.id;
+        bool is_new = is_ours && lanes_.count(it.id) == 0;
+        if (!is_new)
+        {
+            continue;
+        }
+        value_or_handle(
+            [&]() -> result<void>
+            {
+                BOOST_LEAF_AUTO(lane, server_lane::create(parts_, authority_, it.id, service_.slots_per_server));
+                lanes_.emplace(it.id, std::move(lane));
+                return {};
+            },
+            [&](const error& ec)
+            { parts_.log.write(event_id::lane_failed, {{"server", it.id}, {"fault", ec.text}}); });
+    }
+}
+
+server_lane* shard_agent::lane_of(const server_id& server)
+{
+    auto it = lanes_.find(server);
+    return it == lanes_.end() ? nullptr : it->second.get();
+}
+
+void shard_agent::carry_out(const scheduler_actions& actions)
+{
+    for (const scheduler_action& action : actions)
+    {
+        std::visit([this](const auto& it) { carry_out(it); }, action);
+    }
+}
+
+void shard_agent::carry_out(const send_vouch& action)
+{
+    time_point sent = parts_.loop.now();
+    parts_.rpc.call(
+        action.to.peer,
+        "shard.vouch",
+        write_message(vouch_params{shard_, action.version}),
+        vouch_timeout,
+        [this, action, sent](const rpc_result& got)
+        {
+            if (got.end != rpc_end::answered)
+            {
+                return;
+            }
+            value_or_handle(
+                [&]() -> result<void>
+                {
+                    BOOST_LEAF_AUTO(answer, read_message<vouch_answer>(got.value));
+                    config_.version_seen(answer.config, action.to.peer);
+                    scheduler_actions actions;
+                    authority_.vouch_answered(
+                        action.to.id, action.round, answer.ok, answer.highest, parts_.loop.now(), actions);
+                    carry_out(actions);
+                    return {};
+                },
+                [](const error&) {});
+        });
+}
+
+void shard_agent::carry_out(const send_clock& action)
+{
+    time_point sent = parts_.loop.now();
+    parts_.rpc.call(
+        action.address,
+        "ownership.clock",
+        Json::Value(Json::objectValue),
+        server_call_timeout,
+        [this, action, sent](const rpc_result& got)
+        {
+            scheduler_actions actions;
+            time_point now = parts_.loop.now();
+            value_or_handle(
+                [&]() -> result<void>
+                {
+                    if (got.end != rpc_end::answered)
+                    {
+                        return fail(error_code::unavailable, got.text);
+                    }
+                    BOOST_LEAF_AUTO(answer, read_message<clock_answer>(got.value));
+                    server_reply reply;
+                    reply.clock = {milliseconds(answer.clock_ms)};
+                    authority_.server_answered(action.to, action.exchange, reply, now, actions);
+                    return {};
+                },
+                [&](const error&)
+                {
+                    bool is_refused = got.end == rpc_end::not_sent;
+                    authority_.server_failed(action.to, action.exchange, is_refused, now, actions);
+                });
+            carry_out(actions);
+        });
+}
+
+void shard_agent::carry_out(const send_grant& action)
+{
+    std::vector<rpc_call> calls;
+    for (const granted_partition& it : action.message.partitions)
+    {
+        calls.push_back(make_ownership_call(
+            "ownership.grant", shard_, it, action.message.ttl, action.message.as_of));
+    }
+    call_server(action.to, action.address, action.exchange, action.message.partitions, std::move(calls));
+}
+
+void shard_agent::carry_out(const send_revoke& action)
+{
+    std::vector<rpc_call> calls;
+    for (const granted_partition& it : action.message.partitions)
+    {
+        calls.push_back(make_ownership_call("ownership.revoke", shard_, it, duration::zero(), {}));
+    }
+    call_server(action.to, action.address, action.exchange, action.message.partitions, std::move(calls));
+}
+
+void shard_agent::call_server(const server_id& server,
+                              const endpoint& address,
+                              server_exchange_id exchange,
+                              const std::vector<granted_partition>& partitions,
+                              std::vector<rpc_call> calls)
+{
+    time_point sent = parts_.loop.now();
+    parts_.rpc.batch(address,
+                     std::move(calls),
+                     server_call_timeout,
+                     [this, server, address, exchange, partitions, sent](const std::vector<rpc_result>& results)
+                     { server_ended(server, address, exchange, partitions, sent, results); });
+}
+
+void shard_agent::server_ended(const server_id& server,
+                               const endpoint& address,
+                               server_exchange_id exchange,
+                               const std::vector<granted_partition>& partitions,
+                               time_point sent,
+                               const std::vector<rpc_result>& results)
+{
+    scheduler_actions actions;
+    time_point now = parts_.loop.now();
+    std::optional<server_reply> reply = read_reply(partitions, results);
+    if (reply)
+    {
+        authority_.server_answered(server, exchange, *reply, now, actions);
+        carry_out(actions);
+        return;
+    }
+    bool is_refused = is_refused_connection(results);
+    authority_.server_failed(server, exchange, is_refused, now, actions);
+    if (!is_refused)
+    {
+        // The kept connections may have gone silent; new ones tell.
+        parts_.http.drop_connections(address);
+        if (server_lane* lane = lane_of(server))
+        {
+            lane->resend(sent);
+        }
+    }
+    carry_out(actions);
+}
+
+void shard_agent::carry_out(const send_report& action)
+{
+    if (assigner_peer_.empty())
+    {
+        return;
+    }
+    report_params params;
+    params.router = parts_.settings.id;
+    params.peer = parts_.settings.peer;
+    params.zone = parts_.settings.zone;
+    params.leaving = action.report.is_leaving;
+    params.config = config_.current().version;
+    params.period = parts_.ownership.report_period;
+    shard_status status;
+    status.shard = shard_;
+    status.version = action.report.version;
+    for (const server_observation& it : action.report.servers)
+    {
+        server_status observed;
+        observed.id = it.id;
+        observed.reachable = !it.is_lost;
+        if (server_lane* lane = lane_of(it.id))
+        {
+            lane_figures figures = lane->take_figures();
+            observed.in_flight = lane->in_flight();
+            observed.queued = lane->waiting();
+            observed.answered = figures.answered;
+            observed.shed = figures.shed;
+            observed.slot_time = figures.slot_time;
+        }
+        status.servers.push_back(observed);
+    }
+    for (const granted_partition& it : action.report.released)
+    {
+        status.released_partitions.push_back({it.range, it.since});
+    }
+    params.shards.push_back(std::move(status));
+    endpoint peer = assigner_peer_;
+    parts_.rpc.call(peer,
+                    "shard.report",
+                    write_message(params),
+                    report_timeout,
+                    [this, peer](const rpc_result& got)
+                    {
+                        if (got.end != rpc_end::answered)
+                        {
+                            return;
+                        }
+                        value_or_handle(
+                            [&]() -> result<void>
+                            {
+                                BOOST_LEAF_AUTO(answer, read_message<report_answer>(got.value));
+                                config_.version_seen(answer.config, peer);
+                                return {};
+                            },
+                            [](const error&) {});
+                    });
+}
+
+void shard_agent::carry_out(const fetch_record&)
+{
+    read_record();
+}
+
+} // namespace camphorrock
--- /dev/null
+++ b/router/shard_agent.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+// This router's part in one shard: carries out what scheduler_authority asks for, keeps a
+// lane for each server that the router schedules, and takes requests for its partitions.
+//
+// Reads the record from the store at start and again from time to time; between, the assigner
+// sends it.
+
+#include "codec/messages.hpp"
+#include "core/config/configuration.hpp"
+#include "core/membership/voter.hpp"
+#include "core/ownership/scheduler_authority.hpp"
+#include "router/once_agent.hpp"
+#include "router/router_parts.hpp"
+#include "router/server_lane.hpp"
+#include "store/config_agent.hpp"
+
+#include <map>
+#include <memory>
+
+namespace camphorrock
+{
+
+class shard_agent
+{
+public:
+    shard_agent(router_parts& parts, config_agent& config, voter& votes, shard_id shard);
+
+    void configure(const service_config& service);
+
+    // A request for a partition that this router schedules; ends it, now or later.
+    void submit(const live_request_ptr& request);
+
+    // The assigner sent a record; `peer` is the assigner's.
+    void record_received(const shard_record& record, const endpoint& peer);
+
+    // The program is stopping: other routers are to schedule its servers.
+    void leave();
+
+    // Does this router schedule no server of the shard?
+    bool is_idle() const;
+
+    const scheduler_authority& authority() const
+    {
+        return authority_;
+    }
+
+private:
+    void tick();
+    void read_record();
+    void took_record();
+    void carry_out(const scheduler_actions& actions);
+    void carry_out(const send_vouch& action);
+    void carry_out(const send_clock& action);
+    void carry_out(const send_grant& action);
+    void carry_out(const send_revoke& action);
+    void carry_out(const send_report& action);
+    void carry_out(const fetch_record& action);
+    void call_server(const server_id& server,
+                     const endpoint& address,
+                     server_exchange_id exchange,
+                     const std::vector<granted_partition>& partitions,
+                     std::vector<rpc_call> calls);
+    void server_ended(const server_id& server,
+                      const endpoint& address,
+                      server_exchange_id exchange,
+                      const std::vector<granted_partition>& partitions,
+                      time_point sent,
+                      const std::vector<rpc_result>& results);
+    void update_lanes();
+    server_lane* lane_of(const server_id& server);
+    void run(const live_request_ptr& request, server_lane::callback done);
+
+    router_parts& parts_;
+    config_agent& config_;
+    voter& votes_;
+    shard_id shard_;
+    service_config service_;
+    scheduler_authority authority_;
+    once_agent once_;
+    endpoint assigner_peer_;
+    std::map<server_id, std::unique_ptr<server_lane>> lanes_;
+    bool is_reading_ = false;
+    epoch lanes_version_;
+    std::map<instance_id, config_version> round_versions_;
+    std::uint64_t round_ = 0;
+    time_point round_sent_;
+    timer_handle tick_timer_;
+    timer_handle read_timer_;
+};
+
+} // namespace camphorrock
--- /dev/null
+++ b/store/config_agent.cpp
@@ -0,0 +1,91 @@
+#include "store/config_agent.hpp"
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr duration read_period = seconds(1);
+constexpr duration peer_timeout = milliseconds(500);
+
+} // namespace
+
+config_agent::config_agent(event_loop& loop,
+                           store_client& store,
+                           rpc_client& rpc,
+                           std::function<void(const configuration&)> changed)
+    : loop_(loop), store_(store), rpc_(rpc), changed_(std::move(changed)), tracker_({})
+{
+}
+
+void config_agent::start()
+{
+    read_store();
+    timer_ = loop_.every(read_period, [this] { read_store(); });
+}
+
+void config_agent::version_seen(config_version version, const endpoint& peer)
+{
+    if (!tracker_.on_version_seen(loop_.now(), version))
+    {
+        return;
+    }
+    rpc_.call(peer,
+              "config.get",
+              Json::Value(Json::objectValue),
+              peer_timeout,
+              [this](const rpc_result& got)
+              {
+                  if (got.end == rpc_end::answered)
+                  {
+                      take(got.value.asString());
+                  }
+              });
+}
+
+void config_agent::majority_seen(time_point sent, config_version highest)
+{
+    tracker_.on_contact(sent, highest);
+}
+
+void config_agent::read_store()
+{
+    if (is_reading_)
+    {
+        return;
+    }
+    is_reading_ = true;
+    time_point sent = loop_.now();
+    store_.get(config_key,
+               [this, sent](const store_read& got)
+               {
+                   is_reading_ = false;
+                   if (got.end != store_end::done)
+                   {
+                       return;
+                   }
+                   bool is_known = got.entries.empty() || take(got.entries.front().value);
+                   if (is_known)
+                   {
+                       tracker_.on_contact(sent, tracker_.version());
+                   }
+               });
+}
+
+bool config_agent::take(const std::string& text)
+{
+    return value_or_handle(
+        [&]() -> result<bool>
+        {
+            BOOST_LEAF_AUTO(config, parse_configuration(text));
+            if (tracker_.on_document(config.version))
+            {
+                current_ = std::move(config);
+                changed_(current_);
+            }
+            return true;
+        },
+        [](const error&) { return false; });
+}
+
+} // namespace camphorrock
