Scheduler authority, grant guard, shard planner and controller

The assigner's decisions are split: the planner makes one next record from the present one, the controller moves it into the store and keeps routers and voters informed. Where nothing but the record is known, a move ends through the voters' fence; the scheduler's report only makes it faster.

--- a/core/assignment/assignment_options.hpp
+++ b/core/assignment/assignment_options.hpp
@@ -29,6 +29,13 @@
     // A voter lost for this long is replaced by another router.
     duration voter_replace_after = seconds(5);
 
+    // Without a majority of voters for this long other voters are named. They take effect
+    // once the lost ones must have stopped vouching; see voter_store_limit.
+    duration voters_lost_after = seconds(60);
+
+    // Between two changes of scheduler that only spread the servers over the routers.
+    duration spread_period = seconds(5);
+
     std::size_t max_voters = 9;
     std::size_t max_planned_moves = 8; // at once; moves off a lost server do not count
     std::size_t max_changes_kept = 64; // for explaining what was done
--- /dev/null
+++ b/core/assignment/fence_progress.cpp
@@ -0,0 +1,120 @@
+#include "core/assignment/fence_progress.hpp"
+
+#include <algorithm>
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr std::size_t max_milestones = 64;
+
+} // namespace
+
+void fence_progress::start(const shard_record& record, time_point now)
+{
+    voters_ = record.voters;
+    previous_voters_ = record.previous_voters;
+    add(started_, record.version, now);
+    std::erase_if(acknowledged_,
+                  [&](const auto& it)
+                  {
+                      auto all = all_voters(record);
+                      return std::none_of(all.begin(),
+                                          all.end(),
+                                          [&](const voter_entry& voter)
+                                          { return voter.id == it.first; });
+                  });
+    note_fenced(now);
+}
+
+void fence_progress::acknowledged(const instance_id& voter, epoch version, time_point now)
+{
+    epoch& highest = acknowledged_[voter];
+    highest = std::max(highest, version);
+    note_fenced(now);
+}
+
+epoch fence_progress::barrier(time_point now, duration extra) const
+{
+    duration lapse = with_drift(options_.authority_ttl, options_) + extra;
+    duration limit = with_drift(options_.voter_store_limit, options_);
+    return std::max(reached(fenced_, now - lapse),
+                    reached(started_, now - limit - lapse));
+}
+
+bool fence_progress::is_fenced(epoch version, time_point now) const
+{
+    duration limit = with_drift(options_.voter_store_limit, options_);
+    return version <= std::max(reached(fenced_, now), reached(started_, now - limit));
+}
+
+epoch fence_progress::acknowledged_by(const instance_id& voter) const
+{
+    auto it = acknowledged_.find(voter);
+    return it == acknowledged_.end() ? epoch{} : it->second;
+}
+
+// The highest version that majorities of both sets acknowledged.
+epoch fence_progress::joint_version() const
+{
+    epoch highest;
+    for (const auto& [voter, version] : acknowledged_)
+    {
+        std::set<instance_id> at_least;
+        for (const auto& [other, reached] : acknowledged_)
+        {
+            if (version <= reached)
+            {
+                at_least.insert(other);
+            }
+        }
+        if (is_joint_majority(voters_, previous_voters_, at_least))
+        {
+            highest = std::max(highest, version);
+        }
+    }
+    return highest;
+}
+
+void fence_progress::note_fenced(time_point now)
+{
+    add(fenced_, joint_version(), now);
+}
+
+// Keeps the oldest ones, whose time comes first, and the newest.
+void fence_progress::add(std::deque<milestone>& list, epoch version, time_point now)
+{
+    epoch highest = list.empty() ? epoch{} : list.back().version;
+    if (version <= highest)
+    {
+        return;
+    }
+    if (list.size() >= max_milestones)
+    {
+        list.pop_back();
+    }
+    list.push_back({version, now});
+    duration longest = with_drift(options_.voter_store_limit, options_) +
+                       with_drift(options_.authority_ttl, options_) +
+                       with_drift(options_.max_request_time, options_);
+    while (list.size() > 1 && list[1].at + longest <= now)
+    {
+        list.pop_front();
+    }
+}
+
+epoch fence_progress::reached(const std::deque<milestone>& list, time_point by)
+{
+    epoch highest;
+    for (const milestone& it : list)
+    {
+        if (it.at <= by)
+        {
+            highest = std::max(highest, it.version);
+        }
+    }
+    return highest;
+}
+
+} // namespace camphorrock
--- a/core/assignment/fence_progress.hpp
+++ b/core/assignment/fence_progress.hpp
@@ -45,8 +45,10 @@
         time_point at;
     };
 
-    void note_fenced(epoch version, time_point now);
+    void note_fenced(time_point now);
     epoch joint_version() const;
+    void add(std::deque<milestone>& list, epoch version, time_point now);
+    static epoch reached(const std::deque<milestone>& list, time_point by);
 
     ownership_options options_;
     std::vector<voter_entry> voters_;
--- a/core/assignment/router_table.hpp
+++ b/core/assignment/router_table.hpp
@@ -5,6 +5,7 @@
 
 #include "core/assignment/assignment_options.hpp"
 #include "core/assignment/service_view.hpp"
+#include "core/ownership/shard_record.hpp"
 #include "core/ownership/shard_report.hpp"
 
 #include <map>
@@ -17,6 +18,7 @@
 {
     router_instance self;
     bool is_listed = false;
+    bool is_listed_as_leaving = false;
     std::optional<time_point> heard_at; // of the last report
     time_point send_due;                // of the record
     shard_report report;
@@ -40,8 +42,24 @@
     // Heard and not leaving, so that it can be given work.
     bool is_usable(const instance_id& id, time_point now) const;
 
-    // Forgets all reports, for a newly elected assigner.
-    void clear_reports();
+    // Silent for `silence` or longer. Silence counts from the last report or from the
+    // time when this assigner began to listen.
+    bool is_silent_for(const instance_id& id, duration silence, time_point now) const;
+
+    // Reports may have been missed until now: no silence before counts.
+    void restart_silence(time_point now)
+    {
+        listening_since_ = now;
+    }
+
+    // How the scheduler of a server sees it; unknown where none reports lately.
+    server_condition condition_of(const server_entry& server, time_point now) const;
+
+    // Did the router report this partition as released?
+    bool is_released(const instance_id& scheduler,
+                     const partition_entry& partition) const;
+
+    std::vector<router_instance> usable(time_point now) const;
 
     std::map<instance_id, router_state>& all()
     {
@@ -57,6 +75,7 @@
 
 private:
     duration silence_;
+    time_point listening_since_;
     std::map<instance_id, router_state> routers_;
 };
 
--- a/core/assignment/service_view.hpp
+++ b/core/assignment/service_view.hpp
@@ -12,7 +12,7 @@
 {
 
 // A server as the service's configuration declares it.
-struct server_config
+struct server_view
 {
     server_id id;
     endpoint address;
@@ -20,12 +20,12 @@
     bool checks_epoch = true;
     bool is_draining = false; // an operator's order: move its partitions elsewhere
 
-    bool operator==(const server_config&) const = default;
+    bool operator==(const server_view&) const = default;
 };
 
-struct service_config
+struct service_view
 {
-    std::vector<server_config> servers;
+    std::vector<server_view> servers;
     std::size_t partition_count = 64; // of a new shard
     duration max_request_time = seconds(10);
 };
--- a/core/assignment/shard_controller.hpp
+++ b/core/assignment/shard_controller.hpp
@@ -26,7 +26,7 @@
 #include "core/assignment/assignment_options.hpp"
 #include "core/assignment/controller_action.hpp"
 #include "core/assignment/fence_progress.hpp"
-#include "core/assignment/rebalance_plan.hpp"
+#include "core/assignment/planner_memory.hpp"
 #include "core/assignment/router_table.hpp"
 #include "core/assignment/service_view.hpp"
 #include "core/ownership/shard_report.hpp"
@@ -59,7 +59,7 @@
     void elected(time_point now, controller_actions& actions);
     void lost(time_point now);
 
-    void configured(const service_config& config, time_point now);
+    void configured(const service_view& config, time_point now);
     void routers_listed(const std::vector<router_instance>& routers, time_point now);
 
     // None: the record is absent.
@@ -73,11 +73,8 @@
                   const shard_report& report,
                   time_point now,
                   controller_actions& actions);
-    void fence_answered(const instance_id& voter,
-                        epoch version,
-                        bool is_ok,
-                        time_point now,
-                        controller_actions& actions);
+    void
+    fence_answered(const instance_id& voter, epoch version, bool is_ok, time_point now);
 
     // Adds a plan; steps beyond max_plan are dropped.
     void planned(const rebalance_plan& plan, time_point now);
@@ -112,46 +109,36 @@
         write,
     };
 
-    struct waiting_step
-    {
-        rebalance_step step;
-        std::string reason;
-    };
-
-    class planner; // works out the next record; in shard_planner.hpp
-
     void adopt(const shard_record& record, time_point now);
-    void start_read(time_point now, controller_actions& actions);
+    void begin_listening(time_point now);
     void drive_store(time_point now, controller_actions& actions);
     void write_next(time_point now, controller_actions& actions);
+    void keep_changes(const std::vector<assignment_change>& changes);
     void send_records(time_point now, controller_actions& actions);
     void send_fences(time_point now, controller_actions& actions);
     void resign_if_alone(time_point now, controller_actions& actions);
+    void drive(time_point now, controller_actions& actions);
 
     shard_id shard_;
     instance_id self_;
     assignment_options options_;
     ownership_options ownership_;
     bool is_elected_ = false;
-    std::optional<service_config> config_;
+    std::optional<service_view> config_;
     std::optional<shard_record> record_;
-    bool is_absent_ = false; // the store was read and holds no record
     store_call call_ = store_call::none;
-    time_point call_at_;
-    time_point store_due_;
     bool needs_read_ = true;
+    time_point store_due_;
     std::optional<shard_record> written_; // by the write that has not ended
     std::vector<assignment_change> written_changes_;
     router_table routers_;
     fence_progress fences_;
     std::map<instance_id, time_point> voters_heard_;
-    std::map<instance_id, time_point> fence_due_;
-    time_point elected_at_;
+    time_point fence_due_;
+    time_point ticked_at_;
     time_point majority_heard_at_;
     duration resign_after_;
-    std::map<key_hash, epoch> moving_since_; // first version seen to move, by first hash
-    std::set<server_id> joining_;
-    std::deque<waiting_step> plan_;
+    planner_memory memory_;
     std::deque<assignment_change> changes_;
 };
 
--- a/core/ownership/grant_guard.hpp
+++ b/core/ownership/grant_guard.hpp
@@ -68,10 +68,15 @@
 
     using segment_map = std::map<key_hash, segment>; // by first hash, no overlaps
 
+    bool
+    grant_one(const granted_partition& partition, time_point lapses_at, time_point now);
+    bool revoke_one(const granted_partition& partition, time_point now);
+    bool has_room() const;
+    segment_map::iterator first_touched(const hash_range& range);
+    bool touches(segment_map::iterator it, const hash_range& range) const;
     void cut_at(key_hash first);
-    void fill(hash_range range, const segment& empty);
+    void replace(const hash_range& range, const segment& with);
     void forget_old(time_point now);
-    bool apply_grant(segment& target, epoch since, time_point lapses_at, time_point now);
     const segment* find(key_hash at) const;
 
     ownership_options options_;
--- a/core/ownership/ownership_options.hpp
+++ b/core/ownership/ownership_options.hpp
@@ -34,6 +34,10 @@
     // The same where each connection is refused at once.
     duration server_refused = milliseconds(150);
 
+    // Ticks further apart than this mean that the process was paused: silence of others
+    // is then counted anew.
+    duration pause_limit = milliseconds(200);
+
     // How long a partition that moves waits for its requests in flight before it is
     // revoked. Only for servers that check epochs; others are waited for to the end.
     duration drain_limit = milliseconds(300);
--- a/core/ownership/scheduler_action.hpp
+++ b/core/ownership/scheduler_action.hpp
@@ -14,11 +14,11 @@
 {
 
 // Names one exchange with a server, unique within the machine.
-struct exchange_id
+struct server_exchange_id
 {
     std::uint64_t value = 0;
 
-    auto operator<=>(const exchange_id&) const = default;
+    auto operator<=>(const server_exchange_id&) const = default;
 };
 
 // Ask a voter to vouch; the answer goes to vouch_answered with the same round.
@@ -34,14 +34,14 @@
 {
     server_id to;
     endpoint address;
-    exchange_id exchange;
+    server_exchange_id exchange;
 };
 
 struct send_grant
 {
     server_id to;
     endpoint address;
-    exchange_id exchange;
+    server_exchange_id exchange;
     grant_message message;
 };
 
@@ -49,7 +49,7 @@
 {
     server_id to;
     endpoint address;
-    exchange_id exchange;
+    server_exchange_id exchange;
     revoke_message message;
 };
 
--- a/core/ownership/scheduler_authority.hpp
+++ b/core/ownership/scheduler_authority.hpp
@@ -50,9 +50,9 @@
                         ownership_options options,
                         time_point started_at);
 
-    // A linearizable read of the record, begun at `begun_at`. The first one that began
-    // after the start lets the machine act; see docs/DESIGN.md.
-    void store_read(const shard_record& record,
+    // A linearizable read of the record (none: it is absent), begun at `begun_at`. The
+    // first one that began after the start lets the machine act; see docs/DESIGN.md.
+    void store_read(const std::optional<shard_record>& record,
                     time_point begun_at,
                     time_point now,
                     scheduler_actions& actions);
@@ -70,14 +70,14 @@
                         scheduler_actions& actions);
 
     void server_answered(const server_id& server,
-                         exchange_id exchange,
+                         server_exchange_id exchange,
                          const server_reply& reply,
                          time_point now,
                          scheduler_actions& actions);
 
     // The exchange ended without an answer.
     void server_failed(const server_id& server,
-                       exchange_id exchange,
+                       server_exchange_id exchange,
                        bool is_connection_refused,
                        time_point now,
                        scheduler_actions& actions);
@@ -113,9 +113,11 @@
 
 private:
     void adopt(const shard_record& record, time_point now, scheduler_actions& actions);
+    void note_higher(epoch highest, time_point now, scheduler_actions& actions);
     void start_round(time_point now, scheduler_actions& actions);
     void drive_servers(time_point now, scheduler_actions& actions);
     shard_report make_report(time_point now) const;
+    const server_link* find_link(const server_id& id) const;
     void report_if_due(time_point now, scheduler_actions& actions);
     server_link* find_link(const server_id& id);
 
@@ -128,9 +130,10 @@
     std::optional<shard_record> record_;
     vouch_rounds rounds_;
     std::map<server_id, server_link> links_;
-    exchange_id last_exchange_;
-    epoch fetched_;
+    server_exchange_id last_exchange_;
+    time_point vouch_due_;
     time_point fetch_due_;
+    duration fetch_wait_{}; // doubles until a record comes
     time_point report_due_;
     shard_report last_report_;
 };
--- a/core/ownership/server_link.hpp
+++ b/core/ownership/server_link.hpp
@@ -18,22 +18,25 @@
 class server_link
 {
 public:
-    // No grant of an earlier process of this router outlives started_at + authority_ttl.
-    server_link(ownership_options options, time_point started_at, time_point now);
+    // `inherited_at` is set where an earlier process of this router may have scheduled
+    // the server until then: its grants and requests may still be alive.
+    server_link(ownership_options options,
+                std::optional<time_point> inherited_at,
+                time_point now);
 
     // Takes over what the record says of the server.
     void update(const server_entry& entry,
-                std::vector<partition_entry> partitions,
+                const std::vector<partition_entry>& partitions,
                 time_point now);
 
     // Sends what is due. `authority_until` bounds the grants; in the past: none is sent.
     void drive(time_point authority_until,
                time_point now,
-               exchange_id& last_exchange,
+               server_exchange_id& last_exchange,
                scheduler_actions& actions);
 
-    void answered(exchange_id exchange, const server_reply& reply, time_point now);
-    void failed(exchange_id exchange, bool is_connection_refused, time_point now);
+    void answered(server_exchange_id exchange, const server_reply& reply, time_point now);
+    void failed(server_exchange_id exchange, bool is_connection_refused, time_point now);
 
     // Until when a request for this partition is sure to be accepted; none: not now.
     std::optional<time_point> admits_until(const partition_entry& partition,
@@ -43,7 +46,7 @@
     bool request_sent(std::uint64_t request, key_hash at, time_point now);
     void request_ended(std::uint64_t request, bool is_definite);
 
-    bool is_lost(time_point now) const;
+    server_condition condition(time_point now) const;
     std::vector<granted_partition> released(time_point now) const;
 
     const server_entry& entry() const
@@ -61,7 +64,7 @@
 
     struct exchange
     {
-        exchange_id id;
+        server_exchange_id id;
         exchange_kind kind = exchange_kind::clock;
         time_point sent_at;
         time_point valid_until; // of a grant: at least this long, on the router's clock
@@ -77,9 +80,9 @@
     struct partition_state
     {
         partition_entry entry;
-        time_point granted_until = time_point::min(); // sure to hold until then
-        time_point may_hold_until;                    // cannot hold after this
-        time_point drain_until;                       // for a moving partition
+        time_point granted_until = time_point::min();  // sure to hold until then
+        time_point may_hold_until = time_point::min(); // cannot hold from then on
+        time_point drain_until;                        // for a moving partition
         bool is_revoke_acknowledged = false;
     };
 
@@ -96,20 +99,23 @@
     std::size_t in_flight(const hash_range& range) const;
     void forget_old_requests(time_point now);
     exchange&
-    open_exchange(exchange_kind kind, time_point now, exchange_id& last_exchange);
-    std::optional<exchange> close_exchange(exchange_id id);
+    open_exchange(exchange_kind kind, time_point now, server_exchange_id& last_exchange);
+    std::optional<exchange> close_exchange(server_exchange_id id);
     void send_grants(time_point authority_until,
                      time_point now,
-                     exchange_id& last_exchange,
+                     server_exchange_id& last_exchange,
                      scheduler_actions& actions);
-    void
-    send_revokes(time_point now, exchange_id& last_exchange, scheduler_actions& actions);
+    void send_revokes(time_point now,
+                      server_exchange_id& last_exchange,
+                      scheduler_actions& actions);
     void apply_grant_reply(const exchange& ended, const server_reply& reply);
     void apply_revoke_reply(const server_reply& reply);
-    bool has_new_grant(time_point now) const;
+    bool has_missing_grant(time_point now) const;
+    partition_state carry_over(const partition_entry& entry, time_point now) const;
+    duration grant_ttl(time_point authority_until, time_point now) const;
 
     ownership_options options_;
-    time_point started_at_;
+    std::optional<time_point> inherited_at_;
     server_entry entry_;
     std::map<key_hash, partition_state> partitions_; // by first hash
     std::vector<exchange> exchanges_;
@@ -117,6 +123,7 @@
     std::optional<echo> echo_;
     time_point heard_at_; // of the last answer, or when the link began
     time_point refused_at_ = time_point::max(); // of the first refusal since
+    time_point driven_at_;                      // of the last drive
     time_point renew_due_;
     time_point retry_due_;
     time_point revoke_due_;
--- a/core/ownership/shard_report.hpp
+++ b/core/ownership/shard_report.hpp
@@ -12,11 +12,18 @@
 namespace camphorrock
 {
 
+enum class server_condition
+{
+    unknown, // no answer yet since this router became its scheduler
+    alive,
+    lost, // silent, or refusing connections, for the limit
+};
+
 // How a scheduler sees one of its servers.
 struct server_observation
 {
     server_id id;
-    bool is_lost = false; // silent, or refusing connections, for the limit
+    server_condition condition = server_condition::unknown;
 
     bool operator==(const server_observation&) const = default;
 };
