--- a/codec/configuration_json.cpp
+++ b/codec/configuration_json.cpp
@@ -21,7 +21,7 @@
     fields.optional("store_writes_per_second", it.store_writes_per_second);
 }
 
-template<class Fields, is_type<route> Route>
+template<class Fields, is_type<route_pattern> Route>
 void describe(Fields& fields, Route& it)
 {
     fields.required("method", it.method);
--- a/codec/messages.hpp
+++ b/codec/messages.hpp
@@ -69,7 +69,7 @@
 };
 
 // What a scheduler has observed of one of its servers since its last report.
-struct server_observation
+struct server_status
 {
     server_id id;
     bool reachable = true; // false: no answer within the bound, on new connections too
@@ -79,7 +79,7 @@
     std::uint64_t shed = 0; // answers by which the server refused work
     duration slot_time{};   // slot time used
 
-    bool operator==(const server_observation&) const = default;
+    bool operator==(const server_status&) const = default;
 };
 
 // A partition whose moving owner serves it no more: revoked, or the last grant lapsed.
@@ -101,34 +101,34 @@
 };
 
 // The load of one key that stands out in its partition.
-struct key_load
+struct key_traffic
 {
     key_hash at;
     std::uint64_t requests = 0;
     duration slot_time{};
 
-    bool operator==(const key_load&) const = default;
+    bool operator==(const key_traffic&) const = default;
 };
 
 // The load of a partition since the last report.
-struct partition_load
+struct partition_traffic
 {
     hash_range range;
     std::uint64_t requests = 0;
     duration slot_time{};
-    std::vector<key_load> hot_keys; // heaviest first, a few
+    std::vector<key_traffic> hot_keys; // heaviest first, a few
 
-    bool operator==(const partition_load&) const = default;
+    bool operator==(const partition_traffic&) const = default;
 };
 
 struct shard_status
 {
     shard_id shard;
     epoch version;
-    std::vector<server_observation> servers;
+    std::vector<server_status> servers;
     std::vector<released_partition> released_partitions;
     std::vector<released_server> released_servers;
-    std::vector<partition_load> load;
+    std::vector<partition_traffic> load;
 
     bool operator==(const shard_status&) const = default;
 };
--- a/codec/messages_json.cpp
+++ b/codec/messages_json.cpp
@@ -44,7 +44,7 @@
     fields.required("version", it.version);
 }
 
-template<class Fields, is_type<server_observation> Message>
+template<class Fields, is_type<server_status> Message>
 void describe(Fields& fields, Message& it)
 {
     fields.required("id", it.id);
@@ -70,7 +70,7 @@
     fields.required("since", it.since);
 }
 
-template<class Fields, is_type<key_load> Message>
+template<class Fields, is_type<key_traffic> Message>
 void describe(Fields& fields, Message& it)
 {
     fields.required("at", it.at);
@@ -78,7 +78,7 @@
     fields.required("slot_time_ms", it.slot_time);
 }
 
-template<class Fields, is_type<partition_load> Message>
+template<class Fields, is_type<partition_traffic> Message>
 void describe(Fields& fields, Message& it)
 {
     fields.required("range", it.range);
--- a/codec/testing/configuration_json_test.cpp
+++ b/codec/testing/configuration_json_test.cpp
@@ -75,7 +75,7 @@
 
 TEST_CASE("a route matches whole segments of a path")
 {
-    std::vector<route> routes{{"POST", "/search"}, {"*", "/pull/"}};
+    std::vector<route_pattern> routes{{"POST", "/search"}, {"*", "/pull/"}};
 
     CHECK(matches(routes, "POST", "/search"));
     CHECK(matches(routes, "POST", "/search/x"));
--- a/core/config/configuration.cpp
+++ b/core/config/configuration.cpp
@@ -61,7 +61,8 @@
     return is_port && is_token(text);
 }
 
-result<void> check_routes(const std::string& path, const std::vector<route>& routes)
+result<void> check_routes(const std::string& path,
+                          const std::vector<route_pattern>& routes)
 {
     for (std::size_t n = 0; n < routes.size(); ++n)
     {
--- a/core/config/service_config.cpp
+++ b/core/config/service_config.cpp
@@ -23,13 +23,13 @@
 
 } // namespace
 
-bool matches(const std::vector<route>& routes,
+bool matches(const std::vector<route_pattern>& routes,
              std::string_view method,
              std::string_view path)
 {
     return std::any_of(routes.begin(),
                        routes.end(),
-                       [&](const route& it)
+                       [&](const route_pattern& it)
                        {
                            bool is_method = it.method == "*" || it.method == method;
                            return is_method && is_prefix(it.prefix, path);
--- a/core/config/service_config.hpp
+++ b/core/config/service_config.hpp
@@ -26,12 +26,12 @@
 };
 
 // Requests of one method whose path, after the key, begins with a prefix.
-struct route
+struct route_pattern
 {
     std::string method; // "POST"; "*" stands for every method
     std::string prefix; // begins with "/"; "/" matches every path
 
-    bool operator==(const route&) const = default;
+    bool operator==(const route_pattern&) const = default;
 };
 
 struct service_config
@@ -41,8 +41,8 @@
     unsigned slots_per_server = 3;      // requests that a server works on at once
     unsigned connections_per_server = 110;
     unsigned partitions = 64; // of a new shard; splits and merges change it later
-    std::vector<route> repeatable_routes; // need no Idempotency-Key
-    std::vector<route> long_routes;       // hint: start in the class of long requests
+    std::vector<route_pattern> repeatable_routes; // need no Idempotency-Key
+    std::vector<route_pattern> long_routes; // hint: start in the class of long requests
     bool servers_deduplicate = false;   // the servers recognise a repeated id themselves
     duration max_request = seconds(30); // the longest time that a request may take
     unsigned retry_percent = 10;        // retries allowed per 100 first attempts
@@ -52,7 +52,7 @@
 
 // True where one of the routes matches. `path` is the part after the key, "" or "/...".
 // A prefix matches whole segments only: "/a" matches "/a" and "/a/b", not "/ab".
-bool matches(const std::vector<route>& routes,
+bool matches(const std::vector<route_pattern>& routes,
              std::string_view method,
              std::string_view path);
 
