--- /dev/null
+++ b/bench/queue/named_policy.cpp
@@ -0,0 +1,80 @@
+#include "bench/queue/named_policy.hpp"
+
+#include "bench/queue/direct_queue.hpp"
+#include "bench/queue/simple_queue.hpp"
+#include "core/admission/server_queue.hpp"
+
+namespace camphorrock
+{
+namespace
+{
+
+// Routers of one operator, as in the brief.
+constexpr std::size_t router_count = 10;
+
+named_policy
+simple(std::string name, bool sees_callers_leave, simple_queue_options options)
+{
+    return {std::move(name),
+            sees_callers_leave,
+            [options](std::size_t slots, std::mt19937_64&)
+            {
+                simple_queue_options adjusted = options;
+                adjusted.slots = slots;
+                return std::make_unique<simple_queue>(adjusted);
+            }};
+}
+
+named_policy direct(std::string name, simple_queue_options each)
+{
+    each.slots = 1;
+    return {std::move(name),
+            true,
+            [each](std::size_t, std::mt19937_64&)
+            {
+                return std::make_unique<direct_queue>(router_count, each);
+            }};
+}
+
+named_policy own(std::string name, server_queue_options options)
+{
+    return {std::move(name),
+            true,
+            [options](std::size_t slots, std::mt19937_64& random)
+            {
+                server_queue_options adjusted = options;
+                adjusted.slots = slots;
+                return server_queue::create(adjusted, random).value();
+            }};
+}
+
+server_queue_options version_1()
+{
+    return {};
+}
+
+std::vector<named_policy> all_policies()
+{
+    return {simple("fifo", false, {}),
+            simple("fifo-cancel", true, {}),
+            direct("direct", {}),
+            simple("priority", true, {.short_first = true}),
+            simple("cap-2-long", true, {.short_first = true, .max_long = 2}),
+            simple("cap-1-long", true, {.short_first = true, .max_long = 1}),
+            own("v1", version_1())};
+}
+
+} // namespace
+
+const std::vector<named_policy>& named_policies()
+{
+    static const std::vector<named_policy> all = all_policies();
+    return all;
+}
+
+const named_policy& fifo_policy()
+{
+    return named_policies().front();
+}
+
+} // namespace camphorrock
--- /dev/null
+++ b/bench/queue/queue_metrics.cpp
@@ -0,0 +1,99 @@
+#include "bench/queue/queue_metrics.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr double recovered_share = 0.95;
+
+double ratio(double part, double whole)
+{
+    return whole > 0 ? part / whole : 0;
+}
+
+double mean_of(const std::vector<double>& values, std::size_t from, std::size_t to)
+{
+    const auto first = values.begin() + static_cast<std::ptrdiff_t>(from);
+    const auto last = values.begin() + static_cast<std::ptrdiff_t>(to);
+    return std::accumulate(first, last, 0.0) / static_cast<double>(to - from);
+}
+
+} // namespace
+
+void kind_metrics::add(const kind_metrics& other)
+{
+    offered += other.offered;
+    within_deadline += other.within_deadline;
+    waits_ms.insert(waits_ms.end(), other.waits_ms.begin(), other.waits_ms.end());
+}
+
+double kind_metrics::share() const
+{
+    return ratio(static_cast<double>(within_deadline), static_cast<double>(offered));
+}
+
+void queue_metrics::add(const queue_metrics& other)
+{
+    short_work.add(other.short_work);
+    long_work.add(other.long_work);
+    other_callers.add(other.other_callers);
+    refused_deadline += other.refused_deadline;
+    refused_full += other.refused_full;
+    refused_long += other.refused_long;
+    shed += other.shed;
+    useful += other.useful;
+    slot_time += other.slot_time;
+    const std::size_t n = std::max(good_per_second.size(), other.good_per_second.size());
+    good_per_second.resize(n);
+    for (std::size_t i = 0; i < other.good_per_second.size(); ++i)
+    {
+        good_per_second[i] += other.good_per_second[i];
+    }
+}
+
+double queue_metrics::useful_share() const
+{
+    return ratio(static_cast<double>(useful.count()),
+                 static_cast<double>(slot_time.count()));
+}
+
+double queue_metrics::within_deadline_share() const
+{
+    const std::size_t good = short_work.within_deadline + long_work.within_deadline;
+    const std::size_t all = short_work.offered + long_work.offered;
+    return ratio(static_cast<double>(good), static_cast<double>(all));
+}
+
+double quantile(std::vector<float>& values, double q)
+{
+    if (values.empty())
+    {
+        return 0;
+    }
+    const double at = q * static_cast<double>(values.size() - 1);
+    const auto nth = values.begin() + static_cast<std::ptrdiff_t>(at);
+    std::nth_element(values.begin(), nth, values.end());
+    return *nth;
+}
+
+double recovery_seconds(const std::vector<double>& good_per_second,
+                        std::size_t from,
+                        std::size_t to,
+                        std::size_t storm_end)
+{
+    const double before = mean_of(good_per_second, from, to);
+    for (std::size_t at = storm_end; at + 2 <= good_per_second.size(); ++at)
+    {
+        if (mean_of(good_per_second, at, at + 2) >= recovered_share * before)
+        {
+            return static_cast<double>(at - storm_end);
+        }
+    }
+    return -1;
+}
+
+} // namespace camphorrock
