--- /dev/null
+++ b/fakes/platform/platform_main.cpp
@@ -0,0 +1,127 @@
+// The fake platform: store and instance list on one port, faults and counts on another.
+
+#include "app/admin_server.hpp"
+#include "app/command_line.hpp"
+#include "app/metrics_registry.hpp"
+#include "app/program.hpp"
+#include "codec/json_text.hpp"
+#include "fakes/platform/platform_service.hpp"
+#include "net/event_loop.hpp"
+#include "net/http_server.hpp"
+
+#include <csignal>
+#include <cstdint>
+#include <cstdio>
+#include <memory>
+#include <optional>
+#include <string>
+
+using namespace camphorrock;
+
+namespace
+{
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
+
+struct platform_settings
+{
+    std::string listen = "127.0.0.1:0";
+    std::string admin = "127.0.0.1:0";
+    std::int64_t list_lag_ms = 2000;
+    std::int64_t seed = 1;
+    double writes_per_second = 0;
+    double reads_per_second = 0;
+};
+
+void declare(command_line& line, platform_settings& settings)
+{
+    line.add_option("--listen", settings.listen, "address of the store and the list");
+    line.add_option("--admin", settings.admin, "address for faults and counts");
+    line.add_option("--list-lag-ms", settings.list_lag_ms, "age of what the list shows");
+    line.add_option("--seed", settings.seed, "of the random faults");
+    line.add_option(
+        "--writes-per-second", settings.writes_per_second, "limit of changes; 0: none");
+    line.add_option(
+        "--reads-per-second", settings.reads_per_second, "limit of reads; 0: none");
+    constexpr double day_ms = 86400000;
+    constexpr double most_calls = 1000000;
+    line.require_range("--list-lag-ms", 0, day_ms);
+    line.require_range("--writes-per-second", 0, most_calls);
+    line.require_range("--reads-per-second", 0, most_calls);
+}
+
+http_response change_faults(fakes::platform_service& service, const http_request& request)
+{
+    return value_or_handle(
+        [&]() -> result<http_response>
+        {
+            BOOST_LEAF_AUTO(body, parse_json(request.body));
+            BOOST_LEAF_CHECK(service.set_faults(body));
+            return json_answer(status_ok, write_json(service.faults()));
+        },
+        [](const error& ec) { return text_answer(status_bad_request, ec.text + "\n"); });
+}
+
+void add_paths(admin_server& admin, fakes::platform_service& service)
+{
+    admin.add("POST",
+              "/faults",
+              [&](const http_request& request)
+              { return change_faults(service, request); });
+    admin.add("GET",
+              "/faults",
+              [&](const http_request&)
+              { return json_answer(status_ok, write_json(service.faults())); });
+    admin.add("GET",
+              "/stats",
+              [&](const http_request&)
+              { return json_answer(status_ok, write_json(service.stats())); });
+}
+
+result<int> serve(const platform_settings& settings)
+{
+    BOOST_LEAF_AUTO(loop, event_loop::create());
+    fakes::platform_options options;
+    options.list_lag = milliseconds(settings.list_lag_ms);
+    options.writes_per_second = settings.writes_per_second;
+    options.reads_per_second = settings.reads_per_second;
+    options.seed = static_cast<std::uint64_t>(settings.seed);
+    fakes::platform_service service(*loop, options);
+    http_server_options server_options;
+    server_options.address = endpoint(settings.listen);
+    server_options.max_body_bytes = max_body_bytes;
+    BOOST_LEAF_AUTO(server, http_server::create(*loop, server_options, service));
+    metrics_registry metrics;
+    BOOST_LEAF_AUTO(admin,
+                    admin_server::create(
+                        *loop, endpoint(settings.admin), metrics, [] { return true; }));
+    add_paths(*admin, service);
+    const watch_handle on_term = loop->on_signal(SIGTERM, [&] { loop->stop(); });
+    const watch_handle on_int = loop->on_signal(SIGINT, [&] { loop->stop(); });
+    std::printf("admin %s\n", admin->bound().str().c_str());
+    print_listening(server->bound());
+    loop->run();
+    return exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    platform_settings settings;
+    command_line line("camphorrock-fake-platform",
+                      "Stands in for the platform: key-value store and instance list.");
+    declare(line, settings);
+    if (const std::optional<int> status = line.parse(argc, argv))
+    {
+        return *status;
+    }
+    return value_or_handle([&] { return serve(settings); },
+                           [](const error& ec)
+                           {
+                               std::fprintf(stderr, "%s\n", ec.text.c_str());
+                               return exit_failure;
+                           });
+}
--- /dev/null
+++ b/fakes/platform/platform_service.cpp
@@ -0,0 +1,361 @@
+#include "fakes/platform/platform_service.hpp"
+
+#include "app/admin_server.hpp"
+#include "codec/json_text.hpp"
+#include "fakes/platform/kv_json.hpp"
+#include "store/etcd_json.hpp"
+#include "store/instance_json.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace camphorrock::fakes
+{
+namespace
+{
+
+constexpr milliseconds tick_period(20); // how exactly leases end
+constexpr std::string_view list_prefix = "/instances/";
+constexpr std::uint64_t max_ttl_s = 1000000000;
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr int status_too_many_requests = 429;
+
+// gRPC's codes, which the protocol's errors carry.
+constexpr int grpc_invalid_argument = 3;
+constexpr int grpc_not_found = 5;
+constexpr int grpc_resource_exhausted = 8;
+
+http_response json_of(int status, const Json::Value& value)
+{
+    return json_answer(status, write_json(value));
+}
+
+http_response bad_request()
+{
+    return json_of(status_bad_request,
+                   make_error(grpc_invalid_argument, "the request cannot be read"));
+}
+
+http_response lease_not_found()
+{
+    return json_of(status_not_found,
+                   make_error(grpc_not_found, "etcdserver: requested lease not found"));
+}
+
+http_response too_many_requests()
+{
+    http_response made =
+        json_of(status_too_many_requests,
+                make_error(grpc_resource_exhausted, "etcdserver: too many requests"));
+    made.headers.add("Retry-After", "1");
+    return made;
+}
+
+std::optional<std::uint64_t> read_lease_id(const Json::Value& body)
+{
+    return body.isObject() ? read_uint64(body, "ID") : std::nullopt;
+}
+
+} // namespace
+
+platform_service::platform_service(event_loop& loop, platform_options options)
+    : loop_(loop), kv_(options.kv), watches_(kv_), list_(options.list_lag),
+      write_limit_(options.writes_per_second), read_limit_(options.reads_per_second),
+      random_(options.seed)
+{
+    faults_.list_lag = options.list_lag;
+    ticker_ = loop_.every(tick_period, [this] { tick(); });
+}
+
+void platform_service::tick()
+{
+    if (!faults_.outage)
+    {
+        kv_.expire(loop_.now());
+        watches_.send_changes();
+    }
+}
+
+void platform_service::handle(http_request request,
+                              std::shared_ptr<http_responder> responder)
+{
+    const std::optional<call_kind> kind = kind_of(request);
+    if (!kind)
+    {
+        responder->respond(
+            json_of(status_not_found, make_error(grpc_not_found, "no such path")));
+        return;
+    }
+    auto it =
+        std::make_shared<call>(call{*kind, std::move(request), std::move(responder)});
+    if (!admit(*it))
+    {
+        return;
+    }
+    if (faults_.delay == duration::zero())
+    {
+        answer(it);
+        return;
+    }
+    delay(faults_.delay / 2, [this, it] { take_effect(it); });
+}
+
+// Counts the call and answers it here where it is not to have an effect.
+bool platform_service::admit(const call& it)
+{
+    const time_point now = loop_.now();
+    stats_.count(it.kind, now);
+    if (faults_.outage)
+    {
+        ++stats_.cut_off;
+        it.responder->abort();
+        return false;
+    }
+    rate_limit& limit = is_change(it.kind) ? write_limit_ : read_limit_;
+    if (!limit.admit(now))
+    {
+        ++stats_.refused;
+        it.responder->respond(too_many_requests());
+        return false;
+    }
+    if (is_change(it.kind) && faults_.lost_requests.draw(random_))
+    {
+        ++stats_.lost_requests;
+        it.responder->abort();
+        return false;
+    }
+    return true;
+}
+
+void platform_service::delay(duration time, event_loop::callback what)
+{
+    const std::uint64_t number = ++last_delay_;
+    delays_[number] = loop_.after(time,
+                                  [this, number, what = std::move(what)]
+                                  {
+                                      const timer_handle self =
+                                          std::move(delays_[number]);
+                                      delays_.erase(number);
+                                      what();
+                                  });
+}
+
+// The second half of a delay lies between the effect and the answer.
+void platform_service::take_effect(const std::shared_ptr<call>& it)
+{
+    if (faults_.outage)
+    {
+        ++stats_.cut_off;
+        it->responder->abort();
+        return;
+    }
+    if (it->kind == call_kind::watch)
+    {
+        watch(*it);
+        return;
+    }
+    delay(faults_.delay / 2, [this, it, with = carry_out(*it)] { reply(*it, with); });
+}
+
+void platform_service::answer(const std::shared_ptr<call>& it)
+{
+    if (it->kind == call_kind::watch)
+    {
+        watch(*it);
+        return;
+    }
+    reply(*it, carry_out(*it));
+}
+
+void platform_service::reply(call& it, http_response with)
+{
+    if (is_change(it.kind) && faults_.lost_replies.draw(random_))
+    {
+        ++stats_.lost_replies;
+        it.responder->abort();
+        return;
+    }
+    it.responder->respond(std::move(with));
+}
+
+http_response platform_service::carry_out(const call& it)
+{
+    kv_.expire(loop_.now());
+    http_response made;
+    if (it.kind == call_kind::list_read)
+    {
+        made = read_list();
+    }
+    else if (it.kind == call_kind::list_write)
+    {
+        made = write_list(it.request);
+    }
+    else
+    {
+        const result<Json::Value> body = parse_json(it.request.body);
+        made = body ? carry_out_store(it.kind, *body) : bad_request();
+    }
+    watches_.send_changes();
+    return made;
+}
+
+http_response platform_service::carry_out_store(call_kind kind, const Json::Value& body)
+{
+    switch (kind)
+    {
+    case call_kind::range:
+        return run_range(body);
+    case call_kind::txn:
+        return run_transaction(body);
+    case call_kind::lease_grant:
+        return grant(body);
+    case call_kind::lease_keepalive:
+        return keep_alive(body);
+    case call_kind::lease_revoke:
+        return revoke(body);
+    default:
+        return bad_request();
+    }
+}
+
+http_response platform_service::run_range(const Json::Value& body) const
+{
+    const std::optional<kv_range> keys = read_range_request(body);
+    if (!keys)
+    {
+        return bad_request();
+    }
+    return json_of(status_ok, make_range_answer(kv_.range(*keys), kv_.revision()));
+}
+
+http_response platform_service::run_transaction(const Json::Value& body)
+{
+    const std::optional<kv_transaction> what = read_transaction(body);
+    if (!what)
+    {
+        return bad_request();
+    }
+    const kv_transaction_result got = kv_.run(*what);
+    return got.is_lease_missing ? lease_not_found()
+                                : json_of(status_ok, make_transaction_answer(got));
+}
+
+http_response platform_service::grant(const Json::Value& body)
+{
+    const std::optional<std::uint64_t> ttl =
+        body.isObject() ? read_uint64(body, "TTL") : std::nullopt;
+    if (!ttl || *ttl == 0 || *ttl > max_ttl_s)
+    {
+        return bad_request();
+    }
+    const std::uint64_t id = kv_.grant_lease(seconds(*ttl), loop_.now());
+    return json_of(status_ok, make_lease_answer(id, *ttl, kv_.revision()));
+}
+
+// The protocol answers with a message of a stream, and a lease that is gone with time 0.
+http_response platform_service::keep_alive(const Json::Value& body)
+{
+    const std::optional<std::uint64_t> id = read_lease_id(body);
+    if (!id)
+    {
+        return bad_request();
+    }
+    const std::optional<seconds> ttl = kv_.keep_alive(*id, loop_.now());
+    const auto ttl_s = static_cast<std::uint64_t>(ttl.value_or(seconds(0)).count());
+    Json::Value made(Json::objectValue);
+    made["result"] = make_lease_answer(*id, ttl_s, kv_.revision());
+    http_response answer = json_of(status_ok, made);
+    answer.body += "\n";
+    return answer;
+}
+
+http_response platform_service::revoke(const Json::Value& body)
+{
+    const std::optional<std::uint64_t> id = read_lease_id(body);
+    if (!id)
+    {
+        return bad_request();
+    }
+    return kv_.revoke_lease(*id) ? json_of(status_ok, make_header(kv_.revision()))
+                                 : lease_not_found();
+}
+
+http_response platform_service::read_list()
+{
+    Json::Value made(Json::arrayValue);
+    for (const instance_entry& it : list_.read(loop_.now()))
+    {
+        made.append(to_json(it));
+    }
+    return json_of(status_ok, made);
+}
+
+http_response platform_service::write_list(const http_request& request)
+{
+    const instance_id id(request.target.substr(list_prefix.size()));
+    if (request.method == "DELETE")
+    {
+        list_.leave(id, loop_.now());
+        return json_of(status_ok, Json::Value(Json::objectValue));
+    }
+    const result<Json::Value> body = parse_json(request.body);
+    std::optional<instance_entry> entry =
+        body ? read_instance(*body) : std::optional<instance_entry>();
+    if (!entry || entry->id != id)
+    {
+        return bad_request();
+    }
+    list_.enter(std::move(*entry), loop_.now());
+    return json_of(status_ok, Json::Value(Json::objectValue));
+}
+
+void platform_service::watch(call& it)
+{
+    const result<Json::Value> body = parse_json(it.request.body);
+    const std::optional<watch_request> wanted =
+        body ? read_watch_request(*body) : std::optional<watch_request>();
+    if (!wanted)
+    {
+        it.responder->respond(bad_request());
+        return;
+    }
+    watches_.add(*wanted, std::move(it.responder));
+}
+
+result<void> platform_service::set_faults(const Json::Value& body)
+{
+    const bool was_out = faults_.outage;
+    BOOST_LEAF_CHECK(change_faults(faults_, body));
+    list_.set_lag(*faults_.list_lag);
+    if (!was_out && faults_.outage)
+    {
+        watches_.cut_all();
+    }
+    if (was_out && !faults_.outage)
+    {
+        kv_.renew_all(loop_.now());
+    }
+    return {};
+}
+
+Json::Value platform_service::faults() const
+{
+    return to_json(faults_);
+}
+
+Json::Value platform_service::stats()
+{
+    Json::Value made = stats_.to_json(loop_.now());
+    made["watches"] = Json::UInt64{watches_.size()};
+    made["leases"] = Json::UInt64{kv_.leases()};
+    made["revision"] = Json::UInt64{kv_.revision()};
+    return made;
+}
+
+} // namespace camphorrock::fakes
--- /dev/null
+++ b/fakes/platform/platform_service.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+// The fake platform as an HTTP handler: the key-value service in the JSON form of etcd's
+// v3 protocol, the instance list, and the faults that it is told to show. See
+// docs/PLATFORM.md.
+
+#include "core/base/result.hpp"
+#include "fakes/platform/call_stats.hpp"
+#include "fakes/platform/fault_plan.hpp"
+#include "fakes/platform/kv_engine.hpp"
+#include "fakes/platform/lagging_list.hpp"
+#include "fakes/platform/rate_limit.hpp"
+#include "fakes/platform/watch_set.hpp"
+#include "net/event_loop.hpp"
+#include "net/http_server.hpp"
+
+#include <json/value.h>
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <unordered_map>
+
+namespace camphorrock::fakes
+{
+
+struct platform_options
+{
+    duration list_lag = milliseconds(2000);
+    double writes_per_second = 0; // 0: no limit
+    double reads_per_second = 0;
+    std::uint64_t seed = 1; // of the draws of lost calls
+    kv_engine_options kv;
+};
+
+class platform_service : public http_handler
+{
+public:
+    // `loop` must outlive the service.
+    platform_service(event_loop& loop, platform_options options);
+
+    void handle(http_request request, std::shared_ptr<http_responder> responder) override;
+
+    // See change_faults(). The beginning of an outage cuts all watches; its end starts
+    // the time of all leases anew.
+    result<void> set_faults(const Json::Value& body);
+
+    Json::Value faults() const;
+
+    // Counts of calls, with "watches" and "leases" open and the store's "revision".
+    Json::Value stats();
+
+private:
+    // One call between its arrival and its answer.
+    struct call
+    {
+        call_kind kind;
+        http_request request;
+        std::shared_ptr<http_responder> responder;
+    };
+
+    void tick();
+    bool admit(const call& it);
+    void delay(duration time, event_loop::callback what);
+    void take_effect(const std::shared_ptr<call>& it);
+    void answer(const std::shared_ptr<call>& it);
+    void reply(call& it, http_response with);
+    http_response carry_out(const call& it);
+    http_response carry_out_store(call_kind kind, const Json::Value& body);
+    http_response run_range(const Json::Value& body) const;
+    http_response run_transaction(const Json::Value& body);
+    http_response grant(const Json::Value& body);
+    http_response keep_alive(const Json::Value& body);
+    http_response revoke(const Json::Value& body);
+    http_response write_list(const http_request& request);
+    http_response read_list();
+    void watch(call& it);
+
+    event_loop& loop_;
+    kv_engine kv_;
+    watch_set watches_;
+    lagging_list list_;
+    rate_limit write_limit_;
+    rate_limit read_limit_;
+    call_stats stats_;
+    fault_plan faults_;
+    std::mt19937_64 random_;
+    std::unordered_map<std::uint64_t, timer_handle> delays_;
+    std::uint64_t last_delay_ = 0;
+    timer_handle ticker_;
+};
+
+} // namespace camphorrock::fakes
--- a/net/rpc_client.cpp
+++ b/net/rpc_client.cpp
@@ -1,6 +1,6 @@
 #include "net/rpc_client.hpp"
 
-#include "net/json_text.hpp"
+#include "codec/json_text.hpp"
 
 #include <optional>
 
@@ -28,7 +28,7 @@
     made.method = "POST";
     made.target = rpc_target;
     made.headers.add("Content-Type", "application/json");
-    made.body = to_json_text(content);
+    made.body = write_json(content);
     return made;
 }
 
@@ -96,7 +96,7 @@
     {
         return *failure;
     }
-    const std::optional<Json::Value> value = parse_json(got.answer.body);
+    const result<Json::Value> value = parse_json(got.answer.body);
     if (!value || !is_answer_to(*value, id))
     {
         return make_failure(rpc_end::no_answer,
@@ -115,7 +115,7 @@
     }
     std::vector<rpc_result> made(
         n, make_failure(rpc_end::no_answer, "the batch has no answer to this call"));
-    const std::optional<Json::Value> value = parse_json(got.answer.body);
+    const result<Json::Value> value = parse_json(got.answer.body);
     if (!value || !value->isArray())
     {
         return made;
--- a/store/etcd_caller.cpp
+++ b/store/etcd_caller.cpp
@@ -1,6 +1,6 @@
 #include "store/etcd_caller.hpp"
 
-#include "net/json_text.hpp"
+#include "codec/json_text.hpp"
 
 #include <algorithm>
 #include <optional>
@@ -22,9 +22,12 @@
     call_answer made;
     if (answer.status == ok_status)
     {
-        std::optional<Json::Value> body = parse_json(answer.body);
+        result<Json::Value> body = parse_json(answer.body);
         made.end = body ? call_end::answered : call_end::no_answer;
-        made.body = body.value_or(Json::Value());
+        if (body)
+        {
+            made.body = std::move(*body);
+        }
         return made;
     }
     const bool is_refusal =
@@ -74,7 +77,7 @@
     made.method = "POST";
     made.target = target;
     made.headers.add("Content-Type", "application/json");
-    made.body = to_json_text(body);
+    made.body = write_json(body);
     return made;
 }
 
--- a/store/etcd_watch.cpp
+++ b/store/etcd_watch.cpp
@@ -1,6 +1,6 @@
 #include "store/etcd_watch.hpp"
 
-#include "net/json_text.hpp"
+#include "codec/json_text.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -114,7 +114,7 @@
 
 void etcd_watch::on_line(std::string_view line)
 {
-    const std::optional<Json::Value> body = parse_json(line);
+    const result<Json::Value> body = parse_json(line);
     std::optional<watch_message> message =
         body ? read_watch(*body) : std::optional<watch_message>();
     if (message)
--- a/store/instance_list.cpp
+++ b/store/instance_list.cpp
@@ -1,6 +1,6 @@
 #include "store/instance_list.hpp"
 
-#include "net/json_text.hpp"
+#include "codec/json_text.hpp"
 #include "store/instance_json.hpp"
 
 #include <utility>
@@ -39,7 +39,7 @@
     {
         return std::nullopt;
     }
-    const std::optional<Json::Value> body = parse_json(got.answer.body);
+    const result<Json::Value> body = parse_json(got.answer.body);
     return body ? read_instances(*body) : std::nullopt;
 }
 
@@ -58,7 +58,7 @@
 {
     http_request request = make_request("PUT", target_of(self.id));
     request.headers.add("Content-Type", "application/json");
-    request.body = to_json_text(to_json(self));
+    request.body = write_json(to_json(self));
     http_.send(platform_,
                std::move(request),
                {},
