Hard cases of HTTP on the one loop, tested with plain bytes from the other side

Found by the tests: - on_gone was refused for a stream, so a watch of a caller that had left stayed open. - libcurl opens a connection for the second sending that the pre-request callback then refuses; the open-socket callback now spares the server that connection, and `reused` tells of the connection that carried the request. - libcurl sends header values with line breaks as they stand; such a request is refused as not sent.

--- a/net/curl_exchange.cpp
+++ b/net/curl_exchange.cpp
@@ -1,6 +1,7 @@
 #include "net/curl_exchange.hpp"
 
 #include <strings.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <utility>
@@ -35,6 +36,16 @@
     }
 }
 
+bool is_line(std::string_view text)
+{
+    return text.find_first_of(std::string_view("\r\n\0", 3)) == std::string_view::npos;
+}
+
+bool is_word(std::string_view text)
+{
+    return !text.empty() && is_line(text) && text.find(' ') == std::string_view::npos;
+}
+
 std::string_view trim(std::string_view text)
 {
     constexpr std::string_view blanks = " \t\r\n";
@@ -48,6 +59,15 @@
 
 } // namespace
 
+bool is_sendable(const http_request& request)
+{
+    return is_word(request.method) && is_word(request.target) &&
+           std::all_of(request.headers.all().begin(),
+                       request.headers.all().end(),
+                       [](const http_header& it)
+                       { return is_word(it.name) && is_line(it.value); });
+}
+
 curl_exchange::curl_exchange(exchange_id id,
                              curl_easy easy,
                              http_request request,
@@ -83,6 +103,8 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &curl_exchange::on_request);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &curl_exchange::on_open_socket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
     set_method();
     set_headers(to);
 }
@@ -150,7 +172,7 @@
 exchange_result curl_exchange::finish(CURLcode code)
 {
     exchange_result made;
-    made.reused = is_reused();
+    made.reused = is_reused_;
     if (is_too_large_)
     {
         made.end = exchange_end::too_large;
@@ -170,7 +192,7 @@
 exchange_result curl_exchange::time_out() const
 {
     exchange_result made;
-    made.reused = is_reused();
+    made.reused = is_reused_;
     made.end = has_sent() ? exchange_end::timed_out : exchange_end::timed_out_before_send;
     return made;
 }
@@ -220,8 +242,28 @@
 int curl_exchange::on_request(void* self, char*, char*, int, int)
 {
     auto* it = static_cast<curl_exchange*>(self);
-    const bool is_repeated = std::exchange(it->is_requested_, true);
-    return is_repeated && it->has_sent() ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+    if (it->is_requested_ && it->has_sent())
+    {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    long connects = 0;
+    curl_easy_getinfo(it->easy(), CURLINFO_NUM_CONNECTS, &connects);
+    it->is_requested_ = true;
+    it->is_reused_ = connects == 0;
+    return CURL_PREREQFUNC_OK;
+}
+
+// Called by libcurl for each connection that it is about to open; saves the one to a
+// second sending.
+curl_socket_t
+curl_exchange::on_open_socket(void* self, curlsocktype, curl_sockaddr* address)
+{
+    const auto* it = static_cast<curl_exchange*>(self);
+    if (it->is_requested_ && it->has_sent())
+    {
+        return CURL_SOCKET_BAD;
+    }
+    return socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
 }
 
 bool curl_exchange::take_bytes(std::size_t n)
@@ -269,11 +311,4 @@
                             answer_.headers.find("Transfer-Encoding"));
 }
 
-bool curl_exchange::is_reused() const
-{
-    long connects = 0;
-    curl_easy_getinfo(easy_.get(), CURLINFO_NUM_CONNECTS, &connects);
-    return connects == 0 && is_requested_;
-}
-
 } // namespace camphorrock
--- a/net/curl_exchange.hpp
+++ b/net/curl_exchange.hpp
@@ -39,6 +39,10 @@
 using curl_easy = std::unique_ptr<CURL, curl_easy_deleter>;
 using curl_list = std::unique_ptr<curl_slist, curl_list_deleter>;
 
+// False for a request that would leave as something else: with a line break or zero byte
+// in its method, target or headers, or a blank in its method or target.
+bool is_sendable(const http_request& request);
+
 class curl_exchange
 {
 public:
@@ -90,13 +94,13 @@
     static std::size_t
     on_body(const char* data, std::size_t size, std::size_t n, void* self);
     static int on_request(void* self, char*, char*, int, int);
+    static curl_socket_t on_open_socket(void* self, curlsocktype, curl_sockaddr* address);
 
     void set_method();
     void set_headers(const endpoint& to);
     bool take_bytes(std::size_t n);
     void add_line(std::string_view line);
     bool is_whole() const;
-    bool is_reused() const;
 
     exchange_id id_;
     curl_easy easy_;
@@ -108,8 +112,9 @@
     http_response answer_;
     std::size_t answer_bytes_ = 0;
     bool is_too_large_ = false;
-    bool has_headers_ = false; // of the final answer
-    bool is_requested_ = false;
+    bool has_headers_ = false;  // of the final answer
+    bool is_requested_ = false; // libcurl has been about to send
+    bool is_reused_ = false;
 };
 
 } // namespace camphorrock
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -135,7 +135,7 @@
                       callback done)
     {
         const exchange_id id{++last_id_};
-        std::shared_ptr<curl_pool> pool = pool_of(to);
+        std::shared_ptr<curl_pool> pool = is_sendable(request) ? pool_of(to) : nullptr;
         if (!pool)
         {
             refuse(id, std::move(done));
--- a/net/mhd_exchange.cpp
+++ b/net/mhd_exchange.cpp
@@ -53,8 +53,7 @@
 
     void on_gone(std::function<void()> what) override
     {
-        if (exchange_->raw != nullptr &&
-            exchange_->decided == mhd_exchange::decision::none)
+        if (exchange_->raw != nullptr && exchange_->is_open())
         {
             exchange_->on_gone = std::move(what);
         }
--- /dev/null
+++ b/net/testing/http_client_test.cpp
@@ -0,0 +1,303 @@
+#include "net/testing/loop_fixture.hpp"
+#include "net/testing/raw_listener.hpp"
+#include "testing/test_headers.hpp"
+
+using namespace camphorrock;
+using camphorrock::testing::loop_fixture;
+using camphorrock::testing::raw_listener;
+using camphorrock::testing::raw_peer;
+
+namespace
+{
+
+const std::string whole_answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+// A client beside a server made of plain bytes.
+struct client_fixture : loop_fixture
+{
+    explicit client_fixture(http_client_options options = {})
+        : loop_fixture(camphorrock::testing::echo, {}, options)
+    {
+    }
+
+    exchange_id start(http_request request, exchange_options options = {})
+    {
+        return client->send(listener.bound(),
+                            std::move(request),
+                            options,
+                            [this](exchange_result it)
+                            { ended.push_back(std::move(it)); });
+    }
+
+    // The next connection, once the client has opened it.
+    std::unique_ptr<raw_peer> accept()
+    {
+        std::unique_ptr<raw_peer> made;
+        run_until([&] { return (made = listener.accept()) != nullptr; });
+        return made;
+    }
+
+    exchange_result wait()
+    {
+        run_until([&] { return !ended.empty(); });
+        exchange_result got = std::move(ended.front());
+        ended.erase(ended.begin());
+        return got;
+    }
+
+    raw_listener listener;
+    std::vector<exchange_result> ended;
+};
+
+exchange_options within(milliseconds time)
+{
+    exchange_options made;
+    made.timeout = time;
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("an exchange that sent nothing says so")
+{
+    client_fixture net;
+
+    SECTION("nobody listens, or the address is no IP address")
+    {
+        const endpoint to = GENERATE(endpoint("127.0.0.1:1"), endpoint("localhost:80"));
+        net.client->send(to,
+                         {"GET", "/", {}, ""},
+                         {},
+                         [&](exchange_result it) { net.ended.push_back(it); });
+        CHECK(net.ended.empty());
+        CHECK(net.wait().end == exchange_end::not_connected);
+    }
+
+    SECTION("the request would not be one request")
+    {
+        http_request request{"GET", "/", {}, ""};
+        request.headers.add("A", "b\r\nC: d");
+        net.start(request);
+        net.start({"GET", "/ HTTP/1.1\r\nA: b\r\n\r\n", {}, ""});
+        CHECK(net.wait().end == exchange_end::not_connected);
+        CHECK(net.wait().end == exchange_end::not_connected);
+        CHECK(net.listener.accept() == nullptr);
+    }
+
+    SECTION("the time runs out while it waits for a connection")
+    {
+        client_fixture one({.max_connections_per_endpoint = 1});
+        one.start({"GET", "/first", {}, ""}, within(milliseconds(5000)));
+        std::unique_ptr<raw_peer> peer = one.accept();
+        one.start({"GET", "/second", {}, ""}, within(milliseconds(20)));
+        CHECK(one.wait().end == exchange_end::timed_out_before_send);
+
+        AND_WHEN("the first ends")
+        {
+            peer->send(whole_answer);
+
+            THEN("the second is not sent after its end was told")
+            {
+                CHECK(one.wait().end == exchange_end::answered);
+                CHECK(one.read(*peer, "first").find("second") == std::string::npos);
+            }
+        }
+    }
+}
+
+TEST_CASE("an answer that is not whole is never passed off as one")
+{
+    client_fixture net;
+    net.start({"GET", "/", {}, ""});
+    std::unique_ptr<raw_peer> peer = net.accept();
+    net.read(*peer, "\r\n\r\n");
+
+    SECTION("the connection breaks within or before it")
+    {
+        const std::string part =
+            GENERATE(as<std::string>(),
+                     "",
+                     "HTTP/1.1 200 OK\r\nContent-Len",
+                     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok",
+                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+                     "HTTP/1.1 200 OK\r\n\r\nnobody knows whether this is all",
+                     "HTTP/1.1 100 Continue\r\n\r\n",
+                     "something else\r\n\r\n");
+        INFO(part);
+        peer->send(part);
+        if (GENERATE(true, false))
+        {
+            peer->close();
+        }
+        else
+        {
+            peer->reset();
+        }
+        CHECK(net.wait().end == exchange_end::cut);
+    }
+
+    SECTION("interim answers, trailers and missing bodies are understood")
+    {
+        const std::string answer =
+            GENERATE(as<std::string>(),
+                     "HTTP/1.1 100 Continue\r\nA: 1\r\n\r\nHTTP/1.1 200 OK\r\nB: "
+                     "2\r\nContent-Length: 0\r\n\r\n",
+                     "HTTP/1.1 200 OK\r\nB: 2\r\nTransfer-Encoding: "
+                     "chunked\r\n\r\n0\r\nA: 1\r\n\r\n",
+                     "HTTP/1.1 204 No Content\r\nB:  2 \r\n\r\n");
+        INFO(answer);
+        peer->send(answer);
+        const exchange_result got = net.wait();
+        CHECK(got.end == exchange_end::answered);
+        CHECK(got.answer.headers.find("b") == "2");
+        CHECK_FALSE(got.answer.headers.find("A"));
+    }
+}
+
+TEST_CASE("an answer over the bound ends the exchange")
+{
+    client_fixture net;
+    exchange_options options;
+    options.max_answer_bytes = 1000;
+    net.start({"GET", "/", {}, ""}, options);
+    std::unique_ptr<raw_peer> peer = net.accept();
+    peer->send(GENERATE(as<std::string>(),
+                        "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" +
+                            std::string(2000, 'x'),
+                        "HTTP/1.1 200 OK\r\nA: " + std::string(2000, 'x') + "\r\n\r\n"));
+    CHECK(net.wait().end == exchange_end::too_large);
+    net.read_to_end(*peer);
+}
+
+TEST_CASE("a request leaves at most once")
+{
+    client_fixture net;
+    net.start({"GET", "/first", {}, ""});
+    std::unique_ptr<raw_peer> peer = net.accept();
+    peer->send(whole_answer);
+    REQUIRE(net.wait().end == exchange_end::answered);
+    net.read(*peer, "\r\n\r\n");
+
+    SECTION("a kept connection that dies after the request was sent ends in `cut`")
+    {
+        const std::string method = GENERATE("GET", "POST", "DELETE");
+        const std::string body = GENERATE(as<std::string>(), "", "once");
+        net.start({method, "/second", {}, body});
+        CHECK(net.read(*peer, "/second").find(method) == 0);
+        if (GENERATE(true, false))
+        {
+            peer->reset();
+        }
+        else
+        {
+            peer->close();
+        }
+        const exchange_result got = net.wait();
+        CHECK(got.end == exchange_end::cut);
+        CHECK(got.reused);
+        CHECK(net.listener.accept() == nullptr);
+    }
+
+    SECTION("a kept connection that died before is replaced unseen")
+    {
+        peer->close();
+        net.start({"POST", "/second", {}, "once"});
+        peer = net.accept();
+        peer->send(whole_answer);
+        CHECK(net.wait().end == exchange_end::answered);
+        const std::string got = net.read(*peer, "once");
+        CHECK(got.find("once") == got.rfind("once"));
+    }
+}
+
+TEST_CASE("a late answer never meets another request")
+{
+    client_fixture net;
+
+    SECTION("a timed-out exchange closes its connection")
+    {
+        net.start({"GET", "/", {}, ""}, within(milliseconds(20)));
+        std::unique_ptr<raw_peer> peer = net.accept();
+        CHECK(net.wait().end == exchange_end::timed_out);
+        net.read_to_end(*peer);
+        CHECK(peer->is_ended());
+    }
+
+    SECTION("so does a cancelled one, which has no callback")
+    {
+        const exchange_id id = net.start({"GET", "/", {}, ""});
+        std::unique_ptr<raw_peer> peer = net.accept();
+        net.read(*peer, "\r\n\r\n");
+        net.client->cancel(id);
+        net.client->cancel(id);
+        net.read_to_end(*peer);
+        CHECK(net.ended.empty());
+    }
+}
+
+TEST_CASE("a pool that has gone silent can be dropped")
+{
+    client_fixture net;
+    net.start({"GET", "/first", {}, ""});
+    std::unique_ptr<raw_peer> idle = net.accept();
+    net.start({"GET", "/second", {}, ""});
+    std::unique_ptr<raw_peer> busy = net.accept();
+    idle->send(whole_answer);
+    CHECK(net.wait().end == exchange_end::answered);
+
+    net.client->drop_connections(net.listener.bound());
+    net.start({"GET", "/third", {}, ""});
+    std::unique_ptr<raw_peer> fresh = net.accept();
+    CHECK(net.read(*fresh, "\r\n\r\n").find("/third") != std::string::npos);
+
+    busy->send(whole_answer);
+    CHECK(net.wait().end == exchange_end::answered);
+    net.read_to_end(*busy);
+    net.read_to_end(*idle);
+    fresh->send(whole_answer);
+    CHECK(net.wait().end == exchange_end::answered);
+}
+
+TEST_CASE("a stream is handed on as it arrives")
+{
+    client_fixture net;
+    std::string got;
+    exchange_id id;
+    auto on_piece = [&](std::string_view piece)
+    {
+        got += piece;
+        if (got == "one two stop")
+        {
+            net.client->cancel(id);
+        }
+    };
+    id = net.client->stream(net.listener.bound(),
+                            {"GET", "/", {}, ""},
+                            {},
+                            on_piece,
+                            [&](exchange_result it) { net.ended.push_back(it); });
+    std::unique_ptr<raw_peer> peer = net.accept();
+    peer->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\none \r\n");
+    net.run_until([&] { return got == "one "; });
+    peer->send("4\r\ntwo \r\n");
+    net.run_until([&] { return got == "one two "; });
+
+    SECTION("until it ends")
+    {
+        peer->send("0\r\n\r\n");
+        CHECK(net.wait().end == exchange_end::answered);
+    }
+
+    SECTION("until it breaks")
+    {
+        peer->close();
+        CHECK(net.wait().end == exchange_end::cut);
+    }
+
+    SECTION("until it is cancelled from within")
+    {
+        peer->send("4\r\nstop\r\n");
+        net.read_to_end(*peer);
+        CHECK(net.ended.empty());
+    }
+}
--- /dev/null
+++ b/net/testing/http_server_test.cpp
@@ -0,0 +1,218 @@
+#include "net/testing/loop_fixture.hpp"
+#include "net/testing/raw_peer.hpp"
+#include "testing/test_headers.hpp"
+
+using namespace camphorrock;
+using camphorrock::testing::loop_fixture;
+using camphorrock::testing::raw_peer;
+
+namespace
+{
+
+// A handler that keeps each responder for later.
+struct kept_responders
+{
+    std::vector<std::shared_ptr<http_responder>> all;
+
+    void operator()(const http_request&, std::shared_ptr<http_responder> responder)
+    {
+        all.push_back(std::move(responder));
+    }
+};
+
+constexpr const char* get_request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("an answer can come later, in part, or never")
+{
+    GIVEN("a handler that does not answer at once")
+    {
+        kept_responders kept;
+        loop_fixture net([&](const http_request& it, std::shared_ptr<http_responder> r)
+                         { kept(it, std::move(r)); });
+        raw_peer peer(net.server->bound());
+        peer.send(get_request);
+        net.run_until([&] { return kept.all.size() == 1; });
+        CHECK(net.server->in_flight() == 1);
+
+        WHEN("it answers later")
+        {
+            kept.all[0]->respond({200, {}, "late"});
+            const std::string got = net.read(peer, "late");
+
+            THEN("the answer is whole and a second one has no effect")
+            {
+                CHECK(got.starts_with("HTTP/1.1 200"));
+                CHECK(got.find("Content-Length: 4") != std::string::npos);
+                kept.all[0]->respond({500, {}, "again"});
+                net.run_until([&] { return net.server->in_flight() == 0; });
+                CHECK(peer.read_some().empty());
+            }
+        }
+
+        WHEN("it aborts, or drops the responder")
+        {
+            if (GENERATE(true, false))
+            {
+                kept.all[0]->abort();
+            }
+            kept.all.clear();
+
+            THEN("the connection ends without a byte of an answer")
+            {
+                CHECK(net.read_to_end(peer).empty());
+                CHECK(net.server->in_flight() == 0);
+            }
+        }
+
+        WHEN("it streams and is cut off within")
+        {
+            kept.all[0]->start_stream({});
+            kept.all[0]->add_piece("first");
+            const std::string got = net.read(peer, "first");
+            CHECK(got.find("chunked") != std::string::npos);
+            kept.all[0]->add_piece("second");
+            net.read(peer, "second");
+            kept.all[0]->abort();
+
+            THEN("the connection ends without the last chunk")
+            {
+                CHECK(net.read_to_end(peer).find("0\r\n\r\n") == std::string::npos);
+            }
+        }
+
+        WHEN("the caller leaves first, before an answer or within a stream")
+        {
+            bool is_gone = false;
+            if (GENERATE(true, false))
+            {
+                kept.all[0]->start_stream({});
+                kept.all[0]->add_piece("first");
+                net.read(peer, "first");
+            }
+            kept.all[0]->on_gone([&] { is_gone = true; });
+            peer.close();
+
+            THEN("the handler is told once, and an answer has no effect")
+            {
+                net.run_until([&] { return is_gone; });
+                is_gone = false;
+                kept.all[0]->respond({200, {}, "late"});
+                kept.all.clear();
+                net.run_until([&] { return net.server->connections() == 0; });
+                CHECK_FALSE(is_gone);
+            }
+        }
+
+        WHEN("the server stops to accept")
+        {
+            net.server->stop_accepting();
+
+            THEN("new connections are refused and the request is still answered")
+            {
+                CHECK_FALSE(raw_peer(net.server->bound()).is_connected());
+                kept.all[0]->respond({200, {}, "last"});
+                const std::string got = net.read_to_end(peer);
+                CHECK(got.find("Connection: close") != std::string::npos);
+                CHECK(got.ends_with("last"));
+            }
+        }
+
+        WHEN("the server is destroyed")
+        {
+            net.server.reset();
+
+            THEN("responders that are left do no harm")
+            {
+                kept.all[0]->respond({200, {}, "late"});
+                CHECK(net.read_to_end(peer).empty());
+            }
+        }
+    }
+}
+
+TEST_CASE("what is malformed or too large never reaches the handler")
+{
+    http_server_options options;
+    options.max_header_bytes = 4096;
+    options.max_body_bytes = 1000;
+    loop_fixture net(camphorrock::testing::echo, options);
+    raw_peer peer(net.server->bound());
+
+    struct row
+    {
+        std::string sent;
+        std::string status;
+    };
+    const std::string host = "Host: a\r\n";
+    const std::string post = "POST / HTTP/1.1\r\n" + host;
+    const row bad = GENERATE_COPY(
+        row{"nonsense\r\n\r\n", ""},
+        row{"GET / HTTP/1.1\r\n\r\n", "400"},
+        row{"GET /" + std::string(6000, 'x') + " HTTP/1.1\r\n" + host + "\r\n", "4"},
+        row{"GET / HTTP/1.1\r\n" + host + "A: " + std::string(6000, 'x') + "\r\n\r\n",
+            "431"},
+        row{"GET / HTTP/1.1\r\n" + host + "A: " + std::string(60000, 'x') + "\r\n\r\n",
+            "431"},
+        row{post + "Content-Length: 1001\r\n\r\n", "413"},
+        row{post + "Content-Length: x\r\n\r\n", "400"},
+        row{post + "Content-Length: -1\r\n\r\n", "400"},
+        row{post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400"},
+        row{post + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n",
+            "400"},
+        row{post + "Transfer-Encoding: gzip\r\n\r\n", "501"},
+        row{post + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", "400"},
+        row{post + "Transfer-Encoding: chunked\r\n\r\n5dc\r\n" + std::string(1500, 'x') +
+                "\r\n0\r\n\r\n",
+            "413"},
+        row{post + "Transfer-Encoding: chunked\r\n\r\n7530\r\n" +
+                std::string(30000, 'x') + "\r\n0\r\n\r\n",
+            ""});
+    INFO(bad.sent.substr(0, 90));
+    peer.send(bad.sent);
+    peer.finish();
+    const std::string got = net.read_to_end(peer);
+    CHECK(got.starts_with(bad.status.empty() ? "" : "HTTP/1.1 " + bad.status));
+    CHECK(got.find(" 200 ") == std::string::npos);
+    CHECK(net.handler.seen.empty());
+}
+
+TEST_CASE("many callers share the server")
+{
+    SECTION("pipelined requests are answered in their order")
+    {
+        loop_fixture net;
+        raw_peer peer(net.server->bound());
+        peer.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+        const std::string got = net.read(peer, "/2");
+        CHECK(got.find("Seen-Target: /1") < got.find("Seen-Target: /2"));
+    }
+
+    SECTION("connections over the limit are closed at once")
+    {
+        http_server_options options;
+        options.max_connections = 2;
+        loop_fixture net(camphorrock::testing::echo, options);
+        raw_peer first(net.server->bound());
+        raw_peer second(net.server->bound());
+        raw_peer third(net.server->bound());
+        CHECK(net.read_to_end(third).empty());
+        second.send(get_request);
+        CHECK(net.read(second, "\r\n\r\n").starts_with("HTTP/1.1 200"));
+    }
+
+    SECTION("callers that stall within a request hold up nobody")
+    {
+        loop_fixture net;
+        std::vector<std::unique_ptr<raw_peer>> stalled;
+        for (int i = 0; i < 200; ++i)
+        {
+            stalled.push_back(std::make_unique<raw_peer>(net.server->bound()));
+            stalled.back()->send(
+                "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab");
+        }
+        CHECK(net.exchange({"GET", "/", {}, ""}).end == exchange_end::answered);
+        CHECK(net.handler.seen.size() == 1);
+    }
+}
--- a/net/testing/loop_fixture.hpp
+++ b/net/testing/loop_fixture.hpp
@@ -5,6 +5,7 @@
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
+#include "net/testing/raw_peer.hpp"
 
 #include <functional>
 #include <memory>
@@ -74,13 +75,47 @@
         return got;
     }
 
-    // Runs the loop for a while.
-    void run_for(duration time)
+    // Runs the loop until `is_met` holds; the test program's own limit ends a test in
+    // which it never does.
+    void run_until(const std::function<bool()>& is_met)
     {
-        timer_handle end = loop->after(time, [this] { loop->stop(); });
+        const timer_handle look = loop->every(milliseconds(1),
+                                              [&]
+                                              {
+                                                  if (is_met())
+                                                  {
+                                                      loop->stop();
+                                                  }
+                                              });
         loop->run();
     }
 
+    // What a peer got up to the first `mark`.
+    std::string read(raw_peer& peer, const std::string& mark)
+    {
+        std::string got;
+        run_until(
+            [&]
+            {
+                got += peer.read_some();
+                return peer.is_ended() || got.find(mark) != std::string::npos;
+            });
+        return got;
+    }
+
+    // What a peer got until its connection ended.
+    std::string read_to_end(raw_peer& peer)
+    {
+        std::string got;
+        run_until(
+            [&]
+            {
+                got += peer.read_some();
+                return peer.is_ended();
+            });
+        return got;
+    }
+
     scripted_handler handler;
     std::unique_ptr<event_loop> loop;
     std::unique_ptr<http_client> client;
--- /dev/null
+++ b/net/testing/raw_peer.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+// The other end of a connection as plain bytes, for messages that no library would send.
+// Non-blocking: the test runs the loop between its steps.
+
+#include "core/base/names.hpp"
+#include "net/socket_address.hpp"
+
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <string>
+#include <utility>
+
+namespace camphorrock::testing
+{
+
+class raw_peer
+{
+public:
+    explicit raw_peer(const endpoint& to)
+    {
+        const socket_address at = parse_address(to).value();
+        fd_ = socket(at.storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        is_connected_ = connect(fd_, at.raw(), at.size) == 0;
+    }
+
+    // Takes over a connection that was accepted.
+    explicit raw_peer(int fd) : fd_(fd) {}
+
+    raw_peer(const raw_peer&) = delete;
+    raw_peer& operator=(const raw_peer&) = delete;
+
+    ~raw_peer()
+    {
+        close();
+    }
+
+    bool is_connected() const
+    {
+        return is_connected_;
+    }
+
+    void send(const std::string& bytes)
+    {
+        static_cast<void>(
+            ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT));
+    }
+
+    // Sends no more.
+    void finish()
+    {
+        shutdown(fd_, SHUT_WR);
+    }
+
+    void close()
+    {
+        if (fd_ >= 0)
+        {
+            ::close(std::exchange(fd_, -1));
+        }
+    }
+
+    // Closes with a reset.
+    void reset()
+    {
+        const linger now{1, 0};
+        setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        close();
+    }
+
+    // What has arrived so far.
+    std::string read_some()
+    {
+        std::string got;
+        char buf[4096];
+        for (;;)
+        {
+            const ssize_t n = recv(fd_, buf, sizeof buf, MSG_DONTWAIT);
+            if (n <= 0)
+            {
+                is_ended_ = n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+                return got;
+            }
+            got.append(buf, static_cast<std::size_t>(n));
+        }
+    }
+
+    // True once read_some() met the end of the connection.
+    bool is_ended() const
+    {
+        return is_ended_;
+    }
+
+private:
+    int fd_ = -1;
+    bool is_connected_ = true;
+    bool is_ended_ = false;
+};
+
+} // namespace camphorrock::testing
