Store client and fake platform, tested through lost calls, outages and lapsed leases

The store client speaks the JSON form of etcd's v3 protocol. A write is sent at most once and ends `unknown` where no answer came; a read is repeated once on a new connection. A watch lives on bounded connections and goes on after the last revision delivered; after a gap it reads the prefix anew.

--- /dev/null
+++ b/fakes/testing/platform_test.cpp
@@ -0,0 +1,315 @@
+#include "fakes/testing/platform_fixture.hpp"
+#include "testing/test_headers.hpp"
+
+using namespace camphorrock;
+using camphorrock::testing::platform_fixture;
+
+namespace
+{
+
+// What a watch has led to.
+struct watched
+{
+    std::map<std::string, std::string> values;
+    std::size_t changes = 0;
+
+    void operator()(const std::vector<store_entry>& entries)
+    {
+        changes += entries.size();
+        for (const store_entry& it : entries)
+        {
+            if (it.revision.value == 0)
+            {
+                values.erase(it.key);
+            }
+            else
+            {
+                values[it.key] = it.value;
+            }
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("a store call tells what is known of its effect")
+{
+    platform_fixture platform;
+
+    GIVEN("a key that was created")
+    {
+        const store_write made = platform.swap("k", {}, "one");
+        REQUIRE(made.end == store_end::done);
+
+        THEN("it is read as it was written, with its revision")
+        {
+            const store_read read = platform.get("k");
+            REQUIRE(read.entries.size() == 1);
+            CHECK(read.entries[0].value == "one");
+            CHECK(read.entries[0].revision == made.revision);
+            CHECK(platform.get("none").entries.empty());
+        }
+
+        THEN("a write on another revision meets a conflict and has no effect")
+        {
+            const store_write late = platform.swap("k", {}, "two");
+            REQUIRE(late.end == store_end::conflict);
+            CHECK(late.current->value == "one");
+            CHECK(platform.swap("other", made.revision, "x").end == store_end::conflict);
+            CHECK(platform.get("other").entries.empty());
+        }
+
+        THEN("it can be deleted at its revision only")
+        {
+            auto remove = [&](store_revision expected)
+            {
+                return platform.wait<store_write>(
+                    [&](auto done)
+                    { platform.store->compare_and_delete("k", expected, done); });
+            };
+            CHECK(remove({1}).end == store_end::conflict);
+            CHECK(remove(made.revision).end == store_end::done);
+            CHECK(platform.get("k").entries.empty());
+        }
+
+        WHEN("the reply of a write is lost")
+        {
+            platform.set_fault("lose_replies", 1);
+            const store_write lost = platform.swap("k", made.revision, "two");
+
+            THEN("its effect is unknown, and it happened once")
+            {
+                CHECK(lost.end == store_end::unknown);
+                const store_read read = platform.get("k");
+                CHECK(read.entries[0].value == "two");
+                CHECK(read.entries[0].revision.value == made.revision.value + 1);
+            }
+        }
+
+        WHEN("the request of a write is lost")
+        {
+            platform.set_fault("lose_requests", 1);
+            const store_write lost = platform.swap("k", made.revision, "two");
+
+            THEN("its effect is unknown too, and it did not happen")
+            {
+                CHECK(lost.end == store_end::unknown);
+                CHECK(platform.get("k").entries[0].value == "one");
+            }
+        }
+
+        WHEN("the store is slower than the caller waits")
+        {
+            platform.set_fault("delay_ms", 500);
+            const store_write slow = platform.swap("k", made.revision, "two");
+
+            THEN("its effect is unknown and comes later")
+            {
+                CHECK(slow.end == store_end::unknown);
+                platform.set_fault("delay_ms", 0);
+                while (platform.get("k").entries[0].value != "two")
+                {
+                }
+            }
+        }
+
+        WHEN("the store is down")
+        {
+            platform.set_fault("outage", true);
+
+            THEN("reads fail after one repetition, writes without any")
+            {
+                CHECK(platform.get("k").end == store_end::unknown);
+                CHECK(platform.swap("k", made.revision, "two").end == store_end::unknown);
+                CHECK(platform.service.stats()["cut_off"].asInt() == 3);
+            }
+        }
+    }
+
+    GIVEN("no store at all")
+    {
+        platform.server.reset();
+
+        THEN("nothing was sent, so nothing had an effect")
+        {
+            CHECK(platform.swap("k", {}, "one").end == store_end::failed);
+            CHECK(platform.get("k").end == store_end::failed);
+        }
+    }
+
+    GIVEN("a store over its rate")
+    {
+        fakes::platform_options options;
+        options.writes_per_second = 1;
+        platform_fixture limited(options);
+        CHECK(limited.swap("k", {}, "one").end == store_end::done);
+
+        THEN("it refuses, without effect")
+        {
+            CHECK(limited.swap("l", {}, "one").end == store_end::failed);
+            CHECK(limited.get("l").entries.empty());
+            CHECK(limited.service.stats()["refused"].asInt() == 1);
+        }
+    }
+}
+
+TEST_CASE("a key with a lease lives as long as the lease")
+{
+    platform_fixture platform;
+    auto call = [&](auto what)
+    {
+        return platform.wait<store_lease_grant>([&](auto done)
+                                                { what(*platform.store, done); });
+    };
+    const store_lease_grant granted =
+        call([](store_client& it, auto done) { it.grant_lease(seconds(1), done); });
+    REQUIRE(granted.end == store_end::done);
+    CHECK(granted.time_to_live == seconds(1));
+    platform.held_lease = granted.lease;
+    REQUIRE(platform.swap("k", {}, "one").end == store_end::done);
+    auto keep_alive = [&]
+    {
+        return call([&](store_client& it, auto done)
+                    { it.keep_alive(granted.lease, done); });
+    };
+    CHECK(keep_alive().end == store_end::done);
+
+    SECTION("until it is revoked")
+    {
+        auto revoke = [&](store_client& it, auto done)
+        {
+            it.revoke_lease(granted.lease, done);
+        };
+        CHECK(call(revoke).end == store_end::done);
+        CHECK(platform.get("k").entries.empty());
+        CHECK(call(revoke).end == store_end::failed);
+    }
+
+    SECTION("until it lapses; then it cannot be kept alive or used")
+    {
+        while (!platform.get("k").entries.empty())
+        {
+        }
+        CHECK(keep_alive().end == store_end::failed);
+        CHECK(platform.swap("k", {}, "two").end == store_end::failed);
+    }
+}
+
+TEST_CASE("a watch leads to the state of the store through all faults")
+{
+    fakes::platform_options options;
+    options.kv.max_events = 5;
+    platform_fixture platform(options);
+    const store_revision first = platform.swap("p/a", {}, "0").revision;
+    watched seen;
+    watch_handle watch = platform.store->watch(
+        "p/", {first.value - 1}, [&](std::vector<store_entry> it) { seen(it); });
+    platform.run_until([&] { return seen.values["p/a"] == "0"; });
+
+    SECTION("changes come once each, across many connections")
+    {
+        store_revision at = first;
+        for (int i = 1; i <= 8; ++i)
+        {
+            at = platform.swap("p/a", at, std::to_string(i)).revision;
+            platform.swap("elsewhere", {}, "x");
+            platform.run_until([&] { return seen.values["p/a"] == std::to_string(i); });
+        }
+        platform.run_until(
+            [&] { return platform.service.stats()["calls"]["watch"].asInt() > 3; });
+        CHECK(seen.changes == 9);
+    }
+
+    SECTION("after an outage")
+    {
+        platform.set_fault("outage", true);
+        platform.get("p/a");
+        platform.set_fault("outage", false);
+        platform.swap("p/a", first, "1");
+        platform.run_until([&] { return seen.values["p/a"] == "1"; });
+        CHECK(seen.changes == 2);
+    }
+
+    SECTION("after an outage in which the changes were lost")
+    {
+        store_revision other = platform.swap("p/b", {}, "0").revision;
+        platform.run_until([&] { return seen.values.contains("p/b"); });
+        platform.set_fault("outage", true);
+        platform.set_fault("outage", false);
+        for (int i = 0; i < 6; ++i)
+        {
+            other = platform.swap("p/b", other, "again").revision;
+        }
+        platform.wait<store_write>(
+            [&](auto done) { platform.store->compare_and_delete("p/a", first, done); });
+        for (int i = 0; i < 6; ++i)
+        {
+            other = platform.swap("p/b", other, std::to_string(i)).revision;
+        }
+        platform.run_until(
+            [&] { return seen.values["p/b"] == "5" && !seen.values.contains("p/a"); });
+    }
+
+    SECTION("until its handle is gone")
+    {
+        watch.reset();
+        platform.swap("p/a", first, "1");
+        platform.run_until([&]
+                           { return platform.service.stats()["watches"].asInt() == 0; });
+        CHECK(seen.changes == 1);
+    }
+
+    SECTION("also when the handle goes within the callback")
+    {
+        int calls = 0;
+        watch_handle self;
+        self = platform.store->watch("p/",
+                                     {},
+                                     [&](const std::vector<store_entry>&)
+                                     {
+                                         ++calls;
+                                         self.reset();
+                                     });
+        platform.run_until([&] { return calls > 0; });
+        platform.swap("p/a", first, "1");
+        platform.run_until([&] { return seen.values["p/a"] == "1"; });
+        CHECK(calls == 1);
+    }
+}
+
+TEST_CASE("the instance list shows what was so a while ago")
+{
+    fakes::lagging_list list(seconds(2));
+    instance_entry entry{instance_id("r1"),
+                         instance_role::router,
+                         data_centre("a"),
+                         endpoint("127.0.0.1:1"),
+                         instance_state::live};
+    time_point now{};
+    list.enter(entry, now);
+    CHECK(list.read(now + seconds(1)).empty());
+    CHECK(list.read(now + seconds(2)).size() == 1);
+    list.leave(entry.id, now + seconds(3));
+    CHECK(list.read(now + seconds(4)).size() == 1);
+    list.set_lag(seconds(1));
+    CHECK(list.read(now + seconds(4)).empty());
+
+    SECTION("over HTTP")
+    {
+        platform_fixture platform;
+        platform.set_fault("list_lag_ms", 0);
+        instance_list client(*platform.http, platform.server->bound());
+        using rows = std::optional<std::vector<instance_entry>>;
+        auto read = [&]
+        {
+            return platform.wait<rows>([&](auto done) { client.read(done); });
+        };
+        CHECK(read()->empty());
+        CHECK(platform.wait<bool>([&](auto done) { client.enter(entry, done); }));
+        CHECK(read()->at(0).peer == entry.peer);
+        CHECK(platform.wait<bool>([&](auto done) { client.leave(entry.id, done); }));
+        CHECK(read()->empty());
+        platform.set_fault("outage", true);
+        CHECK_FALSE(read().has_value());
+    }
+}
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -90,20 +90,8 @@
 
     void drop_connections(const endpoint& to) override
     {
-        auto it = pools_.find(to);
-        if (it == pools_.end())
-        {
-            return;
-        }
         // Exchanges hold the pool that they run in, so it closes with the last of them.
-        for (auto& [number, exchange] : exchanges_)
-        {
-            if (exchange->pool == it->second)
-            {
-                curl_easy_setopt(exchange->curl.easy(), CURLOPT_FORBID_REUSE, 1L);
-            }
-        }
-        pools_.erase(it);
+        pools_.erase(to);
     }
 
     void on_finished(CURL* easy, CURLcode code) override
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -99,8 +99,8 @@
     // exchange that has ended.
     virtual void cancel(exchange_id id) = 0;
 
-    // Closes every kept connection to `to`, once the exchanges on them have ended. For a
-    // pool that has gone silent: later exchanges open new connections.
+    // Uses no connection to `to` for another exchange, and closes them all once the
+    // exchanges that run to it have ended. For a pool that has gone silent.
     virtual void drop_connections(const endpoint& to) = 0;
 
     // Called for each piece of an answer as it arrives, for streams that do not end (a
--- a/net/rpc_server.hpp
+++ b/net/rpc_server.hpp
@@ -35,7 +35,8 @@
 
     void add(const std::string& name, method what);
 
-    // Never throws; always returns a JSON-RPC answer, or "" for a notification.
+    // Never throws; always returns a JSON-RPC answer. Notifications (calls without an id)
+    // are refused, since every method has a result.
     std::string dispatch(const std::string& body);
 
 private:
