--- a/app/events.hpp
+++ b/app/events.hpp
@@ -25,6 +25,22 @@
     program_stopping = 103,
     program_stopped = 104,
     listen_failed = 105,
+    config_in_force = 106,
+    config_unreadable = 107,
+
+    record_adopted = 201,
+    record_unreadable = 202,
+    lane_failed = 203,
+    authority_gained = 204,
+    authority_lost = 205,
+    request_refused = 206,
+
+    elected = 301,
+    lease_lost = 302,
+    record_written = 303,
+    assignment_changed = 304,
+    write_ended_unknown = 305,
+    patch_ended = 306,
 
     grant_accepted = 501,
     grant_refused = 502,
--- /dev/null
+++ b/assigner/assigner.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+// One assigner: competes for the shards of all services, changes the records of those
+// that it holds, and takes operators' patches.
+//
+//     result<std::unique_ptr<assigner>> made = assigner::create(settings, log);
+//     return (*made)->run();
+
+#include "app/admin_server.hpp"
+#include "app/event_log.hpp"
+#include "app/metrics_registry.hpp"
+#include "assigner/assigner_parts.hpp"
+#include "assigner/lease_keeper.hpp"
+#include "assigner/operator_port.hpp"
+#include "assigner/operator_view.hpp"
+#include "assigner/shard_desk.hpp"
+#include "net/http_server.hpp"
+#include "store/config_agent.hpp"
+#include "store/instance_list.hpp"
+
+#include <map>
+#include <memory>
+#include <random>
+
+namespace camphorrock
+{
+
+class assigner
+{
+public:
+    // Listens on all ports at once. Fails with error_code::io if one cannot be bound.
+    static result<std::unique_ptr<assigner>> create(const assigner_settings& settings,
+                                                    event_log& log);
+
+    assigner(const assigner&) = delete;
+    assigner& operator=(const assigner&) = delete;
+    ~assigner();
+
+    // Runs until SIGTERM or SIGINT; returns the exit status.
+    int run();
+
+private:
+    assigner(const assigner_settings& settings, event_log& log);
+    result<void> open();
+    result<void> open_clients();
+    result<void> open_ports();
+    void config_changed(const configuration& config);
+    void read_list();
+    void enter_list(instance_state state);
+    void attempt_elections();
+    void lease_lost();
+    result<Json::Value> take_report(const Json::Value& params);
+    fleet_view view() const;
+    void stop();
+
+    assigner_settings settings_;
+    event_log& log_;
+    metrics_registry metrics_;
+    std::mt19937_64 random_;
+    std::unique_ptr<event_loop> loop_;
+    std::unique_ptr<http_client> http_;
+    std::unique_ptr<rpc_client> rpc_;
+    std::unique_ptr<store_client> store_;
+    std::unique_ptr<instance_list> instances_;
+    std::unique_ptr<assigner_parts> parts_;
+    std::unique_ptr<lease_keeper> lease_;
+    std::unique_ptr<config_agent> config_;
+    std::map<shard_id, std::unique_ptr<shard_desk>> shards_;
+    std::vector<router_instance> listed_;
+    std::map<instance_id, router_contact> routers_;
+    std::unique_ptr<operator_port> port_;
+    std::unique_ptr<http_server> peer_server_;
+    std::unique_ptr<admin_server> admin_server_;
+    std::vector<watch_handle> handles_;
+    watch_handle lease_watch_;
+    bool is_stopping_ = false;
+};
+
+} // namespace camphorrock
--- /dev/null
+++ b/assigner/operator_port.cpp
@@ -0,0 +1,172 @@
+#include "assigner/operator_port.hpp"
+
+#include "app/admin_server.hpp"
+#include "assigner/patch_job.hpp"
+#include "codec/configuration_json.hpp"
+#include "codec/json_text.hpp"
+#include "core/routing/request_target.hpp"
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr int ok_status = 200;
+constexpr int bad_request_status = 400;
+constexpr int not_found_status = 404;
+constexpr int conflict_status = 409;
+constexpr int misdirected_status = 421;
+constexpr int unavailable_status = 503;
+
+http_response make_answer(int status, const Json::Value& body)
+{
+    return json_answer(status, write_json(body));
+}
+
+http_response make_fault(int status, const std::string& text)
+{
+    Json::Value body(Json::objectValue);
+    body["fault"] = text;
+    return make_answer(status, body);
+}
+
+struct submission
+{
+    patch_request request;
+    Json::Value patch;
+};
+
+result<submission> read_submission(const std::string& text)
+{
+    BOOST_LEAF_AUTO(body, parse_json(text));
+    bool is_whole = body.isObject() && body.size() == 3 && body["base"].isUInt64() &&
+                    body["id"].isString() && body["patch"].isObject();
+    if (!is_whole)
+    {
+        return fail(error_code::invalid_argument,
+                    "a patch needs base, id and patch, and nothing else");
+    }
+    submission made;
+    made.request.base = config_version{body["base"].asUInt64()};
+    made.request.id = patch_id(body["id"].asString());
+    made.patch = body["patch"];
+    if (made.request.id.empty())
+    {
+        return fail(error_code::invalid_argument, "the patch id is empty");
+    }
+    return made;
+}
+
+http_response answer_of(const patch_result& ended)
+{
+    Json::Value body(Json::objectValue);
+    body["version"] = static_cast<Json::UInt64>(ended.version.value);
+    if (!ended.fault.empty())
+    {
+        body["end"] = "invalid";
+        body["fault"] = ended.fault;
+        return make_answer(bad_request_status, body);
+    }
+    body["end"] = std::string(name_of(ended.end));
+    switch (ended.end)
+    {
+    case patch_end::accepted:
+        return make_answer(ok_status, body);
+    case patch_end::stale:
+    case patch_end::id_reused:
+        return make_answer(conflict_status, body);
+    case patch_end::unavailable:
+    case patch_end::unknown:
+        break;
+    }
+    return make_answer(unavailable_status, body);
+}
+
+} // namespace
+
+operator_port::operator_port(assigner_parts& parts,
+                             const config_agent& config,
+                             std::function<fleet_view()> view)
+    : parts_(parts), config_(config), view_(std::move(view))
+{
+    rpc_.add("config.get",
+             [this](const Json::Value&) -> result<Json::Value>
+             { return Json::Value(configuration_text(config_.current())); });
+}
+
+void operator_port::handle(http_request request,
+                           std::shared_ptr<http_responder> responder)
+{
+    std::string call = request.method + " " + std::string(path_of(request));
+    if (call == "POST /rpc")
+    {
+        responder->respond(json_answer(ok_status, rpc_.dispatch(request.body)));
+        return;
+    }
+    if (call == "POST /operator/patch")
+    {
+        patch(request, responder);
+        return;
+    }
+    if (call == "GET /operator/config")
+    {
+        responder->respond(json_answer(ok_status, configuration_text(config_.current())));
+        return;
+    }
+    if (call == "GET /operator/status")
+    {
+        responder->respond(make_answer(ok_status, make_status(view_())));
+        return;
+    }
+    if (call == "GET /operator/explain")
+    {
+        responder->respond(explain(request));
+        return;
+    }
+    responder->respond(make_fault(not_found_status, "no such path"));
+}
+
+void operator_port::patch(const http_request& request,
+                          const std::shared_ptr<http_responder>& responder)
+{
+    value_or_handle(
+        [&]() -> result<void>
+        {
+            BOOST_LEAF_AUTO(sent, read_submission(request.body));
+            patch_job::start(parts_,
+                             sent.request,
+                             sent.patch,
+                             [responder](const patch_result& ended)
+                             { responder->respond(answer_of(ended)); });
+            return {};
+        },
+        [&](const error& ec)
+        { responder->respond(make_fault(bad_request_status, ec.text)); });
+}
+
+http_response operator_port::explain(const http_request& request) const
+{
+    // The query names the key as a caller's target would: ?/service/key
+    std::size_t mark = request.target.find('?');
+    std::string asked = mark == std::string::npos ? "" : request.target.substr(mark + 1);
+    std::optional<request_target> target = parse_request_target(asked);
+    if (!target)
+    {
+        return make_fault(bad_request_status, "the query must be /SERVICE/KEY");
+    }
+    return value_or_handle(
+        [&]() -> result<http_response>
+        {
+            BOOST_LEAF_AUTO(body,
+                            make_explanation(view_(), target->service, target->key));
+            return make_answer(ok_status, body);
+        },
+        [](const error& ec)
+        {
+            bool is_elsewhere = ec.code == error_code::refused;
+            return make_fault(is_elsewhere ? misdirected_status : not_found_status,
+                              ec.text);
+        });
+}
+
+} // namespace camphorrock
--- /dev/null
+++ b/assigner/operator_view.cpp
@@ -0,0 +1,159 @@
+#include "assigner/operator_view.hpp"
+
+#include "core/ownership/record_keys.hpp"
+
+namespace camphorrock
+{
+namespace
+{
+
+Json::Int64 age_ms(time_point now, time_point at)
+{
+    return std::chrono::duration_cast<milliseconds>(now - at).count();
+}
+
+Json::UInt64 number(std::uint64_t value)
+{
+    return value;
+}
+
+std::size_t count_unowned(const shard_record& record)
+{
+    return static_cast<std::size_t>(std::count_if(record.partitions.begin(),
+                                                  record.partitions.end(),
+                                                  [](const partition_entry& it)
+                                                  { return it.owner.empty(); }));
+}
+
+Json::Value make_shard_status(const shard_desk& desk)
+{
+    Json::Value out(Json::objectValue);
+    bool is_held = desk.election().is_held();
+    out["held_here"] = is_held;
+    out["holder"] = desk.election().holder().str();
+    const std::optional<shard_record>& record = desk.controller().record();
+    if (!is_held || !record)
+    {
+        return out;
+    }
+    out["epoch"] = number(record->version.value);
+    out["partitions"] = number(record->partitions.size());
+    out["unowned"] = number(count_unowned(*record));
+    for (const server_entry& it : record->servers)
+    {
+        out["servers"][it.id.str()]["scheduler"] = it.scheduler.str();
+        out["servers"][it.id.str()]["endpoint"] = it.address.str();
+    }
+    for (const voter_entry& it : record->voters)
+    {
+        out["voters"].append(it.id.str());
+    }
+    return out;
+}
+
+Json::Value make_change(const assignment_change& change, time_point now)
+{
+    Json::Value out(Json::objectValue);
+    out["epoch"] = number(change.version.value);
+    out["age_ms"] = age_ms(now, change.at);
+    out["kind"] = std::string(name_of(change.kind));
+    out["server"] = change.server.str();
+    out["reason"] = change.reason;
+    if (change.range)
+    {
+        out["range"] = to_string(*change.range);
+    }
+    return out;
+}
+
+bool concerns(const assignment_change& change, const partition_entry& partition)
+{
+    bool is_range = change.range && change.range->overlaps(partition.range);
+    bool is_server = !change.range && change.server == partition.owner;
+    return is_range || is_server;
+}
+
+Json::Value make_partition(const shard_record& record, const partition_entry& partition)
+{
+    Json::Value out(Json::objectValue);
+    out["partition"] = to_string(partition.range);
+    out["owner"] = partition.owner.str();
+    out["epoch"] = number(partition.since.value);
+    out["moving_to"] = partition.moving_to.str();
+    if (const server_entry* server = find_server(record, partition.owner))
+    {
+        out["endpoint"] = server->address.str();
+        out["checks_epoch"] = server->checks_epoch;
+        out["scheduler"] = server->scheduler.str();
+        out["scheduler_epoch"] = number(server->since.value);
+    }
+    return out;
+}
+
+} // namespace
+
+Json::Value make_status(const fleet_view& fleet)
+{
+    Json::Value out(Json::objectValue);
+    out["assigner"] = fleet.self.str();
+    out["config_version"] = number(fleet.config.version.value);
+    out["shards"] = Json::Value(Json::objectValue);
+    for (const auto& [id, desk] : fleet.shards)
+    {
+        out["shards"][id.str()] = make_shard_status(*desk);
+    }
+    out["routers"] = Json::Value(Json::objectValue);
+    out["lagging"] = Json::Value(Json::arrayValue);
+    for (const auto& [id, contact] : fleet.routers)
+    {
+        Json::Value& row = out["routers"][id.str()];
+        row["data_centre"] = contact.zone.str();
+        row["peer"] = contact.peer.str();
+        row["config_version"] = number(contact.config.value);
+        row["heard_ms_ago"] = age_ms(fleet.now, contact.at);
+        row["leaving"] = contact.is_leaving;
+        if (contact.config < fleet.config.version)
+        {
+            out["lagging"].append(id.str());
+        }
+    }
+    return out;
+}
+
+result<Json::Value> make_explanation(const fleet_view& fleet,
+                                     const service_name& service,
+                                     const std::string& key)
+{
+    auto it = fleet.shards.find(shard_of(service));
+    if (it == fleet.shards.end())
+    {
+        return fail(error_code::not_found, "no service " + service.str());
+    }
+    const std::optional<shard_record>& record = it->second->controller().record();
+    if (!it->second->election().is_held() || !record)
+    {
+        return fail(error_code::refused,
+                    "held by " + it->second->election().holder().str());
+    }
+    const partition_entry* partition = find_partition(*record, hash_key(key));
+    if (partition == nullptr)
+    {
+        return fail(error_code::not_found, "the shard has no partitions yet");
+    }
+    Json::Value out = make_partition(*record, *partition);
+    out["service"] = service.str();
+    out["key"] = key;
+    out["assigner"] = fleet.self.str();
+    out["record_epoch"] = number(record->version.value);
+    out["changes"] = Json::Value(Json::arrayValue);
+    for (const assignment_change& change : it->second->controller().changes())
+    {
+        if (concerns(change, *partition))
+        {
+            out["changes"].append(make_change(change, fleet.now));
+        }
+    }
+    return out;
+}
+
+} // namespace camphorrock
--- /dev/null
+++ b/assigner/patch_job.cpp
@@ -0,0 +1,120 @@
+#include "assigner/patch_job.hpp"
+
+#include "codec/configuration_json.hpp"
+#include "codec/json_merge.hpp"
+#include "store/config_agent.hpp"
+
+namespace camphorrock
+{
+namespace
+{
+
+patch_swap_end swap_end_of(store_end end)
+{
+    switch (end)
+    {
+    case store_end::done:
+        return patch_swap_end::done;
+    case store_end::conflict:
+        return patch_swap_end::conflict;
+    case store_end::failed:
+        return patch_swap_end::failed;
+    case store_end::unknown:
+        return patch_swap_end::unknown;
+    }
+    return patch_swap_end::unknown;
+}
+
+} // namespace
+
+void patch_job::start(assigner_parts& parts,
+                      patch_request request,
+                      Json::Value patch,
+                      callback done)
+{
+    std::shared_ptr<patch_job> job(
+        new patch_job(parts, std::move(request), std::move(patch), std::move(done)));
+    job->carry_out(job->patcher_.start());
+}
+
+patch_job::patch_job(assigner_parts& parts,
+                     patch_request request,
+                     Json::Value patch,
+                     callback done)
+    : parts_(parts), request_(std::move(request)), patch_(std::move(patch)),
+      done_(std::move(done)), patcher_(request_, {})
+{
+}
+
+void patch_job::carry_out(const patch_action& action)
+{
+    switch (action.step)
+    {
+    case patch_step::read:
+        read();
+        return;
+    case patch_step::swap:
+        swap();
+        return;
+    case patch_step::answer:
+        finish({action.end, action.version, {}});
+        return;
+    }
+}
+
+void patch_job::read()
+{
+    parts_.store.get(
+        config_key,
+        [self = shared_from_this()](const store_read& got)
+        {
+            bool is_read = value_or_handle(
+                [&]() -> result<bool>
+                {
+                    self->current_ = {};
+                    self->revision_ = {};
+                    if (got.end == store_end::done && !got.entries.empty())
+                    {
+                        BOOST_LEAF_ASSIGN(self->current_,
+                                          parse_configuration(got.entries.front().value));
+                        self->revision_ = got.entries.front().revision;
+                    }
+                    return got.end == store_end::done;
+                },
+                [](const error&) { return false; });
+            self->carry_out(self->patcher_.on_read(is_read ? &self->current_ : nullptr));
+        });
+}
+
+void patch_job::swap()
+{
+    value_or_handle(
+        [&]() -> result<void>
+        {
+            BOOST_LEAF_AUTO(next, patched_configuration(current_, request_, patch_));
+            parts_.store.compare_and_swap(
+                config_key,
+                revision_,
+                configuration_text(next),
+                store_lease{},
+                [self = shared_from_this()](const store_write& got)
+                { self->carry_out(self->patcher_.on_swap(swap_end_of(got.end))); });
+            return {};
+        },
+        [&](const error& ec) {
+            finish({patch_end::unavailable, current_.version, ec.text});
+        });
+}
+
+void patch_job::finish(patch_result ended)
+{
+    parts_.log.write(event_id::patch_ended,
+                     {{"patch", request_.id},
+                      {"base", request_.base.value},
+                      {"end", ended.fault.empty() ? name_of(ended.end) : "invalid"},
+                      {"version", ended.version.value},
+                      {"fault", ended.fault}});
+    done_(ended);
+}
+
+} // namespace camphorrock
--- /dev/null
+++ b/assigner/shard_desk.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+// One shard in this assigner: competes for the shard's lease and, while it holds it,
+// carries out what shard_controller decides.
+
+#include "assigner/shard_election.hpp"
+#include "codec/messages.hpp"
+#include "core/assignment/shard_controller.hpp"
+#include "core/config/service_config.hpp"
+#include "store/config_agent.hpp"
+
+#include <json/value.h>
+
+namespace camphorrock
+{
+
+class shard_desk
+{
+public:
+    shard_desk(assigner_parts& parts,
+               lease_keeper& lease,
+               const config_agent& config,
+               shard_id shard);
+
+    void configure(const service_config& service);
+    void routers_listed(const std::vector<router_instance>& routers);
+    void reported(const report_params& report, const shard_status& status);
+
+    shard_election& election()
+    {
+        return election_;
+    }
+
+    const shard_election& election() const
+    {
+        return election_;
+    }
+
+    const shard_controller& controller() const
+    {
+        return controller_;
+    }
+
+private:
+    void tick();
+    void election_changed(bool is_held);
+    void log_changes();
+    void carry_out(const controller_actions& actions);
+    void carry_out(const read_record& action);
+    void carry_out(const write_record& action);
+    void carry_out(const send_record& action);
+    void carry_out(const send_fence& action);
+    void carry_out(const resign& action);
+    void read_ended(const store_read& got);
+    void write_ended(epoch version, const store_write& got);
+
+    assigner_parts& parts_;
+    const config_agent& config_;
+    shard_id shard_;
+    shard_election election_;
+    shard_controller controller_;
+    epoch known_version_;           // of the record in the store, as last seen
+    store_revision known_revision_; // its revision
+    epoch logged_version_;
+    timer_handle tick_timer_;
+};
+
+} // namespace camphorrock
--- /dev/null
+++ b/assigner/shard_election.cpp
@@ -0,0 +1,91 @@
+#include "assigner/shard_election.hpp"
+
+#include "core/ownership/record_keys.hpp"
+
+namespace camphorrock
+{
+
+shard_election::shard_election(assigner_parts& parts,
+                               lease_keeper& lease,
+                               shard_id shard,
+                               std::function<void(bool)> changed)
+    : parts_(parts), lease_(lease), shard_(std::move(shard)), changed_(std::move(changed))
+{
+}
+
+void shard_election::attempt()
+{
+    store_lease lease = lease_.current();
+    bool may_try =
+        !is_held_ && !is_calling_ && lease.value != 0 && parts_.loop.now() >= not_before_;
+    if (!may_try)
+    {
+        return;
+    }
+    is_calling_ = true;
+    parts_.store.compare_and_swap(lease_key(shard_),
+                                  store_revision{},
+                                  parts_.settings.id.str(),
+                                  lease,
+                                  [this, lease](const store_write& got)
+                                  { ended(lease, got); });
+}
+
+void shard_election::ended(store_lease lease, const store_write& got)
+{
+    is_calling_ = false;
+    bool is_same_lease = lease == lease_.current();
+    if (got.end == store_end::done && is_same_lease)
+    {
+        revision_ = got.revision;
+        set_held(true);
+        return;
+    }
+    if (got.end != store_end::conflict || !got.current)
+    {
+        return;
+    }
+    // After a lost reply the key may be ours already.
+    holder_ = instance_id(got.current->value);
+    bool is_ours = is_same_lease && holder_ == parts_.settings.id;
+    if (is_ours)
+    {
+        revision_ = got.current->revision;
+        set_held(true);
+    }
+}
+
+void shard_election::lease_lost()
+{
+    set_held(false);
+}
+
+void shard_election::resign(duration pause)
+{
+    not_before_ = parts_.loop.now() + pause;
+    if (!is_held_)
+    {
+        return;
+    }
+    set_held(false);
+    parts_.store.compare_and_delete(
+        lease_key(shard_), revision_, [](const store_write&) {});
+}
+
+void shard_election::set_held(bool is_held)
+{
+    if (is_held == is_held_)
+    {
+        return;
+    }
+    is_held_ = is_held;
+    parts_.log.write(is_held ? event_id::elected : event_id::lease_lost,
+                     {{"shard", shard_}});
+    if (is_held)
+    {
+        holder_ = {};
+    }
+    changed_(is_held);
+}
+
+} // namespace camphorrock
--- a/codec/json_scalars.cpp
+++ b/codec/json_scalars.cpp
@@ -1,5 +1,7 @@
 #include "codec/json_scalars.hpp"
 
+#include "core/base/enum_names.hpp"
+
 #include <charconv>
 #include <limits>
 #include <optional>
@@ -9,6 +11,12 @@
 namespace
 {
 
+constexpr enum_names<server_condition, 3> condition_names{{{
+    {server_condition::unknown, "unknown"},
+    {server_condition::alive, "alive"},
+    {server_condition::lost, "lost"},
+}}};
+
 constexpr std::uint64_t max_exact_in_double = std::uint64_t(1) << 53;
 constexpr int decimal_base = 10;
 constexpr int hash_base = 16;
@@ -231,4 +239,25 @@
     return std::string(name_of(value));
 }
 
+void read_scalar(const Json::Value& value,
+                 const std::string& path,
+                 server_condition& out,
+                 json_fault& fault)
+{
+    std::string name;
+    read_scalar(value, path, name, fault);
+    std::optional<server_condition> read = condition_names.value(name);
+    if (!read && !fault.is_set())
+    {
+        fault.set(path, "must be unknown, alive or lost");
+        return;
+    }
+    out = read.value_or(server_condition::unknown);
+}
+
+Json::Value write_scalar(server_condition value)
+{
+    return std::string(condition_names.name(value));
+}
+
 } // namespace camphorrock
--- a/codec/json_scalars.hpp
+++ b/codec/json_scalars.hpp
@@ -12,6 +12,7 @@
 #include "core/base/outcome.hpp"
 #include "core/base/time.hpp"
 #include "core/config/config_version.hpp"
+#include "core/ownership/shard_report.hpp"
 
 #include <json/value.h>
 
@@ -64,6 +65,10 @@
                  config_version& out,
                  json_fault&);
 void read_scalar(const Json::Value&, const std::string& path, outcome& out, json_fault&);
+void read_scalar(const Json::Value&,
+                 const std::string& path,
+                 server_condition& out,
+                 json_fault&);
 
 template<class Tag>
 void read_scalar(const Json::Value& value,
@@ -86,6 +91,7 @@
 Json::Value write_scalar(epoch value);
 Json::Value write_scalar(config_version value);
 Json::Value write_scalar(outcome value);
+Json::Value write_scalar(server_condition value);
 
 template<class Tag>
 Json::Value write_scalar(const tagged<Tag>& value)
--- a/codec/messages.hpp
+++ b/codec/messages.hpp
@@ -9,6 +9,7 @@
 #include "core/base/time.hpp"
 #include "core/config/config_version.hpp"
 #include "core/ownership/shard_record.hpp"
+#include "core/ownership/shard_report.hpp"
 
 #include <cstdint>
 #include <vector>
@@ -72,7 +73,7 @@
 struct server_status
 {
     server_id id;
-    bool reachable = true; // false: no answer within the bound, on new connections too
+    server_condition condition = server_condition::unknown;
     std::uint64_t in_flight = 0;
     std::uint64_t queued = 0;
     std::uint64_t answered = 0;
--- a/codec/messages_json.cpp
+++ b/codec/messages_json.cpp
@@ -48,7 +48,7 @@
 void describe(Fields& fields, Message& it)
 {
     fields.required("id", it.id);
-    fields.required("reachable", it.reachable);
+    fields.required("condition", it.condition);
     fields.optional("in_flight", it.in_flight);
     fields.optional("queued", it.queued);
     fields.optional("answered", it.answered);
--- /dev/null
+++ b/ctl/command.cpp
@@ -0,0 +1,323 @@
+#include "ctl/command.hpp"
+
+#include "app/command_line.hpp"
+#include "codec/json_text.hpp"
+#include "ctl/yaml_json.hpp"
+
+#include <json/writer.h>
+
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr int ok_status = 200;
+constexpr int bad_request_status = 400;
+constexpr int conflict_status = 409;
+constexpr int misdirected_status = 421;
+constexpr int unavailable_status = 503;
+
+http_request make_request(const char* method, std::string target, std::string body = {})
+{
+    http_request made;
+    made.method = method;
+    made.target = std::move(target);
+    made.body = std::move(body);
+    return made;
+}
+
+std::string draw_id()
+{
+    std::random_device source;
+    std::ostringstream text;
+    text << "ctl-" << std::hex << source() << source();
+    return text.str();
+}
+
+result<std::string> read_file(const std::string& name)
+{
+    std::ostringstream text;
+    if (name == "-")
+    {
+        text << std::cin.rdbuf();
+        return text.str();
+    }
+    std::ifstream file(name);
+    if (!file)
+    {
+        return fail(error_code::io, "cannot read " + name);
+    }
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::string escape(const std::string& key)
+{
+    constexpr const char* digits = "0123456789ABCDEF";
+    std::string out;
+    for (unsigned char c : key)
+    {
+        bool is_plain =
+            std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' || c == '~';
+        if (is_plain)
+        {
+            out += static_cast<char>(c);
+            continue;
+        }
+        out += '%';
+        out += digits[c / 16];
+        out += digits[c % 16];
+    }
+    return out;
+}
+
+void print_indented(std::ostream& out, const Json::Value& value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "  ";
+    out << Json::writeString(builder, value) << '\n';
+}
+
+int status_of(int status)
+{
+    switch (status)
+    {
+    case ok_status:
+        return exit_ok;
+    case bad_request_status:
+        return exit_bad_usage;
+    case conflict_status:
+        return exit_stale;
+    default:
+        return exit_failure;
+    }
+}
+
+// Prints a body in JSON, or by `print` for people, and returns the exit status.
+template<class Print>
+int finish(const command_context& context, const operator_answer& answer, Print print)
+{
+    if (context.is_json)
+    {
+        context.out << write_json(answer.body) << '\n';
+    }
+    else if (answer.status == ok_status)
+    {
+        print(answer.body);
+    }
+    else
+    {
+        context.faults << "status " << answer.status << ": " << write_json(answer.body)
+                       << '\n';
+    }
+    return status_of(answer.status);
+}
+
+template<class Attempt>
+int run(const command_context& context, Attempt attempt)
+{
+    return value_or_handle([&]() -> result<int> { return attempt(); },
+                           [&](const error& ec)
+                           {
+                               context.faults << ec.text << '\n';
+                               return ec.code == error_code::invalid_argument
+                                          ? exit_bad_usage
+                                          : exit_failure;
+                           });
+}
+
+void print_patch_end(const command_context& context, const operator_answer& answer)
+{
+    const Json::Value& body = answer.body;
+    if (context.is_json)
+    {
+        context.out << write_json(body) << '\n';
+        return;
+    }
+    switch (answer.status)
+    {
+    case ok_status:
+        context.out << "accepted as version " << body["version"].asUInt64() << '\n';
+        return;
+    case conflict_status:
+        context.faults << "stale: the current version is " << body["version"].asUInt64()
+                       << '\n';
+        return;
+    default:
+        context.faults << "not accepted: " << write_json(body) << '\n';
+        return;
+    }
+}
+
+result<int> submit(const command_context& context,
+                   std::uint64_t base,
+                   const std::string& id,
+                   Json::Value patch)
+{
+    Json::Value body(Json::objectValue);
+    body["base"] = static_cast<Json::UInt64>(base);
+    body["id"] = id;
+    body["patch"] = std::move(patch);
+    http_request request = make_request("POST", "/operator/patch", write_json(body));
+    BOOST_LEAF_AUTO(answer, context.assigners.ask(request, unavailable_status));
+    print_patch_end(context, answer);
+    return status_of(answer.status);
+}
+
+void print_status(std::ostream& out, const Json::Value& body)
+{
+    out << "configuration version " << body["config_version"].asUInt64() << ", seen by "
+        << body["assigner"].asString() << '\n';
+    for (const std::string& name : body["shards"].getMemberNames())
+    {
+        const Json::Value& shard = body["shards"][name];
+        out << "shard " << name << ": ";
+        if (!shard["held_here"].asBool())
+        {
+            out << "held by " << shard["holder"].asString() << '\n';
+            continue;
+        }
+        out << "epoch " << shard["epoch"].asUInt64() << ", "
+            << shard["partitions"].asUInt64() << " partitions, "
+            << shard["unowned"].asUInt64() << " without owner\n";
+        for (const std::string& server : shard["servers"].getMemberNames())
+        {
+            out << "  server " << server << " scheduled by "
+                << shard["servers"][server]["scheduler"].asString() << '\n';
+        }
+    }
+    for (const std::string& name : body["routers"].getMemberNames())
+    {
+        const Json::Value& router = body["routers"][name];
+        out << "router " << name << " in " << router["data_centre"].asString()
+            << ": configuration " << router["config_version"].asUInt64() << ", heard "
+            << router["heard_ms_ago"].asInt64() << " ms ago"
+            << (router["leaving"].asBool() ? ", leaving" : "") << '\n';
+    }
+    out << "lagging: " << (body["lagging"].empty() ? "none" : write_json(body["lagging"]))
+        << '\n';
+}
+
+void print_explanation(std::ostream& out, const Json::Value& body)
+{
+    out << "key " << body["key"].asString() << " of " << body["service"].asString()
+        << " in partition " << body["partition"].asString() << '\n';
+    out << "owner " << body["owner"].asString() << " at " << body["endpoint"].asString()
+        << ", epoch " << body["epoch"].asUInt64() << '\n';
+    out << "scheduler " << body["scheduler"].asString() << " since epoch "
+        << body["scheduler_epoch"].asUInt64() << '\n';
+    if (!body["moving_to"].asString().empty())
+    {
+        out << "moving to " << body["moving_to"].asString() << '\n';
+    }
+    for (const Json::Value& it : body["changes"])
+    {
+        out << "  epoch " << it["epoch"].asUInt64() << ", " << it["age_ms"].asInt64()
+            << " ms ago: " << it["kind"].asString() << " " << it["server"].asString()
+            << " (" << it["reason"].asString() << ")\n";
+    }
+}
+
+// The patch that sets drain for a server in each service that names it; null where none
+// does.
+Json::Value make_drain_patch(const Json::Value& config, const std::string& server)
+{
+    Json::Value patch;
+    for (const std::string& name : config["services"].getMemberNames())
+    {
+        if (config["services"][name]["servers"].isMember(server))
+        {
+            patch["services"][name]["servers"][server]["drain"] = true;
+        }
+    }
+    return patch;
+}
+
+} // namespace
+
+int show_config(const command_context& context)
+{
+    return run(context,
+               [&]() -> result<int>
+               {
+                   http_request request = make_request("GET", "/operator/config");
+                   BOOST_LEAF_AUTO(answer,
+                                   context.assigners.ask(request, unavailable_status));
+                   return finish(context,
+                                 answer,
+                                 [&](const Json::Value& body)
+                                 { print_indented(context.out, body); });
+               });
+}
+
+int patch_config(const command_context& context, const patch_order& order)
+{
+    return run(context,
+               [&]() -> result<int>
+               {
+                   BOOST_LEAF_AUTO(text, read_file(order.file));
+                   BOOST_LEAF_AUTO(patch, parse_yaml(text));
+                   std::string id = order.id.empty() ? draw_id() : order.id;
+                   return submit(context, order.base, id, std::move(patch));
+               });
+}
+
+int show_status(const command_context& context)
+{
+    return run(context,
+               [&]() -> result<int>
+               {
+                   http_request request = make_request("GET", "/operator/status");
+                   BOOST_LEAF_AUTO(answer,
+                                   context.assigners.ask(request, unavailable_status));
+                   return finish(context,
+                                 answer,
+                                 [&](const Json::Value& body)
+                                 { print_status(context.out, body); });
+               });
+}
+
+int explain_key(const command_context& context,
+                const std::string& service,
+                const std::string& key)
+{
+    return run(context,
+               [&]() -> result<int>
+               {
+                   std::string target =
+                       "/operator/explain?/" + service + "/" + escape(key);
+                   BOOST_LEAF_AUTO(answer,
+                                   context.assigners.ask(make_request("GET", target),
+                                                         misdirected_status));
+                   return finish(context,
+                                 answer,
+                                 [&](const Json::Value& body)
+                                 { print_explanation(context.out, body); });
+               });
+}
+
+int drain_server(const command_context& context, const std::string& server)
+{
+    return run(
+        context,
+        [&]() -> result<int>
+        {
+            http_request request = make_request("GET", "/operator/config");
+            BOOST_LEAF_AUTO(answer, context.assigners.ask(request, unavailable_status));
+            Json::Value patch = make_drain_patch(answer.body, server);
+            if (patch.isNull())
+            {
+                return fail(error_code::invalid_argument,
+                            "no service names the server " + server);
+            }
+            return submit(
+                context, answer.body["version"].asUInt64(), draw_id(), std::move(patch));
+        });
+}
+
+} // namespace camphorrock
--- /dev/null
+++ b/router/entry.cpp
@@ -0,0 +1,158 @@
+#include "router/entry.hpp"
+
+#include "core/ownership/record_keys.hpp"
+#include "router/shard_agent.hpp"
+
+namespace camphorrock
+{
+namespace
+{
+
+const metric_name requests_metric{"camphorrock_requests_total",
+                                  "Requests ended, by what the caller was told."};
+const metric_name refusals_metric{"camphorrock_refusals_total",
+                                  "Requests refused, by reason."};
+const metric_name latency_metric{"camphorrock_request_seconds",
+                                 "Time from arrival to answer."};
+
+} // namespace
+
+entry::entry(router_parts& parts, const config_agent& config, shard_finder find_shard)
+    : parts_(parts), config_(config), find_shard_(std::move(find_shard)),
+      forwarder_(parts)
+{
+}
+
+void entry::handle(http_request request, std::shared_ptr<http_responder> responder)
+{
+    accept(request, open(responder));
+}
+
+void entry::handle_forwarded(http_request request,
+                             std::shared_ptr<http_responder> responder)
+{
+    live_request_ptr opened = open(responder);
+    opened->is_forwarded = true;
+    accept(request, opened);
+}
+
+live_request_ptr entry::open(const std::shared_ptr<http_responder>& responder)
+{
+    ++held_;
+    // The request is known to its ender only by this address: a shared pointer would keep
+    // it alive.
+    auto self = std::make_shared<live_request*>(nullptr);
+    auto end =
+        [this, responder, self](const request_summary& summary, http_response* answer)
+    {
+        --held_;
+        record(**self, summary);
+        if (answer == nullptr)
+        {
+            responder->abort();
+            return;
+        }
+        responder->respond(std::move(*answer));
+    };
+    auto request = std::make_shared<live_request>(end, parts_.random);
+    *self = request.get();
+    responder->on_gone(
+        [weak = std::weak_ptr<live_request>(request)]
+        {
+            if (live_request_ptr gone = weak.lock())
+            {
+                gone->note_gone();
+            }
+        });
+    return request;
+}
+
+void entry::accept(const http_request& from, const live_request_ptr& request)
+{
+    if (is_draining_ && !request->is_forwarded)
+    {
+        request->refuse(refusal::draining);
+        return;
+    }
+    if (held_ > parts_.settings.max_requests)
+    {
+        request->refuse(refusal::over_budget, "too many requests are held here");
+        return;
+    }
+    if (!config_.may_serve())
+    {
+        request->refuse(refusal::stale_configuration);
+        return;
+    }
+    request_rules rules;
+    rules.default_timeout = parts_.settings.default_timeout;
+    std::optional<problem> fault =
+        read_request(from, config_.current(), rules, parts_.loop.now(), *request);
+    if (fault)
+    {
+        request->refuse(*fault);
+        return;
+    }
+    dispatch(request);
+}
+
+void entry::dispatch(const live_request_ptr& request)
+{
+    shard_id shard = shard_of(request->target.service);
+    shard_agent* agent = find_shard_(shard);
+    if (agent == nullptr)
+    {
+        request->refuse(refusal::no_owner);
+        return;
+    }
+    if (request->is_forwarded)
+    {
+        agent->submit(request);
+        return;
+    }
+    route to = parts_.routes.find(shard, request->target.hash);
+    switch (to.kind)
+    {
+    case route_kind::local:
+        agent->submit(request);
+        return;
+    case route_kind::forward:
+        forwarder_.forward(request, to);
+        return;
+    case route_kind::refuse:
+        request->refuse(to.why);
+        return;
+    }
+}
+
+void entry::record(const live_request& request, const request_summary& summary)
+{
+    if (request.is_forwarded)
+    {
+        return;
+    }
+    std::string service = request.target.service.str();
+    std::string told = summary.is_cut ? "cut" : std::string(name_of(summary.told));
+    parts_.metrics
+        .get_counter(
+            requests_metric,
+            {{"service", service}, {"caller", request.caller.str()}, {"outcome", told}})
+        .add();
+    if (summary.is_refusal)
+    {
+        std::string why(terms_of(summary.why).type);
+        parts_.metrics
+            .get_counter(refusals_metric, {{"service", service}, {"reason", why}})
+            .add();
+        return;
+    }
+    duration taken = parts_.loop.now() - request.arrived;
+    parts_.metrics
+        .get_histogram(latency_metric,
+                       {{"service", service},
+                        {"caller", request.caller.str()},
+                        {"class", request.route.str()}})
+        .record(taken);
+}
+
+} // namespace camphorrock
--- /dev/null
+++ b/router/peer_port.cpp
@@ -0,0 +1,94 @@
+#include "router/peer_port.hpp"
+
+#include "codec/messages_json.hpp"
+#include "core/membership/voter.hpp"
+#include "router/forwarder.hpp"
+#include "router/shard_agent.hpp"
+#include "store/config_agent.hpp"
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr int not_found_status = 404;
+
+http_response make_rpc_answer(std::string body)
+{
+    http_response answer;
+    answer.headers.add("Content-Type", "application/json");
+    answer.body = std::move(body);
+    return answer;
+}
+
+} // namespace
+
+peer_port::peer_port(router_parts& parts,
+                     config_agent& config,
+                     voter& votes,
+                     shard_finder find_shard,
+                     forward_handler on_forward)
+    : parts_(parts), config_(config), votes_(votes), find_shard_(std::move(find_shard)),
+      on_forward_(std::move(on_forward))
+{
+    rpc_.add("shard.vouch", [this](const Json::Value& params) { return vouch(params); });
+    rpc_.add("shard.fence", [this](const Json::Value& params) { return fence(params); });
+    rpc_.add("shard.update",
+             [this](const Json::Value& params) { return update(params); });
+    rpc_.add("config.get", [this](const Json::Value&) { return get_config(); });
+}
+
+void peer_port::handle(http_request request, std::shared_ptr<http_responder> responder)
+{
+    if (request.method == "POST" && request.target == "/rpc")
+    {
+        responder->respond(make_rpc_answer(rpc_.dispatch(request.body)));
+        return;
+    }
+    bool is_forwarded = request.target.rfind(forward_prefix, 0) == 0;
+    if (is_forwarded)
+    {
+        request.target.erase(0, forward_prefix.size());
+        on_forward_(std::move(request), std::move(responder));
+        return;
+    }
+    http_response answer;
+    answer.status = not_found_status;
+    responder->respond(std::move(answer));
+}
+
+result<Json::Value> peer_port::vouch(const Json::Value& params)
+{
+    BOOST_LEAF_AUTO(asked, read_message<vouch_params>(params));
+    voter_reply reply = votes_.vouch(asked.shard, asked.version, parts_.loop.now());
+    return write_message(
+        vouch_answer{reply.is_ok, reply.highest, config_.current().version});
+}
+
+result<Json::Value> peer_port::fence(const Json::Value& params)
+{
+    BOOST_LEAF_AUTO(asked, read_message<fence_params>(params));
+    voter_reply reply = votes_.fence(asked.shard, asked.version, parts_.loop.now());
+    return write_message(fence_answer{reply.is_ok, reply.highest});
+}
+
+result<Json::Value> peer_port::update(const Json::Value& params)
+{
+    BOOST_LEAF_AUTO(sent, read_message<update_params>(params));
+    config_.version_seen(sent.config, sent.assigner_peer);
+    shard_agent* agent = find_shard_(sent.record.shard);
+    if (agent == nullptr)
+    {
+        return fail(error_code::not_found,
+                    "no such shard here yet: " + sent.record.shard.str());
+    }
+    agent->record_received(sent.record, sent.assigner_peer);
+    return write_message(update_answer{agent->authority().record()->version});
+}
+
+result<Json::Value> peer_port::get_config() const
+{
+    return Json::Value(configuration_text(config_.current()));
+}
+
+} // namespace camphorrock
--- /dev/null
+++ b/router/router.cpp
@@ -0,0 +1,206 @@
+#include "router/router.hpp"
+
+#include "app/program.hpp"
+#include "core/ownership/record_keys.hpp"
+
+#include <csignal>
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr duration list_period = seconds(2);
+constexpr duration stop_check_period = milliseconds(20);
+constexpr duration leave_notice = milliseconds(300); // for balancers to see the state
+
+// The peer port's connections are few but its messages hold whole records.
+constexpr std::size_t max_peer_body_bytes = 64 * 1024 * 1024;
+
+} // namespace
+
+result<std::unique_ptr<router>> router::create(const router_settings& settings,
+                                               event_log& log)
+{
+    std::unique_ptr<router> made(new router(settings, log));
+    BOOST_LEAF_CHECK(made->open());
+    return made;
+}
+
+router::router(const router_settings& settings, event_log& log)
+    : settings_(settings), log_(log),
+      random_(settings.seed != 0 ? settings.seed : std::random_device()()),
+      routes_(settings.id)
+{
+}
+
+router::~router()
+{
+    // What calls back into the parts goes first.
+    http_.reset();
+    control_http_.reset();
+}
+
+result<void> router::open()
+{
+    BOOST_LEAF_CHECK(open_clients());
+    parts_.reset(new router_parts{settings_,
+                                  *loop_,
+                                  *http_,
+                                  *rpc_,
+                                  *store_,
+                                  log_,
+                                  metrics_,
+                                  routes_,
+                                  random_,
+                                  ownership_options()});
+    votes_ = std::make_unique<voter>(parts_->ownership, loop_->now());
+    config_ = std::make_unique<config_agent>(*loop_,
+                                             *store_,
+                                             *rpc_,
+                                             [this](const configuration& config)
+                                             { config_changed(config); });
+    auto find = [this](const shard_id& shard)
+    {
+        return find_shard(shard);
+    };
+    entry_ = std::make_unique<entry>(*parts_, *config_, find);
+    peer_port_ = std::make_unique<peer_port>(
+        *parts_,
+        *config_,
+        *votes_,
+        find,
+        [this](http_request request, std::shared_ptr<http_responder> responder)
+        { entry_->handle_forwarded(std::move(request), std::move(responder)); });
+    BOOST_LEAF_CHECK(open_ports());
+    signals_.push_back(loop_->on_signal(SIGTERM, [this] { stop(); }));
+    signals_.push_back(loop_->on_signal(SIGINT, [this] { stop(); }));
+    return {};
+}
+
+result<void> router::open_clients()
+{
+    BOOST_LEAF_ASSIGN(loop_, event_loop::create());
+    BOOST_LEAF_ASSIGN(http_, http_client::create(*loop_, {}));
+    BOOST_LEAF_ASSIGN(control_http_, http_client::create(*loop_, {}));
+    rpc_ = std::make_unique<rpc_client>(*control_http_);
+    store_client_options options;
+    options.endpoints = settings_.store;
+    BOOST_LEAF_ASSIGN(store_, create_store_client(*loop_, *control_http_, options));
+    instances_ = std::make_unique<instance_list>(*control_http_, settings_.platform);
+    return {};
+}
+
+result<void> router::open_ports()
+{
+    http_server_options callers;
+    callers.address = settings_.listen;
+    callers.max_body_bytes = settings_.max_body_bytes;
+    BOOST_LEAF_ASSIGN(caller_server_, http_server::create(*loop_, callers, *entry_));
+    http_server_options peers;
+    peers.address = settings_.peer;
+    peers.max_body_bytes = max_peer_body_bytes;
+    peers.max_header_bytes = 2 * callers.max_header_bytes;
+    BOOST_LEAF_ASSIGN(peer_server_, http_server::create(*loop_, peers, *peer_port_));
+    settings_.peer = peer_server_->bound();
+    BOOST_LEAF_ASSIGN(
+        admin_server_,
+        admin_server::create(
+            *loop_, settings_.admin, metrics_, [this] { return is_ready(); }));
+    return {};
+}
+
+int router::run()
+{
+    config_->start();
+    enter_list(instance_state::live);
+    list_timer_ = loop_->every(list_period, [this] { enter_list(instance_state::live); });
+    print_listening(caller_server_->bound());
+    log_.write(event_id::program_ready,
+               {{"address", caller_server_->bound()},
+                {"peer", settings_.peer},
+                {"zone", settings_.zone}});
+    loop_->run();
+    log_.write(event_id::program_stopped, {});
+    return exit_ok;
+}
+
+void router::config_changed(const configuration& config)
+{
+    log_.write(event_id::config_in_force, {{"version", config.version.value}});
+    for (const service_config& it : config.services)
+    {
+        shard_id shard = shard_of(it.name);
+        std::unique_ptr<shard_agent>& agent = shards_[shard];
+        if (!agent)
+        {
+            agent = std::make_unique<shard_agent>(*parts_, *config_, *votes_, shard);
+        }
+        agent->configure(it);
+    }
+}
+
+shard_agent* router::find_shard(const shard_id& shard)
+{
+    auto it = shards_.find(shard);
+    return it == shards_.end() ? nullptr : it->second.get();
+}
+
+bool router::is_ready() const
+{
+    return !is_stopping_ && config_->may_serve();
+}
+
+void router::enter_list(instance_state state)
+{
+    instance_entry self;
+    self.id = settings_.id;
+    self.role = instance_role::router;
+    self.zone = settings_.zone;
+    self.peer = settings_.peer;
+    self.state = state;
+    instances_->enter(self, [](bool) {});
+}
+
+void router::stop()
+{
+    if (is_stopping_)
+    {
+        return;
+    }
+    is_stopping_ = true;
+    stop_by_ = loop_->now() + settings_.drain_limit;
+    log_.write(event_id::program_stopping, {{"held", entry_->held()}});
+    list_timer_ =
+        loop_->every(list_period, [this] { enter_list(instance_state::leaving); });
+    enter_list(instance_state::leaving);
+    for (auto& [id, agent] : shards_)
+    {
+        agent->leave();
+    }
+    stop_timer_ = loop_->after(leave_notice,
+                               [this]
+                               {
+                                   caller_server_->stop_accepting();
+                                   stop_timer_ = loop_->every(stop_check_period,
+                                                              [this] { finish_stop(); });
+                               });
+}
+
+void router::finish_stop()
+{
+    bool is_done = entry_->held() == 0 && caller_server_->in_flight() == 0;
+    for (auto& [id, agent] : shards_)
+    {
+        is_done = is_done && agent->is_idle();
+    }
+    if (!is_done && loop_->now() < stop_by_)
+    {
+        return;
+    }
+    stop_timer_.reset();
+    list_timer_.reset();
+    instances_->leave(settings_.id, [this](bool) { loop_->stop(); });
+}
+
+} // namespace camphorrock
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -3,8 +3,8 @@
 // This router's part in one shard: carries out what scheduler_authority asks for, keeps a
 // lane for each server that the router schedules, and takes requests for its partitions.
 //
-// Reads the record from the store at start and again from time to time; between, the assigner
-// sends it.
+// Reads the record from the store at start and again from time to time; between, the
+// assigner sends it.
 
 #include "codec/messages.hpp"
 #include "core/config/configuration.hpp"
@@ -56,6 +56,7 @@
     void carry_out(const send_revoke& action);
     void carry_out(const send_report& action);
     void carry_out(const fetch_record& action);
+    void note_config(const send_vouch& asked, time_point sent, config_version seen);
     void call_server(const server_id& server,
                      const endpoint& address,
                      server_exchange_id exchange,
