--- /dev/null
+++ b/codec/history_json.cpp
@@ -0,0 +1,123 @@
+#include "codec/history_json.hpp"
+
+#include "codec/json_reader.hpp"
+#include "codec/json_text.hpp"
+#include "codec/json_writer.hpp"
+
+#include <array>
+
+namespace camphorrock
+{
+
+template<class Fields, class Record>
+requires is_type<Record, grant_record> || is_type<Record, revoke_record>
+void describe(Fields& fields, Record& it)
+{
+    fields.required("at_us", it.at);
+    if constexpr (is_type<Record, grant_record>)
+    {
+        fields.required("until_us", it.until);
+    }
+    fields.required("server", it.server);
+    fields.required("shard", it.shard);
+    fields.required("partition", it.partition);
+    fields.required("epoch", it.since);
+}
+
+template<class Fields, is_type<run_start_record> Record>
+void describe(Fields& fields, Record& it)
+{
+    fields.required("at_us", it.at);
+    fields.required("run", it.run);
+    fields.required("server", it.server);
+    fields.required("service", it.service);
+    fields.required("key", it.key);
+    fields.required("hash", it.hash);
+    fields.required("epoch", it.since);
+    fields.required("checks_epoch", it.checks_epoch);
+    fields.required("id", it.id);
+    fields.required("tag", it.tag);
+    fields.required("attempt", it.attempt);
+}
+
+template<class Fields, is_type<run_end_record> Record>
+void describe(Fields& fields, Record& it)
+{
+    fields.required("at_us", it.at);
+    fields.required("run", it.run);
+    fields.required("server", it.server);
+}
+
+template<class Fields, is_type<attempt_record> Record>
+void describe(Fields& fields, Record& it)
+{
+    fields.required("start_us", it.start);
+    fields.required("end_us", it.end);
+    fields.required("caller", it.caller);
+    fields.required("router", it.router);
+    fields.required("service", it.service);
+    fields.required("key", it.key);
+    fields.required("id", it.id);
+    fields.required("tag", it.tag);
+    fields.required("attempt", it.attempt);
+    fields.required("ended", it.ended);
+    fields.required("status", it.status);
+    fields.required("outcome", it.outcome);
+    fields.required("answer_run", it.answer_run);
+    fields.required("answer_key", it.answer_key);
+    fields.required("answer_tag", it.answer_tag);
+    fields.required("answer_id", it.answer_id);
+    fields.required("answer_whole", it.answer_whole);
+}
+
+namespace
+{
+
+// The kinds' names, in the order of the variant.
+constexpr std::array<const char*, std::variant_size_v<history_entry>> kinds{
+    "grant", "revoke", "run_start", "run_end", "attempt"};
+
+constexpr const char* kind_member = "kind";
+
+template<std::size_t Index>
+result<history_entry> read_kind(const std::string& kind, const Json::Value& value)
+{
+    if constexpr (Index < kinds.size())
+    {
+        if (kind != kinds[Index])
+        {
+            return read_kind<Index + 1>(kind, value);
+        }
+        using record = std::variant_alternative_t<Index, history_entry>;
+        BOOST_LEAF_AUTO(entry, read_described<record>(value));
+        return history_entry(std::move(entry));
+    }
+    else
+    {
+        return fail(error_code::invalid_argument, "unknown kind of record");
+    }
+}
+
+} // namespace
+
+std::string write_history_line(const history_entry& entry)
+{
+    Json::Value value =
+        std::visit([](const auto& it) { return write_described(it); }, entry);
+    value[kind_member] = kinds[entry.index()];
+    return write_json(value);
+}
+
+result<history_entry> read_history_line(std::string_view line)
+{
+    BOOST_LEAF_AUTO(value, parse_json(line));
+    if (!value.isObject() || !value[kind_member].isString())
+    {
+        return fail(error_code::invalid_argument, "a record needs a kind");
+    }
+    std::string kind = value[kind_member].asString();
+    value.removeMember(kind_member);
+    return read_kind<0>(kind, value);
+}
+
+} // namespace camphorrock
--- /dev/null
+++ b/load/ownership_check.cpp
@@ -0,0 +1,294 @@
+#include "load/ownership_check.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <iterator>
+#include <utility>
+#include <variant>
+
+namespace camphorrock
+{
+namespace
+{
+
+// What one server did for one shard.
+using ownership_event = std::variant<grant_record, revoke_record>;
+
+// The server and shard that a record belongs to.
+struct ownership_side
+{
+    server_id server;
+    shard_id shard;
+
+    auto operator<=>(const ownership_side&) const = default;
+};
+
+history_time time_of(const ownership_event& event)
+{
+    return std::visit([](const auto& it) { return it.at; }, event);
+}
+
+// At one instant a revocation comes before a grant of a later epoch.
+bool is_before(const ownership_event& one, const ownership_event& other)
+{
+    return std::pair(time_of(one), one.index() == 0) <
+           std::pair(time_of(other), other.index() == 0);
+}
+
+// Builds the spans of one server in one shard from its events in the order of time.
+class span_builder
+{
+public:
+    void apply(const grant_record& grant)
+    {
+        close_lapsed(grant.at);
+        for (ownership_span& it : open_)
+        {
+            if (it.partition == grant.partition && it.since == grant.since)
+            {
+                it.until = std::max(it.until, grant.until);
+                return;
+            }
+        }
+        open_.push_back({grant.at,
+                         grant.until,
+                         grant.server,
+                         grant.shard,
+                         grant.partition,
+                         grant.since});
+    }
+
+    void apply(const revoke_record& revoke)
+    {
+        close_lapsed(revoke.at);
+        std::vector<ownership_span> kept;
+        for (const ownership_span& it : open_)
+        {
+            bool is_hit =
+                it.since <= revoke.since && it.partition.overlaps(revoke.partition);
+            if (is_hit)
+            {
+                cut(it, revoke, kept);
+            }
+            else
+            {
+                kept.push_back(it);
+            }
+        }
+        open_ = std::move(kept);
+    }
+
+    std::vector<ownership_span> take()
+    {
+        std::move(open_.begin(), open_.end(), std::back_inserter(closed_));
+        return std::move(closed_);
+    }
+
+private:
+    void close_lapsed(history_time now)
+    {
+        auto first =
+            std::partition(open_.begin(),
+                           open_.end(),
+                           [&](const ownership_span& it) { return now < it.until; });
+        std::move(first, open_.end(), std::back_inserter(closed_));
+        open_.erase(first, open_.end());
+    }
+
+    // Ends the revoked part of a span and keeps the parts below and above it.
+    void cut(const ownership_span& span,
+             const revoke_record& revoke,
+             std::vector<ownership_span>& kept)
+    {
+        const hash_range& gone = revoke.partition;
+        ownership_span middle = span;
+        middle.partition = {std::max(span.partition.first, gone.first),
+                            std::min(span.partition.last, gone.last)};
+        middle.until = revoke.at;
+        closed_.push_back(middle);
+        if (span.partition.first < gone.first)
+        {
+            ownership_span below = span;
+            below.partition.last = {gone.first.value - 1};
+            kept.push_back(below);
+        }
+        if (gone.last < span.partition.last)
+        {
+            ownership_span above = span;
+            above.partition.first = {gone.last.value + 1};
+            kept.push_back(above);
+        }
+    }
+
+    std::vector<ownership_span> open_;
+    std::vector<ownership_span> closed_;
+};
+
+std::string describe_span(const ownership_span& span)
+{
+    return span.server.str() + " epoch " + std::to_string(span.since.value) + " from " +
+           std::to_string(span.from) + " to " + std::to_string(span.until) + " us";
+}
+
+bool conflicts(const ownership_span& one, const ownership_span& other)
+{
+    return one.server != other.server && one.shard == other.shard &&
+           one.partition.overlaps(other.partition);
+}
+
+std::string to_hex(key_hash at)
+{
+    return to_string(hash_range{at, at}).substr(0, 16);
+}
+
+bool is_owned(const run_start_record& run, const std::vector<ownership_span>& spans)
+{
+    return std::any_of(spans.begin(),
+                       spans.end(),
+                       [&](const ownership_span& it)
+                       {
+                           return it.partition.contains(run.hash) &&
+                                  it.since == run.since && it.from <= run.at &&
+                                  run.at < it.until;
+                       });
+}
+
+history_time end_of(const run_start_record& run,
+                    const std::map<std::string, history_time>& ends)
+{
+    auto it = ends.find(run.run);
+    return it == ends.end() ? run.at : it->second;
+}
+
+bool is_without_epoch_check(const run_start_record& one, const run_start_record& other)
+{
+    return !one.checks_epoch || !other.checks_epoch;
+}
+
+// The runs of one hash in one service, as places in a list of runs.
+struct run_place
+{
+    service_name service;
+    key_hash hash;
+
+    auto operator<=>(const run_place&) const = default;
+};
+
+} // namespace
+
+std::vector<ownership_span> ownership_spans(const std::vector<grant_record>& grants,
+                                            const std::vector<revoke_record>& revokes)
+{
+    std::map<ownership_side, std::vector<ownership_event>> events;
+    for (const grant_record& it : grants)
+    {
+        events[{it.server, it.shard}].emplace_back(it);
+    }
+    for (const revoke_record& it : revokes)
+    {
+        events[{it.server, it.shard}].emplace_back(it);
+    }
+    std::vector<ownership_span> spans;
+    for (auto& [side, list] : events)
+    {
+        std::stable_sort(list.begin(), list.end(), is_before);
+        span_builder builder;
+        for (const ownership_event& event : list)
+        {
+            std::visit([&](const auto& it) { builder.apply(it); }, event);
+        }
+        std::vector<ownership_span> made = builder.take();
+        std::move(made.begin(), made.end(), std::back_inserter(spans));
+    }
+    return spans;
+}
+
+std::vector<violation> find_two_owners(const std::vector<ownership_span>& spans)
+{
+    std::vector<ownership_span> sorted = spans;
+    std::sort(sorted.begin(),
+              sorted.end(),
+              [](const ownership_span& one, const ownership_span& other)
+              { return one.from < other.from; });
+    std::vector<violation> found;
+    std::vector<ownership_span> open;
+    for (const ownership_span& it : sorted)
+    {
+        std::erase_if(open,
+                      [&](const ownership_span& old) { return old.until <= it.from; });
+        for (const ownership_span& old : open)
+        {
+            if (it.from < it.until && conflicts(old, it))
+            {
+                found.push_back({violation_kind::two_owners,
+                                 it.shard.str() + " " + to_string(it.partition),
+                                 describe_span(old) + "; " + describe_span(it)});
+            }
+        }
+        open.push_back(it);
+    }
+    return found;
+}
+
+std::vector<violation> find_runs_not_owned(const std::vector<run_start_record>& runs,
+                                           const std::vector<ownership_span>& spans)
+{
+    std::map<ownership_side, std::vector<ownership_span>> by_side;
+    for (const ownership_span& it : spans)
+    {
+        by_side[{it.server, it.shard}].push_back(it);
+    }
+    std::vector<violation> found;
+    for (const run_start_record& it : runs)
+    {
+        // A service has one shard, of the same name.
+        ownership_side side{it.server, shard_id(it.service.str())};
+        if (it.checks_epoch && !is_owned(it, by_side[side]))
+        {
+            found.push_back({violation_kind::run_not_owned,
+                             it.attempt,
+                             "run " + it.run + " of hash " + to_hex(it.hash) +
+                                 " at epoch " + std::to_string(it.since.value) + " at " +
+                                 std::to_string(it.at) + " us"});
+        }
+    }
+    return found;
+}
+
+std::vector<violation>
+find_overlapping_runs(const std::vector<run_start_record>& runs,
+                      const std::map<std::string, history_time>& ends)
+{
+    std::map<run_place, std::vector<const run_start_record*>> by_place;
+    for (const run_start_record& it : runs)
+    {
+        by_place[{it.service, it.hash}].push_back(&it);
+    }
+    std::vector<violation> found;
+    for (auto& [place, list] : by_place)
+    {
+        std::sort(list.begin(),
+                  list.end(),
+                  [](const auto* one, const auto* other) { return one->at < other->at; });
+        std::vector<const run_start_record*> open;
+        for (const run_start_record* it : list)
+        {
+            std::erase_if(open,
+                          [&](const auto* old) { return end_of(*old, ends) <= it->at; });
+            for (const run_start_record* old : open)
+            {
+                if (old->server != it->server && is_without_epoch_check(*old, *it))
+                {
+                    found.push_back(
+                        {violation_kind::two_owners,
+                         place.service.str() + " " + to_hex(place.hash),
+                         "runs " + old->run + " and " + it->run + " at one time"});
+                }
+            }
+            open.push_back(it);
+        }
+    }
+    return found;
+}
+
+} // namespace camphorrock
--- /dev/null
+++ b/load/ownership_check.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+// The part of the history check that finds two owners of one hash.
+
+#include "codec/history.hpp"
+#include "load/violation.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace camphorrock
+{
+
+// A span in which a server owned a partition by its grants; `until` is not part of it.
+struct ownership_span
+{
+    history_time from = 0;
+    history_time until = 0;
+    server_id server;
+    shard_id shard;
+    hash_range partition;
+    epoch since;
+};
+
+// Joins each server's grants and renewals of one partition and epoch to spans, cut short
+// by revocations and by other epochs of the same server.
+std::vector<ownership_span> ownership_spans(const std::vector<grant_record>& grants,
+                                            const std::vector<revoke_record>& revokes);
+
+// Spans of different servers that overlap in time and hashes.
+std::vector<violation> find_two_owners(const std::vector<ownership_span>& spans);
+
+// Runs of a server that checks epochs outside its spans.
+std::vector<violation> find_runs_not_owned(const std::vector<run_start_record>& runs,
+                                           const std::vector<ownership_span>& spans);
+
+// Runs of one hash that overlap on two servers of which one checks no epoch: there the
+// run itself, not the grant, shows who acts as owner. `ends` is keyed by run.
+std::vector<violation>
+find_overlapping_runs(const std::vector<run_start_record>& runs,
+                      const std::map<std::string, history_time>& ends);
+
+} // namespace camphorrock
