camphorrock-fake-server: slots, grants, epochs, shedding, recorded runs

Cause: the users' servers need a stand-in that owns keys only by fenced grants, and whose record shows two owners or a second run. The guard of core/ownership decides; the grant is checked at admission and again right before a run, which is recorded before its effect.

--- a/app/events.hpp
+++ b/app/events.hpp
@@ -29,7 +29,6 @@
     grant_accepted = 501,
     grant_refused = 502,
     grant_revoked = 503,
-    grant_expired = 504,
     relay_mode_changed = 511,
 
     load_finished = 601,
--- /dev/null
+++ b/app/line_file.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+// A file that grows by whole lines. Each line is handed to the operating system before
+// append() returns, so that a process that is killed loses none.
+
+#include "core/base/result.hpp"
+
+#include <cstdio>
+#include <memory>
+#include <string>
+
+namespace camphorrock
+{
+
+class line_file
+{
+public:
+    // Opens the file for appending; an empty path gives a file that drops all lines.
+    // Fails with error_code::io.
+    static result<line_file> open(const std::string& path);
+
+    void append(const std::string& line);
+
+private:
+    struct closer
+    {
+        void operator()(std::FILE* file) const
+        {
+            std::fclose(file);
+        }
+    };
+
+    std::unique_ptr<std::FILE, closer> file_;
+};
+
+} // namespace camphorrock
--- /dev/null
+++ b/fakes/server/fake_server.cpp
@@ -0,0 +1,256 @@
+#include "fakes/server/fake_server.hpp"
+
+#include "app/admin_server.hpp"
+#include "app/query.hpp"
+#include "codec/history_json.hpp"
+#include "codec/server_answer.hpp"
+#include "fakes/server/server_refusal.hpp"
+
+#include <unistd.h>
+
+#include <charconv>
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr int status_ok = 200;
+constexpr int status_failed = 500;
+
+constexpr const char* epoch_header = "Camphorrock-Epoch";
+constexpr const char* timeout_header = "Camphorrock-Timeout-Ms";
+constexpr const char* id_header = "Idempotency-Key";
+
+history_time to_history(time_point at)
+{
+    return static_cast<history_time>(at.time_since_epoch().count());
+}
+
+std::uint64_t header_number(const http_request& request, const char* name)
+{
+    std::string_view text = request.headers.find(name).value_or("");
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+std::string query_text(const http_request& request, const char* name)
+{
+    return std::string(query_value(request.target, name).value_or(""));
+}
+
+bool is_for(const http_request& request, const char* method, const char* path)
+{
+    return request.method == method && path_of(request) == path;
+}
+
+} // namespace
+
+fake_server::fake_server(event_loop& loop,
+                         server_options options,
+                         line_file& history,
+                         event_log& log)
+    : loop_(loop), options_(std::move(options)), history_(history),
+      grants_(loop, options_.id, history, log),
+      times_(options_.times, options_.seed, loop.now()),
+      queue_(options_.slots, options_.max_queued),
+      run_prefix_(options_.id.str() + ":" + std::to_string(::getpid()) + ":" +
+                  std::to_string(to_history(loop.now())) + ":")
+{
+    grants_.add_methods(rpc_);
+}
+
+void fake_server::handle(http_request request, std::shared_ptr<http_responder> responder)
+{
+    if (is_for(request, "POST", "/rpc"))
+    {
+        answer_rpc(request, *responder);
+        return;
+    }
+    if (is_for(request, "GET", "/healthz"))
+    {
+        responder->respond(text_answer(status_ok, "ok\n"));
+        return;
+    }
+    admit(request, std::move(responder));
+}
+
+void fake_server::drain()
+{
+    is_draining_ = true;
+}
+
+void fake_server::answer_rpc(const http_request& request, http_responder& responder)
+{
+    responder.respond(json_answer(status_ok, rpc_.dispatch(request.body)));
+}
+
+void fake_server::admit(const http_request& request,
+                        std::shared_ptr<http_responder> responder)
+{
+    std::optional<request_target> target = parse_request_target(request.target);
+    if (!target)
+    {
+        responder->respond(to_response(server_refusal::bad_request, request.target));
+        return;
+    }
+    work_item item;
+    item.target = *target;
+    item.since = {header_number(request, epoch_header)};
+    item.id = request_id(std::string(request.headers.find(id_header).value_or("")));
+    item.tag = query_text(request, "tag");
+    item.attempt = query_text(request, "attempt");
+    item.work = query_value(request.target, "work") == "long" ? work_class::long_work
+                                                              : work_class::short_work;
+    if (std::uint64_t timeout = header_number(request, timeout_header))
+    {
+        item.deadline = loop_.now() + milliseconds(timeout);
+    }
+    if (!is_owned(item))
+    {
+        responder->respond(to_response(server_refusal::not_owner, "not the owner"));
+        return;
+    }
+    if (is_draining_ || times_.chance(options_.behaviour.shed_share))
+    {
+        server_refusal why =
+            is_draining_ ? server_refusal::draining : server_refusal::overloaded;
+        responder->respond(to_response(why, "takes no new work"));
+        return;
+    }
+    slot_ticket ticket{++last_ticket_};
+    slot_admission admission = queue_.admit(ticket);
+    if (admission == slot_admission::full)
+    {
+        responder->respond(to_response(server_refusal::overloaded, "the queue is full"));
+        return;
+    }
+    responder->on_gone([this, ticket] { forget(ticket); });
+    item.responder = std::move(responder);
+    items_.emplace(ticket, std::move(item));
+    if (admission == slot_admission::run)
+    {
+        begin(ticket);
+    }
+}
+
+bool fake_server::is_owned(const work_item& item)
+{
+    if (!options_.checks_epoch)
+    {
+        return true;
+    }
+    // A service has one shard, of the same name.
+    shard_id shard(item.target.service.str());
+    return grants_.check(shard, item.target.hash, item.since) == guard_verdict::accepted;
+}
+
+// The ticket holds a slot. The grant and the deadline are checked again right before the
+// effect, since the request may have waited.
+void fake_server::begin(slot_ticket ticket)
+{
+    work_item& item = items_.at(ticket);
+    time_point now = loop_.now();
+    bool is_late = item.deadline && *item.deadline <= now;
+    if (is_late || !is_owned(item))
+    {
+        server_refusal why =
+            is_late ? server_refusal::deadline_passed : server_refusal::not_owner;
+        item.responder->respond(to_response(why, "not run"));
+        items_.erase(ticket);
+        queue_.release();
+        begin_next();
+        return;
+    }
+    item.run = run_prefix_ + std::to_string(ticket.value);
+    record_start(item);
+    duration taken = std::chrono::duration_cast<duration>(times_.draw(item.work, now) *
+                                                          options_.behaviour.slow_factor);
+    item.timer = loop_.after(taken, [this, ticket] { end(ticket); });
+}
+
+void fake_server::begin_next()
+{
+    // Posted, so that a row of late requests does not nest calls.
+    loop_.post(
+        [this]
+        {
+            if (std::optional<slot_ticket> next = queue_.next())
+            {
+                begin(*next);
+            }
+        });
+}
+
+void fake_server::end(slot_ticket ticket)
+{
+    auto it = items_.find(ticket);
+    work_item item = std::move(it->second);
+    items_.erase(it);
+    record_end(item);
+    bool is_failed = times_.chance(options_.behaviour.fail_share);
+    item.responder->respond(answer_of(item, is_failed ? status_failed : status_ok));
+    queue_.release();
+    begin_next();
+}
+
+// The caller is gone: a queued request never runs, a running one frees its slot.
+void fake_server::forget(slot_ticket ticket)
+{
+    auto it = items_.find(ticket);
+    if (it == items_.end())
+    {
+        return;
+    }
+    work_item item = std::move(it->second);
+    items_.erase(it);
+    if (item.run.empty())
+    {
+        queue_.remove(ticket);
+        return;
+    }
+    record_end(item);
+    queue_.release();
+    begin_next();
+}
+
+void fake_server::record_start(const work_item& item)
+{
+    run_start_record record;
+    record.at = to_history(loop_.now());
+    record.run = item.run;
+    record.server = options_.id;
+    record.service = item.target.service;
+    record.key = item.target.key;
+    record.hash = item.target.hash;
+    record.since = item.since;
+    record.checks_epoch = options_.checks_epoch;
+    record.id = item.id;
+    record.tag = item.tag;
+    record.attempt = item.attempt;
+    history_.append(write_history_line(record));
+}
+
+void fake_server::record_end(const work_item& item)
+{
+    history_.append(write_history_line(
+        run_end_record{to_history(loop_.now()), item.run, options_.id}));
+}
+
+http_response fake_server::answer_of(const work_item& item, int status) const
+{
+    server_answer body;
+    body.run = item.run;
+    body.server = options_.id;
+    body.service = item.target.service;
+    body.key = item.target.key;
+    body.since = item.since;
+    body.id = item.id;
+    body.tag = item.tag;
+    body.attempt = item.attempt;
+    body.padding_bytes = options_.answer_bytes;
+    return json_answer(status, write_server_answer(body));
+}
+
+} // namespace camphorrock
--- a/router/forwarder.cpp
+++ b/router/forwarder.cpp
@@ -33,7 +33,8 @@
     exchange_options options;
     options.timeout = left + hop_allowance;
     bool needs_fresh = is_second || !request->id.empty();
-    options.connection = needs_fresh ? connection_choice::fresh : connection_choice::pooled;
+    options.connection =
+        needs_fresh ? connection_choice::fresh : connection_choice::pooled;
     exchange_id id = parts_.http.send(to.peer,
                                       make_request(*request),
                                       options,
@@ -41,7 +42,10 @@
                                       { ended(request, to, is_second, std::move(got)); });
     if (request->id.empty())
     {
-        request->on_gone = [this, id] { parts_.http.cancel(id); };
+        request->on_gone = [this, id]
+        {
+            parts_.http.cancel(id);
+        };
     }
 }
 
@@ -56,7 +60,8 @@
         request->pass_on(std::move(got.answer));
         return;
     }
-    route again = parts_.routes.find(shard_of(request->target.service), request->target.hash);
+    route again =
+        parts_.routes.find(shard_of(request->target.service), request->target.hash);
     bool has_other = again.kind == route_kind::forward && again.peer != to.peer;
     if (!is_second && has_other && may_send_again(*request, got))
     {
@@ -72,7 +77,8 @@
                     std::string(name_of(got.end)));
 }
 
-bool forwarder::may_send_again(const live_request& request, const exchange_result& got) const
+bool forwarder::may_send_again(const live_request& request,
+                               const exchange_result& got) const
 {
     bool is_safe = request.id.empty() || is_nothing_sent(got.end);
     return is_safe && request.deadline > parts_.loop.now();
@@ -85,8 +91,10 @@
     sent.target = std::string(forward_prefix) + request.target_text;
     sent.headers = request.headers;
     sent.body = request.body;
-    auto left = std::chrono::duration_cast<milliseconds>(request.deadline - parts_.loop.now());
-    sent.headers.set(timeout_header, std::to_string(std::max<std::int64_t>(left.count(), 1)));
+    auto left =
+        std::chrono::duration_cast<milliseconds>(request.deadline - parts_.loop.now());
+    sent.headers.set(timeout_header,
+                     std::to_string(std::max<std::int64_t>(left.count(), 1)));
     sent.headers.set(caller_header, request.caller.str());
     return sent;
 }
--- a/router/forwarder.hpp
+++ b/router/forwarder.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-// Passes a request on to the router that schedules its server, over HTTP on the peer port,
-// and the answer back, whole.
+// Passes a request on to the router that schedules its server, over HTTP on the peer
+// port, and the answer back, whole.
 //
-// A request whose hop ends without a whole answer is `not-run` only where no byte of it left this
-// router; otherwise it is `unknown`. A request that may be repeated is sent once more where
-// the first hop broke and a newer record names another scheduler.
+// A request whose hop ends without a whole answer is `not-run` only where no byte of it
+// left this router; otherwise it is `unknown`. A request that may be repeated is sent
+// once more where the first hop broke and a newer record names another scheduler.
 
 #include "router/live_request.hpp"
 #include "router/router_parts.hpp"
--- a/router/once_agent.hpp
+++ b/router/once_agent.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
-// The gate for requests that may not be repeated: each is recorded in the shard's journal in
-// the store before it is sent, and runs at most once. See docs/DESIGN.md, "At most once".
+// The gate for requests that may not be repeated: each is recorded in the shard's journal
+// in the store before it is sent, and runs at most once. See docs/DESIGN.md, "At most
+// once".
 
 #include "router/live_request.hpp"
 #include "router/router_parts.hpp"
--- a/router/server_lane.cpp
+++ b/router/server_lane.cpp
@@ -12,10 +12,18 @@
 // Headers of one hop, or set anew for the server.
 bool is_passed_on(std::string_view name)
 {
-    constexpr std::array<std::string_view, 7> kept_back{
-        "connection", "keep-alive", "transfer-encoding", "content-length", "te", "host", "expect"};
+    constexpr std::array<std::string_view, 7> kept_back{"connection",
+                                                        "keep-alive",
+                                                        "transfer-encoding",
+                                                        "content-length",
+                                                        "te",
+                                                        "host",
+                                                        "expect"};
     std::string lower(name);
-    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) { return std::tolower(c); });
+    std::transform(lower.begin(),
+                   lower.end(),
+                   lower.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
     return std::find(kept_back.begin(), kept_back.end(), lower) == kept_back.end();
 }
 
@@ -28,7 +36,8 @@
 {
     constexpr int first_server_error = 500;
     constexpr int unavailable = 503;
-    if (got.end == exchange_end::timed_out || got.end == exchange_end::timed_out_before_send)
+    if (got.end == exchange_end::timed_out ||
+        got.end == exchange_end::timed_out_before_send)
     {
         return answer_kind::timed_out;
     }
@@ -40,7 +49,8 @@
     {
         return answer_kind::shed;
     }
-    return got.answer.status >= first_server_error ? answer_kind::failed : answer_kind::good;
+    return got.answer.status >= first_server_error ? answer_kind::failed
+                                                   : answer_kind::good;
 }
 
 lane_end not_run(refusal why, std::string detail = {})
@@ -57,7 +67,9 @@
     }
     if (got.end != exchange_end::answered)
     {
-        return {lane_verdict::unknown, {}, {refusal::answer_lost, std::string(name_of(got.end)), {}}};
+        return {lane_verdict::unknown,
+                {},
+                {refusal::answer_lost, std::string(name_of(got.end)), {}}};
     }
     if (says_not_run(got.answer))
     {
@@ -85,7 +97,8 @@
                          scheduler_authority& authority,
                          server_id server,
                          std::unique_ptr<queue_policy> queue)
-    : parts_(parts), authority_(authority), server_(std::move(server)), queue_(std::move(queue))
+    : parts_(parts), authority_(authority), server_(std::move(server)),
+      queue_(std::move(queue))
 {
 }
 
@@ -142,7 +155,8 @@
     for (ticket id : silent)
     {
         pending& it = pending_.at(id);
-        std::optional<request_permit> permit = authority_.permit(it.request->target.hash, parts_.loop.now());
+        std::optional<request_permit> permit =
+            authority_.permit(it.request->target.hash, parts_.loop.now());
         if (!permit || permit->server != server_)
         {
             continue;
@@ -168,7 +182,9 @@
             continue;
         }
         const auto& refused = std::get<refuse_request>(action);
-        problem why{refusal::overloaded, std::string(name_of(refused.reason)), refused.retry_after};
+        problem why{refusal::overloaded,
+                    std::string(name_of(refused.reason)),
+                    refused.retry_after};
         end(refused.id, {lane_verdict::not_run, {}, std::move(why)});
     }
     arm_timer();
@@ -181,15 +197,17 @@
     key_hash at = it.request->target.hash;
     std::optional<request_permit> permit = authority_.permit(at, now);
     bool is_ours = permit && permit->server == server_;
-    bool is_sent = is_ours && it.request->deadline > now
-                   && authority_.request_sent(server_, id.value, at, now);
+    bool is_sent = is_ours && it.request->deadline > now &&
+                   authority_.request_sent(server_, id.value, at, now);
     if (is_sent)
     {
-        connection_choice choice = it.request->id.empty() ? connection_choice::pooled : connection_choice::fresh;
+        connection_choice choice =
+            it.request->id.empty() ? connection_choice::pooled : connection_choice::fresh;
         send(id, it, *permit, choice);
         return;
     }
-    refusal why = is_ours && it.request->deadline <= now ? refusal::deadline_passed : refusal::no_authority;
+    refusal why = is_ours && it.request->deadline <= now ? refusal::deadline_passed
+                                                         : refusal::no_authority;
     // The queue must not be entered again while it hands out its actions.
     parts_.loop.post(
         [this, id, why]
@@ -199,7 +217,10 @@
         });
 }
 
-void server_lane::send(ticket id, pending& it, const request_permit& permit, connection_choice choice)
+void server_lane::send(ticket id,
+                       pending& it,
+                       const request_permit& permit,
+                       connection_choice choice)
 {
     exchange_options options;
     options.timeout = it.request->deadline - parts_.loop.now();
@@ -274,8 +295,10 @@
             sent.headers.add(it.name, it.value);
         }
     }
-    auto left = std::chrono::duration_cast<milliseconds>(request.deadline - parts_.loop.now());
-    sent.headers.set(timeout_header, std::to_string(std::max<std::int64_t>(left.count(), 1)));
+    auto left =
+        std::chrono::duration_cast<milliseconds>(request.deadline - parts_.loop.now());
+    sent.headers.set(timeout_header,
+                     std::to_string(std::max<std::int64_t>(left.count(), 1)));
     sent.headers.set(epoch_header, std::to_string(since.value));
     return sent;
 }
--- a/router/server_lane.hpp
+++ b/router/server_lane.hpp
@@ -5,9 +5,9 @@
 //
 //     lane.submit(request, [](lane_end end) { ... });
 //
-// Each submitted request ends in one callback, unless it is withdrawn. Right before a request is
-// sent the scheduler's authority is asked again, since a pause can fall between the queue's
-// decision and the sending.
+// Each submitted request ends in one callback, unless it is withdrawn. Right before a
+// request is sent the scheduler's authority is asked again, since a pause can fall
+// between the queue's decision and the sending.
 
 #include "core/admission/queue_policy.hpp"
 #include "core/ownership/scheduler_authority.hpp"
@@ -48,8 +48,8 @@
 public:
     using callback = std::function<void(lane_end)>;
 
-    // Fails if the queue's options are out of range. `parts` and `authority` must outlive the
-    // lane.
+    // Fails if the queue's options are out of range. `parts` and `authority` must outlive
+    // the lane.
     static result<std::unique_ptr<server_lane>> create(router_parts& parts,
                                                        scheduler_authority& authority,
                                                        server_id server,
@@ -57,11 +57,12 @@
 
     ticket submit(live_request_ptr request, callback done);
 
-    // The caller is gone: forget the request, and close its exchange if it may be repeated.
+    // The caller is gone: forget the request, and close its exchange if it may be
+    // repeated.
     void withdraw(ticket id);
 
-    // The connections to the server have gone silent: sends the repeatable requests that went
-    // out before `sent_before` once more, on new connections.
+    // The connections to the server have gone silent: sends the repeatable requests that
+    // went out before `sent_before` once more, on new connections.
     void resend(time_point sent_before);
 
     lane_figures take_figures();
@@ -94,7 +95,8 @@
 
     void carry_out(const queue_actions& actions);
     void start(ticket id);
-    void send(ticket id, pending& it, const request_permit& permit, connection_choice choice);
+    void
+    send(ticket id, pending& it, const request_permit& permit, connection_choice choice);
     void ended(ticket id, const exchange_result& got);
     void end(ticket id, lane_end how);
     void leave_slot(ticket id, answer_kind answer, duration service_time);
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -70,10 +70,15 @@
 
 } // namespace
 
-shard_agent::shard_agent(router_parts& parts, config_agent& config, voter& votes, shard_id shard)
+shard_agent::shard_agent(router_parts& parts,
+                         config_agent& config,
+                         voter& votes,
+                         shard_id shard)
     : parts_(parts), config_(config), votes_(votes), shard_(std::move(shard)),
       authority_(shard_, parts.settings.id, parts.ownership, parts.loop.now()),
-      once_(parts, shard_, [this](const live_request_ptr& request, server_lane::callback done)
+      once_(parts,
+            shard_,
+            [this](const live_request_ptr& request, server_lane::callback done)
             { run(request, std::move(done)); })
 {
     tick_timer_ = parts_.loop.every(tick_period, [this] { tick(); });
@@ -117,7 +122,8 @@
 
 void shard_agent::run(const live_request_ptr& request, server_lane::callback done)
 {
-    std::optional<request_permit> permit = authority_.permit(request->target.hash, parts_.loop.now());
+    std::optional<request_permit> permit =
+        authority_.permit(request->target.hash, parts_.loop.now());
     server_lane* lane = permit ? lane_of(permit->server) : nullptr;
     if (lane == nullptr)
     {
@@ -170,7 +176,8 @@
     }
     return std::none_of(record->servers.begin(),
                         record->servers.end(),
-                        [&](const server_entry& it) { return it.scheduler == parts_.settings.id; });
+                        [&](const server_entry& it)
+                        { return it.scheduler == parts_.settings.id; });
 }
 
 void shard_agent::tick()
@@ -194,7 +201,8 @@
         {
             is_reading_ = false;
             bool is_done = got.end == store_end::done;
-            duration next = is_done && !got.entries.empty() ? record_read_period : record_retry_period;
+            duration next = is_done && !got.entries.empty() ? record_read_period
+                                                            : record_retry_period;
             read_timer_ = parts_.loop.after(next, [this] { read_record(); });
             if (!is_done)
             {
@@ -209,7 +217,8 @@
             value_or_handle(
                 [&]() -> result<void>
                 {
-                    BOOST_LEAF_AUTO(record, parse_shard_record(got.entries.front().value));
+                    BOOST_LEAF_AUTO(record,
+                                    parse_shard_record(got.entries.front().value));
                     votes_.store_read(shard_, record.version, begun_at, now);
                     scheduler_actions actions;
                     authority_.store_read(record, begun_at, now, actions);
@@ -218,7 +227,10 @@
                     return {};
                 },
                 [&](const error& ec)
-                { parts_.log.write(event_id::record_unreadable, {{"shard", shard_}, {"fault", ec.text}}); });
+                {
+                    parts_.log.write(event_id::record_unreadable,
+                                     {{"shard", shard_}, {"fault", ec.text}});
+                });
         });
 }
 
@@ -228,7 +240,9 @@
     if (record && parts_.routes.offer(*record))
     {
         parts_.log.write(event_id::record_adopted,
-                         {{"shard", shard_}, {"epoch", record->version}, {"assigner", record->assigner}});
+                         {{"shard", shard_},
+                          {"epoch", record->version},
+                          {"assigner", record->assigner}});
     }
     update_lanes();
 }
@@ -253,12 +267,17 @@
         value_or_handle(
             [&]() -> result<void>
             {
-                BOOST_LEAF_AUTO(lane, server_lane::create(parts_, authority_, it.id, service_.slots_per_server));
+                BOOST_LEAF_AUTO(
+                    lane,
+                    server_lane::create(
+                        parts_, authority_, it.id, service_.slots_per_server));
                 lanes_.emplace(it.id, std::move(lane));
                 return {};
             },
-            [&](const error& ec)
-            { parts_.log.write(event_id::lane_failed, {{"server", it.id}, {"fault", ec.text}}); });
+            [&](const error& ec) {
+                parts_.log.write(event_id::lane_failed,
+                                 {{"server", it.id}, {"fault", ec.text}});
+            });
     }
 }
 
@@ -279,64 +298,70 @@
 void shard_agent::carry_out(const send_vouch& action)
 {
     time_point sent = parts_.loop.now();
-    parts_.rpc.call(
-        action.to.peer,
-        "shard.vouch",
-        write_message(vouch_params{shard_, action.version}),
-        vouch_timeout,
-        [this, action, sent](const rpc_result& got)
-        {
-            if (got.end != rpc_end::answered)
-            {
-                return;
-            }
-            value_or_handle(
-                [&]() -> result<void>
-                {
-                    BOOST_LEAF_AUTO(answer, read_message<vouch_answer>(got.value));
-                    config_.version_seen(answer.config, action.to.peer);
-                    scheduler_actions actions;
-                    authority_.vouch_answered(
-                        action.to.id, action.round, answer.ok, answer.highest, parts_.loop.now(), actions);
-                    carry_out(actions);
-                    return {};
-                },
-                [](const error&) {});
-        });
+    parts_.rpc.call(action.to.peer,
+                    "shard.vouch",
+                    write_message(vouch_params{shard_, action.version}),
+                    vouch_timeout,
+                    [this, action, sent](const rpc_result& got)
+                    {
+                        if (got.end != rpc_end::answered)
+                        {
+                            return;
+                        }
+                        value_or_handle(
+                            [&]() -> result<void>
+                            {
+                                BOOST_LEAF_AUTO(answer,
+                                                read_message<vouch_answer>(got.value));
+                                config_.version_seen(answer.config, action.to.peer);
+                                scheduler_actions actions;
+                                authority_.vouch_answered(action.to.id,
+                                                          action.round,
+                                                          answer.ok,
+                                                          answer.highest,
+                                                          parts_.loop.now(),
+                                                          actions);
+                                carry_out(actions);
+                                return {};
+                            },
+                            [](const error&) {});
+                    });
 }
 
 void shard_agent::carry_out(const send_clock& action)
 {
     time_point sent = parts_.loop.now();
-    parts_.rpc.call(
-        action.address,
-        "ownership.clock",
-        Json::Value(Json::objectValue),
-        server_call_timeout,
-        [this, action, sent](const rpc_result& got)
-        {
-            scheduler_actions actions;
-            time_point now = parts_.loop.now();
-            value_or_handle(
-                [&]() -> result<void>
-                {
-                    if (got.end != rpc_end::answered)
+    parts_.rpc.call(action.address,
+                    "ownership.clock",
+                    Json::Value(Json::objectValue),
+                    server_call_timeout,
+                    [this, action, sent](const rpc_result& got)
                     {
-                        return fail(error_code::unavailable, got.text);
-                    }
-                    BOOST_LEAF_AUTO(answer, read_message<clock_answer>(got.value));
-                    server_reply reply;
-                    reply.clock = {milliseconds(answer.clock_ms)};
-                    authority_.server_answered(action.to, action.exchange, reply, now, actions);
-                    return {};
-                },
-                [&](const error&)
-                {
-                    bool is_refused = got.end == rpc_end::not_sent;
-                    authority_.server_failed(action.to, action.exchange, is_refused, now, actions);
-                });
-            carry_out(actions);
-        });
+                        scheduler_actions actions;
+                        time_point now = parts_.loop.now();
+                        value_or_handle(
+                            [&]() -> result<void>
+                            {
+                                if (got.end != rpc_end::answered)
+                                {
+                                    return fail(error_code::unavailable, got.text);
+                                }
+                                BOOST_LEAF_AUTO(answer,
+                                                read_message<clock_answer>(got.value));
+                                server_reply reply;
+                                reply.clock = {milliseconds(answer.clock_ms)};
+                                authority_.server_answered(
+                                    action.to, action.exchange, reply, now, actions);
+                                return {};
+                            },
+                            [&](const error&)
+                            {
+                                bool is_refused = got.end == rpc_end::not_sent;
+                                authority_.server_failed(
+                                    action.to, action.exchange, is_refused, now, actions);
+                            });
+                        carry_out(actions);
+                    });
 }
 
 void shard_agent::carry_out(const send_grant& action)
@@ -347,7 +372,11 @@
         calls.push_back(make_ownership_call(
             "ownership.grant", shard_, it, action.message.ttl, action.message.as_of));
     }
-    call_server(action.to, action.address, action.exchange, action.message.partitions, std::move(calls));
+    call_server(action.to,
+                action.address,
+                action.exchange,
+                action.message.partitions,
+                std::move(calls));
 }
 
 void shard_agent::carry_out(const send_revoke& action)
@@ -355,9 +384,14 @@
     std::vector<rpc_call> calls;
     for (const granted_partition& it : action.message.partitions)
     {
-        calls.push_back(make_ownership_call("ownership.revoke", shard_, it, duration::zero(), {}));
+        calls.push_back(
+            make_ownership_call("ownership.revoke", shard_, it, duration::zero(), {}));
     }
-    call_server(action.to, action.address, action.exchange, action.message.partitions, std::move(calls));
+    call_server(action.to,
+                action.address,
+                action.exchange,
+                action.message.partitions,
+                std::move(calls));
 }
 
 void shard_agent::call_server(const server_id& server,
@@ -367,11 +401,13 @@
                               std::vector<rpc_call> calls)
 {
     time_point sent = parts_.loop.now();
-    parts_.rpc.batch(address,
-                     std::move(calls),
-                     server_call_timeout,
-                     [this, server, address, exchange, partitions, sent](const std::vector<rpc_result>& results)
-                     { server_ended(server, address, exchange, partitions, sent, results); });
+    parts_.rpc.batch(
+        address,
+        std::move(calls),
+        server_call_timeout,
+        [this, server, address, exchange, partitions, sent](
+            const std::vector<rpc_result>& results)
+        { server_ended(server, address, exchange, partitions, sent, results); });
 }
 
 void shard_agent::server_ended(const server_id& server,
@@ -455,7 +491,8 @@
                         value_or_handle(
                             [&]() -> result<void>
                             {
-                                BOOST_LEAF_AUTO(answer, read_message<report_answer>(got.value));
+                                BOOST_LEAF_AUTO(answer,
+                                                read_message<report_answer>(got.value));
                                 config_.version_seen(answer.config, peer);
                                 return {};
                             },
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -3,8 +3,8 @@
 // This router's part in one shard: carries out what scheduler_authority asks for, keeps a
 // lane for each server that the router schedules, and takes requests for its partitions.
 //
-// Reads the record from the store at start and again from time to time; between, the assigner
-// sends it.
+// Reads the record from the store at start and again from time to time; between, the
+// assigner sends it.
 
 #include "codec/messages.hpp"
 #include "core/config/configuration.hpp"
--- a/store/config_agent.hpp
+++ b/store/config_agent.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
-// Keeps this instance's copy of the configuration fresh: reads the document from the store
-// periodically, and from a peer that names a newer version. The version in force only goes up.
+// Keeps this instance's copy of the configuration fresh: reads the document from the
+// store periodically, and from a peer that names a newer version. The version in force
+// only goes up.
 
 #include "codec/configuration_json.hpp"
 #include "core/config/config_tracker.hpp"
@@ -21,7 +22,8 @@
 class config_agent
 {
 public:
-    // `changed` is called after each version that came into force. The others must outlive the agent.
+    // `changed` is called after each version that came into force. The others must
+    // outlive the agent.
     config_agent(event_loop& loop,
                  store_client& store,
                  rpc_client& rpc,
