--- a/fakes/testing/fake_server_test.cpp
+++ b/fakes/testing/fake_server_test.cpp
@@ -15,6 +15,12 @@
         answer = std::move(got);
     }
 
+    void start_stream(http_response) override {}
+
+    void add_piece(std::string_view) override {}
+
+    void end_stream() override {}
+
     void abort() override {}
 
     void on_gone(std::function<void()> what) override
