--- a/router/router.cpp
+++ b/router/router.cpp
@@ -53,6 +53,7 @@
                                   metrics_,
                                   routes_,
                                   random_,
+                                  *assigners_,
                                   ownership_options()});
     votes_ = std::make_unique<voter>(parts_->ownership, loop_->now());
     config_ = std::make_unique<config_agent>(*loop_,
@@ -88,6 +89,7 @@
     options.endpoints = settings_.store;
     BOOST_LEAF_ASSIGN(store_, create_store_client(*loop_, *control_http_, options));
     instances_ = std::make_unique<instance_list>(*control_http_, settings_.platform);
+    assigners_ = std::make_unique<assigner_directory>(*loop_, *instances_);
     return {};
 }
 
@@ -113,6 +115,7 @@
 int router::run()
 {
     config_->start();
+    assigners_->start();
     enter_list(instance_state::live);
     list_timer_ = loop_->every(list_period, [this] { enter_list(instance_state::live); });
     print_listening(caller_server_->bound());
--- a/router/router.hpp
+++ b/router/router.hpp
@@ -15,6 +15,7 @@
 #include "router/peer_port.hpp"
 #include "router/router_parts.hpp"
 #include "router/shard_agent.hpp"
+#include "store/assigner_directory.hpp"
 #include "store/config_agent.hpp"
 #include "store/instance_list.hpp"
 
@@ -61,6 +62,7 @@
     std::unique_ptr<rpc_client> rpc_;
     std::unique_ptr<store_client> store_;
     std::unique_ptr<instance_list> instances_;
+    std::unique_ptr<assigner_directory> assigners_;
     route_table routes_;
     std::unique_ptr<router_parts> parts_;
     std::unique_ptr<voter> votes_;
--- a/router/router_parts.hpp
+++ b/router/router_parts.hpp
@@ -10,6 +10,7 @@
 #include "net/http_client.hpp"
 #include "net/rpc_client.hpp"
 #include "router/router_settings.hpp"
+#include "store/assigner_directory.hpp"
 #include "store/store_client.hpp"
 
 #include <random>
@@ -28,6 +29,7 @@
     metrics_registry& metrics;
     route_table& routes;
     std::mt19937_64& random;
+    const assigner_directory& assigners;
     ownership_options ownership;
 };
 
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -468,62 +468,86 @@
 
 void shard_agent::carry_out(const send_report& action)
 {
-    if (assigner_peer_.empty())
+    Json::Value params = write_message(make_report(action.report));
+    if (!assigner_peer_.empty())
     {
+        report_to(assigner_peer_, params);
         return;
     }
+    for (const endpoint& it : parts_.assigners.peers())
+    {
+        report_to(it, params);
+    }
+}
+
+report_params shard_agent::make_report(const shard_report& report)
+{
     report_params params;
     params.router = parts_.settings.id;
     params.peer = parts_.settings.peer;
     params.zone = parts_.settings.zone;
-    params.leaving = action.report.is_leaving;
+    params.leaving = report.is_leaving;
     params.config = config_.current().version;
     params.period = parts_.ownership.report_period;
-    shard_status status;
+    shard_status& status = params.shards.emplace_back();
     status.shard = shard_;
-    status.version = action.report.version;
-    for (const server_observation& it : action.report.servers)
+    status.version = report.version;
+    for (const server_observation& it : report.servers)
     {
-        server_status observed;
-        observed.id = it.id;
-        observed.condition = it.condition;
-        if (server_lane* lane = lane_of(it.id))
-        {
-            lane_figures figures = lane->take_figures();
-            observed.in_flight = lane->in_flight();
-            observed.queued = lane->waiting();
-            observed.answered = figures.answered;
-            observed.shed = figures.shed;
-            observed.slot_time = figures.slot_time;
-        }
-        status.servers.push_back(observed);
+        status.servers.push_back(make_server_status(it));
     }
-    for (const granted_partition& it : action.report.released)
+    for (const granted_partition& it : report.released)
     {
         status.released_partitions.push_back({it.range, it.since});
     }
-    params.shards.push_back(std::move(status));
-    endpoint peer = assigner_peer_;
+    return params;
+}
+
+server_status shard_agent::make_server_status(const server_observation& observed)
+{
+    server_status made;
+    made.id = observed.id;
+    made.condition = observed.condition;
+    if (server_lane* lane = lane_of(observed.id))
+    {
+        lane_figures figures = lane->take_figures();
+        made.in_flight = lane->in_flight();
+        made.queued = lane->waiting();
+        made.answered = figures.answered;
+        made.shed = figures.shed;
+        made.slot_time = figures.slot_time;
+    }
+    return made;
+}
+
+void shard_agent::report_to(const endpoint& peer, const Json::Value& params)
+{
     parts_.rpc.call(peer,
                     "shard.report",
-                    write_message(params),
+                    params,
                     report_timeout,
-                    [this, peer](const rpc_result& got)
-                    {
-                        if (got.end != rpc_end::answered)
-                        {
-                            return;
-                        }
-                        value_or_handle(
-                            [&]() -> result<void>
-                            {
-                                BOOST_LEAF_AUTO(answer,
-                                                read_message<report_answer>(got.value));
-                                config_.version_seen(answer.config, peer);
-                                return {};
-                            },
-                            [](const error&) {});
-                    });
+                    [this, peer](const rpc_result& got) { report_ended(peer, got); });
+}
+
+void shard_agent::report_ended(const endpoint& peer, const rpc_result& got)
+{
+    if (got.end != rpc_end::answered)
+    {
+        // Another assigner may hold the shard by now.
+        if (assigner_peer_ == peer)
+        {
+            assigner_peer_ = {};
+        }
+        return;
+    }
+    value_or_handle(
+        [&]() -> result<void>
+        {
+            BOOST_LEAF_AUTO(answer, read_message<report_answer>(got.value));
+            config_.version_seen(answer.config, peer);
+            return {};
+        },
+        [](const error&) {});
 }
 
 void shard_agent::carry_out(const fetch_record&)
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -68,6 +68,10 @@
                       const std::vector<granted_partition>& partitions,
                       time_point sent,
                       const std::vector<rpc_result>& results);
+    report_params make_report(const shard_report& report);
+    server_status make_server_status(const server_observation& observed);
+    void report_to(const endpoint& peer, const Json::Value& params);
+    void report_ended(const endpoint& peer, const rpc_result& got);
     void update_lanes();
     server_lane* lane_of(const server_id& server);
     void run(const live_request_ptr& request, server_lane::callback done);
--- a/store/etcd_caller.cpp
+++ b/store/etcd_caller.cpp
@@ -17,7 +17,7 @@
 
 // What an HTTP answer means. An error of the store's own (5xx) does not say whether a
 // write took effect.
-call_answer read_answer(const http_response& answer, call_kind kind)
+call_answer read_answer(const http_response& answer, etcd_call_kind kind)
 {
     call_answer made;
     if (answer.status == ok_status)
@@ -32,8 +32,8 @@
     }
     const bool is_refusal =
         answer.status >= first_client_error && answer.status < first_server_error;
-    made.end =
-        is_refusal || kind == call_kind::read ? call_end::refused : call_end::no_answer;
+    made.end = is_refusal || kind == etcd_call_kind::read ? call_end::refused
+                                                          : call_end::no_answer;
     return made;
 }
 
@@ -42,7 +42,7 @@
 struct etcd_caller::attempt
 {
     http_request request;
-    call_kind kind;
+    etcd_call_kind kind;
     callback done;
     time_point deadline;
     std::size_t left; // attempts, with this one
@@ -58,11 +58,11 @@
 
 void etcd_caller::call(const char* target,
                        const Json::Value& body,
-                       call_kind kind,
+                       etcd_call_kind kind,
                        callback done)
 {
     // A read has one attempt to spare for a kept connection that turns out to be dead.
-    const std::size_t spare = kind == call_kind::read ? 1 : 0;
+    const std::size_t spare = kind == etcd_call_kind::read ? 1 : 0;
     send(std::make_shared<attempt>(attempt{make_request(target, body),
                                            kind,
                                            std::move(done),
@@ -101,7 +101,7 @@
 void etcd_caller::send(std::shared_ptr<attempt> it)
 {
     const duration remaining = it->deadline - loop_.now();
-    const bool is_read = it->kind == call_kind::read;
+    const bool is_read = it->kind == etcd_call_kind::read;
     exchange_options options;
     options.timeout = is_read ? remaining / static_cast<int>(it->left) : remaining;
     options.connect_timeout = std::min(options.connect_timeout, options.timeout);
@@ -133,7 +133,7 @@
     leave_current();
     --it->left;
     it->is_repeated = true;
-    const bool may_repeat = it->kind == call_kind::read || is_nothing_sent(got.end);
+    const bool may_repeat = it->kind == etcd_call_kind::read || is_nothing_sent(got.end);
     if (may_repeat && it->left > 0 && loop_.now() < it->deadline)
     {
         send(it);
--- a/store/etcd_caller.hpp
+++ b/store/etcd_caller.hpp
@@ -19,7 +19,7 @@
 namespace camphorrock
 {
 
-enum class call_kind
+enum class etcd_call_kind
 {
     read,  // repeated where the connection failed
     write, // sent at most once
@@ -47,7 +47,8 @@
     // `loop` and `http` must outlive the caller. `options` names at least one endpoint.
     etcd_caller(event_loop& loop, http_client& http, store_client_options options);
 
-    void call(const char* target, const Json::Value& body, call_kind kind, callback done);
+    void
+    call(const char* target, const Json::Value& body, etcd_call_kind kind, callback done);
 
     // For streams, which choose their own connection.
     http_request make_request(const char* target, const Json::Value& body) const;
--- a/store/etcd_watch.cpp
+++ b/store/etcd_watch.cpp
@@ -187,7 +187,7 @@
     is_gap_ = true;
     caller_->call(etcd_target::range,
                   make_prefix_range(prefix_),
-                  call_kind::read,
+                  etcd_call_kind::read,
                   [weak = weak_from_this()](const call_answer& got)
                   {
                       if (const std::shared_ptr<etcd_watch> self = weak.lock())
--- a/store/store_client.cpp
+++ b/store/store_client.cpp
@@ -86,7 +86,7 @@
     {
         caller_->call(etcd_target::lease_revoke,
                       make_lease_call(lease),
-                      call_kind::write,
+                      etcd_call_kind::write,
                       [lease, done = std::move(done)](const call_answer& got)
                       {
                           store_lease_grant made;
@@ -112,7 +112,7 @@
     {
         caller_->call(etcd_target::range,
                       body,
-                      call_kind::read,
+                      etcd_call_kind::read,
                       [done = std::move(done)](const call_answer& got)
                       { done(read_as<store_read>(got, read_range)); });
     }
@@ -121,7 +121,7 @@
     {
         caller_->call(etcd_target::txn,
                       body,
-                      call_kind::write,
+                      etcd_call_kind::write,
                       [done = std::move(done)](const call_answer& got)
                       { done(read_as<store_write>(got, read_txn)); });
     }
@@ -130,7 +130,7 @@
     {
         caller_->call(target,
                       body,
-                      call_kind::write,
+                      etcd_call_kind::write,
                       [done = std::move(done)](const call_answer& got)
                       { done(read_as<store_lease_grant>(got, read_lease)); });
     }
