--- a/fakes/server/server_main.cpp
+++ b/fakes/server/server_main.cpp
@@ -1,11 +1,11 @@
-// camphorrock-fake-server: a stand-in for the users' servers; see fake_server.hpp.
+// camphorrock-fake-server: a stand-in for the users' servers; see test_server.hpp.
 
 #include "app/admin_server.hpp"
 #include "app/command_line.hpp"
 #include "app/endpoint_text.hpp"
 #include "app/program.hpp"
 #include "app/query.hpp"
-#include "fakes/server/fake_server.hpp"
+#include "fakes/server/test_server.hpp"
 
 #include <csignal>
 
@@ -133,7 +133,7 @@
 {
     BOOST_LEAF_AUTO(loop, event_loop::create());
     BOOST_LEAF_AUTO(history, line_file::open(args.history));
-    fake_server server(*loop, to_options(args), history, log);
+    test_server server(*loop, to_options(args), history, log);
     http_server_options options;
     options.address = endpoint(args.listen);
     options.max_connections = static_cast<unsigned>(args.connections);
--- a/fakes/server/server_options.hpp
+++ b/fakes/server/server_options.hpp
@@ -13,7 +13,7 @@
 {
 
 // How long requests take.
-struct service_time_options
+struct work_time_options
 {
     duration short_mean = milliseconds(10); // exponential
     duration long_min = milliseconds(250);  // uniform between the two
@@ -41,7 +41,7 @@
     std::size_t max_queued = 64;
     std::size_t answer_bytes = 200; // padding of each answer
     std::uint64_t seed = 1;
-    service_time_options times;
+    work_time_options times;
     server_behaviour behaviour;
 };
 
--- a/fakes/server/service_time.cpp
+++ b/fakes/server/service_time.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-service_time::service_time(service_time_options options,
+service_time::service_time(work_time_options options,
                            std::uint64_t seed,
                            time_point started_at)
     : options_(options), random_(seed), started_at_(started_at)
--- a/fakes/server/service_time.hpp
+++ b/fakes/server/service_time.hpp
@@ -19,7 +19,7 @@
 class service_time
 {
 public:
-    service_time(service_time_options options, std::uint64_t seed, time_point started_at);
+    service_time(work_time_options options, std::uint64_t seed, time_point started_at);
 
     duration draw(work_class work, time_point now);
 
@@ -27,7 +27,7 @@
     bool chance(double share);
 
 private:
-    service_time_options options_;
+    work_time_options options_;
     std::mt19937_64 random_;
     time_point started_at_;
 };
--- a/fakes/server/fake_server.cpp
+++ b/fakes/server/test_server.cpp
@@ -1,4 +1,4 @@
-#include "fakes/server/fake_server.hpp"
+#include "fakes/server/test_server.hpp"
 
 #include "app/admin_server.hpp"
 #include "app/query.hpp"
@@ -47,7 +47,7 @@
 
 } // namespace
 
-fake_server::fake_server(event_loop& loop,
+test_server::test_server(event_loop& loop,
                          server_options options,
                          line_file& history,
                          event_log& log)
@@ -61,7 +61,7 @@
     grants_.add_methods(rpc_);
 }
 
-void fake_server::handle(http_request request, std::shared_ptr<http_responder> responder)
+void test_server::handle(http_request request, std::shared_ptr<http_responder> responder)
 {
     if (is_for(request, "POST", "/rpc"))
     {
@@ -76,17 +76,17 @@
     admit(request, std::move(responder));
 }
 
-void fake_server::drain()
+void test_server::drain()
 {
     is_draining_ = true;
 }
 
-void fake_server::answer_rpc(const http_request& request, http_responder& responder)
+void test_server::answer_rpc(const http_request& request, http_responder& responder)
 {
     responder.respond(json_answer(status_ok, rpc_.dispatch(request.body)));
 }
 
-void fake_server::admit(const http_request& request,
+void test_server::admit(const http_request& request,
                         std::shared_ptr<http_responder> responder)
 {
     std::optional<request_target> target = parse_request_target(request.target);
@@ -135,7 +135,7 @@
     }
 }
 
-bool fake_server::is_owned(const work_item& item)
+bool test_server::is_owned(const work_item& item)
 {
     if (!options_.checks_epoch)
     {
@@ -148,7 +148,7 @@
 
 // The ticket holds a slot. The grant and the deadline are checked again right before the
 // effect, since the request may have waited.
-void fake_server::begin(slot_ticket ticket)
+void test_server::begin(slot_ticket ticket)
 {
     work_item& item = items_.at(ticket);
     time_point now = loop_.now();
@@ -170,7 +170,7 @@
     item.timer = loop_.after(taken, [this, ticket] { end(ticket); });
 }
 
-void fake_server::begin_next()
+void test_server::begin_next()
 {
     // Posted, so that a row of late requests does not nest calls.
     loop_.post(
@@ -183,7 +183,7 @@
         });
 }
 
-void fake_server::end(slot_ticket ticket)
+void test_server::end(slot_ticket ticket)
 {
     auto it = items_.find(ticket);
     work_item item = std::move(it->second);
@@ -196,7 +196,7 @@
 }
 
 // The caller is gone: a queued request never runs, a running one frees its slot.
-void fake_server::forget(slot_ticket ticket)
+void test_server::forget(slot_ticket ticket)
 {
     auto it = items_.find(ticket);
     if (it == items_.end())
@@ -215,7 +215,7 @@
     begin_next();
 }
 
-void fake_server::record_start(const work_item& item)
+void test_server::record_start(const work_item& item)
 {
     run_start_record record;
     record.at = to_history(loop_.now());
@@ -232,13 +232,13 @@
     history_.append(write_history_line(record));
 }
 
-void fake_server::record_end(const work_item& item)
+void test_server::record_end(const work_item& item)
 {
     history_.append(write_history_line(
         run_end_record{to_history(loop_.now()), item.run, options_.id}));
 }
 
-http_response fake_server::answer_of(const work_item& item, int status) const
+http_response test_server::answer_of(const work_item& item, int status) const
 {
     server_answer body;
     body.run = item.run;
--- a/fakes/server/fake_server.hpp
+++ b/fakes/server/test_server.hpp
@@ -29,11 +29,11 @@
 namespace camphorrock
 {
 
-class fake_server : public http_handler
+class test_server : public http_handler
 {
 public:
     // All references must outlive the server.
-    fake_server(event_loop& loop,
+    test_server(event_loop& loop,
                 server_options options,
                 line_file& history,
                 event_log& log);
--- a/fakes/testing/fake_server_test.cpp
+++ b/fakes/testing/test_server_test.cpp
@@ -1,5 +1,5 @@
 #include "codec/server_answer.hpp"
-#include "fakes/server/fake_server.hpp"
+#include "fakes/server/test_server.hpp"
 #include "testing/test_headers.hpp"
 
 using namespace camphorrock;
@@ -47,7 +47,7 @@
         options.slots = 1;
         options.max_queued = max_queued;
         options.times.short_mean = work;
-        server = std::make_unique<fake_server>(*loop, options, history, log);
+        server = std::make_unique<test_server>(*loop, options, history, log);
     }
 
     // The answer to a call of ownership.METHOD for the whole key space.
@@ -95,7 +95,7 @@
     std::unique_ptr<event_loop> loop = event_loop::create().value();
     line_file history = line_file::open("").value();
     quiet_log log;
-    std::unique_ptr<fake_server> server;
+    std::unique_ptr<test_server> server;
 };
 
 } // namespace
