--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -4,6 +4,7 @@
 #include "codec/shard_record_json.hpp"
 #include "core/ownership/record_keys.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace camphorrock
@@ -313,7 +314,7 @@
                             {
                                 BOOST_LEAF_AUTO(answer,
                                                 read_message<vouch_answer>(got.value));
-                                config_.version_seen(answer.config, action.to.peer);
+                                note_config(action, sent, answer.config);
                                 scheduler_actions actions;
                                 authority_.vouch_answered(action.to.id,
                                                           action.round,
@@ -328,14 +329,39 @@
                     });
 }
 
+void shard_agent::note_config(const send_vouch& asked,
+                              time_point sent,
+                              config_version seen)
+{
+    config_.version_seen(seen, asked.to.peer);
+    if (asked.round != round_)
+    {
+        round_ = asked.round;
+        round_sent_ = sent;
+        round_versions_.clear();
+    }
+    round_versions_[asked.to.id] = seen;
+    const std::optional<shard_record>& record = authority_.record();
+    bool has_majority = record && 2 * round_versions_.size() > record->voters.size();
+    if (!has_majority)
+    {
+        return;
+    }
+    config_version highest;
+    for (const auto& [id, version] : round_versions_)
+    {
+        highest = std::max(highest, version);
+    }
+    config_.majority_seen(round_sent_, highest);
+}
+
 void shard_agent::carry_out(const send_clock& action)
 {
-    time_point sent = parts_.loop.now();
     parts_.rpc.call(action.address,
                     "ownership.clock",
                     Json::Value(Json::objectValue),
                     server_call_timeout,
-                    [this, action, sent](const rpc_result& got)
+                    [this, action](const rpc_result& got)
                     {
                         scheduler_actions actions;
                         time_point now = parts_.loop.now();
@@ -460,7 +486,7 @@
     {
         server_status observed;
         observed.id = it.id;
-        observed.reachable = !it.is_lost;
+        observed.condition = it.condition;
         if (server_lane* lane = lane_of(it.id))
         {
             lane_figures figures = lane->take_figures();
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -56,6 +56,7 @@
     void carry_out(const send_revoke& action);
     void carry_out(const send_report& action);
     void carry_out(const fetch_record& action);
+    void note_config(const send_vouch& asked, time_point sent, config_version seen);
     void call_server(const server_id& server,
                      const endpoint& address,
                      server_exchange_id exchange,
