An assigner that was overtaken unnoticed reads the record again

Routers' reports and voters' answers now carry the highest version, and a higher one makes it read.

Ruled out: a stuck store call and a fence that did not complete (traced both).

--- a/core/assignment/shard_controller.cpp
+++ b/core/assignment/shard_controller.cpp
@@ -148,18 +148,18 @@
     const router_state* old = routers_.find(router.id);
     bool is_news = !old || !routers_.is_heard(router.id, now) || !(old->report == report);
     routers_.reported(router, report, now);
+    note_higher(report.version);
     if (is_news)
     {
         drive(now, actions);
     }
 }
 
-void shard_controller::fence_answered(const instance_id& voter,
-                                      epoch version,
-                                      bool is_ok,
-                                      time_point now)
+void shard_controller::fence_answered(
+    const instance_id& voter, epoch version, bool is_ok, epoch highest, time_point now)
 {
     voters_heard_[voter] = now;
+    note_higher(highest);
     if (is_ok)
     {
         fences_.acknowledged(voter, version, now);
@@ -171,6 +171,15 @@
     }
 }
 
+// Another assigner wrote since: this one was paused, or its lease lapsed unnoticed.
+void shard_controller::note_higher(epoch version)
+{
+    if (record_ && record_->version < version)
+    {
+        needs_read_ = true;
+    }
+}
+
 void shard_controller::planned(const rebalance_plan& plan, time_point)
 {
     for (const rebalance_step& it : plan.steps)
--- a/core/assignment/shard_controller.hpp
+++ b/core/assignment/shard_controller.hpp
@@ -73,8 +73,12 @@
                   const shard_report& report,
                   time_point now,
                   controller_actions& actions);
-    void
-    fence_answered(const instance_id& voter, epoch version, bool is_ok, time_point now);
+    // `highest` is the highest version that the voter knows.
+    void fence_answered(const instance_id& voter,
+                        epoch version,
+                        bool is_ok,
+                        epoch highest,
+                        time_point now);
 
     // Adds a plan; steps beyond max_plan are dropped.
     void planned(const rebalance_plan& plan, time_point now);
@@ -110,6 +114,7 @@
     };
 
     void adopt(const shard_record& record, time_point now);
+    void note_higher(epoch version);
     void begin_listening(time_point now);
     void drive_store(time_point now, controller_actions& actions);
     void write_next(time_point now, controller_actions& actions);
--- a/core/ownership/testing/ownership_fuzz_test.cpp
+++ b/core/ownership/testing/ownership_fuzz_test.cpp
@@ -154,6 +154,7 @@
     world.heal();
     duration span = world.run_until_served(bound + seconds(10));
     RC_ASSERT(world.fault() == "");
+    RC_LOG() << world.describe();
     RC_ASSERT(span <= bound);
     world.run(seconds(1));
     RC_ASSERT(world.fault() == "");
--- a/core/ownership/testing/ownership_world.cpp
+++ b/core/ownership/testing/ownership_world.cpp
@@ -441,8 +441,10 @@
                 voter_reply reply =
                     processes_[to]->voter->fence(the_shard, fence.version, local(to));
                 return then(
-                    [=](auto& c, auto now, auto&)
-                    { c.fence_answered(fence.to.id, fence.version, reply.is_ok, now); });
+                    [=](auto& c, auto now, auto&) {
+                        c.fence_answered(
+                            fence.to.id, fence.version, reply.is_ok, reply.highest, now);
+                    });
             };
             rpc(n, to, handle, {});
         }
@@ -776,6 +778,45 @@
     return owner && !owner->scheduler.empty() ? find(owner->scheduler.str()) : -1;
 }
 
+std::string ownership_world::describe() const
+{
+    std::string text =
+        "stored " + std::to_string(stored_ ? stored_->version.value : 0) + ", elected:";
+    for (int n = 0; n < router(0); ++n)
+    {
+        const shard_controller& it = *processes_[n]->controller;
+        text += it.is_elected() ? " " + processes_[n]->id : "";
+        text += it.is_elected() && it.hears_majority(local(n)) ? "+" : "";
+        text += it.record() ? " at " + std::to_string(it.record()->version.value) : "";
+    }
+    for (int n = router(0); n < server(0); ++n)
+    {
+        const process& it = *processes_[n];
+        const auto& record = it.authority->record();
+        text += "; " + it.id + " at " +
+                std::to_string(record ? record->version.value : 0) +
+                (it.authority->holds_authority(local(n)) ? " holds authority" : "") +
+                (it.voter->is_ready(the_shard, local(n)) ? " votes" : "");
+    }
+    for (std::size_t n = 0; stored_ && n < stored_->partitions.size(); ++n)
+    {
+        const partition_entry& it = stored_->partitions[n];
+        const server_entry* owner = find_server(*stored_, it.owner);
+        text += "\n" + to_string(it.range) + " of " + it.owner.str() + " since " +
+                std::to_string(it.since.value) + " to " + it.moving_to.str() + " by " +
+                (owner ? owner->scheduler.str() : "nobody");
+    }
+    for (std::size_t n = 0; stored_ && n < stored_->voters.size(); ++n)
+    {
+        text += " voter " + stored_->voters[n].id.str();
+    }
+    for (std::size_t n = 0; stored_ && n < stored_->previous_voters.size(); ++n)
+    {
+        text += " previous " + stored_->previous_voters[n].id.str();
+    }
+    return text;
+}
+
 int ownership_world::find(const std::string& id) const
 {
     for (int n = 0; n < process_count(); ++n)
--- a/core/ownership/testing/ownership_world.hpp
+++ b/core/ownership/testing/ownership_world.hpp
@@ -97,6 +97,7 @@
     shard_controller* elected();
     int owner_of(std::size_t hash) const; // process numbers; -1: none
     int scheduler_of(std::size_t hash) const;
+    std::string describe() const; // what keeps keys from being served
     std::uint64_t events() const
     {
         return events_run_;
