--- a/core/assignment/shard_planner.cpp
+++ b/core/assignment/shard_planner.cpp
@@ -121,12 +121,7 @@
     {
         return;
     }
-    std::vector<router_instance> routers = view_.routers.usable(view_.now);
-    std::erase_if(routers,
-                  [&](const router_instance& it) { return it.id == server.scheduler; });
-    const server_view* config = config_of(server.id);
-    data_centre zone = config ? config->zone : data_centre();
-    std::optional<router_instance> router = choose_scheduler(next_, zone, routers);
+    std::optional<router_instance> router = choose_other_scheduler(server);
     if (!router)
     {
         return;
@@ -150,6 +145,16 @@
     }
 }
 
+std::optional<router_instance>
+shard_planner::choose_other_scheduler(const server_entry& server) const
+{
+    std::vector<router_instance> routers = view_.routers.usable(view_.now);
+    std::erase_if(routers,
+                  [&](const router_instance& it) { return it.id == server.scheduler; });
+    const server_view* config = config_of(server.id);
+    return choose_scheduler(next_, config ? config->zone : data_centre(), routers);
+}
+
 // Evens out the schedulers after routers came back, one server at a time.
 void shard_planner::spread_schedulers()
 {
@@ -229,8 +234,9 @@
             }
             continue;
         }
-        // Under a lost scheduler the move to the same owner waits for the next scheduler.
-        bool is_waiting = it.owner == it.moving_to && needs_scheduler(*owner);
+        // A move to the same owner stands for a change of scheduler, if there is another.
+        bool is_waiting = it.owner == it.moving_to && needs_scheduler(*owner) &&
+                          choose_other_scheduler(*owner);
         if (!is_waiting && is_released(it))
         {
             set_owner(it, it.moving_to, "released by " + it.owner.str());
--- a/core/assignment/shard_planner.hpp
+++ b/core/assignment/shard_planner.hpp
@@ -85,6 +85,8 @@
     bool is_declared(const server_entry& server) const;
     bool is_wanted(const server_entry& server) const;
     bool is_lost(const server_entry& server) const;
+    std::optional<router_instance>
+    choose_other_scheduler(const server_entry& server) const;
     bool needs_scheduler(const server_entry& server) const;
     bool is_cut_off_router(const server_entry& server) const;
     bool is_released(const partition_entry& partition) const;
--- a/core/ownership/testing/ownership_world.cpp
+++ b/core/ownership/testing/ownership_world.cpp
@@ -23,6 +23,7 @@
     std::string id;
     bool is_up = false;
     bool is_paused = false;
+    bool is_leaving = false;
     int incarnation = 0;
     double rate = 1;
     duration offset{};
@@ -222,7 +223,7 @@
     std::erase_if(executions_,
                   [&](const execution& one)
                   { return server(int(one.server)) == n && one.is_delivered; });
-    it.is_up = it.is_paused = false;
+    it.is_up = it.is_paused = it.is_leaving = false;
     ++it.incarnation;
     it.backlog.clear();
     it.controller.reset();
@@ -260,6 +261,7 @@
     process& it = *processes_[n];
     if (it.is_up && !it.is_paused)
     {
+        it.is_leaving = true;
         scheduler_actions actions;
         it.authority->leave(local(n), actions);
         carry_out(n, std::move(actions));
@@ -288,6 +290,10 @@
     for (int n = 0; n < process_count(); ++n)
     {
         isolate(n, false);
+        if (processes_[n]->is_leaving)
+        {
+            crash(n);
+        }
         restart(n);
         resume(n);
     }
