A server keeps the highest epochs as long as it has room

Found by the fuzz test (seed 1, oracle 'a server process never goes back to a lower epoch'): a server forgot an epoch one grant_ttl after its grant had lapsed, and then took grants of an older scheduler that still held authority. One owner held, since the fence precedes any move, but two schedulers could take turns. Ranges are now forgotten only where max_partitions are known.

--- a/core/ownership/grant_guard.cpp
+++ b/core/ownership/grant_guard.cpp
@@ -48,7 +48,6 @@
 server_reply grant_guard::grant(const grant_message& message, time_point now)
 {
     server_reply reply = read_clock(now);
-    forget_old(now);
     time_point as_of = time_of(message.as_of);
     bool is_of_this_process = started_at_ <= as_of && as_of <= now;
     duration ttl = std::min<duration>(message.ttl, options_.grant_ttl);
@@ -69,7 +68,6 @@
 server_reply grant_guard::revoke(const revoke_message& message, time_point now)
 {
     server_reply reply = read_clock(now);
-    forget_old(now);
     for (const granted_partition& it : message.partitions)
     {
         if (revoke_one(it, now))
@@ -103,10 +101,11 @@
     return now < found->lapses_at ? guard_verdict::accepted : guard_verdict::lapsed;
 }
 
-bool grant_guard::is_owner(key_hash at, time_point now) const
+std::optional<epoch> grant_guard::owner_epoch(key_hash at, time_point now) const
 {
     const segment* found = find(at);
-    return found && check(at, found->highest, now) == guard_verdict::accepted;
+    bool is_owner = found && check(at, found->highest, now) == guard_verdict::accepted;
+    return is_owner ? std::optional(found->highest) : std::nullopt;
 }
 
 // A partition is granted as a whole: where a part of it was revoked or belongs to a
@@ -129,7 +128,7 @@
         is_covered =
             it->first <= partition.range.first && partition.range.last <= old.last;
     }
-    if (!has_room())
+    if (!make_room(now))
     {
         return false;
     }
@@ -143,7 +142,7 @@
 
 bool grant_guard::revoke_one(const granted_partition& partition, time_point now)
 {
-    if (!has_room())
+    if (!make_room(now))
     {
         return false;
     }
@@ -168,9 +167,14 @@
     return true;
 }
 
-bool grant_guard::has_room() const
+// Highest epochs are kept as long as there is room for them.
+bool grant_guard::make_room(time_point now)
 {
-    // One replacement adds at most two segments, and a revocation one for each part.
+    if (segments_.size() >= options_.max_partitions)
+    {
+        std::erase_if(segments_,
+                      [&](const auto& it) { return it.second.forget_at <= now; });
+    }
     return segments_.size() < options_.max_partitions;
 }
 
@@ -218,11 +222,6 @@
     segments_.emplace(range.first, with);
 }
 
-void grant_guard::forget_old(time_point now)
-{
-    std::erase_if(segments_, [&](const auto& it) { return it.second.forget_at <= now; });
-}
-
 const grant_guard::segment* grant_guard::find(key_hash at) const
 {
     auto it = segments_.upper_bound(at);
--- a/core/ownership/grant_guard.hpp
+++ b/core/ownership/grant_guard.hpp
@@ -13,8 +13,8 @@
 //     reading from before the start of this process or from the future gives no grant;
 //   - for each hash only the highest epoch that was granted or revoked counts, and a
 //     revoked epoch is not granted again.
-// A range is forgotten once no message that could bring it back can still be valid, so
-// memory is bounded by the live partitions, and by max_partitions in any case. Each call
+// Where max_partitions ranges are known, those are forgotten which no message that is
+// still valid could bring back; where all are live, further grants are refused. Each call
 // is O(log n) and O(ranges touched).
 
 #include "core/ownership/grant_message.hpp"
@@ -22,6 +22,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string_view>
 
 namespace camphorrock
@@ -53,8 +54,8 @@
     // May a request of this epoch run now?
     guard_verdict check(key_hash at, epoch since, time_point now) const;
 
-    // Would a request of some epoch be accepted now?
-    bool is_owner(key_hash at, time_point now) const;
+    // The epoch of which a request would be accepted now; none: this server is no owner.
+    std::optional<epoch> owner_epoch(key_hash at, time_point now) const;
 
 private:
     struct segment
@@ -71,12 +72,11 @@
     bool
     grant_one(const granted_partition& partition, time_point lapses_at, time_point now);
     bool revoke_one(const granted_partition& partition, time_point now);
-    bool has_room() const;
+    bool make_room(time_point now);
     segment_map::iterator first_touched(const hash_range& range);
     bool touches(segment_map::iterator it, const hash_range& range) const;
     void cut_at(key_hash first);
     void replace(const hash_range& range, const segment& with);
-    void forget_old(time_point now);
     const segment* find(key_hash at) const;
 
     ownership_options options_;
--- a/core/ownership/testing/ownership_fuzz_test.cpp
+++ b/core/ownership/testing/ownership_fuzz_test.cpp
@@ -14,7 +14,10 @@
     pause,
     resume,
     crash,
+    bounce,     // crash and start at once
+    bounce_all, // the routers
     restart,
+    strand,
     isolate,
     rejoin,
     cut,
@@ -27,7 +30,20 @@
     rebalance,
 };
 
-constexpr int fault_kinds = 15;
+// How often each comes.
+const std::vector<fault_kind> faults = []
+{
+    std::vector<fault_kind> list;
+    for (int n = 0; n <= static_cast<int>(fault_kind::rebalance); ++n)
+    {
+        list.push_back(fault_kind(n));
+    }
+    for (fault_kind it : {fault_kind::bounce, fault_kind::strand, fault_kind::rebalance})
+    {
+        list.insert(list.end(), 3, it);
+    }
+    return list;
+}();
 
 // What the tests know of the world: nothing, so that each fault may come at any time.
 struct no_model
@@ -53,8 +69,8 @@
 {
 public:
     explicit fault_command(const no_model&)
-        : kind_(fault_kind(*rc::gen::inRange(0, fault_kinds))),
-          one_(*rc::gen::inRange(0, 64)), other_(*rc::gen::inRange(0, 64)),
+        : kind_(*rc::gen::elementOf(faults)), one_(*rc::gen::inRange(0, 64)),
+          other_(*rc::gen::inRange(0, 64)),
           span_(*rc::gen::weightedElement<int>({{6, 5}, {3, 60}, {2, 400}, {1, 1200}}))
     {
     }
@@ -91,6 +107,18 @@
             return world.resume(process);
         case fault_kind::crash:
             return world.crash(process);
+        case fault_kind::bounce:
+            world.crash(process);
+            return world.restart(process);
+        case fault_kind::bounce_all:
+            for (int n = 0; n < routers; ++n)
+            {
+                world.crash(world.router(n));
+                world.restart(world.router(n));
+            }
+            return;
+        case fault_kind::strand:
+            return world.strand(world.router(one_ % routers), other_ % 4 != 0);
         case fault_kind::restart:
             return world.restart(process);
         case fault_kind::isolate:
@@ -183,7 +211,7 @@
                  options.assignment.voters_lost_after = seconds(2);
                  options.assignment.max_voters = 3;
                  ownership_world world(options);
-                 world.run(milliseconds(*rc::gen::element(500, 2000)));
+                 world.run(milliseconds(*rc::gen::element(700, 2000)));
                  auto commands = *rc::state::gen::commands(
                      no_model(), rc::state::gen::execOneOfWithArgs<fault_command>());
                  rc::state::runAll(commands, no_model(), world);
--- a/core/ownership/testing/ownership_oracle.hpp
+++ b/core/ownership/testing/ownership_oracle.hpp
@@ -5,26 +5,30 @@
 //   - at any real time at most one server is the owner of a hash. A server that checks
 //     epochs is one while it would accept some request for the hash; a server that does
 //     not check is one from the sending of a request for the hash until it has ended;
+//   - a server process never goes back to a lower epoch of a hash;
 //   - the versions in the store rise by one, and each record is well formed.
 
 #include "core/ownership/shard_record.hpp"
 
 #include <functional>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace camphorrock
 {
 
-// Who is the owner of sample hash number `hash` at this moment?
-using is_owner_function = std::function<bool(std::size_t server, std::size_t hash)>;
+// By which epoch does the server own sample hash number `hash` at this moment? Epoch 0
+// for a server that does not check; none: it is no owner.
+using owner_function =
+    std::function<std::optional<epoch>(std::size_t server, std::size_t hash)>;
 
 class ownership_oracle
 {
 public:
-    void check_owners(std::size_t servers,
-                      std::size_t hashes,
-                      const is_owner_function& is_owner)
+    void
+    check_owners(std::size_t servers, std::size_t hashes, const owner_function& owner)
     {
         for (std::size_t hash = 0; hash < hashes; ++hash)
         {
@@ -32,19 +36,30 @@
             int n = 0;
             for (std::size_t server = 0; server < servers; ++server)
             {
-                if (is_owner(server, hash))
+                std::optional<epoch> since = owner(server, hash);
+                owners += since ? " " + std::to_string(server) : "";
+                n += since ? 1 : 0;
+                epoch& highest = highest_[{server, hash}];
+                if (since && *since < highest)
                 {
-                    owners += " " + std::to_string(server);
-                    ++n;
+                    note("server " + std::to_string(server) +
+                         " went back to a lower epoch");
                 }
+                highest = std::max(highest, since.value_or(epoch{}));
             }
-            if (n > 1 && fault_.empty())
+            if (n > 1)
             {
-                fault_ = "hash " + std::to_string(hash) + " has the owners" + owners;
+                note("hash " + std::to_string(hash) + " has the owners" + owners);
             }
         }
     }
 
+    // The process of this server begins anew.
+    void started(std::size_t server)
+    {
+        std::erase_if(highest_, [&](const auto& it) { return it.first.first == server; });
+    }
+
     void written(const shard_record& record)
     {
         std::string fault = value_or_handle(
@@ -55,10 +70,10 @@
             },
             [](const error& ec) { return ec.text; });
         bool is_next = record.version.value == last_.value + 1;
-        if (fault_.empty() && (!is_next || !fault.empty()))
+        if (!is_next || !fault.empty())
         {
-            fault_ = "version " + std::to_string(record.version.value) + " after " +
-                     std::to_string(last_.value) + " " + fault;
+            note("version " + std::to_string(record.version.value) + " after " +
+                 std::to_string(last_.value) + " " + fault);
         }
         last_ = record.version;
     }
@@ -70,6 +85,12 @@
     }
 
 private:
+    void note(std::string fault)
+    {
+        fault_ = fault_.empty() ? std::move(fault) : fault_;
+    }
+
+    std::map<std::pair<std::size_t, std::size_t>, epoch> highest_;
     epoch last_;
     std::string fault_;
 };
--- a/core/ownership/testing/ownership_world.cpp
+++ b/core/ownership/testing/ownership_world.cpp
@@ -212,6 +212,7 @@
     else
     {
         it.guard = std::make_unique<grant_guard>(options_.ownership, local(n));
+        oracle_.started(n - server(0));
         return;
     }
     post(microseconds(random_() % 5000), n, it.incarnation, [=, this] { tick(n); });
@@ -282,6 +283,16 @@
     }
 }
 
+void ownership_world::strand(int n, bool with_routers)
+{
+    isolate(n, true);
+    for (int other = with_routers ? router(0) : server(0); other < store(); ++other)
+    {
+        cut(n, other, false);
+        cut(other, n, false);
+    }
+}
+
 void ownership_world::heal()
 {
     drop = duplicate = slow = lost_store_replies = 0;
@@ -663,18 +674,20 @@
     }
 }
 
-bool ownership_world::is_owner(std::size_t n, std::size_t hash) const
+std::optional<epoch> ownership_world::owner_epoch(std::size_t n, std::size_t hash) const
 {
-    const process& it = *processes_[server(static_cast<int>(n))];
+    int number = server(static_cast<int>(n));
     if (options_.servers[n])
     {
-        return it.guard &&
-               it.guard->is_owner(hashes_[hash], local(server(static_cast<int>(n))));
+        const process& it = *processes_[number];
+        return it.guard ? it.guard->owner_epoch(hashes_[hash], local(number))
+                        : std::nullopt;
     }
-    return std::any_of(executions_.begin(),
-                       executions_.end(),
-                       [&](const execution& one)
-                       { return one.server == n && one.at == hashes_[hash]; });
+    bool is_running = std::any_of(executions_.begin(),
+                                  executions_.end(),
+                                  [&](const execution& one)
+                                  { return one.server == n && one.at == hashes_[hash]; });
+    return is_running ? std::optional(epoch{}) : std::nullopt;
 }
 
 void ownership_world::check()
@@ -683,7 +696,7 @@
     oracle_.check_owners(options_.servers.size(),
                          hash_count,
                          [&](std::size_t n, std::size_t hash)
-                         { return is_owner(n, hash); });
+                         { return owner_epoch(n, hash); });
 }
 
 // Do fewer than half of the routers reach it, so that callers mostly do not?
--- a/core/ownership/testing/ownership_world.hpp
+++ b/core/ownership/testing/ownership_world.hpp
@@ -64,9 +64,10 @@
     void pause(int process);
     void resume(int process);
     void leave(int router);
-    void cut(int from, int to, bool is_cut); // in one direction
-    void isolate(int process, bool is_cut);  // from all others, in both directions
-    void heal();                             // network, store, drains; all processes run
+    void cut(int from, int to, bool is_cut);    // in one direction
+    void isolate(int process, bool is_cut);     // from all others, in both directions
+    void strand(int router, bool with_routers); // reaches servers, perhaps routers
+    void heal(); // network, store, drains; all processes run
     void drain(int server, bool is_draining);
     void list_instances(std::uint64_t shown); // a bit for each router
     void plan(rebalance_plan plan);
@@ -152,7 +153,7 @@
                         server_exchange_id exchange,
                         std::function<server_reply(grant_guard&, time_point)> handle);
     void check();
-    bool is_owner(std::size_t server, std::size_t hash) const;
+    std::optional<epoch> owner_epoch(std::size_t server, std::size_t hash) const;
     int find(const std::string& id) const;
 
     world_options options_;
