--- a/core/ownership/testing/ownership_failure_test.cpp
+++ b/core/ownership/testing/ownership_failure_test.cpp
@@ -290,3 +290,71 @@
         check_served(world, "all voters lost, 4 s ago", seconds(30));
     }
 }
+
+TEST_CASE("what a restart forgets gives nobody a second owner", "[ownership]")
+{
+    world_options options = options_of({true, true, true});
+    options.routers = 7;
+    options.assignment.max_voters = 3;
+    options.assignment.voters_lost_after = seconds(5);
+    options.ownership.voter_store_limit = seconds(12);
+    ownership_world world(options);
+    world.run(seconds(5));
+    int owner = world.owner_of(0);
+    int scheduler = world.scheduler_of(0);
+    auto each_voter = [&](const std::function<void(int)>& act)
+    {
+        for (const voter_entry& it : world.stored()->voters)
+        {
+            int n = world.router(std::stoi(it.id.str().substr(1)));
+            n == scheduler ? void() : act(n);
+        }
+    };
+
+    SECTION("voters and a server restart in a store outage, a router knows only the past")
+    {
+        world.strand(scheduler, true);
+        world.run(seconds(2));
+        REQUIRE(world.scheduler_of(0) != scheduler);
+        world.drain(owner, true);
+        world.run(seconds(2));
+        REQUIRE(world.owner_of(0) != owner);
+        world.is_store_down = true;
+        world.crash(owner);
+        world.restart(owner);
+        each_voter(
+            [&](int n)
+            {
+                world.crash(n);
+                world.restart(n);
+            });
+        world.run(seconds(5));
+        CHECK(world.fault() == "");
+        world.heal();
+        world.run(seconds(3));
+        CHECK(world.is_all_served());
+    }
+
+    SECTION("the assigners lose most voters, to whom a router with the old record still "
+            "talks")
+    {
+        world.strand(scheduler, true);
+        each_voter(
+            [&](int n)
+            {
+                world.cut(world.assigner(0), n, true);
+                world.cut(world.assigner(1), n, true);
+                world.cut(n, world.assigner(0), true);
+                world.cut(n, world.assigner(1), true);
+            });
+        world.cut(world.assigner(1), world.store(), true);
+        world.crash(owner == world.server(0) ? world.server(1) : world.server(0));
+        world.drain(owner, true);
+        world.run(seconds(60));
+        CHECK(world.fault() == "");
+        CHECK(world.stored()->previous_voters.empty());
+        world.heal();
+        world.run(seconds(3));
+        CHECK(world.is_all_served());
+    }
+}
