--- a/net/http_server.hpp
+++ b/net/http_server.hpp
@@ -18,12 +18,13 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace camphorrock
 {
 
 // The way to answer one request. The handler keeps it alive until it has answered; one
-// that is destroyed unanswered cuts the connection.
+// that is destroyed unanswered, or within a stream, cuts the connection.
 class http_responder
 {
 public:
@@ -33,11 +34,20 @@
     // no effect once the caller is gone.
     virtual void respond(http_response answer) = 0;
 
-    // Cuts the connection without an answer, for an answer that cannot be given whole.
+    // Sends the status and headers of `head` now, and its body in pieces until
+    // end_stream(), for an answer without an end in sight (a watch). Counts as the first
+    // call of respond() or abort() would. A caller that leaves 16 MB unread is cut off.
+    virtual void start_stream(http_response head) = 0;
+    virtual void add_piece(std::string_view piece) = 0;
+    virtual void end_stream() = 0;
+
+    // Cuts the connection without an answer or within a stream, for an answer that cannot
+    // be given whole.
     virtual void abort() = 0;
 
-    // Calls once if the caller goes away before it was answered. Called on the loop. The
-    // callback is dropped without a call when an answer has been sent.
+    // Calls once if the caller goes away before it was answered or its stream has ended.
+    // Called on the loop. The callback is dropped without a call when an answer was
+    // given.
     virtual void on_gone(std::function<void()> what) = 0;
 };
 
@@ -51,11 +61,12 @@
 
 struct http_server_options
 {
-    endpoint address;                         // "IP:port"; port 0 takes a free one
-    std::size_t max_header_bytes = 16 * 1024; // of the request line and headers
-    std::size_t max_body_bytes = 1024 * 1024; // of one request
-    unsigned max_connections = 4096;          // further ones are closed at accept
-    seconds idle_timeout = seconds(60);       // of a connection without a request
+    endpoint address; // "IP:port"; port 0 takes a free one
+    std::size_t max_header_bytes =
+        std::size_t{16} * 1024; // of the request line and headers
+    std::size_t max_body_bytes = std::size_t{1024} * 1024; // of one request
+    unsigned max_connections = 4096;    // further ones are closed at accept
+    seconds idle_timeout = seconds(60); // of a connection without a request
 };
 
 class http_server
@@ -71,11 +82,15 @@
     // The address with the port that was bound.
     virtual endpoint bound() const = 0;
 
-    // Stops accepting connections; requests in flight are still answered.
+    // Stops accepting connections; requests in flight are still answered. Each later
+    // answer closes its connection.
     virtual void stop_accepting() = 0;
 
     // Requests whose answer has not been sent whole yet.
     virtual std::size_t in_flight() const = 0;
+
+    // Open connections, with or without a request.
+    virtual std::size_t connections() const = 0;
 };
 
 } // namespace camphorrock
--- /dev/null
+++ b/net/mhd_response.cpp
@@ -0,0 +1,100 @@
+#include "net/mhd_response.hpp"
+
+#include "net/mhd_exchange.hpp"
+
+#include <microhttpd.h>
+#include <strings.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr const char* own_headers[] = {
+    "Connection", "Content-Length", "Keep-Alive", "Transfer-Encoding"};
+
+bool is_own_header(const std::string& name)
+{
+    return std::any_of(std::begin(own_headers),
+                       std::end(own_headers),
+                       [&](const char* it) { return strcasecmp(it, name.c_str()) == 0; });
+}
+
+void delete_body(void* body)
+{
+    delete static_cast<std::string*>(body);
+}
+
+MHD_Response* make_raw(std::string body)
+{
+    auto* held = new std::string(std::move(body));
+    return MHD_create_response_from_buffer_with_free_callback_cls(
+        held->size(), held->data(), delete_body, held);
+}
+
+constexpr std::size_t stream_block_bytes = 4096;
+
+using held_exchange = std::shared_ptr<mhd_exchange>;
+
+ssize_t read_stream(void* held, std::uint64_t, char* buf, std::size_t max)
+{
+    return (*static_cast<held_exchange*>(held))->read_stream(buf, max);
+}
+
+void delete_exchange(void* held)
+{
+    delete static_cast<held_exchange*>(held);
+}
+
+void add_headers(MHD_Response* to, const http_headers& headers)
+{
+    for (const http_header& it : headers.all())
+    {
+        if (!is_own_header(it.name))
+        {
+            MHD_add_response_header(to, it.name.c_str(), it.value.c_str());
+        }
+    }
+}
+
+} // namespace
+
+void mhd_response_deleter::operator()(MHD_Response* raw) const
+{
+    MHD_destroy_response(raw);
+}
+
+mhd_response make_mhd_response(http_response answer, bool close_after)
+{
+    mhd_response made(make_raw(std::move(answer.body)));
+    if (!made)
+    {
+        return made;
+    }
+    add_headers(made.get(), answer.headers);
+    if (close_after)
+    {
+        MHD_add_response_header(made.get(), MHD_HTTP_HEADER_CONNECTION, "close");
+    }
+    return made;
+}
+
+mhd_response make_mhd_stream(const std::shared_ptr<mhd_exchange>& exchange)
+{
+    auto* held = new held_exchange(exchange);
+    mhd_response made(MHD_create_response_from_callback(
+        MHD_SIZE_UNKNOWN, stream_block_bytes, read_stream, held, delete_exchange));
+    if (made)
+    {
+        add_headers(made.get(), exchange->answer.headers);
+    }
+    return made;
+}
+
+} // namespace camphorrock
