--- a/bench/queue/named_policy.cpp
+++ b/bench/queue/named_policy.cpp
@@ -48,9 +48,21 @@
             }};
 }
 
+// Every timeout halves the limit.
 server_queue_options version_1()
 {
-    return {};
+    server_queue_options it;
+    it.timeout_bounds = 0;
+    it.admission_share = 1;
+    return it;
+}
+
+// A timeout halves the limit only where the server was slower than expected.
+server_queue_options version_2()
+{
+    server_queue_options it = version_1();
+    it.timeout_bounds = 2;
+    return it;
 }
 
 std::vector<named_policy> all_policies()
@@ -61,7 +73,9 @@
             simple("priority", true, {.short_first = true}),
             simple("cap-2-long", true, {.short_first = true, .max_long = 2}),
             simple("cap-1-long", true, {.short_first = true, .max_long = 1}),
-            own("v1", version_1())};
+            own("v1", version_1()),
+            own("v2", version_2()),
+            own("v3", version_3())};
 }
 
 } // namespace
--- a/core/admission/server_queue.cpp
+++ b/core/admission/server_queue.cpp
@@ -80,11 +80,15 @@
     {
         return;
     }
+    const running_request& ended = it->second;
+    if (report.answer == answer_kind::good || blames_server(ended, report))
+    {
+        limit_.observe(report.answer, slots_, now);
+    }
     if (report.answer == answer_kind::good || report.answer == answer_kind::timed_out)
     {
-        service_times_.observe(it->second.caller, it->second.route, report.service_time);
+        service_times_.observe(ended.caller, ended.route, report.service_time);
     }
-    limit_.observe(report.answer, slots_, now);
     running_.erase(it);
     tick(now, out);
 }
@@ -179,6 +183,17 @@
                               : scaled(estimate.bound, options_.unrepeatable_room);
 }
 
+bool server_queue::blames_server(const running_request& of,
+                                 const service_report& report) const
+{
+    if (report.answer != answer_kind::timed_out)
+    {
+        return report.answer != answer_kind::good;
+    }
+    const duration bound = service_times_.estimate(of.caller, of.route).bound;
+    return report.service_time > scaled(bound, options_.timeout_bounds);
+}
+
 void server_queue::enqueue(const queued_request& request,
                            const service_time_estimate& estimate,
                            time_point latest_start)
--- a/core/admission/server_queue.hpp
+++ b/core/admission/server_queue.hpp
@@ -46,6 +46,9 @@
     double admission_share = 1.0;
     // Room before the deadline that an unrepeatable request needs, in service bounds.
     double unrepeatable_room = 2.0;
+    // A timeout speaks against the server only after so many service bounds; an earlier
+    // one only says that the request was started late.
+    double timeout_bounds = 2.0;
     duration min_retry_after = milliseconds(50);
 };
 
@@ -118,6 +121,7 @@
                            time_point now) const;
     duration room_needed(const queued_request& request,
                          const service_time_estimate& estimate) const;
+    bool blames_server(const running_request& of, const service_report& report) const;
     void enqueue(const queued_request& request,
                  const service_time_estimate& estimate,
                  time_point latest_start);
