--- a/core/admission/server_queue.cpp
+++ b/core/admission/server_queue.cpp
@@ -56,7 +56,12 @@
     }
     const service_time_estimate estimate =
         service_times_.estimate(request.caller, request.route);
-    const time_point latest_start = request.deadline - room_needed(request, estimate);
+    time_point latest_start = request.deadline - room_needed(request, estimate);
+    if (latest_start < now && may_probe(request, estimate.is_long, now))
+    {
+        latest_start = now;
+        next_probe_ = now + options_.probe_interval;
+    }
     const duration to_spare = scaled(latest_start - now, options_.admission_share);
     const fair_position at =
         line(estimate.is_long).next_position(request.caller, estimate.mean);
@@ -183,6 +188,16 @@
                               : scaled(estimate.bound, options_.unrepeatable_room);
 }
 
+bool server_queue::may_probe(const queued_request& request,
+                             bool is_long,
+                             time_point now) const
+{
+    const bool slot_idles = running_.size() < limit() && waiting_.empty();
+    const bool may_start = !is_long || long_in_flight(now) < long_slots();
+    const bool may_end_late = request.repeatable && now < request.deadline;
+    return slot_idles && may_start && may_end_late && now >= next_probe_;
+}
+
 bool server_queue::blames_server(const running_request& of,
                                  const service_report& report) const
 {
--- a/core/admission/server_queue.hpp
+++ b/core/admission/server_queue.hpp
@@ -49,6 +49,10 @@
     // A timeout speaks against the server only after so many service bounds; an earlier
     // one only says that the request was started late.
     double timeout_bounds = 2.0;
+    // A request that is expected to end too late starts nevertheless, at most once in
+    // this time and only on a slot that idles, so that an outdated estimate can be
+    // corrected.
+    duration probe_interval = seconds(1);
     duration min_retry_after = milliseconds(50);
 };
 
@@ -121,6 +125,7 @@
                            time_point now) const;
     duration room_needed(const queued_request& request,
                          const service_time_estimate& estimate) const;
+    bool may_probe(const queued_request& request, bool is_long, time_point now) const;
     bool blames_server(const running_request& of, const service_report& report) const;
     void enqueue(const queued_request& request,
                  const service_time_estimate& estimate,
@@ -139,6 +144,7 @@
     std::size_t slots_;
     service_time_table service_times_;
     adaptive_limit limit_;
+    time_point next_probe_{};
     fair_queue short_line_;
     fair_queue long_line_;
     std::unordered_map<ticket, waiting_request> waiting_;
--- a/core/admission/service_time_table.cpp
+++ b/core/admission/service_time_table.cpp
@@ -1,17 +1,16 @@
 #include "core/admission/service_time_table.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace camphorrock
 {
 namespace
 {
 
-// The step of the tracked quantiles, as a share of their value.
-constexpr double quantile_step = 0.05;
-
-// The step of the median, which must not follow a burst of long requests.
-constexpr double median_step = 0.02;
+// The step of the median as a share of its value; small, so that it does not follow a
+// burst of long requests.
+constexpr double median_step = 0.01;
 
 // Samples after which a row is believed alone.
 constexpr std::size_t trusted_samples = 3;
@@ -25,14 +24,6 @@
     return key;
 }
 
-// Moves `value` towards the quantile `q` of the samples, in proportion to itself.
-void track_quantile(double& value, double sample, double q, double step)
-{
-    const double rise = step * q;
-    const double fall = step * (1 - q);
-    value *= sample > value ? 1 + rise : 1 - fall;
-}
-
 duration to_duration(double us)
 {
     return duration(static_cast<duration::rep>(us));
@@ -57,7 +48,8 @@
         return {options_.unknown, options_.unknown, true};
     }
     const row& known = it->second;
-    return {to_duration(known.mean_us), to_duration(known.bound_us), is_long(known)};
+    const double bound_us = known.mean_us + options_.deviations * known.deviation_us;
+    return {to_duration(known.mean_us), to_duration(bound_us), is_long(known)};
 }
 
 void service_time_table::observe(const caller_name& caller,
@@ -69,7 +61,7 @@
     {
         median_us_ = us;
     }
-    track_quantile(median_us_, us, 0.5, median_step);
+    median_us_ *= us > median_us_ ? 1 + median_step : 1 - median_step;
     if (row* of_route = find_or_add(route.str()))
     {
         update(*of_route, us);
@@ -90,15 +82,15 @@
     if (target.samples++ == 0)
     {
         target.mean_us = sample_us;
-        target.bound_us = 2 * sample_us;
+        target.deviation_us = sample_us / 2;
         return;
     }
     // The first samples weigh more, so that the first one is soon forgotten.
     const double first = 1.0 / static_cast<double>(target.samples);
     const double weight = std::max(options_.weight, first);
+    const double off = std::abs(sample_us - target.mean_us);
     target.mean_us += weight * (sample_us - target.mean_us);
-    track_quantile(target.bound_us, sample_us, options_.quantile, quantile_step);
-    target.bound_us = std::max(target.bound_us, target.mean_us);
+    target.deviation_us += weight * (off - target.deviation_us);
 }
 
 service_time_table::row* service_time_table::find_or_add(const std::string& key)
--- a/core/admission/service_time_table.hpp
+++ b/core/admission/service_time_table.hpp
@@ -22,8 +22,8 @@
 struct service_time_options
 {
     std::size_t max_classes = 4096;      // rows kept
-    double weight = 0.05;                // of a new sample in the mean
-    double quantile = 0.99;              // of the service time that `bound` estimates
+    double weight = 0.05;                // of a new sample in the mean and deviation
+    double deviations = 4;               // above the mean is the bound
     double long_factor = 8;              // times the median makes a class long
     duration unknown = milliseconds(20); // the estimate before the first sample
 };
@@ -32,7 +32,7 @@
 struct service_time_estimate
 {
     duration mean{};
-    duration bound{};     // rarely exceeded
+    duration bound{};     // rarely exceeded: the mean and some mean deviations
     bool is_long = false; // or not known yet, which is treated with the same care
 };
 
@@ -61,7 +61,7 @@
     struct row
     {
         double mean_us = 0;
-        double bound_us = 0;
+        double deviation_us = 0; // mean absolute
         std::size_t samples = 0;
     };
 
