--- a/core/admission/fair_queue.cpp
+++ b/core/admission/fair_queue.cpp
@@ -11,41 +11,65 @@
 
 } // namespace
 
-fair_position fair_queue::next_position(const caller_name& caller, duration cost) const
+fair_queue::fair_queue(fair_queue_options options)
+    : options_(options), sweep_at_(min_sweep_rows)
 {
-    const auto it = next_tag_us_.find(caller);
-    const std::int64_t own = it == next_tag_us_.end() ? 0 : it->second;
-    return {std::max(virtual_time_us_, own), sequence_, ticket{}, cost};
 }
 
-fair_position fair_queue::push(ticket id, const caller_name& caller, duration cost)
+fair_position fair_queue::next_position(const caller_name& caller, time_point now) const
 {
-    fair_position at = next_position(caller, cost);
+    fair_position at;
+    at.place = now;
+    at.sequence = sequence_;
+    const auto it = callers_.find(caller);
+    if (it != callers_.end())
+    {
+        at.place = std::max(now, it->second.clock - options_.burst);
+    }
+    return at;
+}
+
+fair_position fair_queue::push(ticket id,
+                               const caller_name& caller,
+                               duration cost,
+                               std::size_t slots,
+                               time_point now)
+{
+    forget_idle_callers(now);
+    fair_position at = next_position(caller, now);
+    caller_row& row = callers_[caller];
+    waiting_callers_ += row.waiting++ == 0 ? 1 : 0;
+    const auto sharers = static_cast<duration::rep>(waiting_callers_);
+    const time_point start = std::max(now, row.clock);
+    const time_point latest = now + options_.max_debt;
+    const duration share = cost * sharers / static_cast<duration::rep>(slots);
+    row.clock = std::max(start, std::min(latest, start + share));
     at.id = id;
+    at.cost = cost;
+    at.charge = row.clock - start;
     ++sequence_;
-    next_tag_us_[caller] = at.tag_us + cost.count();
     order_.insert(at);
     work_ += cost;
-    forget_idle_callers();
     return at;
 }
 
-void fair_queue::start(const fair_position& at)
+void fair_queue::start(const fair_position& at, const caller_name& caller)
 {
-    virtual_time_us_ = std::max(virtual_time_us_, at.tag_us);
-    work_ -= at.cost;
-    order_.erase(at);
+    remove(at, callers_.find(caller)->second);
 }
 
 void fair_queue::erase(const fair_position& at, const caller_name& caller)
 {
+    caller_row& row = callers_.find(caller)->second;
+    row.clock -= at.charge;
+    remove(at, row);
+}
+
+void fair_queue::remove(const fair_position& at, caller_row& of)
+{
+    waiting_callers_ -= --of.waiting == 0 ? 1 : 0;
     work_ -= at.cost;
     order_.erase(at);
-    const auto it = next_tag_us_.find(caller);
-    if (it != next_tag_us_.end())
-    {
-        it->second = std::max(virtual_time_us_, it->second - at.cost.count());
-    }
 }
 
 duration fair_queue::work_before(const fair_position& at, duration enough) const
@@ -62,16 +86,17 @@
     return sum;
 }
 
-// A caller whose tag the virtual time has passed gets the virtual time anyway.
-void fair_queue::forget_idle_callers()
+// A clock that is not ahead of the time says nothing.
+void fair_queue::forget_idle_callers(time_point now)
 {
-    if (next_tag_us_.size() < sweep_at_)
+    if (callers_.size() < sweep_at_)
     {
         return;
     }
-    std::erase_if(next_tag_us_,
-                  [&](const auto& row) { return row.second <= virtual_time_us_; });
-    sweep_at_ = std::max(min_sweep_rows, 2 * next_tag_us_.size());
+    std::erase_if(callers_,
+                  [&](const auto& row)
+                  { return row.second.waiting == 0 && row.second.clock <= now; });
+    sweep_at_ = std::max(min_sweep_rows, 2 * callers_.size());
 }
 
 } // namespace camphorrock
--- a/core/admission/server_queue.cpp
+++ b/core/admission/server_queue.cpp
@@ -35,7 +35,8 @@
 
 server_queue::server_queue(server_queue_options options, std::mt19937_64& random)
     : options_(options), random_(random), slots_(options.slots),
-      service_times_(options.service_times), limit_(options.limit)
+      service_times_(options.service_times), limit_(options.limit),
+      short_line_(options.fairness), long_line_(options.fairness)
 {
 }
 
@@ -63,15 +64,14 @@
         next_probe_ = now + options_.probe_interval;
     }
     const duration to_spare = scaled(latest_start - now, options_.admission_share);
-    const fair_position at =
-        line(estimate.is_long).next_position(request.caller, estimate.mean);
+    const fair_position at = line(estimate.is_long).next_position(request.caller, now);
     if (latest_start < now ||
         expected_wait(estimate.is_long, at, to_spare, now) > to_spare)
     {
         refuse(request.id, refusal_reason::deadline, out);
         return;
     }
-    enqueue(request, estimate, latest_start);
+    enqueue(request, estimate, latest_start, now);
     start_allowed(now, out);
 }
 
@@ -158,26 +158,25 @@
     return is_long ? long_line_ : short_line_;
 }
 
-// The work ahead, shared by the slots that this kind of request may count on.
+// The slots that requests of this kind may count on.
+std::size_t server_queue::usable_slots(bool is_long, time_point now) const
+{
+    if (is_long)
+    {
+        return long_slots();
+    }
+    const std::size_t allowed = limit();
+    const bool long_work = long_in_flight(now) > 0 || !long_line_.empty();
+    return long_work && allowed > long_slots() ? allowed - long_slots() : allowed;
+}
+
 duration server_queue::expected_wait(bool is_long,
                                      const fair_position& at,
                                      duration enough,
                                      time_point now) const
 {
-    const std::size_t allowed = limit();
-    const std::size_t of_long = long_slots();
-    const bool long_work = long_in_flight(now) > 0 || !long_line_.empty();
-    std::size_t usable = allowed;
-    if (is_long)
-    {
-        usable = of_long;
-    }
-    else if (long_work && allowed > of_long)
-    {
-        usable = allowed - of_long;
-    }
     const fair_queue& ahead = is_long ? long_line_ : short_line_;
-    const auto n = static_cast<duration::rep>(usable);
+    const auto n = static_cast<duration::rep>(usable_slots(is_long, now));
     return ahead.work_before(at, enough * n) / n;
 }
 
@@ -211,10 +210,15 @@
 
 void server_queue::enqueue(const queued_request& request,
                            const service_time_estimate& estimate,
-                           time_point latest_start)
+                           time_point latest_start,
+                           time_point now)
 {
-    const fair_position at =
-        line(estimate.is_long).push(request.id, request.caller, estimate.mean);
+    const fair_position at = line(estimate.is_long)
+                                 .push(request.id,
+                                       request.caller,
+                                       estimate.mean,
+                                       usable_slots(estimate.is_long, now),
+                                       now);
     waiting_.emplace(request.id,
                      waiting_request{request, at, latest_start, estimate.is_long});
     by_latest_start_.emplace(latest_start, request.id);
@@ -284,8 +288,8 @@
         running_request{
             chosen.request.caller, chosen.request.route, now, chosen.is_long});
     by_latest_start_.erase({chosen.latest_start, at.id});
+    from.start(at, chosen.request.caller);
     waiting_.erase(it);
-    from.start(at);
     out.emplace_back(start_request{at.id});
 }
 
--- a/core/admission/server_queue.hpp
+++ b/core/admission/server_queue.hpp
@@ -41,6 +41,7 @@
     std::size_t max_waiting = 1024; // memory budget
     service_time_options service_times;
     adaptive_limit_options limit;
+    fair_queue_options fairness;
 
     // The share of the time to spare that the expected wait may take at arrival.
     double admission_share = 0.5;
@@ -119,6 +120,7 @@
     server_queue(server_queue_options options, std::mt19937_64& random);
 
     fair_queue& line(bool is_long);
+    std::size_t usable_slots(bool is_long, time_point now) const;
     duration expected_wait(bool is_long,
                            const fair_position& at,
                            duration enough,
@@ -129,7 +131,8 @@
     bool blames_server(const running_request& of, const service_report& report) const;
     void enqueue(const queued_request& request,
                  const service_time_estimate& estimate,
-                 time_point latest_start);
+                 time_point latest_start,
+                 time_point now);
     void refuse_late(time_point now, queue_actions& out);
     void refuse_all(queue_actions& out);
     void start_allowed(time_point now, queue_actions& out);
