Queue v6: a long request lets short ones go first until it is due

Cause: below its share a long request always went first, though its deadline leaves seconds and that of a short one milliseconds. At a crest of seconds the long work can wait for the trough.

--- a/bench/queue/named_policy.cpp
+++ b/bench/queue/named_policy.cpp
@@ -54,6 +54,8 @@
     server_queue_options it;
     it.timeout_bounds = 0;
     it.admission_share = 1;
+    it.long_deferral = 0;
+    it.fairness.burst = milliseconds(0);
     return it;
 }
 
@@ -73,6 +75,22 @@
     return it;
 }
 
+// Callers in the order of arrival while they keep to their share.
+server_queue_options version_5()
+{
+    server_queue_options it = version_3();
+    it.fairness.burst = milliseconds(100);
+    return it;
+}
+
+// Long requests let short ones go first for a part of their time to spare.
+server_queue_options version_6()
+{
+    server_queue_options it = version_5();
+    it.long_deferral = 0.75;
+    return it;
+}
+
 std::vector<named_policy> all_policies()
 {
     return {simple("fifo", false, {}),
@@ -83,7 +101,9 @@
             simple("cap-1-long", true, {.short_first = true, .max_long = 1}),
             own("v1", version_1()),
             own("v2", version_2()),
-            own("v3", version_3())};
+            own("v3", version_3()),
+            own("v5", version_5()),
+            own("v6", version_6())};
 }
 
 } // namespace
--- a/core/admission/server_queue.cpp
+++ b/core/admission/server_queue.cpp
@@ -220,7 +220,7 @@
                                        usable_slots(estimate.is_long, now),
                                        now);
     waiting_.emplace(request.id,
-                     waiting_request{request, at, latest_start, estimate.is_long});
+                     waiting_request{request, at, now, latest_start, estimate.is_long});
     by_latest_start_.emplace(latest_start, request.id);
 }
 
@@ -257,8 +257,9 @@
     }
 }
 
-// A long request goes first while its kind is below its share, since short ones have
-// slots that it never takes. With a single slot the lower tag decides.
+// While short work waits, a long request lets it go first until it is due; then it takes
+// its slot, since short ones have slots that it never takes. With a single slot the order
+// of arrival decides.
 fair_queue* server_queue::choose(time_point now)
 {
     const bool long_may_start = !long_line_.empty() && long_in_flight(now) < long_slots();
@@ -272,12 +273,22 @@
     }
     if (limit() > long_slots())
     {
-        return &long_line_;
+        return long_is_due(now) ? &long_line_ : &short_line_;
     }
     const bool long_is_earlier = long_line_.front() < short_line_.front();
     return long_is_earlier ? &long_line_ : &short_line_;
 }
 
+// Whether the first long request has waited for its part, counting the time that those
+// behind it need.
+bool server_queue::long_is_due(time_point now) const
+{
+    const waiting_request& first = waiting_.find(long_line_.front().id)->second;
+    const duration to_spare = first.latest_start - first.arrival;
+    const duration backlog = long_line_.work() / static_cast<duration::rep>(long_slots());
+    return now + backlog >= first.arrival + scaled(to_spare, options_.long_deferral);
+}
+
 void server_queue::start_front(fair_queue& from, time_point now, queue_actions& out)
 {
     const fair_position at = from.front();
--- a/core/admission/server_queue.hpp
+++ b/core/admission/server_queue.hpp
@@ -47,6 +47,8 @@
     double admission_share = 0.5;
     // Room before the deadline that an unrepeatable request needs, in service bounds.
     double unrepeatable_room = 2.0;
+    // The share of its time to spare for which a long request lets short ones go first.
+    double long_deferral = 0.75;
     // A timeout speaks against the server only after so many service bounds; an earlier
     // one only says that the request was started late.
     double timeout_bounds = 2.0;
@@ -105,6 +107,7 @@
     {
         queued_request request;
         fair_position at;
+        time_point arrival;
         time_point latest_start;
         bool is_long = false;
     };
@@ -137,6 +140,7 @@
     void refuse_all(queue_actions& out);
     void start_allowed(time_point now, queue_actions& out);
     fair_queue* choose(time_point now);
+    bool long_is_due(time_point now) const;
     void start_front(fair_queue& from, time_point now, queue_actions& out);
     void refuse(ticket id, refusal_reason reason, queue_actions& out);
     duration retry_after();
