--- a/bench/queue/named_policy.cpp
+++ b/bench/queue/named_policy.cpp
@@ -91,6 +91,12 @@
     return it;
 }
 
+// The limit falls on a share of bad answers, and to what a shedding server carried.
+server_queue_options version_7()
+{
+    return version_6();
+}
+
 std::vector<named_policy> all_policies()
 {
     return {simple("fifo", false, {}),
@@ -103,7 +109,8 @@
             own("v2", version_2()),
             own("v3", version_3()),
             own("v5", version_5()),
-            own("v6", version_6())};
+            own("v6", version_6()),
+            own("v7", version_7())};
 }
 
 } // namespace
--- a/core/admission/server_queue.cpp
+++ b/core/admission/server_queue.cpp
@@ -88,7 +88,7 @@
     const running_request& ended = it->second;
     if (report.answer == answer_kind::good || blames_server(ended, report))
     {
-        limit_.observe(report.answer, slots_, now);
+        limit_.observe(report.answer, running_.size() - 1, slots_, now);
     }
     if (report.answer == answer_kind::good || report.answer == answer_kind::timed_out)
     {
@@ -258,8 +258,7 @@
 }
 
 // While short work waits, a long request lets it go first until it is due; then it takes
-// its slot, since short ones have slots that it never takes. With a single slot the order
-// of arrival decides.
+// its slot, since short ones have slots that it never takes.
 fair_queue* server_queue::choose(time_point now)
 {
     const bool long_may_start = !long_line_.empty() && long_in_flight(now) < long_slots();
@@ -271,12 +270,7 @@
     {
         return &short_line_;
     }
-    if (limit() > long_slots())
-    {
-        return long_is_due(now) ? &long_line_ : &short_line_;
-    }
-    const bool long_is_earlier = long_line_.front() < short_line_.front();
-    return long_is_earlier ? &long_line_ : &short_line_;
+    return long_is_due(now) ? &long_line_ : &short_line_;
 }
 
 // Whether the first long request has waited for its part, counting the time that those
