Queue v8: answers much slower than expected lower the limit

Cause: a server that reports three slots and works on one queues the rest itself, where a long request holds up the short ones. No answer fails, so the limit stayed.

--- a/bench/queue/named_policy.cpp
+++ b/bench/queue/named_policy.cpp
@@ -52,7 +52,7 @@
 server_queue_options version_1()
 {
     server_queue_options it;
-    it.timeout_bounds = 0;
+    it.slow_bounds = 0;
     it.admission_share = 1;
     it.long_deferral = 0;
     it.fairness.burst = milliseconds(0);
@@ -63,7 +63,7 @@
 server_queue_options version_2()
 {
     server_queue_options it = version_1();
-    it.timeout_bounds = 2;
+    it.slow_bounds = 2;
     return it;
 }
 
@@ -97,6 +97,14 @@
     return version_6();
 }
 
+// Answers much slower than expected count as bad.
+server_queue_options version_8()
+{
+    server_queue_options it = version_7();
+    it.slow_bounds = 1.5;
+    return it;
+}
+
 std::vector<named_policy> all_policies()
 {
     return {simple("fifo", false, {}),
@@ -110,7 +118,8 @@
             own("v3", version_3()),
             own("v5", version_5()),
             own("v6", version_6()),
-            own("v7", version_7())};
+            own("v7", version_7()),
+            own("v8", version_8())};
 }
 
 } // namespace
--- a/core/admission/adaptive_limit.cpp
+++ b/core/admission/adaptive_limit.cpp
@@ -23,18 +23,8 @@
     return std::clamp<std::size_t>(whole, 1, slots);
 }
 
-void adaptive_limit::observe(answer_kind answer,
-                             std::size_t others,
-                             std::size_t slots,
-                             time_point now)
+void adaptive_limit::observe(bool is_bad, std::size_t slots, time_point now)
 {
-    if (answer == answer_kind::shed)
-    {
-        carried_ = std::max<double>(1, static_cast<double>(others));
-        fall(carried_, now);
-        return;
-    }
-    const bool is_bad = answer != answer_kind::good;
     bad_share_ += options_.bad_weight * ((is_bad ? 1 : 0) - bad_share_);
     if (!is_bad)
     {
@@ -46,6 +36,12 @@
     }
 }
 
+void adaptive_limit::observe_shed(std::size_t others, time_point now)
+{
+    carried_ = std::max<double>(1, static_cast<double>(others));
+    fall(carried_, now);
+}
+
 void adaptive_limit::rise(std::size_t slots, time_point now)
 {
     const std::chrono::duration<double> passed = now - std::exchange(last_good_, now);
--- a/core/admission/adaptive_limit.hpp
+++ b/core/admission/adaptive_limit.hpp
@@ -7,7 +7,6 @@
 // recent answers. What a server reports of its own health plays no part: the slots are a
 // ceiling.
 
-#include "core/admission/service_report.hpp"
 #include "core/base/time.hpp"
 
 #include <cstddef>
@@ -23,7 +22,7 @@
                                             // since the last one
     double probe_per_second = 2;            // all that is added at a level that was shed
     double bad_weight = 0.1;                // of one answer in the share of bad ones
-    double max_bad_share = 0.3;             // of failures and timeouts, before a fall
+    double max_bad_share = 0.3;             // of the answers, before a fall
     double fall_factor = 0.5;               // kept after a fall
     duration cool_down = milliseconds(100); // between two falls
 };
@@ -36,9 +35,11 @@
     // Requests that may be in flight: at least 1 where slots > 0.
     std::size_t allowed(std::size_t slots) const;
 
-    // An answer came while `others` more requests were in flight.
-    void
-    observe(answer_kind answer, std::size_t others, std::size_t slots, time_point now);
+    // A good or bad answer came.
+    void observe(bool is_bad, std::size_t slots, time_point now);
+
+    // The server shed a request while `others` more were in flight.
+    void observe_shed(std::size_t others, time_point now);
 
 private:
     void rise(std::size_t slots, time_point now);
--- a/core/admission/server_queue.cpp
+++ b/core/admission/server_queue.cpp
@@ -85,15 +85,7 @@
     {
         return;
     }
-    const running_request& ended = it->second;
-    if (report.answer == answer_kind::good || blames_server(ended, report))
-    {
-        limit_.observe(report.answer, running_.size() - 1, slots_, now);
-    }
-    if (report.answer == answer_kind::good || report.answer == answer_kind::timed_out)
-    {
-        service_times_.observe(ended.caller, ended.route, report.service_time);
-    }
+    learn(it->second, report, now);
     running_.erase(it);
     tick(now, out);
 }
@@ -197,15 +189,26 @@
     return slot_idles && may_start && may_end_late && now >= next_probe_;
 }
 
-bool server_queue::blames_server(const running_request& of,
-                                 const service_report& report) const
+void server_queue::learn(const running_request& ended,
+                         const service_report& report,
+                         time_point now)
 {
-    if (report.answer != answer_kind::timed_out)
+    if (report.answer == answer_kind::shed)
     {
-        return report.answer != answer_kind::good;
+        limit_.observe_shed(running_.size() - 1, now);
+        return;
+    }
+    const duration bound = service_times_.estimate(ended.caller, ended.route).bound;
+    const bool is_slow = report.service_time > scaled(bound, options_.slow_bounds);
+    const bool is_failed = report.answer == answer_kind::failed;
+    if (report.answer == answer_kind::good || is_failed || is_slow)
+    {
+        limit_.observe(is_failed || is_slow, slots_, now);
+    }
+    if (!is_failed)
+    {
+        service_times_.observe(ended.caller, ended.route, report.service_time);
     }
-    const duration bound = service_times_.estimate(of.caller, of.route).bound;
-    return report.service_time > scaled(bound, options_.timeout_bounds);
 }
 
 void server_queue::enqueue(const queued_request& request,
--- a/core/admission/server_queue.hpp
+++ b/core/admission/server_queue.hpp
@@ -49,9 +49,9 @@
     double unrepeatable_room = 2.0;
     // The share of its time to spare for which a long request lets short ones go first.
     double long_deferral = 0.75;
-    // A timeout speaks against the server only after so many service bounds; an earlier
-    // one only says that the request was started late.
-    double timeout_bounds = 2.0;
+    // An answer or timeout speaks against the server after so many service bounds; an
+    // earlier timeout only says that the request was started late.
+    double slow_bounds = 1.5;
     // A request that is expected to end too late starts nevertheless, at most once in
     // this time and only on a slot that idles, so that an outdated estimate can be
     // corrected.
@@ -131,7 +131,8 @@
     duration room_needed(const queued_request& request,
                          const service_time_estimate& estimate) const;
     bool may_probe(const queued_request& request, bool is_long, time_point now) const;
-    bool blames_server(const running_request& of, const service_report& report) const;
+    void
+    learn(const running_request& ended, const service_report& report, time_point now);
     void enqueue(const queued_request& request,
                  const service_time_estimate& estimate,
                  time_point latest_start,
