--- /dev/null
+++ b/app/events.cpp
@@ -0,0 +1,138 @@
+#include "app/events.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr std::array rows{
+    event_row{event_id::program_started,
+              "program_started",
+              severity::info,
+              "The program has read its settings."},
+    event_row{event_id::program_ready,
+              "program_ready",
+              severity::info,
+              "The program listens and takes work."},
+    event_row{event_id::program_stopping,
+              "program_stopping",
+              severity::info,
+              "A signal asked the program to stop; it finishes what is in flight."},
+    event_row{event_id::program_stopped,
+              "program_stopped",
+              severity::info,
+              "The program has nothing left in flight and exits."},
+    event_row{event_id::listen_failed,
+              "listen_failed",
+              severity::error,
+              "An address could not be bound."},
+    event_row{event_id::config_in_force,
+              "config_in_force",
+              severity::info,
+              "A new version of the configuration is in force here."},
+    event_row{
+        event_id::config_unreadable,
+        "config_unreadable",
+        severity::error,
+        "The configuration in the store could not be read; the last one stays in force."},
+    event_row{event_id::record_adopted,
+              "record_adopted",
+              severity::info,
+              "The router acts on a new version of a shard record."},
+    event_row{event_id::record_unreadable,
+              "record_unreadable",
+              severity::error,
+              "A shard record in the store could not be read."},
+    event_row{event_id::lane_failed,
+              "lane_failed",
+              severity::error,
+              "The queue of a server could not be made."},
+    event_row{event_id::authority_gained,
+              "authority_gained",
+              severity::info,
+              "A majority of voters vouches for the router's shard again."},
+    event_row{event_id::authority_lost,
+              "authority_lost",
+              severity::warning,
+              "No majority of voters vouched in time; nothing is granted or sent for the "
+              "shard."},
+    event_row{event_id::request_refused,
+              "request_refused",
+              severity::debug,
+              "A request was refused."},
+    event_row{event_id::elected,
+              "elected",
+              severity::info,
+              "The assigner holds the lease of a shard."},
+    event_row{event_id::lease_lost,
+              "lease_lost",
+              severity::warning,
+              "The assigner lost the lease of a shard, or gave it up."},
+    event_row{event_id::record_written,
+              "record_written",
+              severity::info,
+              "The assigner wrote a new version of a shard record."},
+    event_row{event_id::assignment_changed,
+              "assignment_changed",
+              severity::info,
+              "One change of an assignment and its reason."},
+    event_row{event_id::write_ended_unknown,
+              "write_ended_unknown",
+              severity::warning,
+              "A write to the store ended without an answer and is read back."},
+    event_row{event_id::patch_ended,
+              "patch_ended",
+              severity::info,
+              "An operator's patch was decided."},
+    event_row{event_id::grant_accepted,
+              "grant_accepted",
+              severity::debug,
+              "A server took a grant or renewal of a partition."},
+    event_row{event_id::grant_refused,
+              "grant_refused",
+              severity::warning,
+              "A server refused a grant or renewal: stale epoch or already lapsed."},
+    event_row{event_id::grant_revoked,
+              "grant_revoked",
+              severity::info,
+              "A server gave a partition up on request."},
+    event_row{event_id::relay_mode_changed,
+              "relay_mode_changed",
+              severity::info,
+              "The relay was told to inject or to end a fault."},
+    event_row{event_id::load_finished,
+              "load_finished",
+              severity::info,
+              "The load tool has sent all its requests."},
+};
+
+} // namespace
+
+std::span<const event_row> all_events()
+{
+    return rows;
+}
+
+const event_row& row_of(event_id id)
+{
+    return *std::lower_bound(rows.begin(),
+                             rows.end(),
+                             id,
+                             [](const event_row& row, event_id value)
+                             { return row.id < value; });
+}
+
+std::string catalogue_line(const event_row& row)
+{
+    std::string line = "| " + std::to_string(static_cast<unsigned>(row.id));
+    for (std::string_view cell : {row.name, name_of(row.level), row.meaning})
+    {
+        line.append(" | ").append(cell);
+    }
+    return line + " |";
+}
+
+} // namespace camphorrock
--- /dev/null
+++ b/net/mhd_exchange.cpp
@@ -0,0 +1,177 @@
+#include "net/mhd_exchange.hpp"
+
+#include <microhttpd.h>
+
+#include <utility>
+
+namespace camphorrock
+{
+namespace
+{
+
+// Of a stream whose caller does not read.
+constexpr std::size_t max_unsent_bytes = std::size_t{16} * 1024 * 1024;
+
+class mhd_responder : public http_responder
+{
+public:
+    explicit mhd_responder(std::shared_ptr<mhd_exchange> exchange)
+        : exchange_(std::move(exchange))
+    {
+    }
+
+    ~mhd_responder() override
+    {
+        abort();
+    }
+
+    void respond(http_response answer) override
+    {
+        exchange_->decide(mhd_exchange::decision::answer, std::move(answer));
+    }
+
+    void start_stream(http_response head) override
+    {
+        exchange_->decide(mhd_exchange::decision::stream, std::move(head));
+    }
+
+    void add_piece(std::string_view piece) override
+    {
+        exchange_->add_piece(piece);
+    }
+
+    void end_stream() override
+    {
+        exchange_->end_stream();
+    }
+
+    void abort() override
+    {
+        exchange_->decide(mhd_exchange::decision::abort, {});
+        exchange_->cut_stream();
+    }
+
+    void on_gone(std::function<void()> what) override
+    {
+        if (exchange_->raw != nullptr &&
+            exchange_->decided == mhd_exchange::decision::none)
+        {
+            exchange_->on_gone = std::move(what);
+        }
+    }
+
+private:
+    std::shared_ptr<mhd_exchange> exchange_;
+};
+
+} // namespace
+
+void mhd_exchange::decide(decision what, http_response with)
+{
+    if (decided != decision::none)
+    {
+        return;
+    }
+    decided = what;
+    answer = std::move(with);
+    if (decided != decision::stream)
+    {
+        // Destroyed only at the end: its captures may hold the responder itself.
+        const std::function<void()> dropped = std::exchange(on_gone, nullptr);
+        resume();
+        return;
+    }
+    resume();
+}
+
+void mhd_exchange::add_piece(std::string_view piece)
+{
+    if (decided == decision::stream && is_open() && raw != nullptr)
+    {
+        pieces.append(piece);
+        if (pieces.size() > max_unsent_bytes)
+        {
+            cut_stream();
+            return;
+        }
+        resume();
+    }
+}
+
+void mhd_exchange::end_stream()
+{
+    if (decided == decision::stream && is_open())
+    {
+        is_stream_ended = true;
+        const std::function<void()> dropped = std::exchange(on_gone, nullptr);
+        resume();
+    }
+}
+
+void mhd_exchange::cut_stream()
+{
+    if (decided == decision::stream && is_open())
+    {
+        decided = decision::abort;
+        const std::function<void()> dropped = std::exchange(on_gone, nullptr);
+        resume();
+    }
+}
+
+std::ptrdiff_t mhd_exchange::read_stream(char* buf, std::size_t max)
+{
+    if (decided != decision::stream)
+    {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    if (!pieces.empty())
+    {
+        const std::size_t n = pieces.copy(buf, max);
+        pieces.erase(0, n);
+        return static_cast<std::ptrdiff_t>(n);
+    }
+    if (is_stream_ended)
+    {
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    }
+    suspend();
+    return 0;
+}
+
+void mhd_exchange::suspend()
+{
+    is_suspended = true;
+    MHD_suspend_connection(raw);
+}
+
+void mhd_exchange::resume()
+{
+    if (raw != nullptr && is_suspended)
+    {
+        is_suspended = false;
+        MHD_resume_connection(raw);
+        server->run_soon();
+    }
+}
+
+void mhd_exchange::end()
+{
+    raw = nullptr;
+    is_suspended = false;
+}
+
+void mhd_exchange::report_gone()
+{
+    const std::function<void()> what = std::exchange(on_gone, nullptr);
+    if (what && is_open())
+    {
+        what();
+    }
+}
+
+std::shared_ptr<http_responder> make_responder(std::shared_ptr<mhd_exchange> exchange)
+{
+    return std::make_shared<mhd_responder>(std::move(exchange));
+}
+
+} // namespace camphorrock
