--- a/app/program.hpp
+++ b/app/program.hpp
@@ -24,7 +24,7 @@
 
 // Reads a settings file as a whole; fails with all its faults, one a line.
 template<class Settings, class Read>
-result<Settings> load_settings(const std::string& path, Read read)
+result<Settings> read_settings_file(const std::string& path, Read read)
 {
     BOOST_LEAF_AUTO(reader, settings_reader::from_file(path));
     Settings settings = read(reader.root());
@@ -50,7 +50,8 @@
     std::optional<Settings> settings = value_or_handle(
         [&]() -> result<std::optional<Settings>>
         {
-            BOOST_LEAF_AUTO(loaded, load_settings<Settings>(line.config_file(), read));
+            BOOST_LEAF_AUTO(loaded,
+                            read_settings_file<Settings>(line.config_file(), read));
             return std::optional<Settings>(std::move(loaded));
         },
         [](const error& ec) -> std::optional<Settings>
--- a/fakes/server/test_server.cpp
+++ b/fakes/server/test_server.cpp
@@ -250,7 +250,9 @@
     body.tag = item.tag;
     body.attempt = item.attempt;
     body.padding_bytes = options_.answer_bytes;
-    return json_answer(status, write_server_answer(body));
+    http_response answer = json_answer(status, write_server_answer(body));
+    answer.headers.add("Camphorrock-Outcome", "ran");
+    return answer;
 }
 
 } // namespace camphorrock
