camphorrock-relay: cut, stall, delay or silence TCP connections on demand

Cause: hard cases need connections that go silent while new ones work, answers lost after the request took effect (direction to_caller), and partitions that refuse at once.

--- /dev/null
+++ b/fakes/relay/relay_main.cpp
@@ -0,0 +1,116 @@
+// camphorrock-relay: a TCP relay that cuts, stalls, delays or silences connections on
+// demand. Control: POST /fault?mode=... (see relay_fault.hpp) and GET /status.
+
+#include "app/admin_server.hpp"
+#include "app/command_line.hpp"
+#include "app/endpoint_text.hpp"
+#include "app/program.hpp"
+#include "codec/json_text.hpp"
+#include "fakes/relay/relay.hpp"
+
+#include <json/value.h>
+
+#include <csignal>
+
+using namespace camphorrock;
+
+namespace
+{
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_failed = 500;
+
+struct relay_arguments
+{
+    std::string listen = "127.0.0.1:0";
+    std::string target;
+    std::string admin = "127.0.0.1:0";
+};
+
+http_response set_fault(relay& to, const http_request& request)
+{
+    std::optional<relay_fault> fault = parse_relay_fault(request.target);
+    if (!fault)
+    {
+        return text_answer(status_bad_request,
+                           "mode is pass, cut, stall, delay or silence; direction is "
+                           "both, to_target or to_caller; delay_ms is a number\n");
+    }
+    return value_or_handle(
+        [&]() -> result<http_response>
+        {
+            BOOST_LEAF_CHECK(to.set(*fault));
+            return text_answer(status_ok, "ok\n");
+        },
+        [](const error& ec) { return text_answer(status_failed, ec.text + "\n"); });
+}
+
+http_response show_status(const relay& of)
+{
+    Json::Value status;
+    status["mode"] = std::string(name_of(of.fault().mode));
+    status["direction"] = std::string(name_of(of.fault().direction));
+    status["connections"] = Json::UInt64(of.connections());
+    return json_answer(status_ok, write_json(status));
+}
+
+result<int> serve(const relay_arguments& args, event_log& log)
+{
+    BOOST_LEAF_AUTO(loop, event_loop::create());
+    BOOST_LEAF_AUTO(
+        made, relay::create(*loop, endpoint(args.listen), endpoint(args.target), log));
+    metrics_registry metrics;
+    gauge& connections =
+        metrics.get_gauge({"camphorrock_relay_connections", "relayed connections"});
+    metrics.before_export([&]
+                          { connections.set(static_cast<double>(made->connections())); });
+    BOOST_LEAF_AUTO(
+        admin,
+        admin_server::create(*loop, endpoint(args.admin), metrics, [] { return true; }));
+    admin->add("POST",
+               "/fault",
+               [&](const http_request& request) { return set_fault(*made, request); });
+    admin->add("GET", "/status", [&](const http_request&) { return show_status(*made); });
+    watch_handle on_term = loop->on_signal(SIGTERM, [&] { loop->stop(); });
+    watch_handle on_int = loop->on_signal(SIGINT, [&] { loop->stop(); });
+    log.write(
+        event_id::program_ready,
+        {{"address", made->bound()}, {"target", args.target}, {"admin", admin->bound()}});
+    print_listening(made->bound());
+    loop->run();
+    log.write(event_id::program_stopped, {});
+    return exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    command_line line("camphorrock-relay", "A TCP relay that brings faults about.");
+    relay_arguments args;
+    line.add_option("--listen", args.listen, "address to listen on");
+    line.add_option("--target", args.target, "address to forward to");
+    line.require("--target");
+    line.add_option("--admin", args.admin, "address for POST /fault and GET /status");
+    if (std::optional<int> status = line.parse(argc, argv))
+    {
+        return *status;
+    }
+    for (const std::string& it : {args.listen, args.target, args.admin})
+    {
+        if (!is_endpoint_text(it))
+        {
+            std::fprintf(stderr, "\"%s\" is not an address as IP:port\n", it.c_str());
+            return exit_bad_usage;
+        }
+    }
+    std::unique_ptr<event_log> log =
+        event_log::to_stderr(line.program(), line.log_level());
+    return value_or_handle([&] { return serve(args, *log); },
+                           [&](const error& ec)
+                           {
+                               log->write(event_id::listen_failed, {{"text", ec.text}});
+                               return exit_failure;
+                           });
+}
--- a/load/load_runner.cpp
+++ b/load/load_runner.cpp
@@ -208,11 +208,12 @@
     options.timeout = request->timeout + settings_.patience;
     http_request message = to_http(*request, record.attempt);
     endpoint router = record.router;
-    http_.send(router,
-               std::move(message),
-               options,
-               [this, request, record = std::move(record)](exchange_result got) mutable
-               { ended(request, std::move(record), got); });
+    http_.send(
+        router,
+        std::move(message),
+        options,
+        [this, request, record = std::move(record)](const exchange_result& got) mutable
+        { ended(request, std::move(record), got); });
 }
 
 void load_runner::ended(const request_ptr& request,
