--- a/core/admission/server_queue.cpp
+++ b/core/admission/server_queue.cpp
@@ -35,7 +35,8 @@
 
 server_queue::server_queue(server_queue_options options, std::mt19937_64& random)
     : options_(options), random_(random), slots_(options.slots),
-      service_times_(options.service_times), limit_(options.limit)
+      service_times_(options.service_times), limit_(options.limit),
+      short_line_(options.fairness), long_line_(options.fairness)
 {
 }
 
@@ -56,17 +57,21 @@
     }
     const service_time_estimate estimate =
         service_times_.estimate(request.caller, request.route);
-    const time_point latest_start = request.deadline - room_needed(request, estimate);
+    time_point latest_start = request.deadline - room_needed(request, estimate);
+    if (latest_start < now && may_probe(request, estimate.is_long, now))
+    {
+        latest_start = now;
+        next_probe_ = now + options_.probe_interval;
+    }
     const duration to_spare = scaled(latest_start - now, options_.admission_share);
-    const fair_position at =
-        line(estimate.is_long).next_position(request.caller, estimate.mean);
+    const fair_position at = line(estimate.is_long).next_position(request.caller, now);
     if (latest_start < now ||
         expected_wait(estimate.is_long, at, to_spare, now) > to_spare)
     {
         refuse(request.id, refusal_reason::deadline, out);
         return;
     }
-    enqueue(request, estimate, latest_start);
+    enqueue(request, estimate, latest_start, now);
     start_allowed(now, out);
 }
 
@@ -80,11 +85,7 @@
     {
         return;
     }
-    if (report.answer == answer_kind::good || report.answer == answer_kind::timed_out)
-    {
-        service_times_.observe(it->second.caller, it->second.route, report.service_time);
-    }
-    limit_.observe(report.answer, slots_, now);
+    learn(it->second, report, now);
     running_.erase(it);
     tick(now, out);
 }
@@ -149,26 +150,25 @@
     return is_long ? long_line_ : short_line_;
 }
 
-// The work ahead, shared by the slots that this kind of request may count on.
+// The slots that requests of this kind may count on.
+std::size_t server_queue::usable_slots(bool is_long, time_point now) const
+{
+    if (is_long)
+    {
+        return long_slots();
+    }
+    const std::size_t allowed = limit();
+    const bool long_work = long_in_flight(now) > 0 || !long_line_.empty();
+    return long_work && allowed > long_slots() ? allowed - long_slots() : allowed;
+}
+
 duration server_queue::expected_wait(bool is_long,
                                      const fair_position& at,
                                      duration enough,
                                      time_point now) const
 {
-    const std::size_t allowed = limit();
-    const std::size_t of_long = long_slots();
-    const bool long_work = long_in_flight(now) > 0 || !long_line_.empty();
-    std::size_t usable = allowed;
-    if (is_long)
-    {
-        usable = of_long;
-    }
-    else if (long_work && allowed > of_long)
-    {
-        usable = allowed - of_long;
-    }
     const fair_queue& ahead = is_long ? long_line_ : short_line_;
-    const auto n = static_cast<duration::rep>(usable);
+    const auto n = static_cast<duration::rep>(usable_slots(is_long, now));
     return ahead.work_before(at, enough * n) / n;
 }
 
@@ -179,14 +179,53 @@
                               : scaled(estimate.bound, options_.unrepeatable_room);
 }
 
+bool server_queue::may_probe(const queued_request& request,
+                             bool is_long,
+                             time_point now) const
+{
+    const bool slot_idles = running_.size() < limit() && waiting_.empty();
+    const bool may_start = !is_long || long_in_flight(now) < long_slots();
+    const bool may_end_late = request.repeatable && now < request.deadline;
+    return slot_idles && may_start && may_end_late && now >= next_probe_;
+}
+
+void server_queue::learn(const running_request& ended,
+                         const service_report& report,
+                         time_point now)
+{
+    if (report.answer == answer_kind::shed)
+    {
+        limit_.observe_shed(running_.size() - 1, now);
+        return;
+    }
+    const duration bound = service_times_.estimate(ended.caller, ended.route).bound;
+    const double bounds = static_cast<double>(report.service_time.count()) /
+                          static_cast<double>(std::max(bound, duration(1)).count());
+    const bool is_slow = bounds > options_.slow_bounds;
+    const bool is_failed = report.answer == answer_kind::failed;
+    if (report.answer == answer_kind::good || is_failed || is_slow)
+    {
+        limit_.observe(is_failed || is_slow, slots_, now);
+    }
+    if (!is_failed)
+    {
+        service_times_.observe(ended.caller, ended.route, report.service_time);
+    }
+}
+
 void server_queue::enqueue(const queued_request& request,
                            const service_time_estimate& estimate,
-                           time_point latest_start)
+                           time_point latest_start,
+                           time_point now)
 {
-    const fair_position at =
-        line(estimate.is_long).push(request.id, request.caller, estimate.mean);
+    const fair_position at = line(estimate.is_long)
+                                 .push(request.id,
+                                       request.caller,
+                                       estimate.mean,
+                                       usable_slots(estimate.is_long, now),
+                                       now);
     waiting_.emplace(request.id,
-                     waiting_request{request, at, latest_start, estimate.is_long});
+                     waiting_request{request, at, now, latest_start, estimate.is_long});
     by_latest_start_.emplace(latest_start, request.id);
 }
 
@@ -223,8 +262,8 @@
     }
 }
 
-// A long request goes first while its kind is below its share, since short ones have
-// slots that it never takes. With a single slot the lower tag decides.
+// While short work waits, a long request lets it go first until it is due; then it takes
+// its slot, since short ones have slots that it never takes.
 fair_queue* server_queue::choose(time_point now)
 {
     const bool long_may_start = !long_line_.empty() && long_in_flight(now) < long_slots();
@@ -236,12 +275,17 @@
     {
         return &short_line_;
     }
-    if (limit() > long_slots())
-    {
-        return &long_line_;
-    }
-    const bool long_is_earlier = long_line_.front() < short_line_.front();
-    return long_is_earlier ? &long_line_ : &short_line_;
+    return long_is_due(now) ? &long_line_ : &short_line_;
+}
+
+// Whether the first long request has waited for its part, counting the time that those
+// behind it need.
+bool server_queue::long_is_due(time_point now) const
+{
+    const waiting_request& first = waiting_.find(long_line_.front().id)->second;
+    const duration to_spare = first.latest_start - first.arrival;
+    const duration backlog = long_line_.work() / static_cast<duration::rep>(long_slots());
+    return now + backlog >= first.arrival + scaled(to_spare, options_.long_deferral);
 }
 
 void server_queue::start_front(fair_queue& from, time_point now, queue_actions& out)
@@ -254,8 +298,8 @@
         running_request{
             chosen.request.caller, chosen.request.route, now, chosen.is_long});
     by_latest_start_.erase({chosen.latest_start, at.id});
+    from.start(at, chosen.request.caller);
     waiting_.erase(it);
-    from.start(at);
     out.emplace_back(start_request{at.id});
 }
 
--- a/router/forwarder.cpp
+++ b/router/forwarder.cpp
@@ -1,5 +1,7 @@
 #include "router/forwarder.hpp"
 
+#include "core/ownership/record_keys.hpp"
+
 #include <algorithm>
 
 namespace camphorrock
@@ -10,11 +12,6 @@
 // What the scheduling router may add to the caller's time before the hop is given up.
 constexpr duration hop_allowance = milliseconds(20);
 
-shard_id shard_of(const service_name& service)
-{
-    return shard_id(service.str());
-}
-
 } // namespace
 
 void forwarder::forward(const live_request_ptr& request, const route& to)
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -4,6 +4,7 @@
 #include "codec/shard_record_json.hpp"
 #include "core/ownership/record_keys.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace camphorrock
@@ -313,7 +314,7 @@
                             {
                                 BOOST_LEAF_AUTO(answer,
                                                 read_message<vouch_answer>(got.value));
-                                config_.version_seen(answer.config, action.to.peer);
+                                note_config(action, sent, answer.config);
                                 scheduler_actions actions;
                                 authority_.vouch_answered(action.to.id,
                                                           action.round,
@@ -328,14 +329,39 @@
                     });
 }
 
+void shard_agent::note_config(const send_vouch& asked,
+                              time_point sent,
+                              config_version seen)
+{
+    config_.version_seen(seen, asked.to.peer);
+    if (asked.round != round_)
+    {
+        round_ = asked.round;
+        round_sent_ = sent;
+        round_versions_.clear();
+    }
+    round_versions_[asked.to.id] = seen;
+    const std::optional<shard_record>& record = authority_.record();
+    bool has_majority = record && 2 * round_versions_.size() > record->voters.size();
+    if (!has_majority)
+    {
+        return;
+    }
+    config_version highest;
+    for (const auto& [id, version] : round_versions_)
+    {
+        highest = std::max(highest, version);
+    }
+    config_.majority_seen(round_sent_, highest);
+}
+
 void shard_agent::carry_out(const send_clock& action)
 {
-    time_point sent = parts_.loop.now();
     parts_.rpc.call(action.address,
                     "ownership.clock",
                     Json::Value(Json::objectValue),
                     server_call_timeout,
-                    [this, action, sent](const rpc_result& got)
+                    [this, action](const rpc_result& got)
                     {
                         scheduler_actions actions;
                         time_point now = parts_.loop.now();
@@ -442,62 +468,86 @@
 
 void shard_agent::carry_out(const send_report& action)
 {
-    if (assigner_peer_.empty())
+    Json::Value params = write_message(make_report(action.report));
+    if (!assigner_peer_.empty())
     {
+        report_to(assigner_peer_, params);
         return;
     }
+    for (const endpoint& it : parts_.assigners.peers())
+    {
+        report_to(it, params);
+    }
+}
+
+report_params shard_agent::make_report(const shard_report& report)
+{
     report_params params;
     params.router = parts_.settings.id;
     params.peer = parts_.settings.peer;
     params.zone = parts_.settings.zone;
-    params.leaving = action.report.is_leaving;
+    params.leaving = report.is_leaving;
     params.config = config_.current().version;
     params.period = parts_.ownership.report_period;
-    shard_status status;
+    shard_status& status = params.shards.emplace_back();
     status.shard = shard_;
-    status.version = action.report.version;
-    for (const server_observation& it : action.report.servers)
+    status.version = report.version;
+    for (const server_observation& it : report.servers)
     {
-        server_status observed;
-        observed.id = it.id;
-        observed.reachable = !it.is_lost;
-        if (server_lane* lane = lane_of(it.id))
-        {
-            lane_figures figures = lane->take_figures();
-            observed.in_flight = lane->in_flight();
-            observed.queued = lane->waiting();
-            observed.answered = figures.answered;
-            observed.shed = figures.shed;
-            observed.slot_time = figures.slot_time;
-        }
-        status.servers.push_back(observed);
+        status.servers.push_back(make_server_status(it));
     }
-    for (const granted_partition& it : action.report.released)
+    for (const granted_partition& it : report.released)
     {
         status.released_partitions.push_back({it.range, it.since});
     }
-    params.shards.push_back(std::move(status));
-    endpoint peer = assigner_peer_;
+    return params;
+}
+
+server_status shard_agent::make_server_status(const server_observation& observed)
+{
+    server_status made;
+    made.id = observed.id;
+    made.condition = observed.condition;
+    if (server_lane* lane = lane_of(observed.id))
+    {
+        lane_figures figures = lane->take_figures();
+        made.in_flight = lane->in_flight();
+        made.queued = lane->waiting();
+        made.answered = figures.answered;
+        made.shed = figures.shed;
+        made.slot_time = figures.slot_time;
+    }
+    return made;
+}
+
+void shard_agent::report_to(const endpoint& peer, const Json::Value& params)
+{
     parts_.rpc.call(peer,
                     "shard.report",
-                    write_message(params),
+                    params,
                     report_timeout,
-                    [this, peer](const rpc_result& got)
-                    {
-                        if (got.end != rpc_end::answered)
-                        {
-                            return;
-                        }
-                        value_or_handle(
-                            [&]() -> result<void>
-                            {
-                                BOOST_LEAF_AUTO(answer,
-                                                read_message<report_answer>(got.value));
-                                config_.version_seen(answer.config, peer);
-                                return {};
-                            },
-                            [](const error&) {});
-                    });
+                    [this, peer](const rpc_result& got) { report_ended(peer, got); });
+}
+
+void shard_agent::report_ended(const endpoint& peer, const rpc_result& got)
+{
+    if (got.end != rpc_end::answered)
+    {
+        // Another assigner may hold the shard by now.
+        if (assigner_peer_ == peer)
+        {
+            assigner_peer_ = {};
+        }
+        return;
+    }
+    value_or_handle(
+        [&]() -> result<void>
+        {
+            BOOST_LEAF_AUTO(answer, read_message<report_answer>(got.value));
+            config_.version_seen(answer.config, peer);
+            return {};
+        },
+        [](const error&) {});
 }
 
 void shard_agent::carry_out(const fetch_record&)
