--- a/store/etcd_watch.cpp
+++ b/store/etcd_watch.cpp
@@ -13,6 +13,8 @@
 // A message holds values of up to a megabyte, in base64.
 constexpr std::size_t max_line_bytes = std::size_t{32} * 1024 * 1024;
 
+constexpr int max_retry_factor = 16;
+
 } // namespace
 
 etcd_watch::etcd_watch(std::shared_ptr<etcd_caller> caller,
@@ -21,7 +23,10 @@
                        store_client::watch_callback changed,
                        std::uint64_t seed)
     : caller_(std::move(caller)), prefix_(std::move(prefix)), last_(after),
-      changed_(std::move(changed)), backoff_(caller_->options().watch_retry, seed)
+      changed_(std::move(changed)),
+      backoff_(caller_->options().watch_retry,
+               max_retry_factor * caller_->options().watch_retry,
+               seed)
 {
 }
 
@@ -136,7 +141,7 @@
     }
     is_started_ = true;
     timer_.reset();
-    backoff_.reset();
+    backoff_.on_success();
     if (!message.changes.empty())
     {
         last_ = std::max(last_, message.last);
@@ -168,7 +173,9 @@
 
 void etcd_watch::try_later()
 {
-    timer_ = caller_->loop().after(backoff_.next(),
+    const time_point now = caller_->loop().now();
+    backoff_.on_failure(now);
+    timer_ = caller_->loop().after(*backoff_.next() - now,
                                    [this]
                                    {
                                        if (is_gap_)
--- a/store/etcd_watch.hpp
+++ b/store/etcd_watch.hpp
@@ -5,9 +5,9 @@
 // last revision that was delivered, so that no change is missed or delivered twice.
 
 #include "core/base/time.hpp"
+#include "core/once/backoff.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
-#include "store/backoff.hpp"
 #include "store/etcd_caller.hpp"
 #include "store/etcd_json.hpp"
 #include "store/store_client.hpp"
--- a/store/store_client.hpp
+++ b/store/store_client.hpp
@@ -130,8 +130,8 @@
     // A watch is opened anew after this time, since a connection that has gone silent
     // looks like a prefix without changes.
     duration watch_lifetime = milliseconds(4000);
-    // The mean pause before a broken watch reconnects. It doubles with each failure, up
-    // to 16 times, and is drawn between half and one and a half of the mean.
+    // The longest pause before a broken watch reconnects. It doubles with each failure,
+    // up to 16 times, and is drawn between half and all of it.
     duration watch_retry = milliseconds(500);
     std::uint64_t seed = 1; // of these draws; differs between processes
 };
