--- /dev/null
+++ b/store/testing/etcd_caller_test.cpp
@@ -0,0 +1,119 @@
+#include "net/testing/loop_fixture.hpp"
+#include "net/testing/raw_listener.hpp"
+#include "store/store_client.hpp"
+#include "testing/test_headers.hpp"
+
+using namespace camphorrock;
+using camphorrock::testing::loop_fixture;
+using camphorrock::testing::raw_listener;
+using camphorrock::testing::raw_peer;
+
+namespace
+{
+
+const endpoint dead("127.0.0.1:1");
+
+// Answers every transaction with success and every read with nothing.
+void answer_store(const http_request&, std::shared_ptr<http_responder> responder)
+{
+    responder->respond({200, {}, R"({"header":{"revision":"7"},"succeeded":true})"});
+}
+
+struct store_fixture : loop_fixture
+{
+    explicit store_fixture(
+        camphorrock::testing::scripted_handler::script script = answer_store)
+        : loop_fixture(std::move(script))
+    {
+    }
+
+    std::unique_ptr<store_client> connect(std::vector<endpoint> endpoints)
+    {
+        store_client_options options;
+        options.endpoints = std::move(endpoints);
+        options.call_timeout = milliseconds(300);
+        options.proven_alive = proven_alive;
+        return create_store_client(*loop, *client, options).value();
+    }
+
+    store_end write(store_client& store)
+    {
+        std::optional<store_end> got;
+        store.compare_and_swap("k", {}, "v", {}, [&](store_write it) { got = it.end; });
+        run_until([&] { return got.has_value(); });
+        return *got;
+    }
+
+    store_end read(store_client& store)
+    {
+        std::optional<store_end> got;
+        store.get("k", [&](store_read it) { got = it.end; });
+        run_until([&] { return got.has_value(); });
+        return *got;
+    }
+
+    duration proven_alive = seconds(100);
+};
+
+} // namespace
+
+TEST_CASE("a call goes to the endpoint that answers")
+{
+    store_fixture net;
+    raw_listener silent; // takes connections and never answers
+
+    SECTION("where nothing was sent, a write goes on to the next")
+    {
+        CHECK(net.write(*net.connect({dead, net.server->bound()})) == store_end::done);
+        CHECK(net.handler.seen.size() == 1);
+        CHECK(net.write(*net.connect({dead})) == store_end::failed);
+    }
+
+    SECTION("a write that may have arrived does not, and the next call does")
+    {
+        const auto store = net.connect({silent.bound(), net.server->bound()});
+        CHECK(net.write(*store) == store_end::unknown);
+        CHECK(net.handler.seen.empty());
+        CHECK(net.write(*store) == store_end::done);
+        CHECK(net.handler.seen.size() == 1);
+    }
+
+    SECTION("a read is repeated there within its time")
+    {
+        CHECK(net.read(*net.connect({silent.bound(), net.server->bound()})) ==
+              store_end::done);
+    }
+}
+
+TEST_CASE("a status says whether a call can have had an effect")
+{
+    int status = 0;
+    store_fixture net(
+        [&](const http_request&, const std::shared_ptr<http_responder>& responder) {
+            responder->respond({status, {}, "{}"});
+        });
+    const auto store = net.connect({net.server->bound()});
+    for (int refused : {400, 404, 429})
+    {
+        status = refused;
+        CHECK(net.write(*store) == store_end::failed);
+    }
+    for (int broken : {200, 500, 503})
+    {
+        status = broken;
+        CHECK(net.write(*store) == store_end::unknown);
+    }
+    CHECK(net.read(*store) == store_end::failed);
+    CHECK(net.handler.seen.size() == 7);
+}
+
+TEST_CASE("a write takes a new connection unless the last one is proven alive")
+{
+    store_fixture net;
+    net.proven_alive = GENERATE(duration(seconds(100)), duration(-1));
+    const auto store = net.connect({net.server->bound()});
+    net.read(*store);
+    net.write(*store);
+    net.write(*store);
+    CHECK(net.server->connections() == (net.proven_alive > duration::zero() ? 1U : 3U));
+}
