--- a/store/testing/etcd_caller_test.cpp
+++ b/store/testing/etcd_caller_test.cpp
@@ -71,6 +71,17 @@
 
     SECTION("a write that may have arrived does not, and the next call does")
     {
+        const timer_handle cutting = net.loop->every(
+            milliseconds(1),
+            [&, peer = std::shared_ptr<raw_peer>()]() mutable
+            {
+                std::unique_ptr<raw_peer> next = silent.accept();
+                peer = next ? std::shared_ptr<raw_peer>(std::move(next)) : peer;
+                if (peer && !peer->read_some().empty())
+                {
+                    peer->close();
+                }
+            });
         const auto store = net.connect({silent.bound(), net.server->bound()});
         CHECK(net.write(*store) == store_end::unknown);
         CHECK(net.handler.seen.empty());
