--- a/assigner/assigner.cpp
+++ b/assigner/assigner.cpp
@@ -14,7 +14,7 @@
 constexpr duration list_period = seconds(1);
 constexpr duration election_period = milliseconds(500);
 constexpr duration contact_limit = seconds(60); // of a router that reports no more
-constexpr std::size_t max_peer_body_bytes = 16 * 1024 * 1024;
+constexpr std::size_t max_peer_body_bytes = std::size_t(16) << 20; // 16 MB
 
 } // namespace
 
--- a/router/entry.cpp
+++ b/router/entry.cpp
@@ -25,18 +25,18 @@
 
 void entry::handle(http_request request, std::shared_ptr<http_responder> responder)
 {
-    accept(request, open(responder));
+    accept(std::move(request), open(std::move(responder)));
 }
 
 void entry::handle_forwarded(http_request request,
                              std::shared_ptr<http_responder> responder)
 {
-    live_request_ptr opened = open(responder);
+    live_request_ptr opened = open(std::move(responder));
     opened->is_forwarded = true;
-    accept(request, opened);
+    accept(std::move(request), opened);
 }
 
-live_request_ptr entry::open(const std::shared_ptr<http_responder>& responder)
+live_request_ptr entry::open(std::shared_ptr<http_responder> responder)
 {
     ++held_;
     // The request is known to its ender only by this address: a shared pointer would keep
@@ -67,7 +67,7 @@
     return request;
 }
 
-void entry::accept(const http_request& from, const live_request_ptr& request)
+void entry::accept(http_request from, const live_request_ptr& request)
 {
     if (is_draining_ && !request->is_forwarded)
     {
@@ -86,8 +86,8 @@
     }
     request_rules rules;
     rules.default_timeout = parts_.settings.default_timeout;
-    std::optional<problem> fault =
-        read_request(from, config_.current(), rules, parts_.loop.now(), *request);
+    std::optional<problem> fault = read_request(
+        std::move(from), config_.current(), rules, parts_.loop.now(), *request);
     if (fault)
     {
         request->refuse(*fault);
--- a/router/entry.hpp
+++ b/router/entry.hpp
@@ -46,8 +46,8 @@
     }
 
 private:
-    live_request_ptr open(const std::shared_ptr<http_responder>& responder);
-    void accept(const http_request& from, const live_request_ptr& request);
+    live_request_ptr open(std::shared_ptr<http_responder> responder);
+    void accept(http_request from, const live_request_ptr& request);
     void dispatch(const live_request_ptr& request);
     void record(const live_request& request, const request_summary& summary);
 
--- a/router/request_reader.cpp
+++ b/router/request_reader.cpp
@@ -109,7 +109,7 @@
 
 } // namespace
 
-std::optional<problem> read_request(const http_request& from,
+std::optional<problem> read_request(http_request from,
                                     const configuration& config,
                                     const request_rules& rules,
                                     time_point now,
@@ -121,10 +121,7 @@
         return problem{refusal::bad_target, {}, {}};
     }
     request.target = std::move(*target);
-    request.target_text = from.target;
-    request.method = from.method;
-    request.headers = from.headers;
-    request.body = from.body;
+    request.target_text = std::move(from.target);
     const service_config* service = find_service(config, request.target.service);
     if (service == nullptr)
     {
@@ -142,6 +139,9 @@
     {
         return fault;
     }
+    request.method = std::move(from.method);
+    request.headers = std::move(from.headers);
+    request.body = std::move(from.body);
     request.route = classify(request);
     return std::nullopt;
 }
--- a/router/request_reader.hpp
+++ b/router/request_reader.hpp
@@ -24,7 +24,7 @@
 
 // Fills `request` from `from`, whose target is the caller's. Returns what is wrong with
 // it, or none. A caller without a name is "anonymous".
-std::optional<problem> read_request(const http_request& from,
+std::optional<problem> read_request(http_request from,
                                     const configuration& config,
                                     const request_rules& rules,
                                     time_point now,
--- a/router/router.cpp
+++ b/router/router.cpp
@@ -15,7 +15,7 @@
 constexpr duration leave_notice = milliseconds(300); // for balancers to see the state
 
 // The peer port's connections are few but its messages hold whole records.
-constexpr std::size_t max_peer_body_bytes = 64 * 1024 * 1024;
+constexpr std::size_t max_peer_body_bytes = std::size_t(64) << 20; // 64 MB
 
 } // namespace
 
--- a/router/router_settings.cpp
+++ b/router/router_settings.cpp
@@ -7,7 +7,7 @@
 namespace
 {
 
-constexpr integer_range body_bounds{1024, 64 * 1024 * 1024};
+constexpr integer_range body_bounds{1 << 10, 64 << 20};
 constexpr integer_range request_bounds{16, 1000000};
 constexpr duration_range timeout_bounds{milliseconds(10), seconds(3600)};
 
--- a/router/router_settings.hpp
+++ b/router/router_settings.hpp
@@ -23,7 +23,7 @@
     endpoint platform;                      // the platform's instance list
     duration default_timeout = seconds(10); // of a request that names none
     duration drain_limit = seconds(30);     // after SIGTERM
-    std::size_t max_body_bytes = 1024 * 1024;
+    std::size_t max_body_bytes = 1 << 20;
     std::size_t max_requests = 16384; // held at once; further ones are refused
     std::uint64_t seed = 0;           // of jitter; 0: from the system
 };
--- a/router/server_lane.cpp
+++ b/router/server_lane.cpp
@@ -227,13 +227,14 @@
     options.connection = choice;
     it.address = permit.address;
     it.sent_at = parts_.loop.now();
-    it.exchange = parts_.http.send(permit.address,
-                                   make_request(*it.request, permit.since),
-                                   options,
-                                   [this, id](exchange_result got) { ended(id, got); });
+    it.exchange =
+        parts_.http.send(permit.address,
+                         make_request(*it.request, permit.since),
+                         options,
+                         [this, id](exchange_result got) { ended(id, std::move(got)); });
 }
 
-void server_lane::ended(ticket id, const exchange_result& got)
+void server_lane::ended(ticket id, exchange_result got)
 {
     bool is_definite = got.end == exchange_end::answered || is_nothing_sent(got.end);
     authority_.request_ended(server_, id.value, is_definite);
@@ -244,8 +245,10 @@
     figures_.answered += got.end == exchange_end::answered ? 1 : 0;
     figures_.shed += kind_of(got) == answer_kind::shed ? 1 : 0;
     figures_.slot_time += got.time_taken;
-    end(id, judge(got));
-    leave_slot(id, kind_of(got), got.time_taken);
+    answer_kind kind = kind_of(got);
+    duration service_time = got.time_taken;
+    end(id, judge(std::move(got)));
+    leave_slot(id, kind, service_time);
 }
 
 void server_lane::end(ticket id, lane_end how)
--- a/router/server_lane.hpp
+++ b/router/server_lane.hpp
@@ -97,7 +97,7 @@
     void start(ticket id);
     void
     send(ticket id, pending& it, const request_permit& permit, connection_choice choice);
-    void ended(ticket id, const exchange_result& got);
+    void ended(ticket id, exchange_result got);
     void end(ticket id, lane_end how);
     void leave_slot(ticket id, answer_kind answer, duration service_time);
     void arm_timer();
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -398,11 +398,8 @@
         calls.push_back(make_ownership_call(
             "ownership.grant", shard_, it, action.message.ttl, action.message.as_of));
     }
-    call_server(action.to,
-                action.address,
-                action.exchange,
-                action.message.partitions,
-                std::move(calls));
+    call_server(
+        action.to, action.address, action.exchange, action.message.partitions, calls);
 }
 
 void shard_agent::carry_out(const send_revoke& action)
@@ -413,23 +410,20 @@
         calls.push_back(
             make_ownership_call("ownership.revoke", shard_, it, duration::zero(), {}));
     }
-    call_server(action.to,
-                action.address,
-                action.exchange,
-                action.message.partitions,
-                std::move(calls));
+    call_server(
+        action.to, action.address, action.exchange, action.message.partitions, calls);
 }
 
 void shard_agent::call_server(const server_id& server,
                               const endpoint& address,
                               server_exchange_id exchange,
                               const std::vector<granted_partition>& partitions,
-                              std::vector<rpc_call> calls)
+                              const std::vector<rpc_call>& calls)
 {
     time_point sent = parts_.loop.now();
     parts_.rpc.batch(
         address,
-        std::move(calls),
+        calls,
         server_call_timeout,
         [this, server, address, exchange, partitions, sent](
             const std::vector<rpc_result>& results)
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -61,7 +61,7 @@
                      const endpoint& address,
                      server_exchange_id exchange,
                      const std::vector<granted_partition>& partitions,
-                     std::vector<rpc_call> calls);
+                     const std::vector<rpc_call>& calls);
     void server_ended(const server_id& server,
                       const endpoint& address,
                       server_exchange_id exchange,
--- a/store/etcd_caller.cpp
+++ b/store/etcd_caller.cpp
@@ -98,7 +98,7 @@
     return has_answered_ && loop_.now() - last_answer_ <= options_.proven_alive;
 }
 
-void etcd_caller::send(std::shared_ptr<attempt> it)
+void etcd_caller::send(const std::shared_ptr<attempt>& it)
 {
     const duration remaining = it->deadline - loop_.now();
     const bool is_read = it->kind == etcd_call_kind::read;
@@ -112,16 +112,16 @@
     http_.send(current(),
                it->request,
                options,
-               [weak = weak_from_this(), it](exchange_result got)
+               [weak = weak_from_this(), it](const exchange_result& got)
                {
                    if (const std::shared_ptr<etcd_caller> self = weak.lock())
                    {
-                       self->on_end(it, std::move(got));
+                       self->on_end(it, got);
                    }
                });
 }
 
-void etcd_caller::on_end(const std::shared_ptr<attempt>& it, exchange_result got)
+void etcd_caller::on_end(const std::shared_ptr<attempt>& it, const exchange_result& got)
 {
     if (got.end == exchange_end::answered)
     {
--- a/store/etcd_caller.hpp
+++ b/store/etcd_caller.hpp
@@ -74,8 +74,8 @@
 private:
     struct attempt;
 
-    void send(std::shared_ptr<attempt> it);
-    void on_end(const std::shared_ptr<attempt>& it, exchange_result got);
+    void send(const std::shared_ptr<attempt>& it);
+    void on_end(const std::shared_ptr<attempt>& it, const exchange_result& got);
     bool is_proven_alive() const;
 
     event_loop& loop_;
--- a/store/instance_list.hpp
+++ b/store/instance_list.hpp
@@ -51,7 +51,8 @@
     using callback = std::function<void(std::optional<std::vector<instance_entry>>)>;
 
     // `http` must outlive the list.
-    instance_list(http_client& http, endpoint platform) : http_(http), platform_(platform)
+    instance_list(http_client& http, endpoint platform)
+        : http_(http), platform_(std::move(platform))
     {
     }
 
