--- a/assigner/shard_desk.cpp
+++ b/assigner/shard_desk.cpp
@@ -239,27 +239,30 @@
 void shard_desk::carry_out(const send_fence& action)
 {
     fence_params params{shard_, action.version};
-    parts_.rpc.call(
-        action.to.peer,
-        "shard.fence",
-        write_message(params),
-        fence_timeout,
-        [this, action](const rpc_result& got)
-        {
-            if (got.end != rpc_end::answered)
-            {
-                return;
-            }
-            value_or_handle(
-                [&]() -> result<void>
-                {
-                    BOOST_LEAF_AUTO(answer, read_message<fence_answer>(got.value));
-                    controller_.fence_answered(
-                        action.to.id, action.version, answer.ok, parts_.loop.now());
-                    return {};
-                },
-                [](const error&) {});
-        });
+    parts_.rpc.call(action.to.peer,
+                    "shard.fence",
+                    write_message(params),
+                    fence_timeout,
+                    [this, action](const rpc_result& got)
+                    {
+                        if (got.end != rpc_end::answered)
+                        {
+                            return;
+                        }
+                        value_or_handle(
+                            [&]() -> result<void>
+                            {
+                                BOOST_LEAF_AUTO(answer,
+                                                read_message<fence_answer>(got.value));
+                                controller_.fence_answered(action.to.id,
+                                                           action.version,
+                                                           answer.ok,
+                                                           answer.highest,
+                                                           parts_.loop.now());
+                                return {};
+                            },
+                            [](const error&) {});
+                    });
 }
 
 void shard_desk::carry_out(const resign&)
--- a/core/assignment/placement.cpp
+++ b/core/assignment/placement.cpp
@@ -113,6 +113,7 @@
         spare.erase(best);
     }
     std::vector<voter_entry> voters;
+    voters.reserve(chosen.size());
     for (const router_instance& it : chosen)
     {
         voters.push_back({it.id, it.peer});
--- a/core/assignment/shard_planner.cpp
+++ b/core/assignment/shard_planner.cpp
@@ -615,7 +615,7 @@
 
 void shard_planner::set_scheduler(server_entry& server,
                                   const router_instance& router,
-                                  std::string reason)
+                                  const std::string& reason)
 {
     note(change_kind::scheduler_set,
          std::nullopt,
--- a/core/assignment/shard_planner.hpp
+++ b/core/assignment/shard_planner.hpp
@@ -100,7 +100,7 @@
     set_owner(partition_entry& partition, const server_id& owner, std::string reason);
     void set_scheduler(server_entry& server,
                        const router_instance& router,
-                       std::string reason);
+                       const std::string& reason);
     void note(change_kind kind,
               std::optional<hash_range> range,
               const server_id& server,
--- a/core/ownership/testing/ownership_failure_test.cpp
+++ b/core/ownership/testing/ownership_failure_test.cpp
@@ -320,6 +320,8 @@
         world.run(seconds(2));
         REQUIRE(world.owner_of(0) != owner);
         world.is_store_down = true;
+        world.crash(world.assigner(0));
+        world.crash(world.assigner(1));
         world.crash(owner);
         world.restart(owner);
         each_voter(
@@ -338,18 +340,15 @@
     SECTION("the assigners lose most voters, to whom a router with the old record still "
             "talks")
     {
+        world.isolate(owner, true);
         world.strand(scheduler, true);
         each_voter(
             [&](int n)
             {
-                world.cut(world.assigner(0), n, true);
-                world.cut(world.assigner(1), n, true);
-                world.cut(n, world.assigner(0), true);
-                world.cut(n, world.assigner(1), true);
+                world.strand(n, true);
+                world.cut(n, owner, true);
+                world.cut(owner, n, true);
             });
-        world.cut(world.assigner(1), world.store(), true);
-        world.crash(owner == world.server(0) ? world.server(1) : world.server(0));
-        world.drain(owner, true);
         world.run(seconds(60));
         CHECK(world.fault() == "");
         CHECK(world.stored()->previous_voters.empty());
