--- a/app/events.hpp
+++ b/app/events.hpp
@@ -34,6 +34,8 @@
     authority_gained = 204,
     authority_lost = 205,
     request_refused = 206,
+    journal_unreadable = 207,
+    journal_released = 208,
 
     elected = 301,
     lease_lost = 302,
--- a/router/router.cpp
+++ b/router/router.cpp
@@ -56,6 +56,7 @@
                                   *assigners_,
                                   ownership_options()});
     votes_ = std::make_unique<voter>(parts_->ownership, loop_->now());
+    journal_lease_ = std::make_unique<journal_lease>(*loop_, *store_);
     config_ = std::make_unique<config_agent>(*loop_,
                                              *store_,
                                              *rpc_,
@@ -137,9 +138,9 @@
         std::unique_ptr<shard_agent>& agent = shards_[shard];
         if (!agent)
         {
-            agent = std::make_unique<shard_agent>(*parts_, *config_, *votes_, shard);
+            agent = std::make_unique<shard_agent>(*parts_, *config_, *votes_, *journal_lease_, shard);
         }
-        agent->configure(it);
+        agent->configure(it, config.fleet);
     }
 }
 
--- a/router/router.hpp
+++ b/router/router.hpp
@@ -66,6 +66,7 @@
     route_table routes_;
     std::unique_ptr<router_parts> parts_;
     std::unique_ptr<voter> votes_;
+    std::unique_ptr<journal_lease> journal_lease_;
     std::unique_ptr<config_agent> config_;
     std::map<shard_id, std::unique_ptr<shard_agent>> shards_;
     std::unique_ptr<entry> entry_;
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+// Journals share the fleet's write budget as if so many routers kept one of each shard.
+constexpr unsigned expected_routers = 10;
+
 constexpr duration tick_period = milliseconds(20);
 constexpr duration record_read_period = seconds(60);
 constexpr duration record_retry_period = seconds(1);
@@ -74,11 +77,11 @@
 shard_agent::shard_agent(router_parts& parts,
                          config_agent& config,
                          voter& votes,
-                         shard_id shard)
+ journal_lease& lease,
+ shard_id shard)
     : parts_(parts), config_(config), votes_(votes), shard_(std::move(shard)),
       authority_(shard_, parts.settings.id, parts.ownership, parts.loop.now()),
-      once_(parts,
-            shard_,
+      once_(parts, lease, shard_,
             [this](const live_request_ptr& request, server_lane::callback done)
             { run(request, std::move(done)); })
 {
@@ -86,8 +89,14 @@
     read_record();
 }
 
-void shard_agent::configure(const service_config& service)
+void shard_agent::configure(const service_config& service, const fleet_config& fleet)
 {
+    auto services = static_cast<unsigned>(config_.current().services.size());
+    once_.configure(service, fleet, services * expected_routers);
+    if (authority_.record())
+    {
+        once_.record_changed(*authority_.record());
+    }
     bool has_other_slots = service.slots_per_server != service_.slots_per_server;
     service_ = service;
     if (has_other_slots)
@@ -106,7 +115,7 @@
     }
     if (!request->id.empty())
     {
-        once_.submit(request);
+        submit_once(request);
         return;
     }
     run(request,
@@ -121,6 +130,12 @@
         });
 }
 
+void shard_agent::submit_once(const live_request_ptr& request)
+{
+    const partition_entry* partition = find_partition(*authority_.record(), request->target.hash);
+    once_.submit(request, partition->since);
+}
+
 void shard_agent::run(const live_request_ptr& request, server_lane::callback done)
 {
     std::optional<request_permit> permit =
@@ -244,6 +259,7 @@
                          {{"shard", shard_},
                           {"epoch", record->version},
                           {"assigner", record->assigner}});
+        once_.record_changed(*record);
     }
     update_lanes();
 }
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -24,9 +24,13 @@
 class shard_agent
 {
 public:
-    shard_agent(router_parts& parts, config_agent& config, voter& votes, shard_id shard);
+    shard_agent(router_parts& parts,
+ config_agent& config,
+ voter& votes,
+ journal_lease& lease,
+ shard_id shard);
 
-    void configure(const service_config& service);
+    void configure(const service_config& service, const fleet_config& fleet);
 
     // A request for a partition that this router schedules; ends it, now or later.
     void submit(const live_request_ptr& request);
@@ -74,6 +78,7 @@
     void report_ended(const endpoint& peer, const rpc_result& got);
     void update_lanes();
     server_lane* lane_of(const server_id& server);
+    void submit_once(const live_request_ptr& request);
     void run(const live_request_ptr& request, server_lane::callback done);
 
     router_parts& parts_;
