--- a/assigner/operator_port.cpp
+++ b/assigner/operator_port.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr int ok_status = 200;
+constexpr int accepted_status = 202;
 constexpr int bad_request_status = 400;
 constexpr int not_found_status = 404;
 constexpr int conflict_status = 409;
@@ -30,6 +31,19 @@
     return make_answer(status, body);
 }
 
+http_response make_refusal(const error& ec)
+{
+    switch (ec.code)
+    {
+    case error_code::refused:
+        return make_fault(misdirected_status, ec.text);
+    case error_code::not_found:
+        return make_fault(not_found_status, ec.text);
+    default:
+        return make_fault(bad_request_status, ec.text);
+    }
+}
+
 struct submission
 {
     patch_request request;
@@ -123,6 +137,11 @@
         responder->respond(explain(request));
         return;
     }
+    if (call == "POST /operator/move")
+    {
+        responder->respond(move(request));
+        return;
+    }
     responder->respond(make_fault(not_found_status, "no such path"));
 }
 
@@ -161,12 +180,30 @@
                             make_explanation(view_(), target->service, target->key));
             return make_answer(ok_status, body);
         },
-        [](const error& ec)
+        make_refusal);
+}
+
+http_response operator_port::move(const http_request& request) const
+{
+    return value_or_handle(
+        [&]() -> result<http_response>
         {
-            bool is_elsewhere = ec.code == error_code::refused;
-            return make_fault(is_elsewhere ? misdirected_status : not_found_status,
-                              ec.text);
-        });
+            BOOST_LEAF_AUTO(body, parse_json(request.body));
+            bool is_whole = body.isObject() && body.size() == 3 &&
+                            body["service"].isString() && body["key"].isString() &&
+                            body["to"].isString();
+            if (!is_whole)
+            {
+                return fail(error_code::invalid_argument,
+                            "a move needs service, key and to");
+            }
+            BOOST_LEAF_CHECK(move_key(view_(),
+                                      service_name(body["service"].asString()),
+                                      body["key"].asString(),
+                                      server_id(body["to"].asString())));
+            return make_answer(accepted_status, Json::Value(Json::objectValue));
+        },
+        make_refusal);
 }
 
 } // namespace camphorrock
--- a/assigner/operator_view.cpp
+++ b/assigner/operator_view.cpp
@@ -90,6 +90,22 @@
     return out;
 }
 
+// The desk of the service's shard, where this assigner holds it.
+result<shard_desk*> find_held(const fleet_view& fleet, const service_name& service)
+{
+    auto it = fleet.shards.find(shard_of(service));
+    if (it == fleet.shards.end())
+    {
+        return fail(error_code::not_found, "no service " + service.str());
+    }
+    shard_desk& desk = *it->second;
+    if (!desk.election().is_held() || !desk.controller().record())
+    {
+        return fail(error_code::refused, "held by " + desk.election().holder().str());
+    }
+    return &desk;
+}
+
 } // namespace
 
 Json::Value make_status(const fleet_view& fleet)
@@ -124,17 +140,8 @@
                                      const service_name& service,
                                      const std::string& key)
 {
-    auto it = fleet.shards.find(shard_of(service));
-    if (it == fleet.shards.end())
-    {
-        return fail(error_code::not_found, "no service " + service.str());
-    }
-    const std::optional<shard_record>& record = it->second->controller().record();
-    if (!it->second->election().is_held() || !record)
-    {
-        return fail(error_code::refused,
-                    "held by " + it->second->election().holder().str());
-    }
+    BOOST_LEAF_AUTO(desk, find_held(fleet, service));
+    const std::optional<shard_record>& record = desk->controller().record();
     const partition_entry* partition = find_partition(*record, hash_key(key));
     if (partition == nullptr)
     {
@@ -146,7 +153,7 @@
     out["assigner"] = fleet.self.str();
     out["record_epoch"] = number(record->version.value);
     out["changes"] = Json::Value(Json::arrayValue);
-    for (const assignment_change& change : it->second->controller().changes())
+    for (const assignment_change& change : desk->controller().changes())
     {
         if (concerns(change, *partition))
         {
@@ -156,4 +163,28 @@
     return out;
 }
 
+result<void> move_key(const fleet_view& fleet,
+                      const service_name& service,
+                      const std::string& key,
+                      const server_id& to)
+{
+    BOOST_LEAF_AUTO(desk, find_held(fleet, service));
+    if (find_server(*desk->controller().record(), to) == nullptr)
+    {
+        return fail(error_code::invalid_argument,
+                    "the record names no server " + to.str());
+    }
+    key_hash at = hash_key(key);
+    rebalance_plan plan;
+    plan.reason = "an operator moves " + key;
+    plan.steps.emplace_back(split_step{at});
+    if (at != hash_range().last)
+    {
+        plan.steps.emplace_back(split_step{key_hash{at.value + 1}});
+    }
+    plan.steps.emplace_back(move_step{{at, at}, to});
+    desk->planned(plan);
+    return {};
+}
+
 } // namespace camphorrock
--- a/assigner/operator_view.hpp
+++ b/assigner/operator_view.hpp
@@ -44,4 +44,11 @@
                                      const service_name& service,
                                      const std::string& key);
 
+// Gives one key to a server, on a partition of its own. Fails like make_explanation, and
+// with invalid_argument for a server that the record does not name.
+result<void> move_key(const fleet_view& fleet,
+                      const service_name& service,
+                      const std::string& key,
+                      const server_id& to);
+
 } // namespace camphorrock
--- a/assigner/shard_desk.cpp
+++ b/assigner/shard_desk.cpp
@@ -91,6 +91,11 @@
     carry_out(actions);
 }
 
+void shard_desk::planned(const rebalance_plan& plan)
+{
+    controller_.planned(plan, parts_.loop.now());
+}
+
 void shard_desk::tick()
 {
     controller_actions actions;
--- a/assigner/shard_desk.hpp
+++ b/assigner/shard_desk.hpp
@@ -26,6 +26,9 @@
     void routers_listed(const std::vector<router_instance>& routers);
     void reported(const report_params& report, const shard_status& status);
 
+    // Changes that an operator or the balancing policy asks for.
+    void planned(const rebalance_plan& plan);
+
     shard_election& election()
     {
         return election_;
--- a/ctl/command.cpp
+++ b/ctl/command.cpp
@@ -17,6 +17,7 @@
 {
 
 constexpr int ok_status = 200;
+constexpr int accepted_status = 202;
 constexpr int bad_request_status = 400;
 constexpr int conflict_status = 409;
 constexpr int misdirected_status = 421;
@@ -88,6 +89,7 @@
     switch (status)
     {
     case ok_status:
+    case accepted_status:
         return exit_ok;
     case bad_request_status:
         return exit_bad_usage;
@@ -106,7 +108,7 @@
     {
         context.out << write_json(answer.body) << '\n';
     }
-    else if (answer.status == ok_status)
+    else if (status_of(answer.status) == exit_ok)
     {
         print(answer.body);
     }
@@ -301,6 +303,29 @@
                });
 }
 
+int move_key(const command_context& context,
+             const std::string& service,
+             const std::string& key,
+             const std::string& server)
+{
+    return run(context,
+               [&]() -> result<int>
+               {
+                   Json::Value body(Json::objectValue);
+                   body["service"] = service;
+                   body["key"] = key;
+                   body["to"] = server;
+                   http_request request =
+                       make_request("POST", "/operator/move", write_json(body));
+                   BOOST_LEAF_AUTO(answer,
+                                   context.assigners.ask(request, misdirected_status));
+                   return finish(context,
+                                 answer,
+                                 [&](const Json::Value&)
+                                 { context.out << "the move is planned\n"; });
+               });
+}
+
 int drain_server(const command_context& context, const std::string& server)
 {
     return run(
--- a/ctl/command.hpp
+++ b/ctl/command.hpp
@@ -36,6 +36,12 @@
                 const std::string& service,
                 const std::string& key);
 
+// Gives one key to a server, on a partition of its own.
+int move_key(const command_context& context,
+             const std::string& service,
+             const std::string& key,
+             const std::string& server);
+
 // Declares a server as draining, in whichever services name it.
 int drain_server(const command_context& context, const std::string& server);
 
--- a/ctl/ctl_main.cpp
+++ b/ctl/ctl_main.cpp
@@ -36,6 +36,7 @@
     CLI::App* patch = nullptr;
     CLI::App* status = nullptr;
     CLI::App* explain = nullptr;
+    CLI::App* move = nullptr;
     CLI::App* drain = nullptr;
 };
 
@@ -69,6 +70,10 @@
     made.explain = app.add_subcommand("explain", "print who owns a key, and why");
     made.explain->add_option("service", given.service)->required();
     made.explain->add_option("key", given.key)->required();
+    made.move = app.add_subcommand("move", "give one key to another server");
+    made.move->add_option("service", given.service)->required();
+    made.move->add_option("key", given.key)->required();
+    made.move->add_option("server", given.server)->required();
     made.drain = app.add_subcommand("drain", "move all partitions off a server");
     made.drain->add_option("server", given.server)->required();
     return made;
@@ -94,6 +99,10 @@
     {
         return explain_key(context, given.service, given.key);
     }
+    if (made.move->parsed())
+    {
+        return move_key(context, given.service, given.key, given.server);
+    }
     return drain_server(context, given.server);
 }
 
