--- a/codec/testing/journal_codec_test.cpp
+++ b/codec/testing/journal_codec_test.cpp
@@ -171,4 +171,11 @@
                   << ns_per_call([&] { (void)as_json(batch); }) << " ns, parse "
                   << ns_per_call([&] { (void)parse_json(text); }) << " ns\n";
     }
+    auto answer = std::make_shared<const std::string>(300, 'x');
+    std::string id(36, 'i');
+    finished_entry finished{{{1ull << 63}, caller_name("insurer-north"), request_id(id)},
+                            1ull << 63,
+                            {outcome::ran, 200, answer}};
+    std::cout << "an outcome with an answer of 300 bytes: "
+              << write_journal_batch({1, {finished}}).size() << " bytes\n";
 }
--- a/core/config/configuration.hpp
+++ b/core/config/configuration.hpp
@@ -33,8 +33,8 @@
 // What holds for the whole fleet.
 struct fleet_config
 {
-    duration journal_retention = seconds(24 * 3600); // how long an id is remembered
-    unsigned store_writes_per_second = 200;          // budget of all journals together
+    duration journal_retention = seconds(3600); // how long an id is remembered
+    unsigned store_writes_per_second = 200;     // budget of all journals together
 
     bool operator==(const fleet_config&) const = default;
 };
--- a/core/once/id_table.cpp
+++ b/core/once/id_table.cpp
@@ -8,7 +8,8 @@
 {
 
 constexpr std::size_t row_overhead = 64; // hash table links, allocation headers
-constexpr std::size_t buckets_per_sweep = 16;
+constexpr std::size_t buckets_per_sweep = 64;
+constexpr duration sweep_interval = milliseconds(10);
 
 std::size_t size_of(const once_key& key)
 {
@@ -63,6 +64,11 @@
 
 void id_table::sweep(time_point now)
 {
+    if (now - last_sweep_ < sweep_interval)
+    {
+        return;
+    }
+    last_sweep_ = now;
     std::vector<once_key> due;
     std::size_t count = std::min(buckets_per_sweep, rows_.bucket_count());
     for (std::size_t n = 0; n < count; ++n)
--- a/core/once/id_table.hpp
+++ b/core/once/id_table.hpp
@@ -72,7 +72,9 @@
         return expired_.contains(key);
     }
 
-    // Moves rows past their retention to the filter; looks at a bounded number of rows.
+    // Moves rows past their retention to the filter. Looks at a bounded number of rows,
+    // and only every few milliseconds: rows are spread over memory, and each look may be
+    // a cache miss.
     void sweep(time_point now);
 
     std::size_t size() const
@@ -103,6 +105,7 @@
     id_filter expired_;
     std::size_t bytes_ = 0;
     std::size_t next_bucket_ = 0;
+    time_point last_sweep_;
 };
 
 } // namespace camphorrock
