--- a/core/ownership/ownership_options.hpp
+++ b/core/ownership/ownership_options.hpp
@@ -39,8 +39,9 @@
     duration pause_limit = milliseconds(200);
 
     // How long a partition that moves waits for its requests in flight before it is
-    // revoked. Only for servers that check epochs; others are waited for to the end.
-    duration drain_limit = milliseconds(300);
+    // revoked. Longer ones end at the old owner after that. Only for servers that check
+    // epochs; others are waited for to the end.
+    duration drain_limit = milliseconds(50);
 
     // The longest time that a request may take, from the service's configuration.
     duration max_request_time = seconds(10);
