--- a/bench/queue/named_policy.cpp
+++ b/bench/queue/named_policy.cpp
@@ -4,6 +4,8 @@
 #include "bench/queue/simple_queue.hpp"
 #include "core/admission/server_queue.hpp"
 
+#include <limits>
+
 namespace camphorrock
 {
 namespace
@@ -48,9 +50,50 @@
             }};
 }
 
-server_queue_options version_1()
+// The versions differ in their options; what replaced code outright (the bound of service
+// times in version 4, the limit in version 7) holds for all. See docs/POLICY.md.
+
+// Admits whatever may still end in time, in turns of the callers, long work first.
+server_queue_options version_2()
+{
+    server_queue_options it;
+    it.admission_share = 1;
+    it.fairness.burst = duration(0);
+    it.long_deferral = 0;
+    it.slow_bounds = std::numeric_limits<double>::infinity();
+    return it;
+}
+
+// Admits what is expected to use half of the time that it has to spare.
+server_queue_options version_3()
+{
+    server_queue_options it = version_2();
+    it.admission_share = 0.5;
+    return it;
+}
+
+// Callers in the order of arrival while they keep to their share.
+server_queue_options version_5()
+{
+    server_queue_options it = version_3();
+    it.fairness.burst = milliseconds(100);
+    return it;
+}
+
+// Long requests let short ones go first for a part of their time to spare.
+server_queue_options version_6()
+{
+    server_queue_options it = version_5();
+    it.long_deferral = 0.75;
+    return it;
+}
+
+// Answers much slower than expected count as bad.
+server_queue_options version_8()
 {
-    return {};
+    server_queue_options it = version_6();
+    it.slow_bounds = 1.5;
+    return it;
 }
 
 std::vector<named_policy> all_policies()
@@ -61,7 +104,11 @@
             simple("priority", true, {.short_first = true}),
             simple("cap-2-long", true, {.short_first = true, .max_long = 2}),
             simple("cap-1-long", true, {.short_first = true, .max_long = 1}),
-            own("v1", version_1())};
+            own("v2", version_2()),
+            own("v3", version_3()),
+            own("v5", version_5()),
+            own("v6", version_6()),
+            own("v8", version_8())};
 }
 
 } // namespace
--- a/core/admission/server_queue.hpp
+++ b/core/admission/server_queue.hpp
@@ -41,11 +41,21 @@
     std::size_t max_waiting = 1024; // memory budget
     service_time_options service_times;
     adaptive_limit_options limit;
+    fair_queue_options fairness;
 
     // The share of the time to spare that the expected wait may take at arrival.
-    double admission_share = 1.0;
+    double admission_share = 0.5;
     // Room before the deadline that an unrepeatable request needs, in service bounds.
     double unrepeatable_room = 2.0;
+    // The share of its time to spare for which a long request lets short ones go first.
+    double long_deferral = 0.75;
+    // An answer or timeout speaks against the server after so many service bounds; an
+    // earlier timeout only says that the request was started late.
+    double slow_bounds = 1.5;
+    // A request that is expected to end too late starts nevertheless, at most once in
+    // this time and only on a slot that idles, so that an outdated estimate can be
+    // corrected.
+    duration probe_interval = seconds(1);
     duration min_retry_after = milliseconds(50);
 };
 
@@ -97,6 +107,7 @@
     {
         queued_request request;
         fair_position at;
+        time_point arrival;
         time_point latest_start;
         bool is_long = false;
     };
@@ -112,19 +123,25 @@
     server_queue(server_queue_options options, std::mt19937_64& random);
 
     fair_queue& line(bool is_long);
+    std::size_t usable_slots(bool is_long, time_point now) const;
     duration expected_wait(bool is_long,
                            const fair_position& at,
                            duration enough,
                            time_point now) const;
     duration room_needed(const queued_request& request,
                          const service_time_estimate& estimate) const;
+    bool may_probe(const queued_request& request, bool is_long, time_point now) const;
+    void
+    learn(const running_request& ended, const service_report& report, time_point now);
     void enqueue(const queued_request& request,
                  const service_time_estimate& estimate,
-                 time_point latest_start);
+                 time_point latest_start,
+                 time_point now);
     void refuse_late(time_point now, queue_actions& out);
     void refuse_all(queue_actions& out);
     void start_allowed(time_point now, queue_actions& out);
     fair_queue* choose(time_point now);
+    bool long_is_due(time_point now) const;
     void start_front(fair_queue& from, time_point now, queue_actions& out);
     void refuse(ticket id, refusal_reason reason, queue_actions& out);
     duration retry_after();
@@ -135,6 +152,7 @@
     std::size_t slots_;
     service_time_table service_times_;
     adaptive_limit limit_;
+    time_point next_probe_{};
     fair_queue short_line_;
     fair_queue long_line_;
     std::unordered_map<ticket, waiting_request> waiting_;
