--- a/core/ownership/testing/ownership_fuzz_test.cpp
+++ b/core/ownership/testing/ownership_fuzz_test.cpp
@@ -199,7 +199,7 @@
                  world_options options;
                  options.seed = *rc::gen::arbitrary<std::uint32_t>();
                  options.assigners = *rc::gen::inRange(2, 4);
-                 options.routers = *rc::gen::inRange(3, 6);
+                 options.routers = *rc::gen::inRange(3, 8);
                  options.servers =
                      *rc::gen::element(std::vector<bool>{true, true, true},
                                        std::vector<bool>{true, false, true, true},
@@ -207,7 +207,7 @@
                  options.ownership.clock_drift_ppm = 20000;
                  options.ownership.max_request_time = seconds(1);
                  options.ownership.voter_store_limit = seconds(3);
-                 options.assignment.voter_replace_after = seconds(1);
+                 options.assignment.voter_replace_after = milliseconds(600);
                  options.assignment.voters_lost_after = seconds(2);
                  options.assignment.max_voters = 3;
                  ownership_world world(options);
--- a/router/journal_lease.cpp
+++ b/router/journal_lease.cpp
@@ -35,7 +35,8 @@
                            {
                                lease_ = got.lease;
                            }
-                           timer_ = loop_.after(is_done ? period() : retry_period, [this] { take(); });
+                           timer_ = loop_.after(is_done ? period() : retry_period,
+                                                [this] { take(); });
                        });
 }
 
--- a/router/journal_lease.hpp
+++ b/router/journal_lease.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-// The store leases to which a router's journal batches are attached, so that old batches go
-// by themselves. A new lease is taken from time to time; each lives for the retention time and one
-// period more, and is never renewed.
+// The store leases to which a router's journal batches are attached, so that old batches
+// go by themselves. A new lease is taken from time to time; each lives for the retention
+// time and one period more, and is never renewed.
 
 #include "router/router_parts.hpp"
 
--- a/router/kept_answer.hpp
+++ b/router/kept_answer.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-// A server's whole answer as bytes, kept with an id's outcome so that a retry gets it again. The
-// form is that of an HTTP/1.1 answer: status line, headers, empty line, body.
+// A server's whole answer as bytes, kept with an id's outcome so that a retry gets it
+// again. The form is that of an HTTP/1.1 answer: status line, headers, empty line, body.
 
 #include "net/http_message.hpp"
 
--- a/router/once_agent.cpp
+++ b/router/once_agent.cpp
@@ -3,9 +3,10 @@
 #include "codec/journal_codec.hpp"
 #include "router/kept_answer.hpp"
 
-#include <algorithm>
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace camphorrock
 {
 namespace
@@ -95,12 +96,17 @@
 
 } // namespace
 
-once_agent::once_agent(router_parts& parts, journal_lease& lease, shard_id shard, runner run)
+once_agent::once_agent(router_parts& parts,
+                       journal_lease& lease,
+                       shard_id shard,
+                       runner run)
     : parts_(parts), lease_(lease), shard_(std::move(shard)), run_(std::move(run))
 {
 }
 
-void once_agent::configure(const service_config& service, const fleet_config& fleet, unsigned gates)
+void once_agent::configure(const service_config& service,
+                           const fleet_config& fleet,
+                           unsigned gates)
 {
     lease_.set_retention(fleet.journal_retention);
     if (gate_)
@@ -112,8 +118,9 @@
     options.writer = parts_.random() | 1;
     options.servers_deduplicate = service.servers_deduplicate;
     options.retention = fleet.journal_retention;
-    options.append_interval = std::max(options.append_interval,
-                                       append_interval_for(fleet.store_writes_per_second, gates));
+    options.append_interval =
+        std::max(options.append_interval,
+                 append_interval_for(fleet.store_writes_per_second, gates));
     gate_.emplace(options);
 }
 
@@ -194,13 +201,15 @@
 
 void once_agent::pump()
 {
-    // Carrying an action out may lead back here; the outer call goes on with what came of it.
+    // Carrying an action out may lead back here; the outer call goes on with what came of
+    // it.
     if (is_pumping_)
     {
         return;
     }
     is_pumping_ = true;
-    for (auto actions = gate_->take_actions(); !actions.empty(); actions = gate_->take_actions())
+    for (auto actions = gate_->take_actions(); !actions.empty();
+         actions = gate_->take_actions())
     {
         for (const once_action& action : actions)
         {
@@ -283,13 +292,15 @@
                 {
                     if (!got.entries.empty())
                     {
-                        BOOST_LEAF_ASSIGN(found, read_journal_batch(got.entries.front().value));
+                        BOOST_LEAF_ASSIGN(found,
+                                          read_journal_batch(got.entries.front().value));
                     }
                     return got.end == store_end::done;
                 },
                 [&](const error& ec)
                 {
-                    parts_.log.write(event_id::journal_unreadable, {{"shard", shard_}, {"fault", ec.text}});
+                    parts_.log.write(event_id::journal_unreadable,
+                                     {{"shard", shard_}, {"fault", ec.text}});
                     return false;
                 });
             gate_->on_batch_read(parts_.loop.now(), number, is_read, found);
@@ -317,7 +328,8 @@
                 },
                 [&](const error& ec)
                 {
-                    parts_.log.write(event_id::journal_unreadable, {{"shard", shard_}, {"fault", ec.text}});
+                    parts_.log.write(event_id::journal_unreadable,
+                                     {{"shard", shard_}, {"fault", ec.text}});
                     return false;
                 });
             gate_->on_loaded(parts_.loop.now(), is_read, std::move(batches));
@@ -328,7 +340,8 @@
 void once_agent::carry_out(const run_action& action)
 {
     run_(held_.at(action.waiter.value).request,
-         [this, action](const lane_end& end) { run_ended(action.run, action.waiter, end); });
+         [this, action](const lane_end& end)
+         { run_ended(action.run, action.waiter, end); });
 }
 
 void once_agent::run_ended(run_id run, waiter_id waiter, const lane_end& end)
@@ -365,13 +378,15 @@
         return;
     }
     refusal why = refusal_telling(action.reason, action.result.end);
-    held.request->refuse(problem{why, std::string(name_of(action.reason)), action.retry_after});
+    held.request->refuse(
+        problem{why, std::string(name_of(action.reason)), action.retry_after});
 }
 
 void once_agent::carry_out(const released_action& action)
 {
-    parts_.log.write(event_id::journal_released,
-                     {{"shard", shard_}, {"range", to_string(action.range)}, {"epoch", action.since}});
+    parts_.log.write(
+        event_id::journal_released,
+        {{"shard", shard_}, {"range", to_string(action.range)}, {"epoch", action.since}});
 }
 
 } // namespace camphorrock
--- a/router/once_agent.hpp
+++ b/router/once_agent.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-// The gate for requests that may not be repeated: each is recorded in the shard's journal in
-// the store before it is sent, and runs at most once. Carries out what once_gate asks for; see
-// docs/DESIGN.md, "At most once".
+// The gate for requests that may not be repeated: each is recorded in the shard's journal
+// in the store before it is sent, and runs at most once. Carries out what once_gate asks
+// for; see docs/DESIGN.md, "At most once".
 
 #include "core/config/configuration.hpp"
 #include "core/once/once_gate.hpp"
@@ -30,12 +30,14 @@
     once_agent(router_parts& parts, journal_lease& lease, shard_id shard, runner run);
 
     // The first call opens the gate. `gates` journals share the fleet's write budget.
-    void configure(const service_config& service, const fleet_config& fleet, unsigned gates);
+    void
+    configure(const service_config& service, const fleet_config& fleet, unsigned gates);
 
     // Takes over, releases and loses ranges as a new record says.
     void record_changed(const shard_record& record);
 
-    // A request for a partition at this epoch that this router schedules. Ends it, now or later.
+    // A request for a partition at this epoch that this router schedules. Ends it, now or
+    // later.
     void submit(const live_request_ptr& request, epoch since);
 
     // Ids whose outcome is remembered here.
--- a/router/router.cpp
+++ b/router/router.cpp
@@ -138,7 +138,8 @@
         std::unique_ptr<shard_agent>& agent = shards_[shard];
         if (!agent)
         {
-            agent = std::make_unique<shard_agent>(*parts_, *config_, *votes_, *journal_lease_, shard);
+            agent = std::make_unique<shard_agent>(
+                *parts_, *config_, *votes_, *journal_lease_, shard);
         }
         agent->configure(it, config.fleet);
     }
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -77,11 +77,13 @@
 shard_agent::shard_agent(router_parts& parts,
                          config_agent& config,
                          voter& votes,
- journal_lease& lease,
- shard_id shard)
+                         journal_lease& lease,
+                         shard_id shard)
     : parts_(parts), config_(config), votes_(votes), shard_(std::move(shard)),
       authority_(shard_, parts.settings.id, parts.ownership, parts.loop.now()),
-      once_(parts, lease, shard_,
+      once_(parts,
+            lease,
+            shard_,
             [this](const live_request_ptr& request, server_lane::callback done)
             { run(request, std::move(done)); })
 {
@@ -132,7 +134,8 @@
 
 void shard_agent::submit_once(const live_request_ptr& request)
 {
-    const partition_entry* partition = find_partition(*authority_.record(), request->target.hash);
+    const partition_entry* partition =
+        find_partition(*authority_.record(), request->target.hash);
     once_.submit(request, partition->since);
 }
 
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -25,10 +25,10 @@
 {
 public:
     shard_agent(router_parts& parts,
- config_agent& config,
- voter& votes,
- journal_lease& lease,
- shard_id shard);
+                config_agent& config,
+                voter& votes,
+                journal_lease& lease,
+                shard_id shard);
 
     void configure(const service_config& service, const fleet_config& fleet);
 
