Balancer: greedy by benefit per key moved, with a bench of its placement

Cause: nothing evened out load. balancer plans moves, splits and merges for the controller; partition_load measures partitions and finds hot keys in 32 counters.

--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -1,6 +1,7 @@
 // camphorrock-bench: plays fixed scripts to the decision objects in virtual time and
 // prints what it measured.
 
+#include "bench/balance/balance_report.hpp"
 #include "bench/queue/queue_report.hpp"
 #include "bench/report/report_table.hpp"
 
@@ -21,6 +22,7 @@
     bool json = false;
     bool only_queue = false;
     bool only_blocking = false;
+    bool only_balance = false;
 };
 
 void add_tables(std::vector<report_table>& all, std::vector<report_table> more)
@@ -33,7 +35,8 @@
 
 std::vector<report_table> run(const bench_options& options)
 {
-    const bool everything = !options.only_queue && !options.only_blocking;
+    const bool everything =
+        !options.only_queue && !options.only_blocking && !options.only_balance;
     std::vector<report_table> all;
     if (everything || options.only_queue)
     {
@@ -46,6 +49,10 @@
     {
         add_tables(all, blocking_report(options.queue));
     }
+    if (everything || options.only_balance)
+    {
+        add_tables(all, balance_report(options.queue.seed));
+    }
     return all;
 }
 
@@ -60,6 +67,7 @@
     app.add_flag("--json", options.json, "Print JSON in place of tables");
     app.add_flag("--queue", options.only_queue, "Only load swings and faults");
     app.add_flag("--blocking", options.only_blocking, "Only short work behind long");
+    app.add_flag("--balance", options.only_balance, "Only placement of keys");
     app.add_option("--seed", options.queue.seed, "Seed of the scripts");
     app.add_option("--servers", options.queue.max_servers, "At most so many servers");
     app.add_option("--policy", options.queue.policy, "Only fifo and this queue policy");
--- a/bench/queue/queue_trial.cpp
+++ b/bench/queue/queue_trial.cpp
@@ -1,6 +1,6 @@
 #include "bench/queue/queue_trial.hpp"
 
-#include "bench/queue/fake_server.hpp"
+#include "bench/queue/scripted_server.hpp"
 #include "bench/queue/workload.hpp"
 
 #include <algorithm>
@@ -422,7 +422,7 @@
     const bool has_crest_ = has_crest();
     std::mt19937_64 random_;
     std::unique_ptr<queue_policy> policy_;
-    fake_server server_;
+    scripted_server server_;
     std::vector<scripted_request> requests_;
     std::vector<request_progress> progress_;
     std::vector<caller_name> names_;
--- a/bench/queue/fake_server.cpp
+++ b/bench/queue/scripted_server.cpp
@@ -1,16 +1,16 @@
-#include "bench/queue/fake_server.hpp"
+#include "bench/queue/scripted_server.hpp"
 
 #include "bench/queue/workload.hpp"
 
 namespace camphorrock
 {
 
-fake_server::fake_server(const queue_scenario& scenario) : scenario_(scenario) {}
+scripted_server::scripted_server(const queue_scenario& scenario) : scenario_(scenario) {}
 
-bool fake_server::offer(ticket id,
-                        duration service,
-                        time_point now,
-                        std::vector<begun_work>& begun)
+bool scripted_server::offer(ticket id,
+                            duration service,
+                            time_point now,
+                            std::vector<begun_work>& begun)
 {
     const server_phase& as = phase(now);
     if (as.sheds_excess && running_.size() >= as.real_slots)
@@ -22,7 +22,7 @@
     return true;
 }
 
-void fake_server::leave(ticket id, time_point now, std::vector<begun_work>& begun)
+void scripted_server::leave(ticket id, time_point now, std::vector<begun_work>& begun)
 {
     if (running_.erase(id) == 0)
     {
@@ -31,7 +31,7 @@
     advance(now, begun);
 }
 
-void fake_server::advance(time_point now, std::vector<begun_work>& begun)
+void scripted_server::advance(time_point now, std::vector<begun_work>& begun)
 {
     const server_phase& as = phase(now);
     while (!as.frozen && running_.size() < as.real_slots && !backlog_.empty())
@@ -44,7 +44,7 @@
     }
 }
 
-const server_phase& fake_server::phase(time_point now) const
+const server_phase& scripted_server::phase(time_point now) const
 {
     return phase_at(scenario_.server, now.time_since_epoch());
 }
--- a/bench/queue/fake_server.hpp
+++ b/bench/queue/scripted_server.hpp
@@ -22,10 +22,10 @@
     time_point end;
 };
 
-class fake_server
+class scripted_server
 {
 public:
-    explicit fake_server(const queue_scenario& scenario);
+    explicit scripted_server(const queue_scenario& scenario);
 
     // Takes a request; false where it is shed. What begins is appended to `begun`.
     bool
--- a/core/admission/server_queue.hpp
+++ b/core/admission/server_queue.hpp
@@ -39,7 +39,7 @@
 {
     std::size_t slots = 3;
     std::size_t max_waiting = 1024; // memory budget
-    service_time_options service_times;
+    service_time_table_options service_times;
     adaptive_limit_options limit;
     fair_queue_options fairness;
 
--- a/core/admission/service_time_table.cpp
+++ b/core/admission/service_time_table.cpp
@@ -31,7 +31,8 @@
 
 } // namespace
 
-service_time_table::service_time_table(service_time_options options) : options_(options)
+service_time_table::service_time_table(service_time_table_options options)
+    : options_(options)
 {
 }
 
--- a/core/admission/service_time_table.hpp
+++ b/core/admission/service_time_table.hpp
@@ -19,7 +19,7 @@
 namespace camphorrock
 {
 
-struct service_time_options
+struct service_time_table_options
 {
     std::size_t max_classes = 4096;      // rows kept
     double weight = 0.05;                // of a new sample in the mean and deviation
@@ -39,7 +39,7 @@
 class service_time_table
 {
 public:
-    explicit service_time_table(service_time_options options);
+    explicit service_time_table(service_time_table_options options);
 
     service_time_estimate estimate(const caller_name& caller,
                                    const route_class& route) const;
@@ -69,7 +69,7 @@
     row* find_or_add(const std::string& key);
     bool is_long(const row& from) const;
 
-    service_time_options options_;
+    service_time_table_options options_;
     std::unordered_map<std::string, row> rows_; // by route, and by route and caller
     double median_us_ = 0;
     std::size_t samples_ = 0;
--- /dev/null
+++ b/core/balance/balance_view.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+// What a balancer sees of one shard.
+
+#include "core/balance/hot_key_sketch.hpp"
+#include "core/base/key_hash.hpp"
+#include "core/base/names.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace camphorrock
+{
+
+struct balanced_server
+{
+    server_id id;
+    double capacity = 1;    // in the unit of the loads, or in any unit common to all
+    bool takes_keys = true; // false: it is leaving, and its keys go elsewhere
+};
+
+struct balanced_partition
+{
+    hash_range range;
+    std::size_t server = 0; // index in `servers`
+    double load = 0;        // per second
+    double keys = 0;        // estimate of the keys in use: the price of a move
+    std::optional<hot_key> hottest;
+    bool is_moving = false; // a move is under way; it counts as a load of its server
+};
+
+// Partitions are sorted by range and cover the key space; each names a server.
+struct balance_view
+{
+    std::vector<balanced_server> servers;
+    std::vector<balanced_partition> partitions;
+};
+
+} // namespace camphorrock
