--- a/core/admission/service_time_table.cpp
+++ b/core/admission/service_time_table.cpp
@@ -62,7 +62,9 @@
     {
         median_us_ = us;
     }
-    median_us_ *= us > median_us_ ? 1 + median_step : 1 - median_step;
+    // The first samples move it more, so that it does not depend on the very first.
+    const double step = std::max(median_step, 1 / static_cast<double>(samples_ + 1));
+    median_us_ *= us > median_us_ ? 1 + step : 1 - step;
     if (row* of_route = find_or_add(route.str()))
     {
         update(*of_route, us);
