--- a/core/admission/testing/server_queue_fuzz_test.cpp
+++ b/core/admission/testing/server_queue_fuzz_test.cpp
@@ -108,6 +108,7 @@
         queue_actions out;
         queue->tick(now, out);
         check(out);
+        RC_ASSERT(!queue->next_tick() || *queue->next_tick() > now);
     }
 
     void check(const queue_actions& out)
@@ -115,6 +116,7 @@
         const std::size_t limit = std::min(queue->limit(), slots);
         oracle.acted(out, limit, queue->long_slots(), now);
         oracle.settled(limit, queue->long_slots(), now);
+        RC_ASSERT(slots > 0 || oracle.waiting().empty());
         RC_ASSERT(queue->waiting() == oracle.waiting().size());
         RC_ASSERT(queue->in_flight() == oracle.started().size());
     }
