--- a/core/assignment/shard_controller.cpp
+++ b/core/assignment/shard_controller.cpp
@@ -46,6 +46,7 @@
     routers_.restart_silence(now);
     ticked_at_ = now;
     fence_due_ = now;
+    memory_.spread_due = now + options_.spread_period;
     for (auto& [id, it] : routers_.all())
     {
         it.send_due = now;
@@ -147,18 +148,18 @@
     const router_state* old = routers_.find(router.id);
     bool is_news = !old || !routers_.is_heard(router.id, now) || !(old->report == report);
     routers_.reported(router, report, now);
+    note_higher(report.version);
     if (is_news)
     {
         drive(now, actions);
     }
 }
 
-void shard_controller::fence_answered(const instance_id& voter,
-                                      epoch version,
-                                      bool is_ok,
-                                      time_point now)
+void shard_controller::fence_answered(
+    const instance_id& voter, epoch version, bool is_ok, epoch highest, time_point now)
 {
     voters_heard_[voter] = now;
+    note_higher(highest);
     if (is_ok)
     {
         fences_.acknowledged(voter, version, now);
@@ -170,6 +171,15 @@
     }
 }
 
+// Another assigner wrote since: this one was paused, or its lease lapsed unnoticed.
+void shard_controller::note_higher(epoch version)
+{
+    if (record_ && record_->version < version)
+    {
+        needs_read_ = true;
+    }
+}
+
 void shard_controller::planned(const rebalance_plan& plan, time_point)
 {
     for (const rebalance_step& it : plan.steps)
