--- a/load/testing/ownership_check_test.cpp
+++ b/load/testing/ownership_check_test.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr history_time last_time = 24;
+constexpr history_time last_time = 40;
 constexpr std::uint64_t last_hash = 5;
 
 // Who owns a hash at a time, read off the records one by one: a grant holds until it
@@ -39,20 +39,18 @@
     return owners;
 }
 
-bool has_two_owners(const std::vector<grant_record>& grants,
-                    const std::vector<revoke_record>& revokes)
+std::set<server_id>
+owners_in(const std::vector<ownership_span>& spans, key_hash at, history_time now)
 {
-    for (history_time now = 0; now <= last_time; ++now)
+    std::set<server_id> owners;
+    for (const ownership_span& it : spans)
     {
-        for (std::uint64_t hash = 0; hash <= last_hash; ++hash)
+        if (it.partition.contains(at) && it.from <= now && now < it.until)
         {
-            if (owners_at(grants, revokes, {hash}, now).size() > 1)
-            {
-                return true;
-            }
+            owners.insert(it.server);
         }
     }
-    return false;
+    return owners;
 }
 
 rc::Gen<hash_range> any_range()
@@ -80,22 +78,32 @@
         {
             std::vector<grant_record> grants;
             std::vector<revoke_record> revokes;
-            auto count = *rc::gen::inRange(0, 6);
+            auto count = *rc::gen::inRange(0, 7);
             for (int n = 0; n < count; ++n)
             {
                 // Distinct times, so that the order of records is known.
                 history_time at = 1 + static_cast<history_time>(n) * 3;
                 shard_id shard("valves");
-                epoch since{*rc::gen::inRange<std::uint64_t>(1, 4)};
-                if (*rc::gen::inRange(0, 3) == 0)
+                epoch since{*rc::gen::inRange<std::uint64_t>(1, 3)};
+                if (*rc::gen::inRange(0, 2) == 0)
                 {
                     revokes.push_back({at, any_server(), shard, *any_range(), since});
                     continue;
                 }
-                history_time until = at + *rc::gen::inRange<history_time>(1, 9);
+                history_time until = at + *rc::gen::inRange<history_time>(1, 20);
                 grants.push_back({at, until, any_server(), shard, *any_range(), since});
             }
             std::vector<ownership_span> spans = ownership_spans(grants, revokes);
-            RC_ASSERT(!find_two_owners(spans).empty() == has_two_owners(grants, revokes));
+            bool has_two_owners = false;
+            for (history_time now = 0; now <= last_time; ++now)
+            {
+                for (key_hash at; at.value <= last_hash; ++at.value)
+                {
+                    auto owners = owners_at(grants, revokes, at, now);
+                    RC_ASSERT(owners_in(spans, at, now) == owners);
+                    has_two_owners = has_two_owners || owners.size() > 1;
+                }
+            }
+            RC_ASSERT(find_two_owners(spans).empty() == !has_two_owners);
         });
 }
