--- a/router/router.cpp
+++ b/router/router.cpp
@@ -15,7 +15,7 @@
 constexpr duration leave_notice = milliseconds(300); // for balancers to see the state
 
 // The peer port's connections are few but its messages hold whole records.
-constexpr std::size_t max_peer_body_bytes = 64 * 1024 * 1024;
+constexpr std::size_t max_peer_body_bytes = std::size_t(64) << 20; // 64 MB
 
 } // namespace
 
@@ -56,6 +56,7 @@
                                   *assigners_,
                                   ownership_options()});
     votes_ = std::make_unique<voter>(parts_->ownership, loop_->now());
+    journal_lease_ = std::make_unique<journal_lease>(*loop_, *store_);
     config_ = std::make_unique<config_agent>(*loop_,
                                              *store_,
                                              *rpc_,
@@ -137,9 +138,10 @@
         std::unique_ptr<shard_agent>& agent = shards_[shard];
         if (!agent)
         {
-            agent = std::make_unique<shard_agent>(*parts_, *config_, *votes_, shard);
+            agent = std::make_unique<shard_agent>(
+                *parts_, *config_, *votes_, *journal_lease_, shard);
         }
-        agent->configure(it);
+        agent->configure(it, config.fleet);
     }
 }
 
