--- a/core/once/testing/once_world.hpp
+++ b/core/once/testing/once_world.hpp
@@ -21,7 +21,10 @@
     // With `keeps_authority`, a router that is replaced without a release gives its
     // ranges up before it does anything else, as core/ownership makes it do. Without, it
     // goes on as if it had been paused through it all.
-    explicit once_world(bool keeps_authority);
+    //
+    // The store drops a batch as soon as its retention is over. What is under way for
+    // longer than half of that, a write or a request to a server, is dropped.
+    once_world(bool keeps_authority, duration retention);
 
     static constexpr unsigned routers = 3;
     static constexpr unsigned partitions = 2;
@@ -48,7 +51,10 @@
     // Every waiter whose router is alive has had its answer.
     void check_all_answered() const;
 
-    unsigned executions() const;
+    unsigned executions() const
+    {
+        return executions_;
+    }
 
 private:
     struct open_run
@@ -56,6 +62,8 @@
         unsigned router;
         unsigned life;
         run_action what;
+        time_point admitted; // when the journal had it
+        time_point given;
         bool is_executed = false;
     };
 
@@ -72,6 +80,13 @@
         instance_id journal;
         std::uint64_t number;
         journal_batch batch;
+        time_point sent;
+    };
+
+    struct kept_batch
+    {
+        journal_batch batch;
+        time_point written;
     };
 
     struct router_state
@@ -94,10 +109,13 @@
     void take(unsigned router, once_action action);
     void told(const answer_action& it);
     append_end write(const late_write& it, append_end end, bool is_late);
+    bool store(const late_write& it);
+    bool is_remembered(const once_key& key) const;
     void apply_release(const released_action& it);
     bool is_alive(unsigned router, unsigned life) const;
 
     bool keeps_authority_;
+    duration retention_;
     time_point now_{seconds(1000)};
     std::uint64_t version_ = 1;
     std::uint64_t next_waiter_ = 1;
@@ -107,15 +125,16 @@
     std::vector<unsigned> scheduler_;                      // by partition
     std::vector<epoch> since_;                             // by partition
     std::map<std::pair<unsigned, unsigned>, epoch> taken_; // by router and partition
-    std::map<instance_id, std::map<std::uint64_t, journal_batch>> store_;
+    std::map<instance_id, std::map<std::uint64_t, kept_batch>> store_;
     std::vector<open_call> calls_;
     std::vector<open_run> runs_;
     std::vector<late_write> late_;
 
     std::map<waiter_id, waiting> waiting_;
-    std::map<once_key, unsigned> executed_;
+    std::map<once_key, time_point> admitted_; // when the journal last had it
+    std::map<once_key, time_point> executed_; // by when the run was admitted
+    unsigned executions_ = 0;
     std::map<once_key, std::vector<waiter_id>> sent_; // waiters that a run was given for
-    std::map<once_key, outcome> known_;               // the outcome that was told
 };
 
 } // namespace camphorrock
