--- a/core/once/once_gate.cpp
+++ b/core/once/once_gate.cpp
@@ -1,6 +1,7 @@
 #include "core/once/once_gate.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace camphorrock
 {
@@ -28,8 +29,8 @@
 } // namespace
 
 once_gate::once_gate(once_options options)
-    : options_(options), ids_(table_options(options)), writer_(options),
-      load_backoff_(options.first_retry, options.max_retry, options.writer + 1)
+    : options_(std::move(options)), ids_(table_options(options_)), writer_(options_),
+      load_backoff_(options_.first_retry, options_.max_retry, options_.writer + 1)
 {
 }
 
