--- a/core/ownership/testing/ownership_fuzz_test.cpp
+++ b/core/ownership/testing/ownership_fuzz_test.cpp
@@ -173,6 +173,7 @@
 // check epochs, the longest request comes on top, and the election of an assigner.
 constexpr duration served_again = seconds(2);
 constexpr duration election = milliseconds(700);
+constexpr duration longest_delay = seconds(1); // a message under way is still a fault
 
 void check_recovery(ownership_world& world, const world_options& options)
 {
@@ -180,6 +181,7 @@
     duration bound = served_again + election;
     bound += is_checked ? duration{} : options.ownership.max_request_time;
     world.heal();
+    world.run(longest_delay);
     duration span = world.run_until_served(bound + seconds(10));
     RC_ASSERT(world.fault() == "");
     RC_LOG() << world.describe();
