Load tool passes over routers that failed, as the platform's balancer does

Cause: a killed router kept a quarter of the attempts of four routers, so probes measured the missing balancer, not the system.

Seen to fail in load_test: no time of ejection; a lone working router mixed with failed ones.

--- a/load/load_runner.cpp
+++ b/load/load_runner.cpp
@@ -75,7 +75,8 @@
                          line_file& history,
                          const load_settings& settings)
     : loop_(loop), http_(http), history_(history), settings_(settings),
-      random_(settings.seed), started_(loop.now())
+      random_(settings.seed), routers_(settings.routers, settings.eject_time),
+      started_(loop.now())
 {
     run_prefix_ =
         std::to_string(settings.seed) + "-" + std::to_string(to_history(started_)) + "-";
@@ -198,22 +199,41 @@
     attempt_record record;
     record.start = to_history(loop_.now());
     record.caller = request->row.caller;
-    record.router = settings_.routers[random_() % settings_.routers.size()];
     record.service = request->service;
     record.key = request->key;
     record.id = request->id;
     record.tag = request->tag;
     record.attempt = request->tag + "." + std::to_string(request->attempts);
+    send_attempt(request, std::move(record), 1);
+}
+
+// `tries` counts the routers that were tried: where no connection can be opened, the
+// balancer turns to another one.
+void load_runner::send_attempt(const request_ptr& request,
+                               attempt_record record,
+                               std::size_t tries)
+{
+    record.router = routers_.pick(random_, loop_.now());
     exchange_options options;
     options.timeout = request->timeout + settings_.patience;
-    http_request message = to_http(*request, record.attempt);
     endpoint router = record.router;
-    http_.send(
-        router,
-        std::move(message),
-        options,
-        [this, request, record = std::move(record)](const exchange_result& got) mutable
-        { ended(request, std::move(record), got); });
+    http_request message = to_http(*request, record.attempt);
+    auto done = [this, request, tries, record = std::move(record)](
+                    const exchange_result& got) mutable
+    {
+        if (got.end != exchange_end::answered)
+        {
+            routers_.failed(record.router, loop_.now());
+        }
+        bool is_refused = got.end == exchange_end::not_connected;
+        if (is_refused && tries < settings_.routers.size())
+        {
+            send_attempt(request, std::move(record), tries + 1);
+            return;
+        }
+        ended(request, std::move(record), got);
+    };
+    http_.send(router, std::move(message), options, std::move(done));
 }
 
 void load_runner::ended(const request_ptr& request,
--- a/load/load_runner.hpp
+++ b/load/load_runner.hpp
@@ -10,6 +10,7 @@
 #include "load/load_report.hpp"
 #include "load/load_request.hpp"
 #include "load/load_settings.hpp"
+#include "load/router_choice.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
 
@@ -65,6 +66,8 @@
     void send_all(const request_ptr& request);
     void send(const request_ptr& request);
     void
+    send_attempt(const request_ptr& request, attempt_record record, std::size_t tries);
+    void
     ended(const request_ptr& request, attempt_record record, const exchange_result& got);
     void count(load_request& request, const attempt_record& record);
     void settle(const request_ptr& request, const exchange_result& got);
@@ -79,6 +82,7 @@
     const load_settings& settings_;
     std::function<void()> done_;
     std::mt19937_64 random_;
+    router_choice routers_;
     std::string run_prefix_; // makes tags and ids unique among runs
     time_point started_;
     std::uint64_t last_request_ = 0;
--- a/load/load_settings.cpp
+++ b/load/load_settings.cpp
@@ -109,6 +109,7 @@
     out.connections_per_router =
         root.integer_or("connections_per_router", {1, 4096}, out.connections_per_router);
     out.routers = root.endpoints("routers");
+    out.eject_time = root.milliseconds_or("eject_ms", any_time, out.eject_time);
     out.history = root.text_or("history", "");
     for (settings_map& it : root.maps("callers"))
     {
--- a/load/load_settings.hpp
+++ b/load/load_settings.hpp
@@ -76,7 +76,8 @@
     duration patience = milliseconds(250); // a caller waits this long past its timeout
     std::uint64_t max_in_flight = 5000;    // requests beyond it are not sent, but counted
     std::int64_t connections_per_router = 256;
-    std::vector<endpoint> routers; // each attempt goes to one of them at random
+    std::vector<endpoint> routers;    // each attempt goes to one of them at random
+    duration eject_time = seconds(1); // a router that failed is passed over for this long
     std::vector<caller_settings> callers;
     std::vector<probe_settings> probes;
     std::string history; // file; empty: none
--- a/load/testing/load_model_test.cpp
+++ b/load/testing/load_model_test.cpp
@@ -2,6 +2,7 @@
 #include "load/availability.hpp"
 #include "load/key_popularity.hpp"
 #include "load/load_settings.hpp"
+#include "load/router_choice.hpp"
 #include "testing/test_headers.hpp"
 
 #include <map>
@@ -93,6 +94,40 @@
     }
 }
 
+TEST_CASE("routers are chosen as a balancer would")
+{
+    GIVEN("two routers of which one has failed")
+    {
+        std::mt19937_64 random(20261204);
+        endpoint one("127.0.0.1:1");
+        endpoint other("127.0.0.1:2");
+        router_choice routers({one, other}, milliseconds(100));
+        routers.failed(one, at_ms(1000));
+
+        auto picks = [&](time_point now)
+        {
+            std::map<endpoint, int> counts;
+            for (int n = 0; n < 100; ++n)
+            {
+                ++counts[routers.pick(random, now)];
+            }
+            return counts;
+        };
+
+        THEN("it is passed over until its time is out")
+        {
+            CHECK(picks(at_ms(1099))[one] == 0);
+            CHECK(picks(at_ms(1100)).size() == 2);
+        }
+
+        THEN("where both have failed, either is tried")
+        {
+            routers.failed(other, at_ms(1050));
+            CHECK(picks(at_ms(1060)).size() == 2);
+        }
+    }
+}
+
 TEST_CASE("the load's settings are checked")
 {
     GIVEN("swings out of order and no router")
