--- a/store/instance_list.hpp
+++ b/store/instance_list.hpp
@@ -15,6 +15,7 @@
 #include <functional>
 #include <optional>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace camphorrock
