--- a/codec/history.hpp
+++ b/codec/history.hpp
@@ -90,6 +90,8 @@
     unsigned status = 0; // of the answer; 0: none
     std::string outcome; // as told in Camphorrock-Outcome; empty where there was none
 
+    std::string problem; // the problem's type, of an answer that no server gave
+
     // Read from the body of an answer that a server gave.
     std::string answer_run;
     std::string answer_key;
--- a/codec/history_json.cpp
+++ b/codec/history_json.cpp
@@ -63,6 +63,7 @@
     fields.required("ended", it.ended);
     fields.required("status", it.status);
     fields.required("outcome", it.outcome);
+    fields.required("problem", it.problem);
     fields.required("answer_run", it.answer_run);
     fields.required("answer_key", it.answer_key);
     fields.required("answer_tag", it.answer_tag);
--- a/fakes/server/test_server.cpp
+++ b/fakes/server/test_server.cpp
@@ -21,6 +21,7 @@
 constexpr const char* epoch_header = "Camphorrock-Epoch";
 constexpr const char* timeout_header = "Camphorrock-Timeout-Ms";
 constexpr const char* id_header = "Idempotency-Key";
+constexpr const char* attempt_header = "X-Attempt";
 
 history_time to_history(time_point at)
 {
@@ -100,7 +101,7 @@
     item.since = {header_number(request, epoch_header)};
     item.id = request_id(std::string(request.headers.find(id_header).value_or("")));
     item.tag = query_text(request, "tag");
-    item.attempt = query_text(request, "attempt");
+    item.attempt = std::string(request.headers.find(attempt_header).value_or(""));
     item.work = query_value(request.target, "work") == "long" ? work_class::long_work
                                                               : work_class::short_work;
     if (std::uint64_t timeout = header_number(request, timeout_header))
--- a/fakes/server/test_server.hpp
+++ b/fakes/server/test_server.hpp
@@ -3,9 +3,9 @@
 // A stand-in for the users' servers: takes grants over JSON-RPC at POST /rpc, and serves
 // any /{service}/{key}... with a simulated service time in its slots.
 //
-// Query parameters of a request: `work=long` takes the long service time; `tag` and
-// `attempt` are recorded and echoed. The answer is a server_answer with the outcome
-// `ran`, so that the load tool can also send to a server directly. Refusals are
+// Query parameters of a request: `work=long` takes the long service time; `tag` is
+// recorded and echoed, as is the header X-Attempt. The answer is a server_answer with the
+// outcome `ran`, so that the load tool can also send to a server directly. Refusals are
 // application/problem+json with "Camphorrock-Outcome: not-run": 409 for a request that
 // the grants do not cover, 503 where the queue is full or the server sheds, 504 where the
 // caller's time ran out in the queue. Each run is recorded before its effect.
--- a/load/load_report.cpp
+++ b/load/load_report.cpp
@@ -118,6 +118,10 @@
     {
         out += to_text_line(row, figures);
     }
+    for (const auto& [type, count] : problems_)
+    {
+        out += "problem " + type + ": " + std::to_string(count) + "\n";
+    }
     char buf[160];
     std::snprintf(buf,
                   sizeof buf,
@@ -146,6 +150,11 @@
     {
         out["classes"].append(to_json_value(row, figures));
     }
+    out["problems"] = Json::Value(Json::objectValue);
+    for (const auto& [type, count] : problems_)
+    {
+        out["problems"][type] = Json::UInt64(count);
+    }
     out["skipped"] = Json::UInt64(skipped_);
     Json::Value& unavailable = out["unavailable"] = Json::Value(Json::objectValue);
     unavailable["keys"] = Json::UInt64(unavailable_.size());
--- a/load/load_report.hpp
+++ b/load/load_report.hpp
@@ -52,6 +52,12 @@
         return rows_[row];
     }
 
+    // Counts an answer that no server gave, by the type of its problem.
+    void count_problem(const std::string& type)
+    {
+        ++problems_[type];
+    }
+
     void count_skipped()
     {
         ++skipped_;
@@ -70,6 +76,7 @@
 
 private:
     std::map<load_class, class_figures> rows_;
+    std::map<std::string, std::uint64_t> problems_;
     std::uint64_t skipped_ = 0;         // not sent: too many in flight
     std::vector<duration> unavailable_; // of each probed key, ascending
 };
--- a/load/load_request.cpp
+++ b/load/load_request.cpp
@@ -7,8 +7,8 @@
 {
     http_request out;
     out.method = request.id.empty() ? "GET" : "POST";
-    out.target = "/" + request.service.str() + "/" + request.key +
-                 "/sheet?tag=" + request.tag + "&attempt=" + attempt;
+    out.target =
+        "/" + request.service.str() + "/" + request.key + "/sheet?tag=" + request.tag;
     if (request.is_long)
     {
         out.target += "&work=long";
@@ -16,6 +16,7 @@
     auto timeout = std::chrono::duration_cast<milliseconds>(request.timeout).count();
     out.headers.add("Camphorrock-Caller", request.row.caller);
     out.headers.add("Camphorrock-Timeout-Ms", std::to_string(timeout));
+    out.headers.add("X-Attempt", attempt);
     if (!request.id.empty())
     {
         out.headers.add("Idempotency-Key", request.id.str());
--- a/load/load_request.hpp
+++ b/load/load_request.hpp
@@ -34,7 +34,8 @@
     bool is_sent_late = false; // the needless late attempt is planned or sent
 };
 
-// The HTTP message of one attempt.
+// The HTTP message of one attempt. Attempts differ in the header X-Attempt only, since an
+// id belongs to one method, target and body.
 http_request to_http(const load_request& request, const std::string& attempt);
 
 } // namespace camphorrock
--- a/load/load_runner.cpp
+++ b/load/load_runner.cpp
@@ -1,9 +1,12 @@
 #include "load/load_runner.hpp"
 
 #include "codec/history_json.hpp"
+#include "codec/json_text.hpp"
 #include "codec/server_answer.hpp"
 #include "core/base/outcome.hpp"
 
+#include <json/value.h>
+
 #include <algorithm>
 #include <charconv>
 #include <utility>
@@ -48,6 +51,19 @@
     return std::string(is_write ? "write" : "read") + (is_long ? "-long" : "-short");
 }
 
+// The type of an RFC 9457 problem; "other" where the body is none.
+std::string problem_type(const http_response& answer)
+{
+    return value_or_handle(
+        [&]() -> result<std::string>
+        {
+            BOOST_LEAF_AUTO(body, parse_json(answer.body));
+            bool is_problem = body.isObject() && body["type"].isString();
+            return is_problem ? body["type"].asString() : std::string("other");
+        },
+        [](const error&) { return std::string("other"); });
+}
+
 // Fills in what the answer says.
 void read_answer(const exchange_result& got, attempt_record& record)
 {
@@ -66,6 +82,10 @@
         record.answer_id = body->id;
         record.answer_whole = true;
     }
+    else
+    {
+        record.problem = problem_type(got.answer);
+    }
 }
 
 } // namespace
@@ -255,6 +275,10 @@
     class_figures& figures = report_.of(request.row);
     time_point now = loop_.now();
     figures.count_attempt(told(record), duration(record.end - record.start));
+    if (!record.problem.empty())
+    {
+        report_.count_problem(record.problem);
+    }
     bool is_served = told(record) == outcome::ran && record.status == status_ok;
     if (is_served && !request.is_served)
     {
--- /dev/null
+++ b/load/testing/load_request_test.cpp
@@ -0,0 +1,30 @@
+#include "load/load_request.hpp"
+#include "testing/test_headers.hpp"
+
+using namespace camphorrock;
+
+TEST_CASE("attempts of one id are the same request")
+{
+    GIVEN("a reservation")
+    {
+        load_request request;
+        request.row.caller = "forum";
+        request.service = service_name("valves");
+        request.key = "quad-1";
+        request.id = request_id("order-1");
+        request.tag = "t";
+        request.timeout = milliseconds(300);
+        http_request first = to_http(request, "t.1");
+        http_request second = to_http(request, "t.2");
+
+        THEN("method, target and body do not change, and the attempt's header does")
+        {
+            CHECK(first.method == "POST");
+            CHECK(first.target == second.target);
+            CHECK(first.body == second.body);
+            CHECK(second.headers.find("X-Attempt") == "t.2");
+            CHECK(second.headers.find("Idempotency-Key") == "order-1");
+            CHECK(second.headers.find("Camphorrock-Timeout-Ms") == "300");
+        }
+    }
+}
