--- a/bench/balance/balance_report.cpp
+++ b/bench/balance/balance_report.cpp
@@ -21,6 +21,7 @@
              {"optimum", 2},
              {"moved", 0},
              {"unavoidable", 0},
+             {"burst", 0},
              {"twice", 0},
              {"keys/point", 1},
              {"warm-up moved", 0}},
@@ -37,6 +38,7 @@
              got.optimum,
              got.moved,
              got.unavoidable,
+             got.burst,
              got.moved_twice,
              got.per_point,
              got.warm_up_moved}};
--- a/bench/balance/balance_trial.cpp
+++ b/bench/balance/balance_trial.cpp
@@ -157,6 +157,7 @@
     void count_moves()
     {
         const std::vector<std::size_t>& next = placement_->owners();
+        const double moved_before = metrics_.moved;
         for (std::size_t key = 0; key < next.size(); ++key)
         {
             if (next[key] == owners_[key])
@@ -169,6 +170,7 @@
             metrics_.moved_twice += is_second ? 1 : 0;
             last_move_[key] = now_;
         }
+        metrics_.burst = std::max(metrics_.burst, metrics_.moved - moved_before);
         owners_ = next;
     }
 
--- a/bench/balance/balance_trial.hpp
+++ b/bench/balance/balance_trial.hpp
@@ -26,7 +26,8 @@
     double moved = 0;         // keys, from the first event on
     double warm_up_moved = 0; // keys, before it
     double unavoidable =
-        0; // keys: of a server that leaves, a fair share for one that joins
+        0;            // keys: of a server that leaves, a fair share for one that joins
+    double burst = 0; // most keys moved at one time, of those
     double moved_twice = 0; // keys that changed owner twice within a minute
     double per_point = 0;   // keys moved for each 0.01 of imbalance removed
 };
--- a/bench/balance/named_placements.cpp
+++ b/bench/balance/named_placements.cpp
@@ -29,7 +29,37 @@
 // One plan for all servers every five seconds.
 partition_placement_options version_1()
 {
-    return {};
+    partition_placement_options it;
+    it.balance.start = 0.10;
+    it.balance.stop = 0.05;
+    it.balance.churn_share = 0.10;
+    return it;
+}
+
+// A churn budget that has room for a join and a hot key in one minute.
+partition_placement_options version_2()
+{
+    partition_placement_options it = version_1();
+    it.balance.churn_share = 0.15;
+    return it;
+}
+
+// Content with less.
+partition_placement_options version_3()
+{
+    partition_placement_options it = version_2();
+    it.balance.start = 0.12;
+    it.balance.stop = 0.08;
+    return it;
+}
+
+// Each server decides by itself, at random times, about every two seconds.
+partition_placement_options version_4()
+{
+    partition_placement_options it = version_3();
+    it.interval = seconds(2);
+    it.is_spread = true;
+    return it;
 }
 
 std::vector<named_placement> all_placements()
@@ -37,7 +67,10 @@
     return {hashed("modulo", hashing::modulo),
             hashed("rendezvous", hashing::rendezvous),
             hashed("bounded-ring", hashing::bounded_ring),
-            own("b1", version_1())};
+            own("b1", version_1()),
+            own("b2", version_2()),
+            own("b3", version_3()),
+            own("b4", version_4())};
 }
 
 } // namespace
--- a/bench/balance/partition_placement.cpp
+++ b/bench/balance/partition_placement.cpp
@@ -12,7 +12,7 @@
                                          std::uint64_t seed)
     : options_(options), keys_(keys), takes_keys_(servers, true),
       owners_(keys.hashes.size(), 0), load_(options.load), balancer_(options.balance),
-      random_(seed)
+      random_(seed), schedule_({options.balance, options.interval}, random_)
 {
     for (std::size_t i = 0; i < servers; ++i)
     {
@@ -27,7 +27,7 @@
     takes_keys_ = takes_keys;
     if (!partitions_.empty())
     {
-        carry_out(balancer_.plan(view(now), now), now);
+        decide(now);
         return;
     }
     std::vector<std::size_t> live;
@@ -48,11 +48,7 @@
                                        : key_hash{(i + 1) * width - 1}};
         partitions_.push_back({range, live[i % live.size()]});
     }
-    next_.assign(takes_keys.size(), now);
-    for (time_point& it : next_)
-    {
-        it = now + next_wait();
-    }
+    next_plan_ = now + options_.interval;
     carry_out({}, now);
 }
 
@@ -63,22 +59,18 @@
 
 void partition_placement::advance(time_point now)
 {
-    if (!options_.is_spread)
+    if (options_.is_spread)
     {
-        if (now >= next_.front())
+        const auto seen = [&]
         {
-            next_.front() = now + options_.interval;
-            decide(now);
-        }
-        return;
+            return view(now);
+        };
+        carry_out(schedule_.tick(servers(), seen, now), now);
     }
-    for (std::size_t i = 0; i < next_.size(); ++i)
+    else if (now >= next_plan_)
     {
-        if (takes_keys_[i] && now >= next_[i])
-        {
-            next_[i] = now + next_wait();
-            decide_for(i, now);
-        }
+        next_plan_ = now + options_.interval;
+        decide(now);
     }
 }
 
@@ -90,10 +82,7 @@
 balance_view partition_placement::view(time_point now) const
 {
     balance_view seen;
-    for (std::size_t i = 0; i < names_.size(); ++i)
-    {
-        seen.servers.push_back({names_[i], 1, takes_keys_[i]});
-    }
+    seen.servers = servers();
     const std::vector<partition_sample> samples = load_.samples(now);
     const double all_keys = static_cast<double>(keys_.hashes.size());
     for (std::size_t i = 0; i < partitions_.size(); ++i)
@@ -113,34 +102,30 @@
     return seen;
 }
 
-void partition_placement::decide(time_point now)
+std::vector<balanced_server> partition_placement::servers() const
 {
-    carry_out(balancer_.plan(view(now), now), now);
+    std::vector<balanced_server> all;
+    for (std::size_t i = 0; i < names_.size(); ++i)
+    {
+        all.push_back({names_[i], 1, takes_keys_[i]});
+    }
+    return all;
 }
 
-// Acts with a probability that rises with the server's load above the mean.
-void partition_placement::decide_for(std::size_t server, time_point now)
+void partition_placement::decide(time_point now)
 {
     const balance_view seen = view(now);
-    std::vector<double> loads(names_.size(), 0);
-    double total = 0;
-    for (const balanced_partition& it : seen.partitions)
-    {
-        loads[it.server] += it.load;
-        total += it.load;
-    }
-    const auto live = std::count(takes_keys_.begin(), takes_keys_.end(), true);
-    const double mean = total / static_cast<double>(live);
-    const double above = mean > 0 ? loads[server] / mean - 1 : 0;
-    std::uniform_real_distribution<double> unit(0, options_.spread_full);
-    if (above > options_.balance.stop && unit(random_) < above)
-    {
-        carry_out(balancer_.plan_for(seen, server, now), now);
-    }
+    carry_out(options_.is_spread ? schedule_.plan_now(seen, now)
+                                 : balancer_.plan(seen, now),
+              now);
 }
 
 void partition_placement::carry_out(const rebalance_plan& plan, time_point now)
 {
+    if (plan.steps.empty() && load_.size() == partitions_.size())
+    {
+        return;
+    }
     for (const rebalance_step& it : plan.steps)
     {
         apply(it);
@@ -206,17 +191,4 @@
     }
 }
 
-// One interval on average where decisions are spread, drawn between a half and one and a
-// half of it.
-duration partition_placement::next_wait()
-{
-    if (!options_.is_spread)
-    {
-        return options_.interval;
-    }
-    std::uniform_int_distribution<duration::rep> wait(options_.interval.count() / 2,
-                                                      options_.interval.count() * 3 / 2);
-    return duration(wait(random_));
-}
-
 } // namespace camphorrock
--- a/bench/balance/partition_placement.hpp
+++ b/bench/balance/partition_placement.hpp
@@ -5,7 +5,7 @@
 
 #include "bench/balance/key_placement.hpp"
 #include "bench/balance/key_population.hpp"
-#include "core/balance/balancer.hpp"
+#include "core/balance/balance_schedule.hpp"
 #include "core/balance/partition_load.hpp"
 
 #include <random>
@@ -19,7 +19,6 @@
     partition_load_options load;
     duration interval = seconds(5); // between two plans
     bool is_spread = false;         // each server decides by itself, at random times
-    double spread_full = 0.5;       // share above the mean at which it surely acts
     std::size_t partitions_of_server = 16; // at the start
 };
 
@@ -46,13 +45,12 @@
 
     balance_view view(time_point now) const;
     void decide(time_point now);
-    void decide_for(std::size_t server, time_point now);
     void carry_out(const rebalance_plan& plan, time_point now);
     void apply(const rebalance_step& step);
     std::size_t find(key_hash at) const;
+    std::vector<balanced_server> servers() const;
     std::size_t server_of(const server_id& id) const;
     void refresh_owners();
-    duration next_wait();
 
     partition_placement_options options_;
     const key_population& keys_;
@@ -63,7 +61,8 @@
     partition_load load_;
     balancer balancer_;
     std::mt19937_64 random_;
-    std::vector<time_point> next_; // decision of each server, or of all in the first
+    balance_schedule schedule_;
+    time_point next_plan_;
 };
 
 } // namespace camphorrock
--- a/core/balance/balancer.cpp
+++ b/core/balance/balancer.cpp
@@ -15,30 +15,30 @@
 
 rebalance_plan balancer::plan(const balance_view& view, time_point now)
 {
-    return make_plan(view, std::nullopt, now);
+    history_.forget(now);
+    plan_builder builder(view, options_, history_, now);
+    builder.evacuate();
+    builder.even_out(std::nullopt);
+    builder.merge_cold();
+    return builder.take();
 }
 
 rebalance_plan
 balancer::plan_for(const balance_view& view, std::size_t server, time_point now)
 {
-    return make_plan(view, server, now);
+    history_.forget(now);
+    plan_builder builder(view, options_, history_, now);
+    builder.evacuate();
+    builder.even_out(server);
+    return builder.take();
 }
 
-rebalance_plan balancer::make_plan(const balance_view& view,
-                                   std::optional<std::size_t> only,
-                                   time_point now)
+rebalance_plan balancer::plan_merges(const balance_view& view, time_point now)
 {
     history_.forget(now);
     plan_builder builder(view, options_, history_, now);
-    builder.evacuate();
-    builder.even_out(only);
-    if (!only)
-    {
-        builder.merge_cold();
-    }
-    rebalance_plan made = builder.take();
-    made.reason = made.steps.empty() ? "" : "load";
-    return made;
+    builder.merge_cold();
+    return builder.take();
 }
 
 double imbalance(const balance_view& view)
--- a/core/balance/balancer.hpp
+++ b/core/balance/balancer.hpp
@@ -26,16 +26,15 @@
 #include "core/base/time.hpp"
 
 #include <cstddef>
-#include <optional>
 
 namespace camphorrock
 {
 
 struct balancer_options
 {
-    double start = 0.10;       // share off the mean at which it acts
-    double stop = 0.05;        // share off the mean that it is content with
-    double churn_share = 0.10; // of all keys, in one churn_period
+    double start = 0.12;       // share off the mean at which it acts
+    double stop = 0.08;        // share off the mean that it is content with
+    double churn_share = 0.15; // of all keys, in one churn_period
     duration churn_period = seconds(60);
     double hot_share = 0.3;            // of its partition's load splits a key off
     double hot_load = 0.05;            // of the mean server load, at least
@@ -54,9 +53,13 @@
 
     rebalance_plan plan(const balance_view& view, time_point now);
 
-    // The same, but only the server of that index is relieved, and nothing merges.
+    // The same, but only the server of that index is relieved, or emptied if it takes no
+    // keys, and nothing merges.
     rebalance_plan plan_for(const balance_view& view, std::size_t server, time_point now);
 
+    // Only merges of cold neighbours.
+    rebalance_plan plan_merges(const balance_view& view, time_point now);
+
     // Keys that moved in the churn period.
     double recent_keys() const
     {
@@ -64,9 +67,6 @@
     }
 
 private:
-    rebalance_plan
-    make_plan(const balance_view& view, std::optional<std::size_t> only, time_point now);
-
     balancer_options options_;
     move_history history_;
 };
--- a/core/balance/plan_builder.cpp
+++ b/core/balance/plan_builder.cpp
@@ -129,6 +129,12 @@
     }
 }
 
+rebalance_plan plan_builder::take()
+{
+    plan_.reason = plan_.steps.empty() ? "" : "load";
+    return std::move(plan_);
+}
+
 bool plan_builder::is_full() const
 {
     // A hot key takes two splits at once.
--- a/core/balance/plan_builder.hpp
+++ b/core/balance/plan_builder.hpp
@@ -29,10 +29,8 @@
     // Merges cold neighbours.
     void merge_cold();
 
-    rebalance_plan take()
-    {
-        return std::move(plan_);
-    }
+    // The plan, with its reason.
+    rebalance_plan take();
 
 private:
     struct server_state
