--- a/bench/queue/queue_report.cpp
+++ b/bench/queue/queue_report.cpp
@@ -1,10 +1,10 @@
 #include "bench/queue/queue_report.hpp"
 
+#include "bench/queue/blocking_scenario.hpp"
 #include "bench/queue/named_policy.hpp"
 #include "bench/queue/queue_trial.hpp"
 
 #include <algorithm>
-#include <sstream>
 
 namespace camphorrock
 {
@@ -95,37 +95,6 @@
             {}};
 }
 
-std::string mix_name(double short_share, double long_share)
-{
-    std::ostringstream text;
-    text << "short " << short_share * percent << "%, long " << long_share * percent
-         << "% of capacity";
-    return text.str();
-}
-
-queue_scenario blocking_scenario(double short_share, double long_share)
-{
-    queue_scenario it;
-    it.name = mix_name(short_share, long_share);
-    it.length = seconds(300);
-    it.short_share = short_share;
-    it.long_share = long_share;
-    it.short_deadline = seconds(2);
-    it.long_deadline = seconds(10);
-    it.load = {{seconds(0), 1, false}};
-    it.server = {{}};
-    return it;
-}
-
-// The same short requests, first in first out on the slots that long work cannot take.
-queue_scenario alone(queue_scenario it)
-{
-    it.long_share = 0;
-    it.slots = 2;
-    it.server = {{seconds(0), 2, 1, 0, false, false}};
-    return it;
-}
-
 report_table blocking_table(const std::string& title)
 {
     return {title,
@@ -207,9 +176,9 @@
     {
         for (const double short_share : {0.4, 0.5, 0.6})
         {
-            const queue_scenario mixed = blocking_scenario(short_share, long_share);
-            queue_metrics by_itself =
-                run_queue_trials(alone(mixed), fifo_policy(), options.seed, servers);
+            const queue_scenario mixed = blocking_scenario({short_share, long_share});
+            queue_metrics by_itself = run_queue_trials(
+                without_long(mixed), fifo_policy(), options.seed, servers);
             const double alone_p99 = quantile(by_itself.short_work.waits_ms, 0.99);
             report_table table = blocking_table("blocking: " + mixed.name);
             table.rows.push_back(
