One parser of numbers for net/ and store/, one run_until for their tests

Folded: the same loop around std::from_chars stood in four files of net/ and store/ (core/base/number_text.hpp now); others stand in app, codec, core/config, ctl, fakes/server, load and router and are left to their owners.

--- a/fakes/testing/platform_fixture.hpp
+++ b/fakes/testing/platform_fixture.hpp
@@ -6,6 +6,7 @@
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
+#include "net/testing/run_until.hpp"
 #include "store/instance_list.hpp"
 #include "store/store_client.hpp"
 
@@ -48,15 +49,7 @@
 
     void run_until(const std::function<bool()>& is_met)
     {
-        const timer_handle look = loop->every(milliseconds(1),
-                                              [&]
-                                              {
-                                                  if (is_met())
-                                                  {
-                                                      loop->stop();
-                                                  }
-                                              });
-        loop->run();
+        testing::run_until(*loop, is_met);
     }
 
     // Starts a call that takes a callback, and waits for its answer.
--- a/net/mhd_response.cpp
+++ b/net/mhd_response.cpp
@@ -1,17 +1,16 @@
 #include "net/mhd_response.hpp"
 
+#include "core/base/number_text.hpp"
 #include "net/mhd_exchange.hpp"
 
 #include <microhttpd.h>
 #include <strings.h>
 
 #include <algorithm>
-#include <charconv>
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <utility>
 
 namespace camphorrock
@@ -57,15 +56,7 @@
 
 std::optional<std::uint64_t> stated_length(const http_headers& headers)
 {
-    const std::string_view text = headers.find("Content-Length").value_or("");
-    std::uint64_t length = 0;
-    const char* end = text.data() + text.size();
-    auto [rest, ec] = std::from_chars(text.data(), end, length);
-    if (ec != std::errc() || rest != end)
-    {
-        return std::nullopt;
-    }
-    return length;
+    return parse_number<std::uint64_t>(headers.find("Content-Length").value_or(""));
 }
 
 using held_exchange = std::shared_ptr<mhd_exchange>;
--- a/net/request_check.cpp
+++ b/net/request_check.cpp
@@ -1,8 +1,9 @@
 #include "net/request_check.hpp"
 
+#include "core/base/number_text.hpp"
+
 #include <strings.h>
 
-#include <charconv>
 #include <cstdint>
 #include <string_view>
 #include <vector>
@@ -30,21 +31,9 @@
     return found;
 }
 
-std::optional<std::uint64_t> parse_length(std::string_view text)
-{
-    std::uint64_t value = 0;
-    const char* end = text.data() + text.size();
-    auto [rest, ec] = std::from_chars(text.data(), end, value);
-    if (ec != std::errc() || rest != end)
-    {
-        return std::nullopt;
-    }
-    return value;
-}
-
 std::optional<request_refusal> check_length(const std::string& text, std::size_t bound)
 {
-    const std::optional<std::uint64_t> length = parse_length(text);
+    const std::optional<std::uint64_t> length = parse_number<std::uint64_t>(text);
     if (!length)
     {
         return request_refusal{bad_request, "Content-Length is not a number"};
--- a/net/socket_address.cpp
+++ b/net/socket_address.cpp
@@ -1,11 +1,12 @@
 #include "net/socket_address.hpp"
 
+#include "core/base/number_text.hpp"
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <unistd.h>
 
 #include <cerrno>
-#include <charconv>
 #include <cstdint>
 #include <cstring>
 #include <optional>
@@ -19,18 +20,6 @@
 
 constexpr int listen_backlog = 1024;
 
-std::optional<std::uint16_t> parse_port(std::string_view text)
-{
-    std::uint16_t port = 0;
-    const char* end = text.data() + text.size();
-    auto [rest, ec] = std::from_chars(text.data(), end, port);
-    if (ec != std::errc() || rest != end)
-    {
-        return std::nullopt;
-    }
-    return port;
-}
-
 std::optional<socket_address> make_ipv4(const std::string& host, std::uint16_t port)
 {
     socket_address made;
@@ -67,7 +56,7 @@
         return std::nullopt;
     }
     const std::optional<std::uint16_t> port =
-        parse_port(std::string_view(text).substr(colon + 1));
+        parse_number<std::uint16_t>(std::string_view(text).substr(colon + 1));
     if (!port)
     {
         return std::nullopt;
--- a/net/testing/loop_fixture.hpp
+++ b/net/testing/loop_fixture.hpp
@@ -6,6 +6,7 @@
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
 #include "net/testing/raw_peer.hpp"
+#include "net/testing/run_until.hpp"
 
 #include <functional>
 #include <memory>
@@ -75,19 +76,9 @@
         return got;
     }
 
-    // Runs the loop until `is_met` holds; the test program's own limit ends a test in
-    // which it never does.
     void run_until(const std::function<bool()>& is_met)
     {
-        const timer_handle look = loop->every(milliseconds(1),
-                                              [&]
-                                              {
-                                                  if (is_met())
-                                                  {
-                                                      loop->stop();
-                                                  }
-                                              });
-        loop->run();
+        testing::run_until(*loop, is_met);
     }
 
     // What a peer got up to the first `mark`.
--- a/store/etcd_json.cpp
+++ b/store/etcd_json.cpp
@@ -1,9 +1,9 @@
 #include "store/etcd_json.hpp"
 
+#include "core/base/number_text.hpp"
 #include "store/base64.hpp"
 
 #include <algorithm>
-#include <charconv>
 
 namespace camphorrock
 {
@@ -17,18 +17,6 @@
     return std::to_string(value);
 }
 
-std::optional<std::uint64_t> parse_uint64(std::string_view text)
-{
-    std::uint64_t value = 0;
-    const char* end = text.data() + text.size();
-    auto [rest, ec] = std::from_chars(text.data(), end, value);
-    if (ec != std::errc() || rest != end)
-    {
-        return std::nullopt;
-    }
-    return value;
-}
-
 // A transaction that carries out `success` if the key's revision is `expected`, and reads
 // the key otherwise.
 Json::Value
@@ -169,7 +157,7 @@
     }
     if (it.isString())
     {
-        return parse_uint64(it.asString());
+        return parse_number<std::uint64_t>(it.asString());
     }
     if (it.isUInt64())
     {
