--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -1,19 +1,14 @@
 #include "net/http_server.hpp"
 
-#include "net/hangup_watch.hpp"
+#include "net/connection_table.hpp"
 #include "net/mhd_exchange.hpp"
 #include "net/mhd_response.hpp"
 #include "net/request_check.hpp"
-#include "net/socket_address.hpp"
+#include "net/tcp_acceptor.hpp"
 
 #include <microhttpd.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <unistd.h>
 
-#include <cerrno>
-#include <cstdint>
-#include <unordered_map>
 #include <utility>
 
 namespace camphorrock
@@ -22,19 +17,9 @@
 {
 
 constexpr int content_too_large = 413;
-constexpr int accepts_at_once = 64;
-constexpr milliseconds accept_pause(100); // where the process has no descriptor left
 // libmicrohttpd's memory of a connection holds a request's headers and an answer's.
 constexpr std::size_t memory_per_header_byte = 2;
 
-struct connection
-{
-    std::uint64_t number = 0;
-    int fd = -1;
-    std::shared_ptr<mhd_exchange> current; // from the request line to the whole answer
-    bool is_hung_up = false;               // the other side has closed its half
-};
-
 http_response make_refusal(const request_refusal& why)
 {
     http_response made;
@@ -57,11 +42,11 @@
     return info == nullptr ? 0 : info->header_size;
 }
 
-connection* connection_of(MHD_Connection* raw)
+mhd_connection* connection_of(MHD_Connection* raw)
 {
     const MHD_ConnectionInfo* info =
         MHD_get_connection_info(raw, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-    return static_cast<connection*>(info->socket_context);
+    return static_cast<mhd_connection*>(info->socket_context);
 }
 
 class mhd_server : public http_server, public mhd_runner
@@ -74,12 +59,15 @@
 
     ~mhd_server() override
     {
-        stop_accepting();
+        if (acceptor_)
+        {
+            acceptor_->stop();
+        }
         timeout_.reset();
         daemon_readable_.reset();
         if (daemon_ != nullptr)
         {
-            abort_all();
+            connections_->abort_all();
             MHD_run(daemon_);
             MHD_stop_daemon(daemon_);
         }
@@ -87,34 +75,25 @@
 
     result<void> start()
     {
-        BOOST_LEAF_AUTO(fd, listen_at(options_.address));
-        listen_fd_ = fd;
-        bound_ = bound_endpoint(fd);
-        auto on_hangup = [this](std::uint64_t number)
+        BOOST_LEAF_ASSIGN(connections_, connection_table::create(loop_, *this));
+        BOOST_LEAF_CHECK(start_daemon());
+        auto on_connection = [this](int fd, const socket_address& from)
         {
-            hung_up(number);
+            add_connection(fd, from);
         };
-        BOOST_LEAF_AUTO(hangups, hangup_watch::create(loop_, on_hangup));
-        hangups_ = std::move(hangups);
-        BOOST_LEAF_CHECK(start_daemon());
-        watch_accepts();
+        BOOST_LEAF_ASSIGN(acceptor_,
+                          tcp_acceptor::create(loop_, options_.address, on_connection));
         return {};
     }
 
     endpoint bound() const override
     {
-        return bound_;
+        return acceptor_->bound();
     }
 
     void stop_accepting() override
     {
-        accept_readable_.reset();
-        accept_pause_.reset();
-        if (listen_fd_ >= 0)
-        {
-            close(listen_fd_);
-            listen_fd_ = -1;
-        }
+        acceptor_->stop();
     }
 
     std::size_t in_flight() const override
@@ -124,7 +103,7 @@
 
     std::size_t connections() const override
     {
-        return connections_.size();
+        return connections_->size();
     }
 
     void run_soon() override
@@ -218,92 +197,15 @@
         }
     }
 
-    void watch_accepts()
-    {
-        accept_readable_ = loop_.on_readable(listen_fd_, [this] { accept_some(); });
-    }
-
-    void accept_some()
-    {
-        for (int i = 0; i < accepts_at_once; ++i)
-        {
-            socket_address from;
-            from.size = sizeof from.storage;
-            const int fd = accept4(listen_fd_,
-                                   reinterpret_cast<sockaddr*>(&from.storage),
-                                   &from.size,
-                                   SOCK_NONBLOCK | SOCK_CLOEXEC);
-            if (fd < 0)
-            {
-                pause_accepts(errno);
-                break;
-            }
-            add_connection(fd, from);
-        }
-        run_soon();
-    }
-
-    void pause_accepts(int ec)
-    {
-        if (ec == EMFILE || ec == ENFILE || ec == ENOBUFS || ec == ENOMEM)
-        {
-            accept_readable_.reset();
-            accept_pause_ = loop_.after(accept_pause, [this] { watch_accepts(); });
-        }
-    }
-
     void add_connection(int fd, const socket_address& from)
     {
-        if (connections_.size() >= options_.max_connections)
+        if (connections_->size() >= options_.max_connections)
         {
             close(fd);
             return;
         }
-        const int on = 1;
-        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         MHD_add_connection(daemon_, fd, from.raw(), from.size);
-    }
-
-    void abort_all()
-    {
-        for (auto& [number, it] : connections_)
-        {
-            if (it->current)
-            {
-                it->current->on_gone = nullptr;
-                it->current->decide(mhd_exchange::decision::abort, {});
-                it->current->cut_stream();
-            }
-        }
-    }
-
-    void hung_up(std::uint64_t number)
-    {
-        auto it = connections_.find(number);
-        if (it == connections_.end())
-        {
-            return;
-        }
-        it->second->is_hung_up = true;
-        post([this, number] { read_end(number); });
-        if (it->second->current)
-        {
-            const std::shared_ptr<mhd_exchange> exchange = it->second->current;
-            exchange->is_hung_up = true;
-            exchange->report_gone();
-            exchange->cut_stream();
-        }
-    }
-
-    // libmicrohttpd takes a short read for the last and misses an end of the connection
-    // that came with the bytes. Shutting the receiving side down reports it once more.
-    void read_end(std::uint64_t number)
-    {
-        auto it = connections_.find(number);
-        if (it != connections_.end())
-        {
-            shutdown(it->second->fd, SHUT_RD);
-        }
+        run_soon();
     }
 
     static void on_connection(void* self,
@@ -311,31 +213,19 @@
                               void** context,
                               MHD_ConnectionNotificationCode code)
     {
-        auto* server = static_cast<mhd_server*>(self);
+        connection_table& connections = *static_cast<mhd_server*>(self)->connections_;
         if (code == MHD_CONNECTION_NOTIFY_STARTED)
         {
-            *context = server->open_connection(raw);
+            const MHD_ConnectionInfo* info =
+                MHD_get_connection_info(raw, MHD_CONNECTION_INFO_CONNECTION_FD);
+            *context = connections.add(info->connect_fd);
         }
         else
         {
-            server->connections_.erase(static_cast<connection*>(*context)->number);
+            connections.erase(*static_cast<mhd_connection*>(*context));
         }
     }
 
-    connection* open_connection(MHD_Connection* raw)
-    {
-        const std::uint64_t number = ++last_number_;
-        auto made = std::make_unique<connection>();
-        const MHD_ConnectionInfo* info =
-            MHD_get_connection_info(raw, MHD_CONNECTION_INFO_CONNECTION_FD);
-        made->number = number;
-        made->fd = info->connect_fd;
-        hangups_->add(made->fd, number);
-        connection* it = made.get();
-        connections_.emplace(number, std::move(made));
-        return it;
-    }
-
     static void* on_request_line(void* self, const char* target, MHD_Connection* raw)
     {
         auto exchange = std::make_shared<mhd_exchange>();
@@ -440,7 +330,7 @@
         switch (exchange->decided)
         {
         case mhd_exchange::decision::answer:
-            return queue(*exchange, std::move(exchange->answer), listen_fd_ < 0);
+            return queue(*exchange, std::move(exchange->answer), acceptor_->is_stopped());
         case mhd_exchange::decision::stream:
             return queue_stream(exchange);
         case mhd_exchange::decision::abort:
@@ -471,17 +361,12 @@
     event_loop& loop_;
     http_server_options options_;
     http_handler& handler_;
-    endpoint bound_;
-    int listen_fd_ = -1;
     MHD_Daemon* daemon_ = nullptr;
-    std::unique_ptr<hangup_watch> hangups_;
-    std::unordered_map<std::uint64_t, std::unique_ptr<connection>> connections_;
-    std::uint64_t last_number_ = 0;
+    std::unique_ptr<connection_table> connections_;
+    std::unique_ptr<tcp_acceptor> acceptor_; // the last part to start
     std::size_t in_flight_ = 0;
     bool is_run_posted_ = false;
     watch_handle daemon_readable_;
-    watch_handle accept_readable_;
-    timer_handle accept_pause_;
     timer_handle timeout_;
     std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true); // posts look
 };
--- /dev/null
+++ b/net/tcp_acceptor.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+// A listening socket on the loop, which hands on each connection that it accepts.
+
+#include "core/base/names.hpp"
+#include "core/base/result.hpp"
+#include "net/event_loop.hpp"
+#include "net/socket_address.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace camphorrock
+{
+
+class tcp_acceptor
+{
+public:
+    // Takes over the descriptor, which is non-blocking.
+    using callback = std::function<void(int fd, const socket_address& from)>;
+
+    // Listens at once. Fails with error_code::io if the address cannot be bound. `loop`
+    // must outlive the acceptor.
+    static result<std::unique_ptr<tcp_acceptor>>
+    create(event_loop& loop, const endpoint& address, callback on_connection);
+
+    tcp_acceptor(const tcp_acceptor&) = delete;
+    tcp_acceptor& operator=(const tcp_acceptor&) = delete;
+    ~tcp_acceptor();
+
+    // The address with the port that was bound.
+    const endpoint& bound() const
+    {
+        return bound_;
+    }
+
+    // Closes the socket; connections that nobody has accepted are reset.
+    void stop();
+
+    bool is_stopped() const
+    {
+        return fd_ < 0;
+    }
+
+private:
+    tcp_acceptor(event_loop& loop, int fd, callback on_connection);
+    void watch();
+    void accept_some();
+    void pause_after(int ec);
+
+    event_loop& loop_;
+    int fd_;
+    endpoint bound_;
+    callback on_connection_;
+    watch_handle readable_;
+    timer_handle pause_;
+};
+
+} // namespace camphorrock
