A server without epoch checks gives its grant up before the next one gets one

Cause: for such a server a moving partition was released as soon as nothing was in flight, without waiting for the revocation; the server still believed for 4 ms that it owned the key. No request reached it in that time. Ruled out: the history's order (its revocation was handled 18 ms after the report). Now both hold: nothing in flight, and revoked or lapsed. The new test failed before (server_link_test.cpp:74, checks_epoch = false) and passes now.

The assigner balances: schedulers report slot time and the hottest key of each partition once a second, and the balancer's plan is carried out as moves, splits and merges.

--- a/assigner/operator_view.cpp
+++ b/assigner/operator_view.cpp
@@ -39,6 +39,7 @@
     out["epoch"] = number(record->version.value);
     out["partitions"] = number(record->partitions.size());
     out["unowned"] = number(count_unowned(*record));
+    out["imbalance"] = desk.balance().last_imbalance();
     for (const server_entry& it : record->servers)
     {
         out["servers"][it.id.str()]["scheduler"] = it.scheduler.str();
--- a/assigner/shard_desk.cpp
+++ b/assigner/shard_desk.cpp
@@ -68,13 +68,15 @@
     : parts_(parts), config_(config), shard_(std::move(shard)),
       election_(
           parts, lease, shard_, [this](bool is_held) { election_changed(is_held); }),
-      controller_(shard_, parts.settings.id, parts.assignment, parts.ownership)
+      controller_(shard_, parts.settings.id, parts.assignment, parts.ownership),
+      balance_({})
 {
     tick_timer_ = parts_.loop.every(tick_period, [this] { tick(); });
 }
 
 void shard_desk::configure(const service_config& service)
 {
+    service_ = service;
     controller_.configured(view_of(service), parts_.loop.now());
 }
 
@@ -85,6 +87,7 @@
 
 void shard_desk::reported(const report_params& report, const shard_status& status)
 {
+    balance_.reported(status, parts_.loop.now());
     router_instance router{report.router, report.peer, report.zone, report.leaving};
     controller_actions actions;
     controller_.reported(router, report_of(report, status), parts_.loop.now(), actions);
@@ -98,11 +101,26 @@
 
 void shard_desk::tick()
 {
+    rebalance();
     controller_actions actions;
     controller_.tick(parts_.loop.now(), actions);
     carry_out(actions);
 }
 
+void shard_desk::rebalance()
+{
+    if (!election_.is_held() || !controller_.record())
+    {
+        return;
+    }
+    rebalance_plan plan =
+        balance_.plan(*controller_.record(), service_, parts_.loop.now());
+    if (!plan.steps.empty())
+    {
+        planned(plan);
+    }
+}
+
 void shard_desk::election_changed(bool is_held)
 {
     if (!is_held)
@@ -111,6 +129,7 @@
         return;
     }
     controller_actions actions;
+    balance_.clear();
     controller_.elected(parts_.loop.now(), actions);
     carry_out(actions);
 }
--- a/assigner/shard_desk.hpp
+++ b/assigner/shard_desk.hpp
@@ -3,6 +3,7 @@
 // One shard in this assigner: competes for the shard's lease and, while it holds it,
 // carries out what shard_controller decides.
 
+#include "assigner/shard_balance.hpp"
 #include "assigner/shard_election.hpp"
 #include "codec/messages.hpp"
 #include "core/assignment/shard_controller.hpp"
@@ -39,6 +40,11 @@
         return election_;
     }
 
+    const shard_balance& balance() const
+    {
+        return balance_;
+    }
+
     const shard_controller& controller() const
     {
         return controller_;
@@ -46,6 +52,7 @@
 
 private:
     void tick();
+    void rebalance();
     void election_changed(bool is_held);
     void log_changes();
     void carry_out(const controller_actions& actions);
@@ -62,6 +69,8 @@
     shard_id shard_;
     shard_election election_;
     shard_controller controller_;
+    shard_balance balance_;
+    service_config service_;
     epoch known_version_;           // of the record in the store, as last seen
     store_revision known_revision_; // its revision
     epoch logged_version_;
--- a/codec/messages.hpp
+++ b/codec/messages.hpp
@@ -92,31 +92,20 @@
     bool operator==(const released_partition&) const = default;
 };
 
-// A server that the router schedules no more, with nothing in flight.
-struct released_server
-{
-    server_id id;
-    epoch since;
-
-    bool operator==(const released_server&) const = default;
-};
-
 // The load of one key that stands out in its partition.
 struct key_traffic
 {
     key_hash at;
-    std::uint64_t requests = 0;
-    duration slot_time{};
+    duration slot_time{}; // used in a second
 
     bool operator==(const key_traffic&) const = default;
 };
 
-// The load of a partition since the last report.
+// The load of a partition, averaged over the last seconds.
 struct partition_traffic
 {
     hash_range range;
-    std::uint64_t requests = 0;
-    duration slot_time{};
+    duration slot_time{};              // used in a second
     std::vector<key_traffic> hot_keys; // heaviest first, a few
 
     bool operator==(const partition_traffic&) const = default;
@@ -128,8 +117,7 @@
     epoch version;
     std::vector<server_status> servers;
     std::vector<released_partition> released_partitions;
-    std::vector<released_server> released_servers;
-    std::vector<partition_traffic> load;
+    std::vector<partition_traffic> load; // of its own servers; not in each report
 
     bool operator==(const shard_status&) const = default;
 };
--- a/codec/messages_json.cpp
+++ b/codec/messages_json.cpp
@@ -63,18 +63,10 @@
     fields.required("since", it.since);
 }
 
-template<class Fields, is_type<released_server> Message>
-void describe(Fields& fields, Message& it)
-{
-    fields.required("id", it.id);
-    fields.required("since", it.since);
-}
-
 template<class Fields, is_type<key_traffic> Message>
 void describe(Fields& fields, Message& it)
 {
     fields.required("at", it.at);
-    fields.required("requests", it.requests);
     fields.required("slot_time_ms", it.slot_time);
 }
 
@@ -82,7 +74,6 @@
 void describe(Fields& fields, Message& it)
 {
     fields.required("range", it.range);
-    fields.required("requests", it.requests);
     fields.required("slot_time_ms", it.slot_time);
     fields.optional("hot_keys", it.hot_keys);
 }
@@ -94,7 +85,6 @@
     fields.required("version", it.version);
     fields.optional("servers", it.servers);
     fields.optional("released_partitions", it.released_partitions);
-    fields.optional("released_servers", it.released_servers);
     fields.optional("load", it.load);
 }
 
--- a/codec/testing/json_fuzz_test.cpp
+++ b/codec/testing/json_fuzz_test.cpp
@@ -61,11 +61,11 @@
     report.router = instance_id(any_name());
     report.config = config_version{*rc::gen::arbitrary<std::uint64_t>()};
     report.period = milliseconds(*rc::gen::inRange(0, 10000));
-    shard_status status{shard_id(any_name()), any_epoch(), {}, {}, {}, {}};
+    shard_status status{shard_id(any_name()), any_epoch(), {}, {}, {}};
     status.servers.push_back(
         {server_id(any_name()), server_condition::lost, any_epoch().value, 1, 2, 3, {}});
     status.released_partitions.push_back({{{3}, {any_epoch().value | 3}}, any_epoch()});
-    status.load.push_back({{}, 7, {}, {{key_hash{any_epoch().value}, 5, seconds(1)}}});
+    status.load.push_back({{}, seconds(7), {{key_hash{any_epoch().value}, seconds(1)}}});
     report.shards.push_back(status);
     return report;
 }
--- a/core/ownership/server_link.cpp
+++ b/core/ownership/server_link.cpp
@@ -344,9 +344,13 @@
     {
         return false;
     }
+    if (!state.is_revoke_acknowledged && now < state.may_hold_until)
+    {
+        return false;
+    }
     if (entry_.checks_epoch)
     {
-        return state.is_revoke_acknowledged || state.may_hold_until <= now;
+        return true;
     }
     duration limit = with_drift(options_.max_request_time, options_);
     return !inherited_at_ || *inherited_at_ + limit <= now;
--- /dev/null
+++ b/core/ownership/testing/server_link_test.cpp
@@ -0,0 +1,93 @@
+#include "core/ownership/server_link.hpp"
+#include "testing/test_headers.hpp"
+
+using namespace camphorrock;
+
+namespace
+{
+
+const server_id server("s8");
+const server_id next_server("s6");
+constexpr epoch since{1};
+
+// A scheduler's link with one server, in virtual time.
+struct link_fixture
+{
+    explicit link_fixture(bool checks_epoch) : link({}, std::nullopt, now)
+    {
+        entry.id = server;
+        entry.checks_epoch = checks_epoch;
+        entry.since = since;
+        partition.owner = server;
+        partition.since = since;
+        link.update(entry, {partition}, now);
+        drive();
+    }
+
+    void drive()
+    {
+        now += milliseconds(50);
+        scheduler_actions actions;
+        link.drive(now + milliseconds(800), now, last_exchange, actions);
+    }
+
+    // The server answers what was asked last, and accepts all of it.
+    void answer()
+    {
+        server_reply reply;
+        reply.clock = {std::chrono::duration_cast<milliseconds>(now.time_since_epoch())};
+        reply.accepted = {{partition.range, since}};
+        link.answered(last_exchange, reply, now);
+    }
+
+    void start_move()
+    {
+        partition.moving_to = next_server;
+        link.update(entry, {partition}, now);
+        drive();
+    }
+
+    time_point now{seconds(100)};
+    server_exchange_id last_exchange;
+    server_entry entry;
+    partition_entry partition;
+    server_link link;
+};
+
+} // namespace
+
+TEST_CASE("a moving partition is released once its server holds nothing")
+{
+    bool checks_epoch = GENERATE(true, false);
+    CAPTURE(checks_epoch);
+    link_fixture fixture(checks_epoch);
+
+    GIVEN("a server that holds a grant and has nothing in flight")
+    {
+        fixture.answer(); // its clock
+        fixture.drive();
+        fixture.answer(); // the grant
+        fixture.start_move();
+
+        THEN("the partition is not released before the revocation is acknowledged")
+        {
+            CHECK(fixture.link.released(fixture.now).empty());
+            fixture.answer();
+            CHECK(fixture.link.released(fixture.now).size() == 1);
+        }
+        THEN("it is released when the last grant has lapsed")
+        {
+            time_point later = fixture.now + seconds(2);
+            CHECK(fixture.link.released(later).size() == 1);
+        }
+    }
+    GIVEN("a server that was never granted anything")
+    {
+        fixture.start_move();
+
+        THEN("there is nothing to wait for")
+        {
+            CHECK(fixture.link.released(fixture.now).size() == 1);
+        }
+    }
+}
--- a/ctl/command.cpp
+++ b/ctl/command.cpp
@@ -186,7 +186,8 @@
         }
         out << "epoch " << shard["epoch"].asUInt64() << ", "
             << shard["partitions"].asUInt64() << " partitions, "
-            << shard["unowned"].asUInt64() << " without owner\n";
+            << shard["unowned"].asUInt64() << " without owner, load max/mean "
+            << shard["imbalance"].asDouble() << "\n";
         for (const std::string& server : shard["servers"].getMemberNames())
         {
             out << "  server " << server << " scheduled by "
--- a/router/server_lane.cpp
+++ b/router/server_lane.cpp
@@ -83,6 +83,7 @@
 
 result<std::unique_ptr<server_lane>> server_lane::create(router_parts& parts,
                                                          scheduler_authority& authority,
+                                                         partition_load& load,
                                                          server_id server,
                                                          std::size_t slots)
 {
@@ -90,14 +91,15 @@
     options.slots = slots;
     BOOST_LEAF_AUTO(queue, server_queue::create(options, parts.random));
     return std::unique_ptr<server_lane>(
-        new server_lane(parts, authority, std::move(server), std::move(queue)));
+        new server_lane(parts, authority, load, std::move(server), std::move(queue)));
 }
 
 server_lane::server_lane(router_parts& parts,
                          scheduler_authority& authority,
+                         partition_load& load,
                          server_id server,
                          std::unique_ptr<queue_policy> queue)
-    : parts_(parts), authority_(authority), server_(std::move(server)),
+    : parts_(parts), authority_(authority), load_(load), server_(std::move(server)),
       queue_(std::move(queue))
 {
 }
@@ -245,6 +247,9 @@
     figures_.answered += got.end == exchange_end::answered ? 1 : 0;
     figures_.shed += kind_of(got) == answer_kind::shed ? 1 : 0;
     figures_.slot_time += got.time_taken;
+    load_.add(pending_.at(id).request->target.hash,
+              std::chrono::duration<double>(got.time_taken).count(),
+              parts_.loop.now());
     answer_kind kind = kind_of(got);
     duration service_time = got.time_taken;
     end(id, judge(std::move(got)));
--- a/router/server_lane.hpp
+++ b/router/server_lane.hpp
@@ -10,6 +10,7 @@
 // between the queue's decision and the sending.
 
 #include "core/admission/queue_policy.hpp"
+#include "core/balance/partition_load.hpp"
 #include "core/ownership/scheduler_authority.hpp"
 #include "router/live_request.hpp"
 #include "router/router_parts.hpp"
@@ -48,10 +49,11 @@
 public:
     using callback = std::function<void(lane_end)>;
 
-    // Fails if the queue's options are out of range. `parts` and `authority` must outlive
-    // the lane.
+    // Fails if the queue's options are out of range. `parts`, `authority` and `load` must
+    // outlive the lane.
     static result<std::unique_ptr<server_lane>> create(router_parts& parts,
                                                        scheduler_authority& authority,
+                                                       partition_load& load,
                                                        server_id server,
                                                        std::size_t slots);
 
@@ -90,6 +92,7 @@
 
     server_lane(router_parts& parts,
                 scheduler_authority& authority,
+                partition_load& load,
                 server_id server,
                 std::unique_ptr<queue_policy> queue);
 
@@ -105,6 +108,7 @@
 
     router_parts& parts_;
     scheduler_authority& authority_;
+    partition_load& load_;
     server_id server_;
     std::unique_ptr<queue_policy> queue_;
     std::unordered_map<ticket, pending> pending_;
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -20,6 +20,7 @@
 constexpr duration record_retry_period = seconds(1);
 constexpr duration vouch_timeout = milliseconds(400);
 constexpr duration server_call_timeout = milliseconds(250);
+constexpr duration load_period = seconds(1); // between two reports with loads
 constexpr duration report_timeout = milliseconds(400);
 
 // The params of one grant or revocation, as a call.
@@ -38,6 +39,12 @@
     return {method, write_message(params)};
 }
 
+// A load, in slot seconds a second, as the slot time used in a second.
+duration span_of(double load)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(load));
+}
+
 bool is_refused_connection(const std::vector<rpc_result>& results)
 {
     return !results.empty() && results.front().end == rpc_end::not_sent;
@@ -85,7 +92,8 @@
             lease,
             shard_,
             [this](const live_request_ptr& request, server_lane::callback done)
-            { run(request, std::move(done)); })
+            { run(request, std::move(done)); }),
+      load_({})
 {
     tick_timer_ = parts_.loop.every(tick_period, [this] { tick(); });
     read_record();
@@ -263,10 +271,25 @@
                           {"epoch", record->version},
                           {"assigner", record->assigner}});
         once_.record_changed(*record);
+        measure_partitions(*record);
     }
     update_lanes();
 }
 
+void shard_agent::measure_partitions(const shard_record& record)
+{
+    std::vector<hash_range> ranges;
+    for (const partition_entry& it : record.partitions)
+    {
+        const server_entry* owner = find_server(record, it.owner);
+        if (owner != nullptr && owner->scheduler == parts_.settings.id)
+        {
+            ranges.push_back(it.range);
+        }
+    }
+    load_.set_partitions(ranges, parts_.loop.now());
+}
+
 void shard_agent::update_lanes()
 {
     const std::optional<shard_record>& record = authority_.record();
@@ -290,7 +313,7 @@
                 BOOST_LEAF_AUTO(
                     lane,
                     server_lane::create(
-                        parts_, authority_, it.id, service_.slots_per_server));
+                        parts_, authority_, load_, it.id, service_.slots_per_server));
                 lanes_.emplace(it.id, std::move(lane));
                 return {};
             },
@@ -509,6 +532,12 @@
     {
         status.servers.push_back(make_server_status(it));
     }
+    time_point now = parts_.loop.now();
+    if (now >= load_due_)
+    {
+        load_due_ = now + load_period;
+        status.load = make_traffic();
+    }
     for (const granted_partition& it : report.released)
     {
         status.released_partitions.push_back({it.range, it.since});
@@ -516,6 +545,22 @@
     return params;
 }
 
+std::vector<partition_traffic> shard_agent::make_traffic() const
+{
+    std::vector<partition_traffic> made;
+    for (const partition_sample& it : load_.samples(parts_.loop.now()))
+    {
+        partition_traffic& row = made.emplace_back();
+        row.range = it.range;
+        row.slot_time = span_of(it.load);
+        if (it.hottest)
+        {
+            row.hot_keys.push_back({it.hottest->at, span_of(it.hottest->load)});
+        }
+    }
+    return made;
+}
+
 server_status shard_agent::make_server_status(const server_observation& observed)
 {
     server_status made;
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -7,6 +7,7 @@
 // assigner sends it.
 
 #include "codec/messages.hpp"
+#include "core/balance/partition_load.hpp"
 #include "core/config/configuration.hpp"
 #include "core/membership/voter.hpp"
 #include "core/ownership/scheduler_authority.hpp"
@@ -73,9 +74,11 @@
                       time_point sent,
                       const std::vector<rpc_result>& results);
     report_params make_report(const shard_report& report);
+    std::vector<partition_traffic> make_traffic() const;
     server_status make_server_status(const server_observation& observed);
     void report_to(const endpoint& peer, const Json::Value& params);
     void report_ended(const endpoint& peer, const rpc_result& got);
+    void measure_partitions(const shard_record& record);
     void update_lanes();
     server_lane* lane_of(const server_id& server);
     void submit_once(const live_request_ptr& request);
@@ -89,6 +92,8 @@
     scheduler_authority authority_;
     once_agent once_;
     endpoint assigner_peer_;
+    partition_load load_; // slot seconds of the partitions of its servers
+    time_point load_due_; // in a report
     std::map<server_id, std::unique_ptr<server_lane>> lanes_;
     bool is_reading_ = false;
     epoch lanes_version_;
