--- a/core/once/range_claims.cpp
+++ b/core/once/range_claims.cpp
@@ -20,6 +20,7 @@
 {
     drop(range);
     rows_.push_back({range, since, claim_state::claiming, false});
+    sort();
 }
 
 void range_claims::drop(const hash_range& range)
@@ -65,6 +66,7 @@
         }
         (is_held ? rows_ : given_up).push_back(it);
     }
+    sort();
     return given_up;
 }
 
@@ -129,10 +131,21 @@
 
 const claim_row* range_claims::find(key_hash at) const
 {
-    auto it = std::find_if(rows_.begin(),
-                           rows_.end(),
-                           [&](const claim_row& row) { return row.range.contains(at); });
-    return it == rows_.end() ? nullptr : &*it;
+    auto it = std::lower_bound(rows_.begin(),
+                               rows_.end(),
+                               at,
+                               [](const claim_row& row, key_hash n)
+                               { return row.range.last < n; });
+    bool is_found = it != rows_.end() && it->range.contains(at);
+    return is_found ? &*it : nullptr;
+}
+
+void range_claims::sort()
+{
+    std::sort(rows_.begin(),
+              rows_.end(),
+              [](const claim_row& one, const claim_row& other)
+              { return one.range < other.range; });
 }
 
 void range_claims::move_all(claim_state from, claim_state to)
--- a/core/once/range_claims.hpp
+++ b/core/once/range_claims.hpp
@@ -73,7 +73,7 @@
     std::map<instance_id, std::vector<fenced_entry>> evaluate(const instance_id& self,
                                                               const journal_view& view);
 
-    // The row that holds the hash, or null. O(number of rows).
+    // The row that holds the hash, or null. O(log n).
     const claim_row* find(key_hash at) const;
 
     bool is_empty() const
@@ -89,7 +89,9 @@
 private:
     void move_all(claim_state from, claim_state to);
 
-    std::vector<claim_row> rows_;
+    void sort();
+
+    std::vector<claim_row> rows_; // sorted by range
 };
 
 } // namespace camphorrock
