--- a/load/load_runner.cpp
+++ b/load/load_runner.cpp
@@ -1,9 +1,12 @@
 #include "load/load_runner.hpp"
 
 #include "codec/history_json.hpp"
+#include "codec/json_text.hpp"
 #include "codec/server_answer.hpp"
 #include "core/base/outcome.hpp"
 
+#include <json/value.h>
+
 #include <algorithm>
 #include <charconv>
 #include <utility>
@@ -48,6 +51,19 @@
     return std::string(is_write ? "write" : "read") + (is_long ? "-long" : "-short");
 }
 
+// The type of an RFC 9457 problem; "other" where the body is none.
+std::string problem_type(const http_response& answer)
+{
+    return value_or_handle(
+        [&]() -> result<std::string>
+        {
+            BOOST_LEAF_AUTO(body, parse_json(answer.body));
+            bool is_problem = body.isObject() && body["type"].isString();
+            return is_problem ? body["type"].asString() : std::string("other");
+        },
+        [](const error&) { return std::string("other"); });
+}
+
 // Fills in what the answer says.
 void read_answer(const exchange_result& got, attempt_record& record)
 {
@@ -66,6 +82,10 @@
         record.answer_id = body->id;
         record.answer_whole = true;
     }
+    else
+    {
+        record.problem = problem_type(got.answer);
+    }
 }
 
 } // namespace
@@ -75,7 +95,8 @@
                          line_file& history,
                          const load_settings& settings)
     : loop_(loop), http_(http), history_(history), settings_(settings),
-      random_(settings.seed), started_(loop.now())
+      random_(settings.seed), routers_(settings.routers, settings.eject_time),
+      started_(loop.now())
 {
     run_prefix_ =
         std::to_string(settings.seed) + "-" + std::to_string(to_history(started_)) + "-";
@@ -198,22 +219,41 @@
     attempt_record record;
     record.start = to_history(loop_.now());
     record.caller = request->row.caller;
-    record.router = settings_.routers[random_() % settings_.routers.size()];
     record.service = request->service;
     record.key = request->key;
     record.id = request->id;
     record.tag = request->tag;
     record.attempt = request->tag + "." + std::to_string(request->attempts);
+    send_attempt(request, std::move(record), 1);
+}
+
+// `tries` counts the routers that were tried: where no connection can be opened, the
+// balancer turns to another one.
+void load_runner::send_attempt(const request_ptr& request,
+                               attempt_record record,
+                               std::size_t tries)
+{
+    record.router = routers_.pick(random_, loop_.now());
     exchange_options options;
     options.timeout = request->timeout + settings_.patience;
-    http_request message = to_http(*request, record.attempt);
     endpoint router = record.router;
-    http_.send(
-        router,
-        std::move(message),
-        options,
-        [this, request, record = std::move(record)](const exchange_result& got) mutable
-        { ended(request, std::move(record), got); });
+    http_request message = to_http(*request, record.attempt);
+    auto done = [this, request, tries, record = std::move(record)](
+                    const exchange_result& got) mutable
+    {
+        if (got.end != exchange_end::answered)
+        {
+            routers_.failed(record.router, loop_.now());
+        }
+        bool is_refused = got.end == exchange_end::not_connected;
+        if (is_refused && tries < settings_.routers.size())
+        {
+            send_attempt(request, std::move(record), tries + 1);
+            return;
+        }
+        ended(request, std::move(record), got);
+    };
+    http_.send(router, std::move(message), options, std::move(done));
 }
 
 void load_runner::ended(const request_ptr& request,
@@ -235,6 +275,10 @@
     class_figures& figures = report_.of(request.row);
     time_point now = loop_.now();
     figures.count_attempt(told(record), duration(record.end - record.start));
+    if (!record.problem.empty())
+    {
+        report_.count_problem(record.problem);
+    }
     bool is_served = told(record) == outcome::ran && record.status == status_ok;
     if (is_served && !request.is_served)
     {
