--- a/core/assignment/shard_planner.hpp
+++ b/core/assignment/shard_planner.hpp
@@ -6,6 +6,9 @@
 //     shard_planner planner(view);
 //     planner.plan();
 //     if (planner.has_changed()) ... // write planner.next()
+//
+// The steps stand in files of their own: shard_planner_schedulers, _moves, _steps and
+// _voters; shard_planner.cpp has what they share.
 
 #include "core/assignment/assignment_change.hpp"
 #include "core/assignment/assignment_options.hpp"
