--- /dev/null
+++ b/core/ownership/testing/authority_time_test.cpp
@@ -0,0 +1,84 @@
+#include "core/assignment/fence_progress.hpp"
+#include "core/ownership/vouch_rounds.hpp"
+#include "testing/test_headers.hpp"
+
+using namespace camphorrock;
+
+namespace
+{
+
+time_point at_ms(int n)
+{
+    return time_point(milliseconds(n));
+}
+
+shard_record record_of(std::uint64_t version)
+{
+    shard_record record;
+    record.version = {version};
+    for (const char* it : {"a", "b", "c"})
+    {
+        record.voters.push_back({instance_id(it), endpoint(it)});
+    }
+    return record;
+}
+
+} // namespace
+
+TEST_CASE("authority and fences keep the times of the slowest clock", "[ownership]")
+{
+    ownership_options options;
+    options.clock_drift_ppm = 100000; // a tenth
+
+    SECTION(
+        "authority counts from the sending of the round, however late the answers come")
+    {
+        vouch_rounds rounds(options.authority_ttl);
+        std::uint64_t round = rounds.start(record_of(1), at_ms(1000));
+        rounds.answered(instance_id("a"), round);
+        CHECK(rounds.authority_until() < at_ms(1000));
+        rounds.answered(instance_id("a"), round);
+        CHECK(rounds.authority_until() < at_ms(1000));
+        rounds.answered(instance_id("c"), round);
+        CHECK(rounds.authority_until() == at_ms(1800));
+    }
+
+    SECTION("a fence has passed when a slow clock's authority has lapsed as well")
+    {
+        fence_progress fences(options);
+        fences.start(record_of(4), at_ms(1000));
+        fences.acknowledged(instance_id("a"), {4}, at_ms(1100));
+        CHECK_FALSE(fences.is_fenced({4}, at_ms(5000)));
+        fences.acknowledged(instance_id("b"), {4}, at_ms(2000));
+        CHECK(fences.is_fenced({4}, at_ms(2000)));
+        CHECK(fences.barrier(at_ms(2879), duration{}) == epoch{});
+        CHECK(fences.barrier(at_ms(2881), duration{}) == epoch{4});
+        CHECK(fences.barrier(at_ms(2881), milliseconds(500)) == epoch{});
+
+        AND_THEN("answers of fewer than half count only after the voters' store limit")
+        {
+            fences.start(record_of(5), at_ms(3000));
+            fences.acknowledged(instance_id("a"), {5}, at_ms(3001));
+            int limit = 990000; // 15 minutes and a tenth
+            CHECK_FALSE(fences.is_fenced({5}, at_ms(3000 + limit)));
+            CHECK(fences.is_fenced({5}, at_ms(3001 + limit)));
+        }
+    }
+
+    SECTION("while voters change, both sets are needed")
+    {
+        shard_record joint = record_of(6);
+        joint.previous_voters = joint.voters;
+        joint.voters = {
+            {instance_id("d"), {}}, {instance_id("e"), {}}, {instance_id("a"), {}}};
+        fence_progress fences(options);
+        fences.start(joint, at_ms(1000));
+        fences.acknowledged(instance_id("d"), {6}, at_ms(1100));
+        fences.acknowledged(instance_id("e"), {6}, at_ms(1100));
+        CHECK_FALSE(fences.is_fenced({6}, at_ms(1100)));
+        fences.acknowledged(instance_id("a"), {6}, at_ms(1200));
+        CHECK_FALSE(fences.is_fenced({6}, at_ms(1200)));
+        fences.acknowledged(instance_id("b"), {6}, at_ms(1300));
+        CHECK(fences.is_fenced({6}, at_ms(1300)));
+    }
+}
