--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -2,6 +2,7 @@
 // prints what it measured.
 
 #include "bench/balance/balance_report.hpp"
+#include "bench/cost/cost_report.hpp"
 #include "bench/queue/queue_report.hpp"
 #include "bench/report/report_table.hpp"
 
@@ -23,6 +24,7 @@
     bool only_queue = false;
     bool only_blocking = false;
     bool only_balance = false;
+    bool cost = false;
 };
 
 void add_tables(std::vector<report_table>& all, std::vector<report_table> more)
@@ -37,6 +39,10 @@
 {
     const bool everything =
         !options.only_queue && !options.only_blocking && !options.only_balance;
+    if (options.cost)
+    {
+        return cost_report();
+    }
     std::vector<report_table> all;
     if (everything || options.only_queue)
     {
@@ -68,6 +74,7 @@
     app.add_flag("--queue", options.only_queue, "Only load swings and faults");
     app.add_flag("--blocking", options.only_blocking, "Only short work behind long");
     app.add_flag("--balance", options.only_balance, "Only placement of keys");
+    app.add_flag("--cost", options.cost, "Only processor time and memory, by the clock");
     app.add_option("--seed", options.queue.seed, "Seed of the scripts");
     app.add_option("--servers", options.queue.max_servers, "At most so many servers");
     app.add_option("--policy", options.queue.policy, "Only fifo and this queue policy");
--- a/core/balance/balancer.hpp
+++ b/core/balance/balancer.hpp
@@ -38,7 +38,8 @@
     duration churn_period = seconds(60);
     double hot_share = 0.3;            // of its partition's load splits a key off
     double hot_load = 0.05;            // of the mean server load, at least
-    double min_gain = 0.005;           // of the mean server load, for a step
+    double min_gain = 0.005;           // of the mean server load, for a step; less
+                                       // where partitions are smaller
     double cold_load = 0.01;           // of the mean server load: neighbours may merge
     std::size_t min_partitions = 16;   // for each server; no merges below
     std::size_t max_partitions = 4096; // no splits above
--- a/core/balance/hot_key_sketch.cpp
+++ b/core/balance/hot_key_sketch.cpp
@@ -1,9 +1,23 @@
 #include "core/balance/hot_key_sketch.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <numbers>
 
 namespace camphorrock
 {
+namespace
+{
+
+// Half-lives after which the origin moves, well before the weights overflow.
+constexpr double max_half_lives = 100;
+
+double half_lives(duration passed, duration half_life)
+{
+    return static_cast<double>(passed.count()) / static_cast<double>(half_life.count());
+}
+
+} // namespace
 
 hot_key_sketch::hot_key_sketch(std::size_t counters, duration half_life)
     : max_counters_(std::max<std::size_t>(1, counters)), half_life_(half_life)
@@ -13,34 +27,38 @@
 
 void hot_key_sketch::add(key_hash at, double amount, time_point now)
 {
-    const auto it = std::find_if(counters_.begin(),
-                                 counters_.end(),
-                                 [&](const counter& one) { return one.at == at; });
-    if (it != counters_.end())
+    move_origin(now);
+    const std::chrono::duration<double> half_life = half_life_;
+    const double added = amount * weight(now) * std::numbers::ln2 / half_life.count();
+    counter* smallest = nullptr;
+    for (counter& it : counters_)
     {
-        it->rate.add(amount, now, half_life_);
-        return;
+        if (it.at == at)
+        {
+            it.rate += added;
+            return;
+        }
+        if (smallest == nullptr || it.rate < smallest->rate)
+        {
+            smallest = &it;
+        }
     }
     if (counters_.size() < max_counters_)
     {
-        counters_.push_back({at, {}, {}});
-        counters_.back().rate.add(amount, now, half_life_);
+        counters_.push_back({at, added, 0});
         return;
     }
-    counter& taken = smallest(now);
-    taken.inherited = taken.rate;
-    taken.at = at;
-    taken.rate.add(amount, now, half_life_);
+    *smallest = {at, smallest->rate + added, smallest->rate};
 }
 
 std::vector<hot_key> hot_key_sketch::keys(time_point now) const
 {
+    const double decay = 1 / weight(now);
     std::vector<hot_key> found;
     found.reserve(counters_.size());
     for (const counter& it : counters_)
     {
-        const double own = it.rate.at(now, half_life_) - it.inherited.at(now, half_life_);
-        found.push_back({it.at, std::max(0.0, own)});
+        found.push_back({it.at, (it.rate - it.inherited) * decay});
     }
     std::sort(found.begin(),
               found.end(),
@@ -48,13 +66,25 @@
     return found;
 }
 
-hot_key_sketch::counter& hot_key_sketch::smallest(time_point now)
+// The value at `origin_` of one that is added now.
+double hot_key_sketch::weight(time_point now) const
 {
-    return *std::min_element(
-        counters_.begin(),
-        counters_.end(),
-        [&](const counter& a, const counter& b)
-        { return a.rate.at(now, half_life_) < b.rate.at(now, half_life_); });
+    return std::exp2(half_lives(now - origin_, half_life_));
+}
+
+void hot_key_sketch::move_origin(time_point now)
+{
+    if (half_lives(now - origin_, half_life_) < max_half_lives)
+    {
+        return;
+    }
+    const double decay = 1 / weight(now);
+    for (counter& it : counters_)
+    {
+        it.rate *= decay;
+        it.inherited *= decay;
+    }
+    origin_ = now;
 }
 
 } // namespace camphorrock
--- a/core/balance/hot_key_sketch.hpp
+++ b/core/balance/hot_key_sketch.hpp
@@ -5,10 +5,8 @@
 // than 1/counters of the load has a counter; its rate is overestimated by at most the
 // rate of the counter that it took over.
 //
-// add is O(counters) for a key without a counter and for one with a counter at the end;
-// the counters are few. Memory: 40 bytes a counter.
+// add is O(counters), which are few. Memory: 24 bytes a counter.
 
-#include "core/balance/decayed_rate.hpp"
 #include "core/base/key_hash.hpp"
 #include "core/base/time.hpp"
 
@@ -37,17 +35,21 @@
     std::vector<hot_key> keys(time_point now) const;
 
 private:
+    // Values of the time `origin_`: a later event weighs more, so that nothing has to be
+    // decayed to compare them.
     struct counter
     {
         key_hash at;
-        decayed_rate rate;
-        decayed_rate inherited; // from the key whose counter this one took over
+        double rate = 0;
+        double inherited = 0; // from the key whose counter this one took over
     };
 
-    counter& smallest(time_point now);
+    double weight(time_point now) const;
+    void move_origin(time_point now);
 
     std::size_t max_counters_;
     duration half_life_;
+    time_point origin_;
     std::vector<counter> counters_;
 };
 
--- a/core/balance/plan_builder.cpp
+++ b/core/balance/plan_builder.cpp
@@ -181,6 +181,15 @@
            servers_[low].relative() >= mean_ * (1 - 2 * slack);
 }
 
+// What a step must gain. Where partitions are many and small, half of one is enough.
+double plan_builder::least_gain(std::size_t from) const
+{
+    const server_state& server = servers_[from];
+    const auto n =
+        static_cast<double>(std::max<std::size_t>(1, server.partitions.size()));
+    return std::min(options_.min_gain * mean_, server.relative() / n / 2);
+}
+
 // By how much the higher of the two loads falls, as far as it is above the mean.
 double
 plan_builder::gain(const balanced_partition& part, std::size_t from, std::size_t to) const
@@ -196,13 +205,14 @@
                                                                std::size_t to) const
 {
     std::optional<candidate> best;
+    const double least = least_gain(from);
     const std::vector<std::size_t>& owned = servers_[from].partitions;
     for (std::size_t i = 0; i < owned.size(); ++i)
     {
         const balanced_partition& part = parts_[owned[i]];
         const double gained = gain(part, from, to);
-        const bool is_allowed = !part.is_moving && part.keys <= budget() &&
-                                gained >= options_.min_gain * mean_;
+        const bool is_allowed =
+            !part.is_moving && part.keys <= budget() && gained >= least;
         if (!is_allowed)
         {
             continue;
@@ -240,15 +250,15 @@
 bool plan_builder::split_largest(std::size_t server)
 {
     const std::size_t low = least_loaded();
+    const double least = least_gain(server);
     std::optional<std::size_t> largest;
     for (const std::size_t index : servers_[server].partitions)
     {
         const balanced_partition& part = parts_[index];
-        const bool may_split =
-            part.range.first != part.range.last && !part.is_moving &&
-            !history_.overlaps(part.range) &&
-            gain(part, server, low) < options_.min_gain * mean_ &&
-            part.load >= 2 * options_.min_gain * mean_ * servers_[server].capacity;
+        const bool may_split = part.range.first != part.range.last && !part.is_moving &&
+                               !history_.overlaps(part.range) &&
+                               gain(part, server, low) < least &&
+                               part.load >= 2 * least * servers_[server].capacity;
         if (may_split && (!largest || part.load > parts_[*largest].load))
         {
             largest = index;
--- a/core/balance/plan_builder.hpp
+++ b/core/balance/plan_builder.hpp
@@ -57,6 +57,7 @@
     std::optional<std::size_t> most_loaded() const;
     std::size_t least_loaded() const;
     bool is_content(std::size_t high, std::size_t low, double slack) const;
+    double least_gain(std::size_t from) const;
     double gain(const balanced_partition& part, std::size_t from, std::size_t to) const;
     std::optional<candidate> best_move(std::size_t from, std::size_t to) const;
     bool split_hot_key(std::size_t server);
