--- a/load/load_request.hpp
+++ b/load/load_request.hpp
@@ -6,6 +6,7 @@
 #include "core/base/time.hpp"
 #include "load/load_report.hpp"
 #include "load/load_settings.hpp"
+#include "load/router_choice.hpp"
 #include "net/http_message.hpp"
 
 #include <cstdint>
@@ -17,6 +18,7 @@
 struct load_request
 {
     load_class row;
+    router_choice* routers = nullptr; // of its caller
     service_name service;
     std::string key;
     request_id id;   // empty: a read
--- a/load/load_runner.cpp
+++ b/load/load_runner.cpp
@@ -107,8 +107,13 @@
     done_ = std::move(done);
     for (const caller_settings& it : settings_.callers)
     {
-        callers_.push_back(std::make_unique<caller_state>(caller_state{
-            &it, arrival_process(it.rates), key_popularity(it.keys), duration(0), {}}));
+        callers_.push_back(std::make_unique<caller_state>(
+            caller_state{&it,
+                         arrival_process(it.rates),
+                         key_popularity(it.keys),
+                         router_choice(it.routers, settings_.eject_time),
+                         duration(0),
+                         {}}));
         plan_arrival(*callers_.back());
     }
     for (const probe_settings& it : settings_.probes)
@@ -159,6 +164,7 @@
     bool is_write = chance(from.write_share);
     request->is_long = chance(from.long_share);
     request->row = {from.name, class_name(is_write, request->is_long)};
+    request->routers = from.routers.empty() ? &routers_ : &caller.own_routers;
     request->service = from.service;
     request->key = caller.keys.draw(random_, caller.next);
     request->tag = run_prefix_ + std::to_string(++last_request_);
@@ -190,6 +196,7 @@
 {
     auto request = std::make_shared<load_request>();
     request->is_probe = true;
+    request->routers = &routers_;
     request->row = {probe_caller, class_name(false, false)};
     request->service = probe.service;
     request->key = key;
@@ -233,7 +240,7 @@
                                attempt_record record,
                                std::size_t tries)
 {
-    record.router = routers_.pick(random_, loop_.now());
+    record.router = request->routers->pick(random_, loop_.now());
     exchange_options options;
     options.timeout = request->timeout + settings_.patience;
     endpoint router = record.router;
@@ -243,10 +250,10 @@
     {
         if (got.end != exchange_end::answered)
         {
-            routers_.failed(record.router, loop_.now());
+            request->routers->failed(record.router, loop_.now());
         }
         bool is_refused = got.end == exchange_end::not_connected;
-        if (is_refused && tries < settings_.routers.size())
+        if (is_refused && tries < request->routers->size())
         {
             send_attempt(request, std::move(record), tries + 1);
             return;
@@ -334,7 +341,10 @@
 void load_runner::stop_arrivals()
 {
     is_arriving_ = false;
-    callers_.clear();
+    for (std::unique_ptr<caller_state>& it : callers_)
+    {
+        it->timer.reset();
+    }
     probe_timers_.clear();
     end_timer_ = loop_.after(settings_.drain,
                              [this]
--- a/load/load_runner.hpp
+++ b/load/load_runner.hpp
@@ -54,7 +54,8 @@
         const caller_settings* settings;
         arrival_process arrivals;
         key_popularity keys;
-        duration next{}; // arrival, counted from the start
+        router_choice own_routers; // empty: the runner's are used
+        duration next{};           // arrival, counted from the start
         timer_handle timer;
     };
 
--- a/load/load_settings.cpp
+++ b/load/load_settings.cpp
@@ -76,6 +76,7 @@
     caller_settings caller;
     caller.name = from.require_text("name");
     caller.service = service_name(from.require_text("service"));
+    caller.routers = from.endpoints("routers");
     caller.rates = read_rates(from);
     caller.keys = read_keys(from.map("keys"));
     caller.write_share = from.number_or("write_share", any_share, caller.write_share);
--- a/load/load_settings.hpp
+++ b/load/load_settings.hpp
@@ -50,7 +50,8 @@
 {
     std::string name;
     service_name service;
-    std::vector<rate_step> rates; // the first is at 0
+    std::vector<endpoint> routers; // instead of those of the whole load; empty: those
+    std::vector<rate_step> rates;  // the first is at 0
     key_settings keys;
     double write_share = 0; // unrepeatable POSTs with an Idempotency-Key
     double long_share = 0;  // requests with work=long
--- a/load/router_choice.hpp
+++ b/load/router_choice.hpp
@@ -10,6 +10,7 @@
 #include "core/base/names.hpp"
 #include "core/base/time.hpp"
 
+#include <cstddef>
 #include <random>
 #include <vector>
 
@@ -19,12 +20,18 @@
 class router_choice
 {
 public:
-    // `routers` is not empty. A router that failed is passed over for `eject_time`.
+    // pick() needs at least one router. A router that failed is passed over for
+    // `eject_time`.
     router_choice(const std::vector<endpoint>& routers, duration eject_time);
 
     // Where all have failed, any of them.
     endpoint pick(std::mt19937_64& random, time_point now) const;
 
+    std::size_t size() const
+    {
+        return candidates_.size();
+    }
+
     void failed(const endpoint& router, time_point now);
 
 private:
