A caller that left is told of to the handler of its pipelined request

The former test passed also without the rule, since the loop saw the request first. The new one sends two requests at once: without the rule it waits without end in net_test "a caller that left before the handler began is told of, too".

--- a/net/testing/http_server_test.cpp
+++ b/net/testing/http_server_test.cpp
@@ -229,19 +229,22 @@
 
 TEST_CASE("a caller that left before the handler began is told of, too")
 {
-    bool is_gone = false;
+    int gone = 0;
     std::shared_ptr<http_responder> kept;
     loop_fixture net(
         [&](const http_request&, std::shared_ptr<http_responder> responder)
         {
+            const int before = gone;
             kept = std::move(responder);
-            kept->on_gone([&] { is_gone = true; });
-            CHECK_FALSE(is_gone);
+            kept->on_gone([&] { ++gone; });
+            CHECK(gone == before);
         });
     raw_peer peer(net.server->bound());
-    peer.send(get_request);
+    peer.send(std::string(get_request) + get_request);
     peer.finish();
-    net.run_until([&] { return is_gone; });
+    net.run_until([&] { return gone == 1; });
+    kept->respond({200, {}, "first"});
+    net.run_until([&] { return gone == 2; });
     kept->respond({200, {}, "all the same"});
     CHECK(net.read_to_end(peer).ends_with("all the same"));
 }
