A caller that has closed its side does not keep the loop busy

Only the first report counts now. Seen to fail without that: net_test "a caller that left before the handler began is told of, too" (turns of the loop).

--- a/net/connection_table.cpp
+++ b/net/connection_table.cpp
@@ -52,9 +52,9 @@
 void connection_table::hung_up(std::uint64_t number)
 {
     auto it = rows_.find(number);
-    if (it == rows_.end())
+    if (it == rows_.end() || it->second->is_hung_up)
     {
-        return;
+        return; // read_end() itself causes a second report
     }
     it->second->is_hung_up = true;
     server_.post([this, number] { read_end(number); });
--- a/net/testing/http_server_test.cpp
+++ b/net/testing/http_server_test.cpp
@@ -2,6 +2,8 @@
 #include "net/testing/raw_peer.hpp"
 #include "testing/test_headers.hpp"
 
+#include <ev.h>
+
 using namespace camphorrock;
 using camphorrock::testing::loop_fixture;
 using camphorrock::testing::raw_peer;
@@ -243,6 +245,14 @@
     peer.send(std::string(get_request) + get_request);
     peer.finish();
     net.run_until([&] { return gone == 1; });
+
+    // Nothing happens while the answer is awaited, so the loop only turns with the timer.
+    constexpr unsigned ticks = 20;
+    unsigned seen = 0;
+    const unsigned turns = ev_iteration(net.loop->raw());
+    net.run_until([&] { return ++seen == ticks; });
+    CHECK(ev_iteration(net.loop->raw()) - turns <= 3 * ticks);
+
     kept->respond({200, {}, "first"});
     net.run_until([&] { return gone == 2; });
     kept->respond({200, {}, "all the same"});
