--- a/router/forwarder.cpp
+++ b/router/forwarder.cpp
@@ -78,7 +78,8 @@
                                const exchange_result& got) const
 {
     bool is_safe = request.id.empty() || is_nothing_sent(got.end);
-    return is_safe && request.deadline > parts_.loop.now();
+    bool is_in_time = request.deadline > parts_.loop.now();
+    return is_safe && is_in_time && parts_.retries.try_spend(request.caller);
 }
 
 http_request forwarder::make_request(const live_request& request) const
--- a/router/router.cpp
+++ b/router/router.cpp
@@ -10,6 +10,11 @@
 namespace
 {
 
+const metric_name held_metric{"camphorrock_held_requests",
+                              "Requests held by this router."};
+const metric_name config_metric{"camphorrock_config_version",
+                                "Version of the configuration in force."};
+
 constexpr duration list_period = seconds(2);
 constexpr duration stop_check_period = milliseconds(20);
 constexpr duration leave_notice = milliseconds(300); // for balancers to see the state
@@ -54,6 +59,7 @@
                                   routes_,
                                   random_,
                                   *assigners_,
+                                  retries_,
                                   ownership_options()});
     votes_ = std::make_unique<voter>(parts_->ownership, loop_->now());
     journal_lease_ = std::make_unique<journal_lease>(*loop_, *store_);
@@ -75,6 +81,7 @@
         [this](http_request request, std::shared_ptr<http_responder> responder)
         { entry_->handle_forwarded(std::move(request), std::move(responder)); });
     BOOST_LEAF_CHECK(open_ports());
+    metrics_.before_export([this] { export_metrics(); });
     signals_.push_back(loop_->on_signal(SIGTERM, [this] { stop(); }));
     signals_.push_back(loop_->on_signal(SIGINT, [this] { stop(); }));
     return {};
@@ -156,6 +163,17 @@
     return !is_stopping_ && config_->may_serve();
 }
 
+void router::export_metrics()
+{
+    metrics_.get_gauge(held_metric).set(static_cast<double>(entry_->held()));
+    metrics_.get_gauge(config_metric)
+        .set(static_cast<double>(config_->current().version.value));
+    for (const auto& [id, agent] : shards_)
+    {
+        agent->export_metrics();
+    }
+}
+
 void router::enter_list(instance_state state)
 {
     instance_entry self;
--- a/router/router.hpp
+++ b/router/router.hpp
@@ -48,6 +48,7 @@
     void config_changed(const configuration& config);
     shard_agent* find_shard(const shard_id& shard);
     bool is_ready() const;
+    void export_metrics();
     void enter_list(instance_state state);
     void stop();
     void finish_stop();
@@ -64,6 +65,7 @@
     std::unique_ptr<instance_list> instances_;
     std::unique_ptr<assigner_directory> assigners_;
     route_table routes_;
+    retry_budget retries_{retry_budget_options()};
     std::unique_ptr<router_parts> parts_;
     std::unique_ptr<voter> votes_;
     std::unique_ptr<journal_lease> journal_lease_;
--- a/router/server_lane.cpp
+++ b/router/server_lane.cpp
@@ -159,7 +159,8 @@
         pending& it = pending_.at(id);
         std::optional<request_permit> permit =
             authority_.permit(it.request->target.hash, parts_.loop.now());
-        if (!permit || permit->server != server_)
+        bool is_ours = permit && permit->server == server_;
+        if (!is_ours || !parts_.retries.try_spend(it.request->caller))
         {
             continue;
         }
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -15,6 +15,20 @@
 // Journals share the fleet's write budget as if so many routers kept one of each shard.
 constexpr unsigned expected_routers = 10;
 
+const metric_name epoch_metric{"camphorrock_record_epoch",
+                               "Version of the shard record in use."};
+const metric_name authority_metric{"camphorrock_authority",
+                                   "1 while a majority vouches for this router."};
+const metric_name ids_metric{"camphorrock_remembered_ids",
+                             "Ids of unrepeatable requests held in memory."};
+const metric_name in_flight_metric{"camphorrock_in_flight", "Requests at a server."};
+const metric_name waiting_metric{"camphorrock_waiting",
+                                 "Requests that wait for a server."};
+
+// Rounds that are not the authority's own have numbers that it never uses.
+constexpr std::uint64_t first_own_round = std::uint64_t(1) << 62;
+constexpr duration own_round_period = seconds(2);
+
 constexpr duration tick_period = milliseconds(20);
 constexpr duration record_read_period = seconds(60);
 constexpr duration record_retry_period = seconds(1);
@@ -212,6 +226,60 @@
     scheduler_actions actions;
     authority_.tick(parts_.loop.now(), actions);
     carry_out(actions);
+    note_authority();
+    ask_voters();
+}
+
+void shard_agent::note_authority()
+{
+    bool has_authority = authority_.holds_authority(parts_.loop.now());
+    if (has_authority == had_authority_)
+    {
+        return;
+    }
+    had_authority_ = has_authority;
+    event_id what = has_authority ? event_id::authority_gained : event_id::authority_lost;
+    parts_.log.write(what, {{"shard", shard_}});
+}
+
+// A router that schedules nothing here sends no rounds of its own accord, but needs the
+// voters' word that its configuration is current while the store is away.
+void shard_agent::ask_voters()
+{
+    const std::optional<shard_record>& record = authority_.record();
+    if (!record || parts_.loop.now() - round_sent_ < own_round_period)
+    {
+        return;
+    }
+    round_sent_ = parts_.loop.now();
+    send_vouch asked;
+    asked.round = first_own_round + ++own_rounds_;
+    asked.version = record->version;
+    for (const voter_entry& it : record->voters)
+    {
+        asked.to = it;
+        carry_out(asked);
+    }
+}
+
+void shard_agent::export_metrics() const
+{
+    const std::string shard = shard_.str();
+    double epoch =
+        authority_.record() ? static_cast<double>(authority_.record()->version.value) : 0;
+    parts_.metrics.get_gauge(epoch_metric, {{"shard", shard}}).set(epoch);
+    parts_.metrics.get_gauge(authority_metric, {{"shard", shard}})
+        .set(authority_.holds_authority(parts_.loop.now()) ? 1 : 0);
+    parts_.metrics.get_gauge(ids_metric, {{"shard", shard}})
+        .set(static_cast<double>(once_.remembered_ids()));
+    for (const auto& [id, lane] : lanes_)
+    {
+        metric_labels labels{{"shard", shard}, {"server", id.str()}};
+        parts_.metrics.get_gauge(in_flight_metric, labels)
+            .set(static_cast<double>(lane->in_flight()));
+        parts_.metrics.get_gauge(waiting_metric, labels)
+            .set(static_cast<double>(lane->waiting()));
+    }
 }
 
 void shard_agent::read_record()
@@ -299,6 +367,7 @@
         return;
     }
     lanes_version_ = record->version;
+    drop_idle_lanes(*record);
     for (const server_entry& it : record->servers)
     {
         bool is_ours = it.scheduler == parts_.settings.id;
@@ -324,6 +393,20 @@
     }
 }
 
+void shard_agent::drop_idle_lanes(const shard_record& record)
+{
+    std::erase_if(lanes_,
+                  [&](const auto& it)
+                  {
+                      const server_entry* server = find_server(record, it.first);
+                      bool is_ours =
+                          server != nullptr && server->scheduler == parts_.settings.id;
+                      bool is_idle =
+                          it.second->waiting() == 0 && it.second->in_flight() == 0;
+                      return !is_ours && is_idle;
+                  });
+}
+
 server_lane* shard_agent::lane_of(const server_id& server)
 {
     auto it = lanes_.find(server);
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -45,6 +45,9 @@
     // Does this router schedule no server of the shard?
     bool is_idle() const;
 
+    // Sets the gauges of this shard.
+    void export_metrics() const;
+
     const scheduler_authority& authority() const
     {
         return authority_;
@@ -52,6 +55,9 @@
 
 private:
     void tick();
+    void note_authority();
+    void ask_voters();
+    void drop_idle_lanes(const shard_record& record);
     void read_record();
     void took_record();
     void carry_out(const scheduler_actions& actions);
@@ -100,6 +106,8 @@
     std::map<instance_id, config_version> round_versions_;
     std::uint64_t round_ = 0;
     time_point round_sent_;
+    bool had_authority_ = false;
+    std::uint64_t own_rounds_ = 0;
     timer_handle tick_timer_;
     timer_handle read_timer_;
 };
