Tell the gate until when the shard's authority reaches

Cause: a router that was paused past its authority told waiting callers 'not-run', while a successor may have run their retry. The gate now has the end of the authority from every vouch answer and record.

--- a/core/ownership/scheduler_authority.hpp
+++ b/core/ownership/scheduler_authority.hpp
@@ -102,6 +102,12 @@
 
     bool holds_authority(time_point now) const;
 
+    // The end of the authority as far as it is known; in the past where there is none.
+    time_point authority_until() const
+    {
+        return rounds_.authority_until();
+    }
+
     // Does this router schedule the partition of `at`, admitting or not?
     bool is_scheduler_of(key_hash at) const;
 
--- a/router/once_agent.cpp
+++ b/router/once_agent.cpp
@@ -181,6 +181,15 @@
     }
 }
 
+void once_agent::set_authority(time_point until)
+{
+    if (gate_)
+    {
+        gate_->set_authority(parts_.loop.now(), until);
+        pump();
+    }
+}
+
 void once_agent::submit(const live_request_ptr& request, epoch since)
 {
     if (!gate_)
--- a/router/once_agent.hpp
+++ b/router/once_agent.hpp
@@ -36,6 +36,9 @@
     // Takes over, releases and loses ranges as a new record says.
     void record_changed(const shard_record& record);
 
+    // The shard's authority reaches to `until`.
+    void set_authority(time_point until);
+
     // A request for a partition at this epoch that this router schedules. Ends it, now or
     // later.
     void submit(const live_request_ptr& request, epoch since);
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -97,6 +97,7 @@
     once_.configure(service, fleet, services * expected_routers);
     if (authority_.record())
     {
+        once_.set_authority(authority_.authority_until());
         once_.record_changed(*authority_.record());
     }
     bool has_other_slots = service.slots_per_server != service_.slots_per_server;
@@ -262,6 +263,7 @@
                          {{"shard", shard_},
                           {"epoch", record->version},
                           {"assigner", record->assigner}});
+        once_.set_authority(authority_.authority_until());
         once_.record_changed(*record);
     }
     update_lanes();
@@ -342,6 +344,7 @@
                                                           parts_.loop.now(),
                                                           actions);
                                 carry_out(actions);
+                                once_.set_authority(authority_.authority_until());
                                 return {};
                             },
                             [](const error&) {});
