--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -119,6 +119,7 @@
     once_.configure(service, fleet, services * expected_routers);
     if (authority_.record())
     {
+        once_.set_authority(authority_.authority_until());
         once_.record_changed(*authority_.record());
     }
     bool has_other_slots = service.slots_per_server != service_.slots_per_server;
@@ -338,6 +339,7 @@
                          {{"shard", shard_},
                           {"epoch", record->version},
                           {"assigner", record->assigner}});
+        once_.set_authority(authority_.authority_until());
         once_.record_changed(*record);
         measure_partitions(*record);
     }
@@ -448,6 +450,7 @@
                                                           parts_.loop.now(),
                                                           actions);
                                 carry_out(actions);
+                                once_.set_authority(authority_.authority_until());
                                 return {};
                             },
                             [](const error&) {});
