A router reports only once it has read the record, also where it is absent

It had reported before, so that a new shard finds routers; but a restarted router that can not reach the store would then be taken for one that can schedule. The router now hands the read of an absent record to its authority, which makes it report version 0. Test: a router started anew acts on no record that was sent to it (seen to fail with the earlier reporting: tick gave a report).

--- a/core/ownership/scheduler_authority.cpp
+++ b/core/ownership/scheduler_authority.cpp
@@ -220,10 +220,7 @@
 {
     if (!is_ready_)
     {
-        // Reported all the same: the first record of a shard names the routers that
-        // report.
         note_higher(epoch{1}, now, actions);
-        report_if_due(now, actions);
         return;
     }
     if (!links_.empty() && vouch_due_ <= now)
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -231,6 +231,9 @@
             if (got.entries.empty())
             {
                 votes_.store_read(shard_, epoch{}, begun_at, now);
+                scheduler_actions reports;
+                authority_.store_read(std::nullopt, begun_at, now, reports);
+                carry_out(reports);
                 return;
             }
             value_or_handle(
