A lost history record is a failure of the run

Cause: a full disk would have dropped records in silence, and a history with holes can hide a broken promise. The load tool and the stand-in server now exit 1; the checker names file and line of a record that it cannot read. Programs that end with a fault log event 108.

--- a/app/events.hpp
+++ b/app/events.hpp
@@ -27,6 +27,7 @@
     listen_failed = 105,
     config_in_force = 106,
     config_unreadable = 107,
+    program_failed = 108,
 
     record_adopted = 201,
     record_unreadable = 202,
--- a/app/line_file.cpp
+++ b/app/line_file.cpp
@@ -23,11 +23,13 @@
 
 void line_file::append(const std::string& line)
 {
-    if (file_)
+    if (!file_)
     {
-        std::fputs((line + "\n").c_str(), file_.get());
-        std::fflush(file_.get());
+        return;
     }
+    bool is_written = std::fputs((line + "\n").c_str(), file_.get()) >= 0;
+    bool is_flushed = std::fflush(file_.get()) == 0;
+    has_failed_ = has_failed_ || !is_written || !is_flushed;
 }
 
 } // namespace camphorrock
--- a/app/line_file.hpp
+++ b/app/line_file.hpp
@@ -21,6 +21,12 @@
 
     void append(const std::string& line);
 
+    // A line was lost since the operating system refused it; the file is not complete.
+    bool has_failed() const
+    {
+        return has_failed_;
+    }
+
 private:
     struct closer
     {
@@ -31,6 +37,7 @@
     };
 
     std::unique_ptr<std::FILE, closer> file_;
+    bool has_failed_ = false;
 };
 
 } // namespace camphorrock
--- a/fakes/server/server_main.cpp
+++ b/fakes/server/server_main.cpp
@@ -180,6 +180,10 @@
     print_listening(http->bound());
     loop->run();
     log.write(event_id::program_stopped, {});
+    if (history.has_failed())
+    {
+        return fail(error_code::io, args.history + ": records were lost");
+    }
     return exit_ok;
 }
 
@@ -204,7 +208,7 @@
     return value_or_handle([&] { return serve(args, *log); },
                            [&](const error& ec)
                            {
-                               log->write(event_id::listen_failed, {{"text", ec.text}});
+                               log->write(event_id::program_failed, {{"text", ec.text}});
                                return exit_failure;
                            });
 }
--- a/load/check_main.cpp
+++ b/load/check_main.cpp
@@ -33,8 +33,19 @@
         {
             break;
         }
-        BOOST_LEAF_AUTO(entry, read_history_line(line));
-        checker.add(std::move(entry));
+        std::string fault = value_or_handle(
+            [&]() -> result<std::string>
+            {
+                BOOST_LEAF_AUTO(entry, read_history_line(line));
+                checker.add(std::move(entry));
+                return std::string();
+            },
+            [](const error& ec) { return ec.text; });
+        if (!fault.empty())
+        {
+            return fail(error_code::invalid_argument,
+                        path + ":" + std::to_string(number) + ": " + fault);
+        }
     }
     return {};
 }
@@ -49,9 +60,9 @@
                 BOOST_LEAF_CHECK(read_file(it, checker));
                 return true;
             },
-            [&](const error& ec)
+            [](const error& ec)
             {
-                std::fprintf(stderr, "%s: %s\n", it.c_str(), ec.text.c_str());
+                std::fprintf(stderr, "%s\n", ec.text.c_str());
                 return false;
             });
         if (!is_read)
--- a/load/load_main.cpp
+++ b/load/load_main.cpp
@@ -53,6 +53,10 @@
     std::string text =
         is_json ? runner.report().to_json() + "\n" : runner.report().to_text();
     std::fputs(text.c_str(), stdout);
+    if (history.has_failed())
+    {
+        return fail(error_code::io, settings.history + ": records were lost");
+    }
     return exit_ok;
 }
 
