--- a/app/program.hpp
+++ b/app/program.hpp
@@ -39,6 +39,19 @@
     std::fflush(stdout);
 }
 
+// Runs `body`, which returns a result<int>, and returns its exit status; a fault is
+// logged and gives exit_failure.
+template<class Body>
+int run_to_status(event_log& log, Body body)
+{
+    return value_or_handle(body,
+                           [&](const error& ec)
+                           {
+                               log.write(event_id::program_failed, {{"text", ec.text}});
+                               return exit_failure;
+                           });
+}
+
 template<class Settings, class Read, class Run>
 int run_program(command_line& line, int argc, char** argv, Read read, Run run)
 {
--- a/fakes/server/server_main.cpp
+++ b/fakes/server/server_main.cpp
@@ -205,10 +205,5 @@
     }
     std::unique_ptr<event_log> log =
         event_log::to_stderr(line.program(), line.log_level());
-    return value_or_handle([&] { return serve(args, *log); },
-                           [&](const error& ec)
-                           {
-                               log->write(event_id::program_failed, {{"text", ec.text}});
-                               return exit_failure;
-                           });
+    return run_to_status(*log, [&] { return serve(args, *log); });
 }
--- a/load/check_main.cpp
+++ b/load/check_main.cpp
@@ -16,6 +16,19 @@
 namespace
 {
 
+// Adds one record; the fault as text where the line is none, or "".
+std::string add_line(const std::string& line, history_checker& checker)
+{
+    return value_or_handle(
+        [&]() -> result<std::string>
+        {
+            BOOST_LEAF_AUTO(entry, read_history_line(line));
+            checker.add(std::move(entry));
+            return std::string();
+        },
+        [](const error& ec) { return ec.text; });
+}
+
 // Adds a file's records. A process that was killed may leave its last line cut; such a
 // line is passed over, any other bad line is a fault.
 result<void> read_file(const std::string& path, history_checker& checker)
@@ -33,18 +46,11 @@
         {
             break;
         }
-        std::string fault = value_or_handle(
-            [&]() -> result<std::string>
-            {
-                BOOST_LEAF_AUTO(entry, read_history_line(line));
-                checker.add(std::move(entry));
-                return std::string();
-            },
-            [](const error& ec) { return ec.text; });
+        std::string fault = add_line(line, checker);
         if (!fault.empty())
         {
-            return fail(error_code::invalid_argument,
-                        path + ":" + std::to_string(number) + ": " + fault);
+            std::string place = path + ":" + std::to_string(number);
+            return fail(error_code::invalid_argument, place.append(": ").append(fault));
         }
     }
     return {};
--- a/load/load_main.cpp
+++ b/load/load_main.cpp
@@ -82,11 +82,6 @@
         [&](const load_settings& settings, event_log& log)
         {
             load_settings used = with_arguments(settings, args);
-            return value_or_handle([&] { return send_load(used, args.is_json, log); },
-                                   [&](const error& ec)
-                                   {
-                                       std::fprintf(stderr, "%s\n", ec.text.c_str());
-                                       return exit_failure;
-                                   });
+            return run_to_status(log, [&] { return send_load(used, args.is_json, log); });
         });
 }
