--- a/fakes/server/server_main.cpp
+++ b/fakes/server/server_main.cpp
@@ -180,6 +180,10 @@
     print_listening(http->bound());
     loop->run();
     log.write(event_id::program_stopped, {});
+    if (history.has_failed())
+    {
+        return fail(error_code::io, args.history + ": records were lost");
+    }
     return exit_ok;
 }
 
@@ -201,10 +205,5 @@
     }
     std::unique_ptr<event_log> log =
         event_log::to_stderr(line.program(), line.log_level());
-    return value_or_handle([&] { return serve(args, *log); },
-                           [&](const error& ec)
-                           {
-                               log->write(event_id::listen_failed, {{"text", ec.text}});
-                               return exit_failure;
-                           });
+    return run_to_status(*log, [&] { return serve(args, *log); });
 }
--- a/load/check_main.cpp
+++ b/load/check_main.cpp
@@ -16,6 +16,19 @@
 namespace
 {
 
+// Adds one record; the fault as text where the line is none, or "".
+std::string add_line(const std::string& line, history_checker& checker)
+{
+    return value_or_handle(
+        [&]() -> result<std::string>
+        {
+            BOOST_LEAF_AUTO(entry, read_history_line(line));
+            checker.add(std::move(entry));
+            return std::string();
+        },
+        [](const error& ec) { return ec.text; });
+}
+
 // Adds a file's records. A process that was killed may leave its last line cut; such a
 // line is passed over, any other bad line is a fault.
 result<void> read_file(const std::string& path, history_checker& checker)
@@ -33,8 +46,12 @@
         {
             break;
         }
-        BOOST_LEAF_AUTO(entry, read_history_line(line));
-        checker.add(std::move(entry));
+        std::string fault = add_line(line, checker);
+        if (!fault.empty())
+        {
+            std::string place = path + ":" + std::to_string(number);
+            return fail(error_code::invalid_argument, place.append(": ").append(fault));
+        }
     }
     return {};
 }
@@ -49,9 +66,9 @@
                 BOOST_LEAF_CHECK(read_file(it, checker));
                 return true;
             },
-            [&](const error& ec)
+            [](const error& ec)
             {
-                std::fprintf(stderr, "%s: %s\n", it.c_str(), ec.text.c_str());
+                std::fprintf(stderr, "%s\n", ec.text.c_str());
                 return false;
             });
         if (!is_read)
--- a/load/load_main.cpp
+++ b/load/load_main.cpp
@@ -53,6 +53,10 @@
     std::string text =
         is_json ? runner.report().to_json() + "\n" : runner.report().to_text();
     std::fputs(text.c_str(), stdout);
+    if (history.has_failed())
+    {
+        return fail(error_code::io, settings.history + ": records were lost");
+    }
     return exit_ok;
 }
 
@@ -78,11 +82,6 @@
         [&](const load_settings& settings, event_log& log)
         {
             load_settings used = with_arguments(settings, args);
-            return value_or_handle([&] { return send_load(used, args.is_json, log); },
-                                   [&](const error& ec)
-                                   {
-                                       std::fprintf(stderr, "%s\n", ec.text.c_str());
-                                       return exit_failure;
-                                   });
+            return run_to_status(log, [&] { return send_load(used, args.is_json, log); });
         });
 }
