A stopping router waits until callers have seen their last answer; mains log program_failed

drain() of the entry was never called: a router that stops serves what still comes on kept connections, each answer closing its connection, and exits after 300 ms without a request.

--- a/assigner/assigner_main.cpp
+++ b/assigner/assigner_main.cpp
@@ -9,17 +9,12 @@
 
 int run(const assigner_settings& settings, event_log& log)
 {
-    return value_or_handle(
-        [&]() -> result<int>
-        {
-            BOOST_LEAF_AUTO(made, assigner::create(settings, log));
-            return made->run();
-        },
-        [&](const error& ec)
-        {
-            log.write(event_id::listen_failed, {{"fault", ec.text}});
-            return exit_failure;
-        });
+    return run_to_status(log,
+                         [&]() -> result<int>
+                         {
+                             BOOST_LEAF_AUTO(made, assigner::create(settings, log));
+                             return made->run();
+                         });
 }
 
 } // namespace
--- a/core/routing/refusal.cpp
+++ b/core/routing/refusal.cpp
@@ -11,7 +11,7 @@
 constexpr duration soon = seconds(1);
 constexpr duration later = seconds(2);
 
-constexpr std::array<refusal_terms, 21> all_terms{{
+constexpr std::array<refusal_terms, 20> all_terms{{
     {refusal::bad_target,
      "bad-target",
      400,
@@ -102,12 +102,6 @@
      outcome::not_run,
      "this router has lost contact",
      later},
-    {refusal::draining,
-     "draining",
-     503,
-     outcome::not_run,
-     "this router is stopping",
-     soon},
     {refusal::deadline_passed,
      "deadline-passed",
      504,
--- a/core/routing/refusal.hpp
+++ b/core/routing/refusal.hpp
@@ -28,7 +28,6 @@
     over_budget,           // a memory or retry budget is spent
     journal_unavailable,   // the store cannot record the id
     stale_configuration,   // this router has had no fresh contact for too long
-    draining,              // this router is stopping
     deadline_passed,       // the deadline passed before anything was sent
     answer_lost,           // sent, but no whole answer came back in time
     in_doubt, // the id was sent by an earlier scheduler; its outcome is not recorded
--- a/router/entry.cpp
+++ b/router/entry.cpp
@@ -25,18 +25,18 @@
 
 void entry::handle(http_request request, std::shared_ptr<http_responder> responder)
 {
-    accept(std::move(request), open(std::move(responder)));
+    accept(std::move(request), open(responder));
 }
 
 void entry::handle_forwarded(http_request request,
                              std::shared_ptr<http_responder> responder)
 {
-    live_request_ptr opened = open(std::move(responder));
+    live_request_ptr opened = open(responder);
     opened->is_forwarded = true;
     accept(std::move(request), opened);
 }
 
-live_request_ptr entry::open(std::shared_ptr<http_responder> responder)
+live_request_ptr entry::open(const std::shared_ptr<http_responder>& responder)
 {
     ++held_;
     // The request is known to its ender only by this address: a shared pointer would keep
@@ -69,11 +69,6 @@
 
 void entry::accept(http_request from, const live_request_ptr& request)
 {
-    if (is_draining_ && !request->is_forwarded)
-    {
-        request->refuse(refusal::draining);
-        return;
-    }
     if (held_ > parts_.settings.max_requests)
     {
         request->refuse(refusal::over_budget, "too many requests are held here");
--- a/router/entry.hpp
+++ b/router/entry.hpp
@@ -34,19 +34,13 @@
     void handle_forwarded(http_request request,
                           std::shared_ptr<http_responder> responder);
 
-    // From now on callers are refused; what is here is finished.
-    void drain()
-    {
-        is_draining_ = true;
-    }
-
     std::size_t held() const
     {
         return held_;
     }
 
 private:
-    live_request_ptr open(std::shared_ptr<http_responder> responder);
+    live_request_ptr open(const std::shared_ptr<http_responder>& responder);
     void accept(http_request from, const live_request_ptr& request);
     void dispatch(const live_request_ptr& request);
     void record(const live_request& request, const request_summary& summary);
@@ -56,7 +50,6 @@
     shard_finder find_shard_;
     forwarder forwarder_;
     std::size_t held_ = 0;
-    bool is_draining_ = false;
 };
 
 } // namespace camphorrock
--- a/router/router.cpp
+++ b/router/router.cpp
@@ -17,6 +17,7 @@
 
 constexpr duration list_period = seconds(2);
 constexpr duration stop_check_period = milliseconds(20);
+constexpr duration quiet_time = milliseconds(300);   // without requests, before the exit
 constexpr duration leave_notice = milliseconds(300); // for balancers to see the state
 
 // The peer port's connections are few but its messages hold whole records.
@@ -192,7 +193,8 @@
         return;
     }
     is_stopping_ = true;
-    stop_by_ = loop_->now() + settings_.drain_limit;
+    last_busy_ = loop_->now();
+    stop_by_ = last_busy_ + settings_.drain_limit;
     log_.write(event_id::program_stopping, {{"held", entry_->held()}});
     list_timer_ =
         loop_->every(list_period, [this] { enter_list(instance_state::leaving); });
@@ -217,7 +219,13 @@
     {
         is_done = is_done && agent->is_idle();
     }
-    if (!is_done && loop_->now() < stop_by_)
+    time_point now = loop_->now();
+    if (!is_done)
+    {
+        last_busy_ = now;
+    }
+    // A caller may send on a kept connection until it has seen the answer that closes it.
+    if (now - last_busy_ < quiet_time && now < stop_by_)
     {
         return;
     }
--- a/router/router.hpp
+++ b/router/router.hpp
@@ -80,6 +80,7 @@
     timer_handle list_timer_;
     timer_handle stop_timer_;
     time_point stop_by_;
+    time_point last_busy_; // while stopping
     bool is_stopping_ = false;
 };
 
