--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,10 +1,11 @@
 # Functions that run a small fleet on loopback, for demo and prove. Sourced, not run.
 #
-# Two services (valves, diary) of four servers each, routers and assigners over two data
-# centres, one stand-in for the platform. All files go below $OUT; ports begin at $PORT_BASE.
+# Two services (valves, diary) of four servers each, routers and assigners over $ZONES
+# data centres, one stand-in for the platform. All files go below $OUT; ports begin at $PORT_BASE.
 
 OUT="${OUT:-out/fleet}"
 PORT_BASE="${PORT_BASE:-17000}"
+ZONES="${ZONES:-2}"
 BIN="${BUILD_DIR:-build}"
 HOST=127.0.0.1
 STORE_PORT=$((PORT_BASE + 1))
@@ -55,7 +56,7 @@
 }
 
 zone_of() {
-    echo "dc$((($1 - 1) % 2 + 1))"
+    echo "dc$((($1 - 1) % ZONES + 1))"
 }
 
 start_platform() {
