--- a/core/admission/service_time_table.cpp
+++ b/core/admission/service_time_table.cpp
@@ -22,15 +22,6 @@
 // Samples after which a row is believed alone.
 constexpr std::size_t trusted_samples = 3;
 
-std::string pair_key(const caller_name& caller, const route_class& route)
-{
-    std::string key;
-    key.reserve(route.str().size() + 1 + caller.str().size());
-    key.append(route.str()).push_back('\n');
-    key.append(caller.str());
-    return key;
-}
-
 duration to_duration(double us)
 {
     return duration(static_cast<duration::rep>(us));
@@ -46,22 +37,18 @@
 service_time_estimate service_time_table::estimate(const caller_name& caller,
                                                    const route_class& route) const
 {
-    const row* known = nullptr;
-    const auto of_pair = pairs_.find(pair_key(caller, route));
-    if (of_pair != pairs_.end() && of_pair->second.samples >= trusted_samples)
-    {
-        known = &of_pair->second;
-    }
-    else if (const auto of_route = routes_.find(route); of_route != routes_.end())
-    {
-        known = &of_route->second.times;
-    }
-    if (known == nullptr)
+    const auto of_route = routes_.find(route);
+    if (of_route == routes_.end())
     {
         return {options_.unknown, options_.unknown, true};
     }
-    const double bound_us = known->mean_us + options_.deviations * known->deviation_us;
-    return {to_duration(known->mean_us), to_duration(bound_us), is_long(*known)};
+    const auto& callers = of_route->second.callers;
+    const auto of_caller = callers.find(caller);
+    const bool is_trusted =
+        of_caller != callers.end() && of_caller->second.samples >= trusted_samples;
+    const row& known = is_trusted ? of_caller->second : of_route->second.times;
+    const double bound_us = known.mean_us + options_.deviations * known.deviation_us;
+    return {to_duration(known.mean_us), to_duration(bound_us), is_long(known)};
 }
 
 void service_time_table::observe(const caller_name& caller,
@@ -69,14 +56,14 @@
                                  duration service_time)
 {
     const double us = std::max<double>(1, static_cast<double>(service_time.count()));
-    if (route_row* of_route = find_or_add_route(route))
+    if (route_row* of_route = find_or_add(route))
     {
         update(of_route->times, us);
         of_route->recent += 1;
-    }
-    if (row* of_pair = find_or_add_pair(caller, route))
-    {
-        update(*of_pair, us);
+        if (row* of_caller = find_or_add(*of_route, caller))
+        {
+            update(*of_caller, us);
+        }
     }
     ++samples_;
     if (samples_ < look_period || samples_ % look_period == 0)
@@ -138,27 +125,35 @@
     return size() >= options_.max_classes;
 }
 
-service_time_table::route_row*
-service_time_table::find_or_add_route(const route_class& route)
+service_time_table::route_row* service_time_table::find_or_add(const route_class& route)
 {
     const auto it = routes_.find(route);
     if (it != routes_.end())
     {
         return &it->second;
     }
-    return is_full() ? nullptr : &routes_[route];
+    if (is_full())
+    {
+        return nullptr;
+    }
+    ++size_;
+    return &routes_[route];
 }
 
-service_time_table::row* service_time_table::find_or_add_pair(const caller_name& caller,
-                                                              const route_class& route)
+service_time_table::row* service_time_table::find_or_add(route_row& route,
+                                                         const caller_name& caller)
 {
-    std::string key = pair_key(caller, route);
-    const auto it = pairs_.find(key);
-    if (it != pairs_.end())
+    const auto it = route.callers.find(caller);
+    if (it != route.callers.end())
     {
         return &it->second;
     }
-    return is_full() ? nullptr : &pairs_[std::move(key)];
+    if (is_full())
+    {
+        return nullptr;
+    }
+    ++size_;
+    return &route.callers[caller];
 }
 
 bool service_time_table::is_long(const row& from) const
--- a/core/admission/service_time_table.hpp
+++ b/core/admission/service_time_table.hpp
@@ -1,20 +1,18 @@
 #pragma once
 
 // Learns how long requests take, for each route and for each caller on a route, and says
-// which of them are long. A pair that has not been seen is estimated by its route, a
-// route that has not been seen by all requests.
+// which of them are long. A caller that is new on a route is estimated by the route.
 //
 // A class is long when its mean is `long_factor` times the mean of the shortest routes
 // that have a tenth of the requests, so a service whose requests all take long has no
-// long class. Memory: at most `max_classes` rows; where they are used up, new pairs share
-// the row of their route, and new routes the row of all requests. Look-ups and updates
-// are O(1).
+// long class. Memory: at most `max_classes` rows; where they are used up, new callers are
+// estimated by their route, and new routes stay unknown. Look-ups and updates are O(1),
+// but every 64th update is O(routes log routes).
 
 #include "core/admission/queued_request.hpp"
 #include "core/base/time.hpp"
 
 #include <cstddef>
-#include <string>
 #include <unordered_map>
 
 namespace camphorrock
@@ -55,7 +53,7 @@
 
     std::size_t size() const
     {
-        return routes_.size() + pairs_.size();
+        return size_;
     }
 
 private:
@@ -70,18 +68,19 @@
     {
         row times;
         double recent = 0; // requests, of which old ones count less
+        std::unordered_map<caller_name, row> callers;
     };
 
     void update(row& target, double sample_us) const;
-    route_row* find_or_add_route(const route_class& route);
-    row* find_or_add_pair(const caller_name& caller, const route_class& route);
+    route_row* find_or_add(const route_class& route);
+    row* find_or_add(route_row& route, const caller_name& caller);
     bool is_full() const;
     void update_short_mean();
     bool is_long(const row& from) const;
 
     service_time_table_options options_;
     std::unordered_map<route_class, route_row> routes_;
-    std::unordered_map<std::string, row> pairs_; // by route and caller
+    std::size_t size_ = 0;     // rows, those of callers included
     double short_mean_us_ = 0; // mean of the shortest routes with a share of requests
     std::size_t samples_ = 0;
 };
