--- a/assigner/shard_balance.cpp
+++ b/assigner/shard_balance.cpp
@@ -57,17 +57,16 @@
     {
         return {};
     }
-    due_ = now + options_.period;
     std::erase_if(samples_,
                   [&](const auto& it)
                   { return now - it.second.at > options_.sample_limit; });
-    balance_view view = view_of(record, service, now);
-    last_imbalance_ = imbalance(view);
-    if (!is_loaded(view))
+    auto make_view = [&]
     {
-        return {};
-    }
-    rebalance_plan made = balancer_.plan(view, now);
+        balance_view view = view_of(record, service, now);
+        last_imbalance_ = imbalance(view);
+        return is_loaded(view) ? view : balance_view{view.servers, {}};
+    };
+    rebalance_plan made = schedule_.tick(servers_of(record, service), make_view, now);
     if (!made.steps.empty())
     {
         due_ = now + options_.pause;
@@ -75,19 +74,27 @@
     return made;
 }
 
-balance_view shard_balance::view_of(const shard_record& record,
-                                    const service_config& service,
-                                    time_point now) const
+std::vector<balanced_server>
+shard_balance::servers_of(const shard_record& record, const service_config& service) const
 {
-    balance_view view;
+    std::vector<balanced_server> servers;
     for (const server_entry& it : record.servers)
     {
         const server_config* declared = find_server(service, it.id);
         bool takes_keys =
             declared != nullptr && !declared->drain && lost_.count(it.id) == 0;
-        view.servers.push_back(
+        servers.push_back(
             {it.id, static_cast<double>(service.slots_per_server), takes_keys});
     }
+    return servers;
+}
+
+balance_view shard_balance::view_of(const shard_record& record,
+                                    const service_config& service,
+                                    time_point now) const
+{
+    balance_view view;
+    view.servers = servers_of(record, service);
     for (const partition_entry& it : record.partitions)
     {
         if (it.owner.empty())
--- a/assigner/shard_balance.hpp
+++ b/assigner/shard_balance.hpp
@@ -7,7 +7,7 @@
 //     rebalance_plan plan = balance.plan(record, service, now); // empty: nothing to do
 
 #include "codec/messages.hpp"
-#include "core/balance/balancer.hpp"
+#include "core/balance/balance_schedule.hpp"
 #include "core/config/configuration.hpp"
 #include "core/ownership/shard_record.hpp"
 
@@ -19,7 +19,6 @@
 
 struct shard_balance_options
 {
-    duration period = seconds(2);       // between two plans
     duration pause = seconds(5);        // after a plan, for its steps to be carried out
     duration sample_limit = seconds(5); // older loads are not used
     double least_load = 0.05;           // of the capacity, below which nothing is moved
@@ -28,8 +27,9 @@
 class shard_balance
 {
 public:
-    explicit shard_balance(shard_balance_options options)
-        : options_(options), balancer_({})
+    // `random` must outlive it.
+    shard_balance(shard_balance_options options, std::mt19937_64& random)
+        : options_(options), schedule_({}, random)
     {
     }
 
@@ -54,13 +54,15 @@
         time_point at;
     };
 
+    std::vector<balanced_server> servers_of(const shard_record& record,
+                                            const service_config& service) const;
     balance_view view_of(const shard_record& record,
                          const service_config& service,
                          time_point now) const;
     bool is_loaded(const balance_view& view) const;
 
     shard_balance_options options_;
-    balancer balancer_;
+    balance_schedule schedule_;
     std::map<hash_range, sample> samples_; // of the partitions reported lately
     std::set<server_id> lost_;
     time_point due_;
--- a/assigner/shard_desk.cpp
+++ b/assigner/shard_desk.cpp
@@ -69,7 +69,7 @@
       election_(
           parts, lease, shard_, [this](bool is_held) { election_changed(is_held); }),
       controller_(shard_, parts.settings.id, parts.assignment, parts.ownership),
-      balance_({})
+      balance_({}, parts.random)
 {
     tick_timer_ = parts_.loop.every(tick_period, [this] { tick(); });
 }
--- a/router/entry.cpp
+++ b/router/entry.cpp
@@ -29,7 +29,7 @@
 }
 
 void entry::handle_forwarded(http_request request,
-                             std::shared_ptr<http_responder> responder)
+                             const std::shared_ptr<http_responder>& responder)
 {
     live_request_ptr opened = open(responder);
     opened->is_forwarded = true;
--- a/router/entry.hpp
+++ b/router/entry.hpp
@@ -32,7 +32,7 @@
 
     // A request that another router forwarded.
     void handle_forwarded(http_request request,
-                          std::shared_ptr<http_responder> responder);
+                          const std::shared_ptr<http_responder>& responder);
 
     std::size_t held() const
     {
--- a/router/peer_port.cpp
+++ b/router/peer_port.cpp
@@ -49,7 +49,7 @@
     if (is_forwarded)
     {
         request.target.erase(0, forward_prefix.size());
-        on_forward_(std::move(request), std::move(responder));
+        on_forward_(std::move(request), responder);
         return;
     }
     http_response answer;
--- a/router/peer_port.hpp
+++ b/router/peer_port.hpp
@@ -23,7 +23,7 @@
 public:
     // Takes a forwarded request, its target already the caller's.
     using forward_handler =
-        std::function<void(http_request, std::shared_ptr<http_responder>)>;
+        std::function<void(http_request, const std::shared_ptr<http_responder>&)>;
     using shard_finder = std::function<shard_agent*(const shard_id&)>;
 
     peer_port(router_parts& parts,
--- a/router/router.cpp
+++ b/router/router.cpp
@@ -79,8 +79,8 @@
         *config_,
         *votes_,
         find,
-        [this](http_request request, std::shared_ptr<http_responder> responder)
-        { entry_->handle_forwarded(std::move(request), std::move(responder)); });
+        [this](http_request request, const std::shared_ptr<http_responder>& responder)
+        { entry_->handle_forwarded(std::move(request), responder); });
     BOOST_LEAF_CHECK(open_ports());
     metrics_.before_export([this] { export_metrics(); });
     signals_.push_back(loop_->on_signal(SIGTERM, [this] { stop(); }));
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -33,25 +33,6 @@
 constexpr duration record_read_period = seconds(60);
 constexpr duration record_retry_period = seconds(1);
 constexpr duration vouch_timeout = milliseconds(400);
-constexpr duration server_call_timeout = milliseconds(250);
-constexpr duration load_period = seconds(1); // between two reports with loads
-constexpr duration report_timeout = milliseconds(400);
-
-// The params of one grant or revocation, as a call.
-rpc_call make_ownership_call(const char* method,
-                             const shard_id& shard,
-                             const granted_partition& partition,
-                             duration ttl,
-                             server_clock as_of)
-{
-    ownership_params params;
-    params.shard = shard;
-    params.partition = partition.range;
-    params.since = partition.since;
-    params.ttl = ttl;
-    params.as_of_ms = static_cast<std::uint64_t>(as_of.value.count());
-    return {method, write_message(params)};
-}
 
 // A load, in slot seconds a second, as the slot time used in a second.
 duration span_of(double load)
@@ -59,40 +40,6 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(load));
 }
 
-bool is_refused_connection(const std::vector<rpc_result>& results)
-{
-    return !results.empty() && results.front().end == rpc_end::not_sent;
-}
-
-// What the server's answers say: its clock, and the partitions that it accepted.
-std::optional<server_reply> read_reply(const std::vector<granted_partition>& partitions,
-                                       const std::vector<rpc_result>& results)
-{
-    server_reply reply;
-    bool has_clock = false;
-    for (std::size_t n = 0; n < results.size(); ++n)
-    {
-        if (results[n].end != rpc_end::answered)
-        {
-            continue;
-        }
-        value_or_handle(
-            [&]() -> result<void>
-            {
-                BOOST_LEAF_AUTO(answer, read_message<ownership_answer>(results[n].value));
-                reply.clock = {milliseconds(answer.clock_ms)};
-                has_clock = true;
-                if (answer.since == partitions[n].since)
-                {
-                    reply.accepted.push_back(partitions[n]);
-                }
-                return {};
-            },
-            [](const error&) {});
-    }
-    return has_clock ? std::optional<server_reply>(std::move(reply)) : std::nullopt;
-}
-
 } // namespace
 
 shard_agent::shard_agent(router_parts& parts,
@@ -107,7 +54,7 @@
             shard_,
             [this](const live_request_ptr& request, server_lane::callback done)
             { run(request, std::move(done)); }),
-      load_({})
+      caller_(parts.loop, parts.rpc, shard_), reporter_(parts, config, shard_), load_({})
 {
     tick_timer_ = parts_.loop.every(tick_period, [this] { tick(); });
     read_record();
@@ -188,7 +135,7 @@
 
 void shard_agent::record_received(const shard_record& record, const endpoint& peer)
 {
-    assigner_peer_ = peer;
+    reporter_.assigner_seen(peer);
     scheduler_actions actions;
     authority_.record_received(record, parts_.loop.now(), actions);
     took_record();
@@ -248,11 +195,10 @@
 void shard_agent::ask_voters()
 {
     const std::optional<shard_record>& record = authority_.record();
-    if (!record || parts_.loop.now() - round_sent_ < own_round_period)
+    if (!record || parts_.loop.now() - round_.sent_at() < own_round_period)
     {
         return;
     }
-    round_sent_ = parts_.loop.now();
     send_vouch asked;
     asked.round = first_own_round + ++own_rounds_;
     asked.version = record->version;
@@ -428,12 +374,12 @@
 
 void shard_agent::carry_out(const send_vouch& action)
 {
-    time_point sent = parts_.loop.now();
+    round_.begin(action.round, parts_.loop.now());
     parts_.rpc.call(action.to.peer,
                     "shard.vouch",
                     write_message(vouch_params{shard_, action.version}),
                     vouch_timeout,
-                    [this, action, sent](const rpc_result& got)
+                    [this, action](const rpc_result& got)
                     {
                         if (got.end != rpc_end::answered)
                         {
@@ -444,7 +390,7 @@
                             {
                                 BOOST_LEAF_AUTO(answer,
                                                 read_message<vouch_answer>(got.value));
-                                note_config(action, sent, answer.config);
+                                note_config(action, answer.config);
                                 scheduler_actions actions;
                                 authority_.vouch_answered(action.to.id,
                                                           action.round,
@@ -460,132 +406,66 @@
                     });
 }
 
-void shard_agent::note_config(const send_vouch& asked,
-                              time_point sent,
-                              config_version seen)
+void shard_agent::note_config(const send_vouch& asked, config_version seen)
 {
     config_.version_seen(seen, asked.to.peer);
-    if (asked.round != round_)
-    {
-        round_ = asked.round;
-        round_sent_ = sent;
-        round_versions_.clear();
-    }
-    round_versions_[asked.to.id] = seen;
     const std::optional<shard_record>& record = authority_.record();
-    bool has_majority = record && 2 * round_versions_.size() > record->voters.size();
-    if (!has_majority)
+    if (!record)
     {
         return;
     }
-    config_version highest;
-    for (const auto& [id, version] : round_versions_)
+    std::optional<config_version> highest =
+        round_.answered(asked.round, asked.to.id, seen, record->voters);
+    if (highest)
     {
-        highest = std::max(highest, version);
+        config_.majority_seen(round_.sent_at(), *highest);
     }
-    config_.majority_seen(round_sent_, highest);
 }
 
 void shard_agent::carry_out(const send_clock& action)
 {
-    parts_.rpc.call(action.address,
-                    "ownership.clock",
-                    Json::Value(Json::objectValue),
-                    server_call_timeout,
-                    [this, action](const rpc_result& got)
-                    {
-                        scheduler_actions actions;
-                        time_point now = parts_.loop.now();
-                        value_or_handle(
-                            [&]() -> result<void>
-                            {
-                                if (got.end != rpc_end::answered)
-                                {
-                                    return fail(error_code::unavailable, got.text);
-                                }
-                                BOOST_LEAF_AUTO(answer,
-                                                read_message<clock_answer>(got.value));
-                                server_reply reply;
-                                reply.clock = {milliseconds(answer.clock_ms)};
-                                authority_.server_answered(
-                                    action.to, action.exchange, reply, now, actions);
-                                return {};
-                            },
-                            [&](const error&)
-                            {
-                                bool is_refused = got.end == rpc_end::not_sent;
-                                authority_.server_failed(
-                                    action.to, action.exchange, is_refused, now, actions);
-                            });
-                        carry_out(actions);
-                    });
+    caller_.clock(action.address,
+                  [this, action](const ownership_end& end)
+                  { server_ended(action.to, action.address, action.exchange, end); });
 }
 
 void shard_agent::carry_out(const send_grant& action)
 {
-    std::vector<rpc_call> calls;
-    for (const granted_partition& it : action.message.partitions)
-    {
-        calls.push_back(make_ownership_call(
-            "ownership.grant", shard_, it, action.message.ttl, action.message.as_of));
-    }
-    call_server(
-        action.to, action.address, action.exchange, action.message.partitions, calls);
+    caller_.grant(action.address,
+                  action.message,
+                  [this, action](const ownership_end& end)
+                  { server_ended(action.to, action.address, action.exchange, end); });
 }
 
 void shard_agent::carry_out(const send_revoke& action)
 {
-    std::vector<rpc_call> calls;
-    for (const granted_partition& it : action.message.partitions)
-    {
-        calls.push_back(
-            make_ownership_call("ownership.revoke", shard_, it, duration::zero(), {}));
-    }
-    call_server(
-        action.to, action.address, action.exchange, action.message.partitions, calls);
-}
-
-void shard_agent::call_server(const server_id& server,
-                              const endpoint& address,
-                              server_exchange_id exchange,
-                              const std::vector<granted_partition>& partitions,
-                              const std::vector<rpc_call>& calls)
-{
-    time_point sent = parts_.loop.now();
-    parts_.rpc.batch(
-        address,
-        calls,
-        server_call_timeout,
-        [this, server, address, exchange, partitions, sent](
-            const std::vector<rpc_result>& results)
-        { server_ended(server, address, exchange, partitions, sent, results); });
+    caller_.revoke(action.address,
+                   action.message,
+                   [this, action](const ownership_end& end)
+                   { server_ended(action.to, action.address, action.exchange, end); });
 }
 
 void shard_agent::server_ended(const server_id& server,
                                const endpoint& address,
                                server_exchange_id exchange,
-                               const std::vector<granted_partition>& partitions,
-                               time_point sent,
-                               const std::vector<rpc_result>& results)
+                               const ownership_end& end)
 {
     scheduler_actions actions;
     time_point now = parts_.loop.now();
-    std::optional<server_reply> reply = read_reply(partitions, results);
-    if (reply)
+    if (end.reply)
     {
-        authority_.server_answered(server, exchange, *reply, now, actions);
+        authority_.server_answered(server, exchange, *end.reply, now, actions);
         carry_out(actions);
         return;
     }
-    bool is_refused = is_refused_connection(results);
-    authority_.server_failed(server, exchange, is_refused, now, actions);
-    if (!is_refused)
+    authority_.server_failed(server, exchange, end.is_connection_refused, now, actions);
+    if (!end.is_connection_refused)
     {
         // The kept connections may have gone silent; new ones tell.
         parts_.http.drop_connections(address);
         if (server_lane* lane = lane_of(server))
         {
-            lane->resend(sent);
+            lane->resend(end.sent_at);
         }
     }
     carry_out(actions);
@@ -593,45 +473,17 @@
 
 void shard_agent::carry_out(const send_report& action)
 {
-    Json::Value params = write_message(make_report(action.report));
-    if (!assigner_peer_.empty())
-    {
-        report_to(assigner_peer_, params);
-        return;
-    }
-    for (const endpoint& it : parts_.assigners.peers())
-    {
-        report_to(it, params);
-    }
-}
-
-report_params shard_agent::make_report(const shard_report& report)
-{
-    report_params params;
-    params.router = parts_.settings.id;
-    params.peer = parts_.settings.peer;
-    params.zone = parts_.settings.zone;
-    params.leaving = report.is_leaving;
-    params.config = config_.current().version;
-    params.period = parts_.ownership.report_period;
-    shard_status& status = params.shards.emplace_back();
-    status.shard = shard_;
-    status.version = report.version;
-    for (const server_observation& it : report.servers)
+    std::vector<server_status> servers;
+    for (const server_observation& it : action.report.servers)
     {
-        status.servers.push_back(make_server_status(it));
+        servers.push_back(make_server_status(it));
     }
-    time_point now = parts_.loop.now();
-    if (now >= load_due_)
-    {
-        load_due_ = now + load_period;
-        status.load = make_traffic();
-    }
-    for (const granted_partition& it : report.released)
+    std::vector<partition_traffic> load;
+    if (reporter_.take_load_turn())
     {
-        status.released_partitions.push_back({it.range, it.since});
+        load = make_traffic();
     }
-    return params;
+    reporter_.send(action.report, std::move(servers), std::move(load));
 }
 
 std::vector<partition_traffic> shard_agent::make_traffic() const
@@ -667,36 +519,6 @@
     return made;
 }
 
-void shard_agent::report_to(const endpoint& peer, const Json::Value& params)
-{
-    parts_.rpc.call(peer,
-                    "shard.report",
-                    params,
-                    report_timeout,
-                    [this, peer](const rpc_result& got) { report_ended(peer, got); });
-}
-
-void shard_agent::report_ended(const endpoint& peer, const rpc_result& got)
-{
-    if (got.end != rpc_end::answered)
-    {
-        // Another assigner may hold the shard by now.
-        if (assigner_peer_ == peer)
-        {
-            assigner_peer_ = {};
-        }
-        return;
-    }
-    value_or_handle(
-        [&]() -> result<void>
-        {
-            BOOST_LEAF_AUTO(answer, read_message<report_answer>(got.value));
-            config_.version_seen(answer.config, peer);
-            return {};
-        },
-        [](const error&) {});
-}
-
 void shard_agent::carry_out(const fetch_record&)
 {
     read_record();
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -12,8 +12,11 @@
 #include "core/membership/voter.hpp"
 #include "core/ownership/scheduler_authority.hpp"
 #include "router/once_agent.hpp"
+#include "router/ownership_caller.hpp"
 #include "router/router_parts.hpp"
 #include "router/server_lane.hpp"
+#include "router/shard_reporter.hpp"
+#include "router/voter_round.hpp"
 #include "store/config_agent.hpp"
 
 #include <map>
@@ -67,23 +70,13 @@
     void carry_out(const send_revoke& action);
     void carry_out(const send_report& action);
     void carry_out(const fetch_record& action);
-    void note_config(const send_vouch& asked, time_point sent, config_version seen);
-    void call_server(const server_id& server,
-                     const endpoint& address,
-                     server_exchange_id exchange,
-                     const std::vector<granted_partition>& partitions,
-                     const std::vector<rpc_call>& calls);
+    void note_config(const send_vouch& asked, config_version seen);
     void server_ended(const server_id& server,
                       const endpoint& address,
                       server_exchange_id exchange,
-                      const std::vector<granted_partition>& partitions,
-                      time_point sent,
-                      const std::vector<rpc_result>& results);
-    report_params make_report(const shard_report& report);
+                      const ownership_end& end);
     std::vector<partition_traffic> make_traffic() const;
     server_status make_server_status(const server_observation& observed);
-    void report_to(const endpoint& peer, const Json::Value& params);
-    void report_ended(const endpoint& peer, const rpc_result& got);
     void measure_partitions(const shard_record& record);
     void update_lanes();
     server_lane* lane_of(const server_id& server);
@@ -97,15 +90,13 @@
     service_config service_;
     scheduler_authority authority_;
     once_agent once_;
-    endpoint assigner_peer_;
+    ownership_caller caller_;
+    shard_reporter reporter_;
     partition_load load_; // slot seconds of the partitions of its servers
-    time_point load_due_; // in a report
     std::map<server_id, std::unique_ptr<server_lane>> lanes_;
     bool is_reading_ = false;
     epoch lanes_version_;
-    std::map<instance_id, config_version> round_versions_;
-    std::uint64_t round_ = 0;
-    time_point round_sent_;
+    voter_round round_; // of configuration versions
     bool had_authority_ = false;
     std::uint64_t own_rounds_ = 0;
     timer_handle tick_timer_;
--- /dev/null
+++ b/router/shard_reporter.cpp
@@ -0,0 +1,88 @@
+#include "router/shard_reporter.hpp"
+
+#include "codec/messages_json.hpp"
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr duration load_period = seconds(1);
+constexpr duration report_timeout = milliseconds(400);
+
+} // namespace
+
+bool shard_reporter::take_load_turn()
+{
+    time_point now = parts_.loop.now();
+    if (now < load_due_)
+    {
+        return false;
+    }
+    load_due_ = now + load_period;
+    return true;
+}
+
+void shard_reporter::send(const shard_report& report,
+                          std::vector<server_status> servers,
+                          std::vector<partition_traffic> load)
+{
+    report_params params;
+    params.router = parts_.settings.id;
+    params.peer = parts_.settings.peer;
+    params.zone = parts_.settings.zone;
+    params.leaving = report.is_leaving;
+    params.config = config_.current().version;
+    params.period = parts_.ownership.report_period;
+    shard_status& status = params.shards.emplace_back();
+    status.shard = shard_;
+    status.version = report.version;
+    status.servers = std::move(servers);
+    status.load = std::move(load);
+    for (const granted_partition& it : report.released)
+    {
+        status.released_partitions.push_back({it.range, it.since});
+    }
+    Json::Value written = write_message(params);
+    if (!assigner_peer_.empty())
+    {
+        send_to(assigner_peer_, written);
+        return;
+    }
+    for (const endpoint& it : parts_.assigners.peers())
+    {
+        send_to(it, written);
+    }
+}
+
+void shard_reporter::send_to(const endpoint& peer, const Json::Value& params)
+{
+    parts_.rpc.call(peer,
+                    "shard.report",
+                    params,
+                    report_timeout,
+                    [this, peer](const rpc_result& got) { ended(peer, got); });
+}
+
+void shard_reporter::ended(const endpoint& peer, const rpc_result& got)
+{
+    if (got.end != rpc_end::answered)
+    {
+        // Another assigner may hold the shard by now.
+        if (assigner_peer_ == peer)
+        {
+            assigner_peer_ = {};
+        }
+        return;
+    }
+    value_or_handle(
+        [&]() -> result<void>
+        {
+            BOOST_LEAF_AUTO(answer, read_message<report_answer>(got.value));
+            config_.version_seen(answer.config, peer);
+            return {};
+        },
+        [](const error&) {});
+}
+
+} // namespace camphorrock
--- /dev/null
+++ b/router/voter_round.cpp
@@ -0,0 +1,45 @@
+#include "router/voter_round.hpp"
+
+#include <algorithm>
+
+namespace camphorrock
+{
+
+void voter_round::begin(std::uint64_t round, time_point sent_at)
+{
+    if (round == round_)
+    {
+        return;
+    }
+    round_ = round;
+    sent_at_ = sent_at;
+    versions_.clear();
+}
+
+std::optional<config_version>
+voter_round::answered(std::uint64_t round,
+                      const instance_id& voter,
+                      config_version version,
+                      const std::vector<voter_entry>& voters)
+{
+    bool is_voter = std::any_of(voters.begin(),
+                                voters.end(),
+                                [&](const voter_entry& it) { return it.id == voter; });
+    if (round != round_ || !is_voter)
+    {
+        return std::nullopt;
+    }
+    versions_[voter] = version;
+    if (2 * versions_.size() <= voters.size())
+    {
+        return std::nullopt;
+    }
+    config_version highest;
+    for (const auto& [id, seen] : versions_)
+    {
+        highest = std::max(highest, seen);
+    }
+    return highest;
+}
+
+} // namespace camphorrock
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -69,7 +69,7 @@
     local n="$1" extra=()
     [ "$n" = 8 ] && extra=(--no-check-epoch)
     spawn "server$n" "$BIN/camphorrock-fake-server" --id "s$n" --listen "$HOST:$((PORT_BASE + 100 + n))" \
-        --admin "$HOST:$((PORT_BASE + 150 + n))" --seed "$n" --short-ms 5 \
+        --admin "$HOST:$((PORT_BASE + 150 + n))" --seed "$n" --short-ms "${SHORT_MS:-5}" \
         --history "$OUT/server$n.$(date +%s%N).jsonl" "${extra[@]}"
 }
 
@@ -121,7 +121,7 @@
         echo "services:"
         for service in valves diary; do
             echo "  $service:"
-            echo "    partitions: 16"
+            echo "    partitions: ${PARTITIONS:-16}"
             echo "    max_request_ms: 2000"
             echo "    servers:"
             for n in 1 2 3 4; do
