Two assigners held one shard after a store outage: the lease key names its lease

No record was lost, since writes are compared and swapped. Cause: the end of an outage starts lease times anew, so the key of an assigner's earlier lease was still there when it had a new one; it read its own name, took the key for its own, and did not notice when the earlier lease ended. Ruled out: reports that arrive late, reports to the wrong assigner. The value now names the lease too, and a key that is seen to go ends the tenure at once.

--- a/assigner/assigner.cpp
+++ b/assigner/assigner.cpp
@@ -111,17 +111,7 @@
     lease_watch_ = store_->watch(shard_prefix,
                                  store_revision{},
                                  [this](const std::vector<store_entry>& changed)
-                                 {
-                                     bool has_gone = std::any_of(
-                                         changed.begin(),
-                                         changed.end(),
-                                         [](const store_entry& it)
-                                         { return it.revision == store_revision{}; });
-                                     if (has_gone)
-                                     {
-                                         attempt_elections();
-                                     }
-                                 });
+                                 { keys_changed(changed); });
     print_listening(peer_server_->bound());
     log_.write(event_id::program_ready,
                {{"peer", settings_.peer}, {"zone", settings_.zone}});
@@ -195,6 +185,23 @@
     }
 }
 
+void assigner::keys_changed(const std::vector<store_entry>& changed)
+{
+    for (auto& [id, desk] : shards_)
+    {
+        const std::string key = lease_key(id);
+        bool has_gone =
+            std::any_of(changed.begin(),
+                        changed.end(),
+                        [&](const store_entry& it)
+                        { return it.key == key && it.revision == store_revision{}; });
+        if (has_gone && !is_stopping_)
+        {
+            desk->election().key_gone();
+        }
+    }
+}
+
 void assigner::lease_lost()
 {
     for (auto& [id, desk] : shards_)
--- a/assigner/assigner.hpp
+++ b/assigner/assigner.hpp
@@ -48,6 +48,7 @@
     void read_list();
     void enter_list(instance_state state);
     void attempt_elections();
+    void keys_changed(const std::vector<store_entry>& changed);
     void lease_lost();
     result<Json::Value> take_report(const Json::Value& params);
     fleet_view view() const;
--- a/assigner/shard_election.cpp
+++ b/assigner/shard_election.cpp
@@ -25,7 +25,7 @@
     is_calling_ = true;
     parts_.store.compare_and_swap(lease_key(shard_),
                                   store_revision{},
-                                  parts_.settings.id.str(),
+                                  value_of(lease),
                                   lease,
                                   [this, lease](const store_write& got)
                                   { ended(lease, got); });
@@ -45,16 +45,27 @@
     {
         return;
     }
+    const std::string& value = got.current->value;
+    holder_ = instance_id(value.substr(0, value.find(' ')));
     // After a lost reply the key may be ours already.
-    holder_ = instance_id(got.current->value);
-    bool is_ours = is_same_lease && holder_ == parts_.settings.id;
-    if (is_ours)
+    if (is_same_lease && value == value_of(lease))
     {
         revision_ = got.current->revision;
         set_held(true);
     }
 }
 
+void shard_election::key_gone()
+{
+    set_held(false);
+    attempt();
+}
+
+std::string shard_election::value_of(store_lease lease) const
+{
+    return parts_.settings.id.str() + " " + std::to_string(lease.value);
+}
+
 void shard_election::lease_lost()
 {
     set_held(false);
--- a/assigner/shard_election.hpp
+++ b/assigner/shard_election.hpp
@@ -2,6 +2,9 @@
 
 // Competes for the lease key of one shard: creates it, attached to this process's lease,
 // where it is absent. The key goes when the holder's lease ends.
+//
+// The key's value names the holder and its lease, "a1 4711". A key of this process's id
+// but of an earlier lease is not ours: it goes when that lease ends.
 
 #include "assigner/assigner_parts.hpp"
 #include "assigner/lease_keeper.hpp"
@@ -28,6 +31,9 @@
     // Our lease ended.
     void lease_lost();
 
+    // The key was seen to go.
+    void key_gone();
+
     // Gives the key up, and stays out of the next elections for `pause`.
     void resign(duration pause);
 
@@ -44,6 +50,7 @@
 
 private:
     void ended(store_lease lease, const store_write& got);
+    std::string value_of(store_lease lease) const;
     void set_held(bool is_held);
 
     assigner_parts& parts_;
