A server without epoch checks is given up on proof, not on time

Found by scripts/prove server_freeze: s8 (checks no epochs) began a run at 3170.002 s, was frozen for 4 s and ended it at 3174.006 s; s7 ran requests of the same key from 3173.252 s. Cause: the controller gave the key away one longest request time (2 s) after the fence, but a frozen server's work does not age. Ruled out: a second sender, a late request. Now such a server is given up only on its scheduler's word, which needs every request answered, or the server responsive (or its process gone) for the longest request time.

--- a/assigner/assigner.cpp
+++ b/assigner/assigner.cpp
@@ -129,7 +129,7 @@
         std::unique_ptr<shard_desk>& desk = shards_[shard];
         if (!desk)
         {
-            desk = std::make_unique<shard_desk>(*parts_, *lease_, *config_, shard);
+            desk = std::make_unique<shard_desk>(*parts_, *lease_, *config_, it);
             desk->routers_listed(listed_);
         }
         desk->configure(it);
--- a/assigner/shard_desk.cpp
+++ b/assigner/shard_desk.cpp
@@ -14,6 +14,13 @@
 constexpr duration fence_timeout = milliseconds(400);
 constexpr duration resign_pause = seconds(2);
 
+ownership_options options_for(const assigner_parts& parts, const service_config& service)
+{
+    ownership_options options = parts.ownership;
+    options.max_request_time = service.max_request;
+    return options;
+}
+
 service_view view_of(const service_config& service)
 {
     service_view view;
@@ -64,11 +71,12 @@
 shard_desk::shard_desk(assigner_parts& parts,
                        lease_keeper& lease,
                        const config_agent& config,
-                       shard_id shard)
-    : parts_(parts), config_(config), shard_(std::move(shard)),
+                       const service_config& service)
+    : parts_(parts), config_(config), shard_(shard_of(service.name)),
       election_(
           parts, lease, shard_, [this](bool is_held) { election_changed(is_held); }),
-      controller_(shard_, parts.settings.id, parts.assignment, parts.ownership),
+      controller_(
+          shard_, parts.settings.id, parts.assignment, options_for(parts, service)),
       balance_({}, parts.random)
 {
     tick_timer_ = parts_.loop.every(tick_period, [this] { tick(); });
--- a/assigner/shard_desk.hpp
+++ b/assigner/shard_desk.hpp
@@ -21,7 +21,7 @@
     shard_desk(assigner_parts& parts,
                lease_keeper& lease,
                const config_agent& config,
-               shard_id shard);
+               const service_config& service);
 
     void configure(const service_config& service);
     void routers_listed(const std::vector<router_instance>& routers);
--- a/core/assignment/shard_planner.cpp
+++ b/core/assignment/shard_planner.cpp
@@ -144,10 +144,18 @@
     }
     bool is_reported = view_.routers.is_released(owner->scheduler, *recorded) &&
                        recorded->since <= view_.fences.barrier(view_.now, no_extra);
-    duration extra = owner->checks_epoch
-                         ? no_extra
-                         : with_drift(view_.config.max_request_time, view_.ownership);
-    return is_reported || seen->second.seen_at <= view_.fences.barrier(view_.now, extra);
+    if (owner->checks_epoch)
+    {
+        return is_reported ||
+               seen->second.seen_at <= view_.fences.barrier(view_.now, no_extra);
+    }
+    // Time alone does not prove that such a server has ended its work: it may be frozen.
+    // For another scheduler of the same server it is enough.
+    bool is_scheduler_only = recorded->moving_to == recorded->owner;
+    duration extra = with_drift(view_.config.max_request_time, view_.ownership);
+    return is_reported ||
+           (is_scheduler_only &&
+            seen->second.seen_at <= view_.fences.barrier(view_.now, extra));
 }
 
 // Is nothing held by this server? True as well where it owns nothing.
--- a/core/ownership/server_link.cpp
+++ b/core/ownership/server_link.cpp
@@ -32,7 +32,8 @@
 server_link::server_link(ownership_options options,
                          std::optional<time_point> inherited_at,
                          time_point now)
-    : options_(options), inherited_at_(inherited_at), heard_at_(now), driven_at_(now)
+    : options_(options), inherited_at_(inherited_at), doubtful_at_(now),
+      responsive_at_(now), heard_at_(now), driven_at_(now)
 {
 }
 
@@ -97,6 +98,7 @@
     }
     driven_at_ = now;
     forget_old_requests(now);
+    note_clean(now);
     send_revokes(now, last_exchange, actions);
     bool is_clock_due = !echo_ && clock_due_ <= now;
     bool is_grant_due =
@@ -284,6 +286,29 @@
     if (is_definite)
     {
         requests_.erase(it);
+        return;
+    }
+    is_clean_ = false;
+    doubtful_at_ = driven_at_;
+}
+
+// A request ends within max_request_time of a server that runs. One that is frozen proves
+// nothing, however long it is waited for; one that answers all the while, or whose
+// process is gone, does.
+void server_link::note_clean(time_point now)
+{
+    duration limit = with_drift(options_.max_request_time, options_);
+    bool is_silent = heard_at_ + options_.server_silence <= now;
+    if (is_silent)
+    {
+        responsive_at_ = now;
+    }
+    bool is_gone = refused_at_ != time_point::max();
+    time_point proven_from = is_gone ? std::max(refused_at_, doubtful_at_)
+                                     : std::max(responsive_at_, doubtful_at_);
+    if ((is_gone || !is_silent) && proven_from + limit <= now)
+    {
+        is_clean_ = true;
     }
 }
 
@@ -348,12 +373,7 @@
     {
         return false;
     }
-    if (entry_.checks_epoch)
-    {
-        return true;
-    }
-    duration limit = with_drift(options_.max_request_time, options_);
-    return !inherited_at_ || *inherited_at_ + limit <= now;
+    return entry_.checks_epoch || is_clean_;
 }
 
 server_link::exchange& server_link::open_exchange(exchange_kind kind,
--- a/core/ownership/server_link.hpp
+++ b/core/ownership/server_link.hpp
@@ -96,6 +96,7 @@
 
     bool is_drained(const partition_state& state, time_point now) const;
     bool is_released(const partition_state& state, time_point now) const;
+    void note_clean(time_point now);
     std::size_t in_flight(const hash_range& range) const;
     void forget_old_requests(time_point now);
     exchange&
@@ -121,7 +122,12 @@
     std::vector<exchange> exchanges_;
     std::vector<request_in_flight> requests_;
     std::optional<echo> echo_;
-    time_point heard_at_; // of the last answer, or when the link began
+    // For a server that does not check epochs: no request that ended here without an
+    // answer, or that another router sent, can still run there.
+    bool is_clean_ = false;
+    time_point doubtful_at_;   // when such a request may last have been under way
+    time_point responsive_at_; // it has answered without a gap since then
+    time_point heard_at_;      // of the last answer, or when the link began
     time_point refused_at_ = time_point::max(); // of the first refusal since
     time_point driven_at_;                      // of the last drive
     time_point renew_due_;
--- a/core/ownership/testing/server_link_test.cpp
+++ b/core/ownership/testing/server_link_test.cpp
@@ -9,6 +9,7 @@
 const server_id server("s8");
 const server_id next_server("s6");
 constexpr epoch since{1};
+constexpr key_hash partition_hash{5};
 
 // A scheduler's link with one server, in virtual time.
 struct link_fixture
@@ -40,6 +41,13 @@
         link.answered(last_exchange, reply, now);
     }
 
+    void answer_clock()
+    {
+        server_reply reply;
+        reply.clock = {std::chrono::duration_cast<milliseconds>(now.time_since_epoch())};
+        link.answered(last_exchange, reply, now);
+    }
+
     void start_move()
     {
         partition.moving_to = next_server;
@@ -66,7 +74,12 @@
     {
         fixture.answer(); // its clock
         fixture.drive();
-        fixture.answer(); // the grant
+        fixture.answer();             // the grant
+        for (int n = 0; n < 300; ++n) // an earlier router's requests end
+        {
+            fixture.drive();
+            fixture.answer();
+        }
         fixture.start_move();
 
         THEN("the partition is not released before the revocation is acknowledged")
@@ -81,9 +94,54 @@
             CHECK(fixture.link.released(later).size() == 1);
         }
     }
+    GIVEN("a server that is frozen with a request in flight")
+    {
+        fixture.answer();
+        fixture.drive();
+        fixture.answer();
+        for (int n = 0; n < 300; ++n) // longer than any request may take
+        {
+            fixture.drive();
+            fixture.answer();
+        }
+        REQUIRE(fixture.link.request_sent(1, partition_hash, fixture.now));
+        fixture.drive();
+        fixture.link.request_ended(1, false); // the caller's time is over
+        fixture.start_move();
+
+        WHEN("much more time passes than a request may take")
+        {
+            for (int n = 0; n < 600; ++n)
+            {
+                fixture.drive();
+            }
+            THEN("only a server that refuses the stale request is done with")
+            {
+                CHECK(fixture.link.released(fixture.now).size() ==
+                      (checks_epoch ? 1 : 0));
+            }
+        }
+        WHEN("it answers again for as long as a request may take")
+        {
+            for (int n = 0; n < 300; ++n)
+            {
+                fixture.drive();
+                fixture.answer();
+            }
+            THEN("nothing can run there any more")
+            {
+                CHECK(fixture.link.released(fixture.now).size() == 1);
+            }
+        }
+    }
     GIVEN("a server that was never granted anything")
     {
         fixture.start_move();
+        for (int n = 0; n < 300; ++n) // an earlier router's requests end
+        {
+            fixture.drive();
+            fixture.answer_clock();
+        }
 
         THEN("there is nothing to wait for")
         {
--- a/router/router.cpp
+++ b/router/router.cpp
@@ -147,7 +147,7 @@
         if (!agent)
         {
             agent = std::make_unique<shard_agent>(
-                *parts_, *config_, *votes_, *journal_lease_, shard);
+                *parts_, *config_, *votes_, *journal_lease_, it);
         }
         agent->configure(it, config.fleet);
     }
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -34,6 +34,13 @@
 constexpr duration record_retry_period = seconds(1);
 constexpr duration vouch_timeout = milliseconds(400);
 
+ownership_options options_for(const router_parts& parts, const service_config& service)
+{
+    ownership_options options = parts.ownership;
+    options.max_request_time = service.max_request;
+    return options;
+}
+
 // A load, in slot seconds a second, as the slot time used in a second.
 duration span_of(double load)
 {
@@ -46,9 +53,10 @@
                          config_agent& config,
                          voter& votes,
                          journal_lease& lease,
-                         shard_id shard)
-    : parts_(parts), config_(config), votes_(votes), shard_(std::move(shard)),
-      authority_(shard_, parts.settings.id, parts.ownership, parts.loop.now()),
+                         const service_config& service)
+    : parts_(parts), config_(config), votes_(votes), shard_(shard_of(service.name)),
+      authority_(
+          shard_, parts.settings.id, options_for(parts, service), parts.loop.now()),
       once_(parts,
             lease,
             shard_,
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -32,7 +32,7 @@
                 config_agent& config,
                 voter& votes,
                 journal_lease& lease,
-                shard_id shard);
+                const service_config& service);
 
     void configure(const service_config& service, const fleet_config& fleet);
 
