--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -64,11 +64,23 @@
         --admin "$HOST:$PLATFORM_ADMIN_PORT" --list-lag-ms 500
 }
 
+# The server that routers reach through a relay, where RELAYED names one.
+RELAYED="${RELAYED:-none}"
+RELAY_ADMIN_PORT=$((PORT_BASE + 3))
+RELAY_TARGET_PORT=$((PORT_BASE + 4))
+
+start_relay() {
+    [ "$RELAYED" = none ] && return 0
+    spawn relay "$BIN/camphorrock-relay" --listen "$HOST:$((PORT_BASE + 100 + RELAYED))" \
+        --target "$HOST:$RELAY_TARGET_PORT" --admin "$HOST:$RELAY_ADMIN_PORT"
+}
+
 # start_server N: servers 1 to 4 are of valves, 5 to 8 of diary; server 8 checks no epochs.
 start_server() {
-    local n="$1" extra=()
+    local n="$1" port="$((PORT_BASE + 100 + $1))" extra=()
     [ "$n" = 8 ] && extra=(--no-check-epoch)
-    spawn "server$n" "$BIN/camphorrock-fake-server" --id "s$n" --listen "$HOST:$((PORT_BASE + 100 + n))" \
+    [ "$n" = "$RELAYED" ] && port="$RELAY_TARGET_PORT"
+    spawn "server$n" "$BIN/camphorrock-fake-server" --id "s$n" --listen "$HOST:$port" \
         --admin "$HOST:$((PORT_BASE + 150 + n))" --seed "$n" --short-ms "${SHORT_MS:-5}" \
         --history "$OUT/server$n.$(date +%s%N).jsonl" "${extra[@]}"
 }
@@ -148,8 +160,9 @@
     return 1
 }
 
-now_ms() {
-    date +%s%3N
+# The unavailable time in a load report, in whole milliseconds.
+unavailable() {
+    sed 's/.*"unavailable":{"keys":[0-9]*,//; s/[{}"]//g; s/\.[0-9]*//g; s/_ms//g; s/,/ /g' "$1"
 }
 
 start_fleet() {
@@ -157,6 +170,7 @@
     mkdir -p "$OUT"
     rm -f "$OUT"/*
     start_platform || return 1
+    start_relay || return 1
     for n in 1 2 3 4 5 6 7 8; do start_server "$n" || return 1; done
     for n in 1 2 3 4; do start_router "$n" || return 1; done
     for n in 1 2; do start_assigner "$n" || return 1; done
