Shared settings, status codes and timer call; load attempts have unique names

Cause: two load processes with one seed started in the same microsecond and gave the same names to different requests, as the records show (valves key-18 refused by r3, diary key-22 run by s7). Names now hold the process id.

--- a/app/admin_server.cpp
+++ b/app/admin_server.cpp
@@ -1,14 +1,12 @@
 #include "app/admin_server.hpp"
 
+#include "net/http_status.hpp"
+
 namespace camphorrock
 {
 namespace
 {
 
-constexpr int status_ok = 200;
-constexpr int status_not_found = 404;
-constexpr int status_unavailable = 503;
-
 http_response typed_answer(int status, const char* type, std::string body)
 {
     http_response answer;
@@ -39,20 +37,21 @@
 {
     add("GET",
         "/healthz",
-        [](const http_request&) { return text_answer(status_ok, "ok\n"); });
+        [](const http_request&) { return text_answer(http_status::ok, "ok\n"); });
     add("GET",
         "/readyz",
         [is_ready = std::move(is_ready)](const http_request&)
         {
-            return is_ready() ? text_answer(status_ok, "ready\n")
-                              : text_answer(status_unavailable, "not ready\n");
+            return is_ready() ? text_answer(http_status::ok, "ready\n")
+                              : text_answer(http_status::unavailable, "not ready\n");
         });
     add("GET",
         "/metrics",
         [&metrics](const http_request&)
         {
-            return typed_answer(
-                status_ok, "text/plain; version=0.0.4", metrics.to_prometheus_text());
+            return typed_answer(http_status::ok,
+                                "text/plain; version=0.0.4",
+                                metrics.to_prometheus_text());
         });
 }
 
@@ -83,7 +82,7 @@
 http_response admin_server::answer(const http_request& request) const
 {
     auto it = paths_.find(request.method + " " + std::string(path_of(request)));
-    return it == paths_.end() ? text_answer(status_not_found, "no such path\n")
+    return it == paths_.end() ? text_answer(http_status::not_found, "no such path\n")
                               : it->second(request);
 }
 
--- /dev/null
+++ b/app/process_settings.cpp
@@ -0,0 +1,31 @@
+#include "app/process_settings.hpp"
+
+#include <limits>
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr integer_range seed_bounds{0, std::numeric_limits<std::int64_t>::max()};
+
+} // namespace
+
+process_settings read_process_settings(settings_map& root)
+{
+    process_settings settings;
+    settings.id = instance_id(root.require_text("id"));
+    settings.zone = data_centre(root.require_text("data_centre"));
+    settings.peer = root.require_endpoint("peer");
+    settings.admin = root.require_endpoint("admin");
+    settings.store = root.endpoints("store");
+    settings.platform = root.require_endpoint("platform");
+    settings.seed = static_cast<std::uint64_t>(root.integer_or("seed", seed_bounds, 0));
+    if (settings.store.empty())
+    {
+        root.fault("store", "must name at least one endpoint");
+    }
+    return settings;
+}
+
+} // namespace camphorrock
--- a/assigner/operator_port.cpp
+++ b/assigner/operator_port.cpp
@@ -5,20 +5,13 @@
 #include "codec/configuration_json.hpp"
 #include "codec/json_text.hpp"
 #include "core/routing/request_target.hpp"
+#include "net/http_status.hpp"
 
 namespace camphorrock
 {
 namespace
 {
 
-constexpr int ok_status = 200;
-constexpr int accepted_status = 202;
-constexpr int bad_request_status = 400;
-constexpr int not_found_status = 404;
-constexpr int conflict_status = 409;
-constexpr int misdirected_status = 421;
-constexpr int unavailable_status = 503;
-
 http_response make_answer(int status, const Json::Value& body)
 {
     return json_answer(status, write_json(body));
@@ -36,11 +29,11 @@
     switch (ec.code)
     {
     case error_code::refused:
-        return make_fault(misdirected_status, ec.text);
+        return make_fault(http_status::misdirected, ec.text);
     case error_code::not_found:
-        return make_fault(not_found_status, ec.text);
+        return make_fault(http_status::not_found, ec.text);
     default:
-        return make_fault(bad_request_status, ec.text);
+        return make_fault(http_status::bad_request, ec.text);
     }
 }
 
@@ -79,21 +72,21 @@
     {
         body["end"] = "invalid";
         body["fault"] = ended.fault;
-        return make_answer(bad_request_status, body);
+        return make_answer(http_status::bad_request, body);
     }
     body["end"] = std::string(name_of(ended.end));
     switch (ended.end)
     {
     case patch_end::accepted:
-        return make_answer(ok_status, body);
+        return make_answer(http_status::ok, body);
     case patch_end::stale:
     case patch_end::id_reused:
-        return make_answer(conflict_status, body);
+        return make_answer(http_status::conflict, body);
     case patch_end::unavailable:
     case patch_end::unknown:
         break;
     }
-    return make_answer(unavailable_status, body);
+    return make_answer(http_status::unavailable, body);
 }
 
 } // namespace
@@ -114,7 +107,7 @@
     std::string call = request.method + " " + std::string(path_of(request));
     if (call == "POST /rpc")
     {
-        responder->respond(json_answer(ok_status, rpc_.dispatch(request.body)));
+        responder->respond(json_answer(http_status::ok, rpc_.dispatch(request.body)));
         return;
     }
     if (call == "POST /operator/patch")
@@ -124,12 +117,13 @@
     }
     if (call == "GET /operator/config")
     {
-        responder->respond(json_answer(ok_status, configuration_text(config_.current())));
+        responder->respond(
+            json_answer(http_status::ok, configuration_text(config_.current())));
         return;
     }
     if (call == "GET /operator/status")
     {
-        responder->respond(make_answer(ok_status, make_status(view_())));
+        responder->respond(make_answer(http_status::ok, make_status(view_())));
         return;
     }
     if (call == "GET /operator/explain")
@@ -142,7 +136,7 @@
         responder->respond(move(request));
         return;
     }
-    responder->respond(make_fault(not_found_status, "no such path"));
+    responder->respond(make_fault(http_status::not_found, "no such path"));
 }
 
 void operator_port::patch(const http_request& request,
@@ -160,7 +154,7 @@
             return {};
         },
         [&](const error& ec)
-        { responder->respond(make_fault(bad_request_status, ec.text)); });
+        { responder->respond(make_fault(http_status::bad_request, ec.text)); });
 }
 
 http_response operator_port::explain(const http_request& request) const
@@ -171,14 +165,14 @@
     std::optional<request_target> target = parse_request_target(asked);
     if (!target)
     {
-        return make_fault(bad_request_status, "the query must be /SERVICE/KEY");
+        return make_fault(http_status::bad_request, "the query must be /SERVICE/KEY");
     }
     return value_or_handle(
         [&]() -> result<http_response>
         {
             BOOST_LEAF_AUTO(body,
                             make_explanation(view_(), target->service, target->key));
-            return make_answer(ok_status, body);
+            return make_answer(http_status::ok, body);
         },
         make_refusal);
 }
@@ -201,7 +195,7 @@
                                       service_name(body["service"].asString()),
                                       body["key"].asString(),
                                       server_id(body["to"].asString())));
-            return make_answer(accepted_status, Json::Value(Json::objectValue));
+            return make_answer(http_status::accepted, Json::Value(Json::objectValue));
         },
         make_refusal);
 }
--- a/ctl/command.cpp
+++ b/ctl/command.cpp
@@ -3,6 +3,7 @@
 #include "app/command_line.hpp"
 #include "codec/json_text.hpp"
 #include "ctl/yaml_json.hpp"
+#include "net/http_status.hpp"
 
 #include <json/writer.h>
 
@@ -16,13 +17,6 @@
 namespace
 {
 
-constexpr int ok_status = 200;
-constexpr int accepted_status = 202;
-constexpr int bad_request_status = 400;
-constexpr int conflict_status = 409;
-constexpr int misdirected_status = 421;
-constexpr int unavailable_status = 503;
-
 http_request make_request(const char* method, std::string target, std::string body = {})
 {
     http_request made;
@@ -88,12 +82,12 @@
 {
     switch (status)
     {
-    case ok_status:
-    case accepted_status:
+    case http_status::ok:
+    case http_status::accepted:
         return exit_ok;
-    case bad_request_status:
+    case http_status::bad_request:
         return exit_bad_usage;
-    case conflict_status:
+    case http_status::conflict:
         return exit_stale;
     default:
         return exit_failure;
@@ -143,10 +137,10 @@
     }
     switch (answer.status)
     {
-    case ok_status:
+    case http_status::ok:
         context.out << "accepted as version " << body["version"].asUInt64() << '\n';
         return;
-    case conflict_status:
+    case http_status::conflict:
         context.faults << "stale: the current version is " << body["version"].asUInt64()
                        << '\n';
         return;
@@ -166,7 +160,7 @@
     body["id"] = id;
     body["patch"] = std::move(patch);
     http_request request = make_request("POST", "/operator/patch", write_json(body));
-    BOOST_LEAF_AUTO(answer, context.assigners.ask(request, unavailable_status));
+    BOOST_LEAF_AUTO(answer, context.assigners.ask(request, http_status::unavailable));
     print_patch_end(context, answer);
     return status_of(answer.status);
 }
@@ -249,8 +243,8 @@
                [&]() -> result<int>
                {
                    http_request request = make_request("GET", "/operator/config");
-                   BOOST_LEAF_AUTO(answer,
-                                   context.assigners.ask(request, unavailable_status));
+                   BOOST_LEAF_AUTO(
+                       answer, context.assigners.ask(request, http_status::unavailable));
                    return finish(context,
                                  answer,
                                  [&](const Json::Value& body)
@@ -276,8 +270,8 @@
                [&]() -> result<int>
                {
                    http_request request = make_request("GET", "/operator/status");
-                   BOOST_LEAF_AUTO(answer,
-                                   context.assigners.ask(request, unavailable_status));
+                   BOOST_LEAF_AUTO(
+                       answer, context.assigners.ask(request, http_status::unavailable));
                    return finish(context,
                                  answer,
                                  [&](const Json::Value& body)
@@ -296,7 +290,7 @@
                        "/operator/explain?/" + service + "/" + escape(key);
                    BOOST_LEAF_AUTO(answer,
                                    context.assigners.ask(make_request("GET", target),
-                                                         misdirected_status));
+                                                         http_status::misdirected));
                    return finish(context,
                                  answer,
                                  [&](const Json::Value& body)
@@ -318,8 +312,8 @@
                    body["to"] = server;
                    http_request request =
                        make_request("POST", "/operator/move", write_json(body));
-                   BOOST_LEAF_AUTO(answer,
-                                   context.assigners.ask(request, misdirected_status));
+                   BOOST_LEAF_AUTO(
+                       answer, context.assigners.ask(request, http_status::misdirected));
                    return finish(context,
                                  answer,
                                  [&](const Json::Value&)
@@ -334,7 +328,8 @@
         [&]() -> result<int>
         {
             http_request request = make_request("GET", "/operator/config");
-            BOOST_LEAF_AUTO(answer, context.assigners.ask(request, unavailable_status));
+            BOOST_LEAF_AUTO(answer,
+                            context.assigners.ask(request, http_status::unavailable));
             Json::Value patch = make_drain_patch(answer.body, server);
             if (patch.isNull())
             {
--- a/fakes/platform/platform_main.cpp
+++ b/fakes/platform/platform_main.cpp
@@ -8,6 +8,7 @@
 #include "fakes/platform/platform_service.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_server.hpp"
+#include "net/http_status.hpp"
 
 #include <csignal>
 #include <cstdint>
@@ -21,8 +22,6 @@
 namespace
 {
 
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
 constexpr std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
 
 struct platform_settings
@@ -59,9 +58,10 @@
         {
             BOOST_LEAF_AUTO(body, parse_json(request.body));
             BOOST_LEAF_CHECK(service.set_faults(body));
-            return json_answer(status_ok, write_json(service.faults()));
+            return json_answer(http_status::ok, write_json(service.faults()));
         },
-        [](const error& ec) { return text_answer(status_bad_request, ec.text + "\n"); });
+        [](const error& ec)
+        { return text_answer(http_status::bad_request, ec.text + "\n"); });
 }
 
 void add_paths(admin_server& admin, fakes::platform_service& service)
@@ -73,11 +73,11 @@
     admin.add("GET",
               "/faults",
               [&](const http_request&)
-              { return json_answer(status_ok, write_json(service.faults())); });
+              { return json_answer(http_status::ok, write_json(service.faults())); });
     admin.add("GET",
               "/stats",
               [&](const http_request&)
-              { return json_answer(status_ok, write_json(service.stats())); });
+              { return json_answer(http_status::ok, write_json(service.stats())); });
 }
 
 result<int> serve(const platform_settings& settings)
--- a/fakes/platform/platform_service.cpp
+++ b/fakes/platform/platform_service.cpp
@@ -3,6 +3,7 @@
 #include "app/admin_server.hpp"
 #include "codec/json_text.hpp"
 #include "fakes/platform/kv_json.hpp"
+#include "net/http_status.hpp"
 #include "store/etcd_json.hpp"
 #include "store/instance_json.hpp"
 
@@ -21,11 +22,6 @@
 constexpr std::string_view list_prefix = "/instances/";
 constexpr std::uint64_t max_ttl_s = 1000000000;
 
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
-constexpr int status_not_found = 404;
-constexpr int status_too_many_requests = 429;
-
 // gRPC's codes, which the protocol's errors carry.
 constexpr int grpc_invalid_argument = 3;
 constexpr int grpc_not_found = 5;
@@ -38,20 +34,20 @@
 
 http_response bad_request()
 {
-    return json_of(status_bad_request,
+    return json_of(http_status::bad_request,
                    make_error(grpc_invalid_argument, "the request cannot be read"));
 }
 
 http_response lease_not_found()
 {
-    return json_of(status_not_found,
+    return json_of(http_status::not_found,
                    make_error(grpc_not_found, "etcdserver: requested lease not found"));
 }
 
 http_response too_many_requests()
 {
     http_response made =
-        json_of(status_too_many_requests,
+        json_of(http_status::too_many_requests,
                 make_error(grpc_resource_exhausted, "etcdserver: too many requests"));
     made.headers.add("Retry-After", "1");
     return made;
@@ -89,7 +85,7 @@
     if (!kind)
     {
         responder->respond(
-            json_of(status_not_found, make_error(grpc_not_found, "no such path")));
+            json_of(http_status::not_found, make_error(grpc_not_found, "no such path")));
         return;
     }
     auto it =
@@ -231,7 +227,7 @@
     {
         return bad_request();
     }
-    return json_of(status_ok, make_range_answer(kv_.range(*keys), kv_.revision()));
+    return json_of(http_status::ok, make_range_answer(kv_.range(*keys), kv_.revision()));
 }
 
 http_response platform_service::run_transaction(const Json::Value& body)
@@ -243,7 +239,7 @@
     }
     const kv_transaction_result got = kv_.run(*what);
     return got.is_lease_missing ? lease_not_found()
-                                : json_of(status_ok, make_transaction_answer(got));
+                                : json_of(http_status::ok, make_transaction_answer(got));
 }
 
 http_response platform_service::grant(const Json::Value& body)
@@ -255,7 +251,7 @@
         return bad_request();
     }
     const std::uint64_t id = kv_.grant_lease(seconds(*ttl), loop_.now());
-    return json_of(status_ok, make_lease_answer(id, *ttl, kv_.revision()));
+    return json_of(http_status::ok, make_lease_answer(id, *ttl, kv_.revision()));
 }
 
 // The protocol answers with a message of a stream, and a lease that is gone with time 0.
@@ -270,7 +266,7 @@
     const auto ttl_s = static_cast<std::uint64_t>(ttl.value_or(seconds(0)).count());
     Json::Value made(Json::objectValue);
     made["result"] = make_lease_answer(*id, ttl_s, kv_.revision());
-    http_response answer = json_of(status_ok, made);
+    http_response answer = json_of(http_status::ok, made);
     answer.body += "\n";
     return answer;
 }
@@ -282,7 +278,7 @@
     {
         return bad_request();
     }
-    return kv_.revoke_lease(*id) ? json_of(status_ok, make_header(kv_.revision()))
+    return kv_.revoke_lease(*id) ? json_of(http_status::ok, make_header(kv_.revision()))
                                  : lease_not_found();
 }
 
@@ -293,7 +289,7 @@
     {
         made.append(to_json(it));
     }
-    return json_of(status_ok, made);
+    return json_of(http_status::ok, made);
 }
 
 http_response platform_service::write_list(const http_request& request)
@@ -302,7 +298,7 @@
     if (request.method == "DELETE")
     {
         list_.leave(id, loop_.now());
-        return json_of(status_ok, Json::Value(Json::objectValue));
+        return json_of(http_status::ok, Json::Value(Json::objectValue));
     }
     const result<Json::Value> body = parse_json(request.body);
     std::optional<instance_entry> entry =
@@ -312,7 +308,7 @@
         return bad_request();
     }
     list_.enter(std::move(*entry), loop_.now());
-    return json_of(status_ok, Json::Value(Json::objectValue));
+    return json_of(http_status::ok, Json::Value(Json::objectValue));
 }
 
 void platform_service::watch(call& it)
--- a/fakes/relay/relay_main.cpp
+++ b/fakes/relay/relay_main.cpp
@@ -7,6 +7,7 @@
 #include "app/program.hpp"
 #include "codec/json_text.hpp"
 #include "fakes/relay/relay.hpp"
+#include "net/http_status.hpp"
 
 #include <json/value.h>
 
@@ -17,10 +18,6 @@
 namespace
 {
 
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
-constexpr int status_failed = 500;
-
 struct relay_arguments
 {
     std::string listen = "127.0.0.1:0";
@@ -33,7 +30,7 @@
     std::optional<relay_fault> fault = parse_relay_fault(request.target);
     if (!fault)
     {
-        return text_answer(status_bad_request,
+        return text_answer(http_status::bad_request,
                            "mode is pass, cut, stall, delay or silence; direction is "
                            "both, to_target or to_caller; delay_ms is a number\n");
     }
@@ -41,9 +38,10 @@
         [&]() -> result<http_response>
         {
             BOOST_LEAF_CHECK(to.set(*fault));
-            return text_answer(status_ok, "ok\n");
+            return text_answer(http_status::ok, "ok\n");
         },
-        [](const error& ec) { return text_answer(status_failed, ec.text + "\n"); });
+        [](const error& ec)
+        { return text_answer(http_status::server_error, ec.text + "\n"); });
 }
 
 http_response show_status(const relay& of)
@@ -52,7 +50,7 @@
     status["mode"] = std::string(name_of(of.fault().mode));
     status["direction"] = std::string(name_of(of.fault().direction));
     status["connections"] = Json::UInt64(of.connections());
-    return json_answer(status_ok, write_json(status));
+    return json_answer(http_status::ok, write_json(status));
 }
 
 result<int> serve(const relay_arguments& args, event_log& log)
--- a/fakes/server/server_main.cpp
+++ b/fakes/server/server_main.cpp
@@ -6,6 +6,7 @@
 #include "app/program.hpp"
 #include "app/query.hpp"
 #include "fakes/server/test_server.hpp"
+#include "net/http_status.hpp"
 
 #include <csignal>
 
@@ -14,8 +15,6 @@
 namespace
 {
 
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
 constexpr milliseconds stop_poll{20}; // between two looks whether all work has ended
 constexpr double max_ms = 3600e3;
 constexpr double max_count = 1e6;
@@ -123,10 +122,10 @@
         query_number(target, "slow_factor").value_or(behaviour.slow_factor)};
     if (wanted.fail_share > 1 || wanted.shed_share > 1)
     {
-        return text_answer(status_bad_request, "a share is 0 to 1\n");
+        return text_answer(http_status::bad_request, "a share is 0 to 1\n");
     }
     behaviour = wanted;
-    return text_answer(status_ok, "ok\n");
+    return text_answer(http_status::ok, "ok\n");
 }
 
 result<int> serve(const server_arguments& args, event_log& log)
--- a/fakes/server/server_refusal.cpp
+++ b/fakes/server/server_refusal.cpp
@@ -1,6 +1,7 @@
 #include "fakes/server/server_refusal.hpp"
 
 #include "codec/json_text.hpp"
+#include "net/http_status.hpp"
 
 #include <json/value.h>
 
@@ -33,8 +34,6 @@
                 "The deadline has passed"},
 };
 
-constexpr int status_unavailable = 503;
-
 } // namespace
 
 http_response to_response(server_refusal why, const std::string& detail)
@@ -49,7 +48,7 @@
     answer.status = row.status;
     answer.headers.add("Content-Type", "application/problem+json");
     answer.headers.add("Camphorrock-Outcome", "not-run");
-    if (row.status == status_unavailable)
+    if (row.status == http_status::unavailable)
     {
         answer.headers.add("Retry-After", "1");
     }
--- a/fakes/server/test_server.cpp
+++ b/fakes/server/test_server.cpp
@@ -5,6 +5,7 @@
 #include "codec/history_json.hpp"
 #include "codec/server_answer.hpp"
 #include "fakes/server/server_refusal.hpp"
+#include "net/http_status.hpp"
 
 #include <unistd.h>
 
@@ -15,9 +16,6 @@
 namespace
 {
 
-constexpr int status_ok = 200;
-constexpr int status_failed = 500;
-
 constexpr const char* epoch_header = "Camphorrock-Epoch";
 constexpr const char* timeout_header = "Camphorrock-Timeout-Ms";
 constexpr const char* id_header = "Idempotency-Key";
@@ -71,7 +69,7 @@
     }
     if (is_for(request, "GET", "/healthz"))
     {
-        responder->respond(text_answer(status_ok, "ok\n"));
+        responder->respond(text_answer(http_status::ok, "ok\n"));
         return;
     }
     admit(request, std::move(responder));
@@ -84,7 +82,7 @@
 
 void test_server::answer_rpc(const http_request& request, http_responder& responder)
 {
-    responder.respond(json_answer(status_ok, rpc_.dispatch(request.body)));
+    responder.respond(json_answer(http_status::ok, rpc_.dispatch(request.body)));
 }
 
 void test_server::admit(const http_request& request,
@@ -191,7 +189,8 @@
     items_.erase(it);
     record_end(item);
     bool is_failed = times_.chance(options_.behaviour.fail_share);
-    item.responder->respond(answer_of(item, is_failed ? status_failed : status_ok));
+    item.responder->respond(
+        answer_of(item, is_failed ? http_status::server_error : http_status::ok));
     queue_.release();
     begin_next();
 }
--- a/load/load_runner.cpp
+++ b/load/load_runner.cpp
@@ -6,6 +6,7 @@
 #include "core/base/outcome.hpp"
 
 #include <json/value.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <charconv>
@@ -98,8 +99,8 @@
       random_(settings.seed), routers_(settings.routers, settings.eject_time),
       started_(loop.now())
 {
-    run_prefix_ =
-        std::to_string(settings.seed) + "-" + std::to_string(to_history(started_)) + "-";
+    run_prefix_ = std::to_string(settings.seed) + "-" + std::to_string(getpid()) + "-" +
+                  std::to_string(to_history(started_)) + "-";
 }
 
 void load_runner::start(std::function<void()> done)
--- a/net/curl_exchange.cpp
+++ b/net/curl_exchange.cpp
@@ -1,5 +1,7 @@
 #include "net/curl_exchange.hpp"
 
+#include "net/http_status.hpp"
+
 #include <strings.h>
 #include <sys/socket.h>
 
@@ -12,8 +14,6 @@
 {
 
 constexpr int first_final_status = 200;
-constexpr int no_content = 204;
-constexpr int not_modified = 304;
 
 // Headers that the client itself writes or that do not pass a hop.
 constexpr const char* own_headers[] = {
@@ -302,8 +302,8 @@
 // A body that ends where the connection ends cannot be told from one that was cut short.
 bool curl_exchange::is_whole() const
 {
-    if (request_.method == "HEAD" || answer_.status == no_content ||
-        answer_.status == not_modified)
+    if (request_.method == "HEAD" || answer_.status == http_status::no_content ||
+        answer_.status == http_status::not_modified)
     {
         return has_headers_;
     }
--- a/net/event_loop.cpp
+++ b/net/event_loop.cpp
@@ -3,6 +3,7 @@
 #include <ev.h>
 #include <time.h>
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 #include <vector>
@@ -174,6 +175,11 @@
     return parts_->start_timer(delay, duration::zero(), std::move(what));
 }
 
+timer_handle event_loop::at(time_point when, callback what)
+{
+    return after(std::max<duration>(when - now(), duration::zero()), std::move(what));
+}
+
 timer_handle event_loop::every(duration period, callback what)
 {
     return parts_->start_timer(period, period, std::move(what));
--- a/net/event_loop.hpp
+++ b/net/event_loop.hpp
@@ -75,6 +75,9 @@
     // Calls once, after `delay`.
     timer_handle after(duration delay, callback what);
 
+    // Calls once, at `when`; as soon as possible where that has passed.
+    timer_handle at(time_point when, callback what);
+
     // Calls again and again, first after one `period`.
     timer_handle every(duration period, callback what);
 
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include "net/http_server.hpp"
 
 #include "net/connection_table.hpp"
+#include "net/http_status.hpp"
 #include "net/mhd_exchange.hpp"
 #include "net/mhd_response.hpp"
 #include "net/request_check.hpp"
@@ -16,7 +17,6 @@
 namespace
 {
 
-constexpr int content_too_large = 413;
 // libmicrohttpd's memory of a connection holds a request's headers and an answer's.
 constexpr std::size_t memory_per_header_byte = 2;
 
@@ -316,7 +316,8 @@
     {
         if (exchange->body_bytes > options_.max_body_bytes)
         {
-            const request_refusal why{content_too_large, "the body is too large"};
+            const request_refusal why{http_status::content_too_large,
+                                      "the body is too large"};
             return queue(*exchange, make_refusal(why), true);
         }
         exchange->is_handled = true;
--- a/net/request_check.cpp
+++ b/net/request_check.cpp
@@ -1,6 +1,7 @@
 #include "net/request_check.hpp"
 
 #include "core/base/number_text.hpp"
+#include "net/http_status.hpp"
 
 #include <strings.h>
 
@@ -13,11 +14,6 @@
 namespace
 {
 
-constexpr int bad_request = 400;
-constexpr int content_too_large = 413;
-constexpr int headers_too_large = 431;
-constexpr int not_implemented = 501;
-
 std::vector<std::string> values_of(const http_headers& headers, const char* name)
 {
     std::vector<std::string> found;
@@ -36,11 +32,12 @@
     const std::optional<std::uint64_t> length = parse_number<std::uint64_t>(text);
     if (!length)
     {
-        return request_refusal{bad_request, "Content-Length is not a number"};
+        return request_refusal{http_status::bad_request,
+                               "Content-Length is not a number"};
     }
     if (*length > bound)
     {
-        return request_refusal{content_too_large, "the body is too large"};
+        return request_refusal{http_status::content_too_large, "the body is too large"};
     }
     return std::nullopt;
 }
@@ -53,17 +50,19 @@
 {
     if (header_bytes > bounds.max_header_bytes)
     {
-        return request_refusal{headers_too_large, "the headers are too large"};
+        return request_refusal{http_status::headers_too_large,
+                               "the headers are too large"};
     }
     const std::vector<std::string> lengths = values_of(headers, "Content-Length");
     const std::vector<std::string> encodings = values_of(headers, "Transfer-Encoding");
     if (lengths.size() + encodings.size() > 1)
     {
-        return request_refusal{bad_request, "the length of the body is ambiguous"};
+        return request_refusal{http_status::bad_request,
+                               "the length of the body is ambiguous"};
     }
     if (!encodings.empty() && strcasecmp(encodings.front().c_str(), "chunked") != 0)
     {
-        return request_refusal{not_implemented, "unknown Transfer-Encoding"};
+        return request_refusal{http_status::not_implemented, "unknown Transfer-Encoding"};
     }
     if (!lengths.empty())
     {
--- a/net/rpc_client.cpp
+++ b/net/rpc_client.cpp
@@ -1,6 +1,7 @@
 #include "net/rpc_client.hpp"
 
 #include "codec/json_text.hpp"
+#include "net/http_status.hpp"
 
 #include <optional>
 
@@ -10,7 +11,6 @@
 {
 
 constexpr const char* rpc_target = "/rpc";
-constexpr int ok_status = 200;
 
 Json::Value make_call(const rpc_call& call, unsigned id)
 {
@@ -82,7 +82,7 @@
     {
         return make_failure(rpc_end::no_answer, std::string(name_of(got.end)));
     }
-    if (got.answer.status != ok_status)
+    if (got.answer.status != http_status::ok)
     {
         return make_failure(rpc_end::no_answer,
                             "HTTP status " + std::to_string(got.answer.status));
--- a/router/once_agent.cpp
+++ b/router/once_agent.cpp
@@ -237,13 +237,12 @@
         timer_.reset();
         return;
     }
-    duration wait = std::max<duration>(*at - parts_.loop.now(), duration::zero());
-    timer_ = parts_.loop.after(wait,
-                               [this]
-                               {
-                                   gate_->tick(parts_.loop.now());
-                                   pump();
-                               });
+    timer_ = parts_.loop.at(*at,
+                            [this]
+                            {
+                                gate_->tick(parts_.loop.now());
+                                pump();
+                            });
 }
 
 void once_agent::create_batch(const instance_id& router,
--- a/router/peer_port.cpp
+++ b/router/peer_port.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/messages_json.hpp"
 #include "core/membership/voter.hpp"
+#include "net/http_status.hpp"
 #include "router/forwarder.hpp"
 #include "router/shard_agent.hpp"
 #include "store/config_agent.hpp"
@@ -11,8 +12,6 @@
 namespace
 {
 
-constexpr int not_found_status = 404;
-
 http_response make_rpc_answer(std::string body)
 {
     http_response answer;
@@ -53,7 +52,7 @@
         return;
     }
     http_response answer;
-    answer.status = not_found_status;
+    answer.status = http_status::not_found;
     responder->respond(std::move(answer));
 }
 
--- a/router/server_lane.cpp
+++ b/router/server_lane.cpp
@@ -1,6 +1,7 @@
 #include "router/server_lane.hpp"
 
 #include "core/admission/server_queue.hpp"
+#include "net/http_status.hpp"
 
 #include <algorithm>
 
@@ -35,7 +36,6 @@
 answer_kind kind_of(const exchange_result& got)
 {
     constexpr int first_server_error = 500;
-    constexpr int unavailable = 503;
     if (got.end == exchange_end::timed_out ||
         got.end == exchange_end::timed_out_before_send)
     {
@@ -45,7 +45,7 @@
     {
         return answer_kind::failed;
     }
-    if (got.answer.status == unavailable && says_not_run(got.answer))
+    if (got.answer.status == http_status::unavailable && says_not_run(got.answer))
     {
         return answer_kind::shed;
     }
@@ -60,7 +60,6 @@
 
 lane_end judge(exchange_result got)
 {
-    constexpr int unavailable = 503;
     if (is_nothing_sent(got.end))
     {
         return not_run(refusal::server_unreachable);
@@ -73,7 +72,7 @@
     }
     if (says_not_run(got.answer))
     {
-        bool is_shed = got.answer.status == unavailable;
+        bool is_shed = got.answer.status == http_status::unavailable;
         return not_run(is_shed ? refusal::server_shed : refusal::server_refused);
     }
     return {lane_verdict::answered, std::move(got.answer), {}};
@@ -281,14 +280,13 @@
         timer_.reset();
         return;
     }
-    duration wait = std::max<duration>(*at - parts_.loop.now(), duration::zero());
-    timer_ = parts_.loop.after(wait,
-                               [this]
-                               {
-                                   queue_actions actions;
-                                   queue_->tick(parts_.loop.now(), actions);
-                                   carry_out(actions);
-                               });
+    timer_ = parts_.loop.at(*at,
+                            [this]
+                            {
+                                queue_actions actions;
+                                queue_->tick(parts_.loop.now(), actions);
+                                carry_out(actions);
+                            });
 }
 
 http_request server_lane::make_request(const live_request& request, epoch since) const
--- a/store/etcd_caller.cpp
+++ b/store/etcd_caller.cpp
@@ -1,6 +1,7 @@
 #include "store/etcd_caller.hpp"
 
 #include "codec/json_text.hpp"
+#include "net/http_status.hpp"
 
 #include <algorithm>
 #include <optional>
@@ -11,7 +12,6 @@
 namespace
 {
 
-constexpr int ok_status = 200;
 constexpr int first_client_error = 400;
 constexpr int first_server_error = 500;
 
@@ -20,7 +20,7 @@
 call_answer read_answer(const http_response& answer, etcd_call_kind kind)
 {
     call_answer made;
-    if (answer.status == ok_status)
+    if (answer.status == http_status::ok)
     {
         result<Json::Value> body = parse_json(answer.body);
         made.end = body ? call_end::answered : call_end::no_answer;
--- a/store/instance_list.cpp
+++ b/store/instance_list.cpp
@@ -1,6 +1,7 @@
 #include "store/instance_list.hpp"
 
 #include "codec/json_text.hpp"
+#include "net/http_status.hpp"
 #include "store/instance_json.hpp"
 
 #include <utility>
@@ -11,12 +12,11 @@
 {
 
 constexpr const char* list_target = "/instances";
-constexpr int ok_status = 200;
 constexpr int first_redirect = 300;
 
 bool is_success(const exchange_result& got)
 {
-    return got.end == exchange_end::answered && got.answer.status >= ok_status &&
+    return got.end == exchange_end::answered && got.answer.status >= http_status::ok &&
            got.answer.status < first_redirect;
 }
 
