A request that the router sent twice was told not-run by its second sending alone

It was a probe (repeatable) to a server frozen within the run. The scheduler met the silence, gave the first sending up and sent the request again on a new connection (server_lane::resend); the second sending reached nobody, and server_lane::ended judged the request by it. The entry router's second forwarding had the same fault: after a connection that broke, the refusal of the next scheduler, or none that could be reached, was told as it came. The same step told the authority that a resent request had ended for certain, so a server that checks no epochs could lose a partition while the first sending ran.

Mended in the request itself: once a sending is given up after bytes left, no later refusal is told as not-run, it becomes `in-doubt`. A resent request is never counted as ended for certain.

--- a/router/forwarder.cpp
+++ b/router/forwarder.cpp
@@ -62,6 +62,10 @@
     bool has_other = again.kind == route_kind::forward && again.peer != to.peer;
     if (!is_second && has_other && may_send_again(*request, got))
     {
+        if (!is_nothing_sent(got.end))
+        {
+            request->note_may_have_run();
+        }
         send(request, again, true);
         return;
     }
--- a/router/live_request.cpp
+++ b/router/live_request.cpp
@@ -24,6 +24,10 @@
     std::optional<std::string_view> told = answer.headers.find(outcome_header);
     request_summary summary;
     summary.told = parse_outcome(told.value_or("")).value_or(outcome::unknown);
+    if (may_have_run_ && summary.told == outcome::not_run)
+    {
+        return refuse(refusal::in_doubt, "the second sending was refused");
+    }
     summary.status = answer.status;
     finish(summary, &answer);
 }
@@ -34,6 +38,11 @@
     {
         return;
     }
+    if (may_have_run_ && terms_of(what.why).told == outcome::not_run)
+    {
+        return refuse(problem{
+            refusal::in_doubt, std::string(terms_of(what.why).type), what.retry_after});
+    }
     http_response answer = make_problem_answer(what, random_);
     request_summary summary;
     summary.told = terms_of(what.why).told;
--- a/router/live_request.hpp
+++ b/router/live_request.hpp
@@ -6,6 +6,9 @@
 // Ownership: shared by the steps that wait for something on its behalf. The last one
 // to let go of an unended request ends it as an internal fault, so that no caller is
 // left without an answer.
+//
+// Invariant: after note_may_have_run() the caller is never told `not-run`, whatever the
+// later sendings of the request came to.
 
 #include "core/admission/queued_request.hpp"
 #include "core/base/names.hpp"
@@ -62,6 +65,13 @@
         refuse(problem{why, std::move(detail), {}});
     }
 
+    // A sending of the request was given up after bytes of it had left, and it is to be
+    // sent again: no refusal of a later sending proves that the first one did not run.
+    void note_may_have_run()
+    {
+        may_have_run_ = true;
+    }
+
     // Cuts the caller's connection.
     void cut();
 
@@ -91,6 +101,7 @@
 
     ender end_;
     std::mt19937_64& random_;
+    bool may_have_run_ = false;
 };
 
 using live_request_ptr = std::shared_ptr<live_request>;
--- a/router/server_lane.cpp
+++ b/router/server_lane.cpp
@@ -165,6 +165,7 @@
         }
         parts_.http.cancel(it.exchange);
         it.is_resent = true;
+        it.request->note_may_have_run();
         send(id, it, *permit, connection_choice::fresh);
     }
 }
@@ -238,7 +239,9 @@
 
 void server_lane::ended(ticket id, exchange_result got)
 {
-    bool is_definite = got.end == exchange_end::answered || is_nothing_sent(got.end);
+    bool is_end_known = got.end == exchange_end::answered || is_nothing_sent(got.end);
+    // The answer of a second sending says nothing of the first.
+    bool is_definite = is_end_known && !pending_.at(id).is_resent;
     authority_.request_ended(server_, id.value, is_definite);
     if (got.end == exchange_end::timed_out && got.reused)
     {
--- /dev/null
+++ b/router/testing/parts_fixture.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+// What the parts of a router share, on a real loop, with no store and no log behind it.
+
+#include "net/testing/run_until.hpp"
+#include "router/live_request.hpp"
+#include "router/router_parts.hpp"
+
+#include <optional>
+
+namespace camphorrock::testing
+{
+
+class no_store : public store_client
+{
+public:
+    void get(const std::string&, read_callback) override {}
+    void get_prefix(const std::string&, read_callback) override {}
+    void compare_and_swap(const std::string&,
+                          store_revision,
+                          std::string,
+                          store_lease,
+                          write_callback) override
+    {
+    }
+    void compare_and_delete(const std::string&, store_revision, write_callback) override
+    {
+    }
+    void grant_lease(duration, lease_callback) override {}
+    void keep_alive(store_lease, lease_callback) override {}
+    void revoke_lease(store_lease, lease_callback) override {}
+    watch_handle watch(const std::string&, store_revision, watch_callback) override
+    {
+        return {};
+    }
+};
+
+class no_log : public event_log
+{
+public:
+    void write(event_id, std::initializer_list<field>) override {}
+};
+
+// How a request ended.
+struct request_end
+{
+    bool is_ended = false;
+    request_summary summary;
+};
+
+struct parts_fixture
+{
+    parts_fixture()
+        : loop(event_loop::create().value()), http(http_client::create(*loop, {}).value())
+    {
+    }
+
+    // A repeatable request for `hash`, whose end is kept in `end`.
+    live_request_ptr make_request(key_hash hash, duration timeout, request_end& end)
+    {
+        auto made = std::make_shared<live_request>(
+            [&end](const request_summary& summary, http_response*) {
+                end = {true, summary};
+            },
+            random);
+        made->method = "GET";
+        made->target_text = "/diary/street";
+        made->target.service = service_name("diary");
+        made->target.hash = hash;
+        made->caller = caller_name("tayside");
+        made->deadline = loop->now() + timeout;
+        return made;
+    }
+
+    void run_until(const std::function<bool()>& is_met)
+    {
+        testing::run_until(*loop, is_met);
+    }
+
+    router_settings settings;
+    std::unique_ptr<event_loop> loop;
+    std::unique_ptr<http_client> http;
+    rpc_client rpc{*http};
+    no_store store;
+    no_log log;
+    metrics_registry metrics;
+    route_table routes{instance_id("r1")};
+    std::mt19937_64 random{7};
+    instance_list instances{*http, endpoint("127.0.0.1:1")};
+    assigner_directory assigners{*loop, instances};
+    retry_budget retries{retry_budget_options()};
+    router_parts parts{settings,
+                       *loop,
+                       *http,
+                       rpc,
+                       store,
+                       log,
+                       metrics,
+                       routes,
+                       random,
+                       assigners,
+                       retries,
+                       {}};
+};
+
+} // namespace camphorrock::testing
