A change of slots_per_server reaches the lanes that stand

Cause: shard_agent only reset the record version of its lanes; update_lanes then made lanes for new servers and left the others as they were. The queue had slots_changed all along, which nothing called.

shard_fixture.hpp brings one shard agent up on a real loop, with a store, a voter and a server behind one port. Seen to fail with the call of set_slots() left out: 1 request in flight for 2 slots, 2 for 1 (build/router_test); passes with it.

--- a/router/server_lane.cpp
+++ b/router/server_lane.cpp
@@ -119,6 +119,13 @@
     return id;
 }
 
+void server_lane::set_slots(std::size_t slots)
+{
+    queue_actions actions;
+    queue_->slots_changed(slots, parts_.loop.now(), actions);
+    carry_out(actions);
+}
+
 void server_lane::withdraw(ticket id)
 {
     auto it = pending_.find(id);
--- a/router/server_lane.hpp
+++ b/router/server_lane.hpp
@@ -59,6 +59,9 @@
 
     ticket submit(live_request_ptr request, callback done);
 
+    // The server works on so many requests at once from now on.
+    void set_slots(std::size_t slots);
+
     // The caller is gone: forget the request, and close its exchange if it may be
     // repeated.
     void withdraw(ticket id);
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -79,11 +79,19 @@
     }
     bool has_other_slots = service.slots_per_server != service_.slots_per_server;
     service_ = service;
+    update_lanes();
     if (has_other_slots)
     {
-        lanes_version_ = {};
+        set_slots();
+    }
+}
+
+void shard_agent::set_slots()
+{
+    for (auto& [id, lane] : lanes_)
+    {
+        lane->set_slots(service_.slots_per_server);
     }
-    update_lanes();
 }
 
 void shard_agent::submit(const live_request_ptr& request)
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -79,6 +79,7 @@
     server_status make_server_status(const server_observation& observed);
     void measure_partitions(const shard_record& record);
     void update_lanes();
+    void set_slots();
     server_lane* lane_of(const server_id& server);
     void submit_once(const live_request_ptr& request);
     void run(const live_request_ptr& request, server_lane::callback done);
--- a/router/testing/parts_fixture.hpp
+++ b/router/testing/parts_fixture.hpp
@@ -50,8 +50,10 @@
 
 struct parts_fixture
 {
-    parts_fixture()
-        : loop(event_loop::create().value()), http(http_client::create(*loop, {}).value())
+    explicit parts_fixture(std::unique_ptr<store_client> with = nullptr)
+        : loop(event_loop::create().value()),
+          http(http_client::create(*loop, {}).value()),
+          store(with ? std::move(with) : std::make_unique<no_store>())
     {
     }
 
@@ -81,7 +83,7 @@
     std::unique_ptr<event_loop> loop;
     std::unique_ptr<http_client> http;
     rpc_client rpc{*http};
-    no_store store;
+    std::unique_ptr<store_client> store;
     no_log log;
     metrics_registry metrics;
     route_table routes{instance_id("r1")};
@@ -93,7 +95,7 @@
                        *loop,
                        *http,
                        rpc,
-                       store,
+                       *store,
                        log,
                        metrics,
                        routes,
--- /dev/null
+++ b/router/testing/shard_fixture.hpp
@@ -0,0 +1,169 @@
+#pragma once
+
+// One shard agent on a real loop: a store that holds the shard's record, and one port
+// that is the only voter and the only server, which accepts every grant.
+
+#include "codec/messages_json.hpp"
+#include "codec/shard_record_json.hpp"
+#include "core/ownership/record_keys.hpp"
+#include "net/http_server.hpp"
+#include "net/rpc_server.hpp"
+#include "router/shard_agent.hpp"
+#include "router/testing/parts_fixture.hpp"
+
+#include <utility>
+#include <vector>
+
+namespace camphorrock::testing
+{
+
+// Answers at once: the record, no journal, and every write took effect.
+class record_store : public no_store
+{
+public:
+    void get(const std::string& key, read_callback done) override
+    {
+        store_read got{store_end::done, {}, {}};
+        if (key == record_key(record.shard))
+        {
+            got.entries.push_back({key, shard_record_text(record), {1}});
+        }
+        done(got);
+    }
+
+    void get_prefix(const std::string&, read_callback done) override
+    {
+        done({store_end::done, {}, {}});
+    }
+
+    void compare_and_swap(const std::string&,
+                          store_revision,
+                          std::string,
+                          store_lease,
+                          write_callback done) override
+    {
+        done({store_end::done, {1}, {}});
+    }
+
+    void grant_lease(duration time_to_live, lease_callback done) override
+    {
+        done({store_end::done, {1}, time_to_live});
+    }
+
+    shard_record record;
+};
+
+// The voter and the server behind one port. Answers requests at once, or keeps them.
+class scripted_port : public http_handler
+{
+public:
+    explicit scripted_port(event_loop& loop) : loop_(loop)
+    {
+        rpc_.add("shard.vouch",
+                 [](const Json::Value& params) -> result<Json::Value>
+                 {
+                     BOOST_LEAF_AUTO(asked, read_message<vouch_params>(params));
+                     return write_message(vouch_answer{true, asked.version, {}});
+                 });
+        rpc_.add("ownership.clock",
+                 [this](const Json::Value&) -> result<Json::Value>
+                 { return write_message(clock_answer{clock_ms()}); });
+        for (const char* name : {"ownership.grant", "ownership.revoke"})
+        {
+            rpc_.add(name,
+                     [this](const Json::Value& params) -> result<Json::Value>
+                     {
+                         BOOST_LEAF_AUTO(asked, read_message<ownership_params>(params));
+                         return write_message(ownership_answer{clock_ms(), asked.since});
+                     });
+        }
+    }
+
+    void handle(http_request request, std::shared_ptr<http_responder> responder) override
+    {
+        if (request.target == "/rpc")
+        {
+            http_response answer;
+            answer.body = rpc_.dispatch(request.body);
+            responder->respond(std::move(answer));
+            return;
+        }
+        if (!is_keeping)
+        {
+            responder->respond({});
+            return;
+        }
+        kept.push_back(std::move(request));
+        responders.push_back(std::move(responder));
+    }
+
+    bool is_keeping = false;
+    std::vector<http_request> kept;
+    std::vector<std::shared_ptr<http_responder>> responders;
+
+private:
+    std::uint64_t clock_ms() const
+    {
+        auto now =
+            std::chrono::duration_cast<milliseconds>(loop_.now().time_since_epoch());
+        return static_cast<std::uint64_t>(now.count());
+    }
+
+    event_loop& loop_;
+    rpc_server rpc_;
+};
+
+struct shard_fixture : parts_fixture
+{
+    shard_fixture() : parts_fixture(std::make_unique<record_store>()), port(*loop)
+    {
+        settings.id = instance_id("r1");
+        http_server_options options;
+        options.address = endpoint("127.0.0.1:0");
+        server = http_server::create(*loop, options, port).value();
+        service.name = service_name("diary");
+        shard_record& record = static_cast<record_store&>(*store).record;
+        record.shard = shard_of(service.name);
+        record.version = {1};
+        record.partitions = {{hash_range(), server_id("s1"), {1}, {}}};
+        record.servers = {{server_id("s1"),
+                           server->bound(),
+                           true,
+                           settings.id,
+                           endpoint("127.0.0.1:1"),
+                           {1}}};
+        record.voters = {{settings.id, server->bound()}};
+    }
+
+    // The agent with all grants in force.
+    shard_agent& start()
+    {
+        agent.emplace(parts, config, votes, lease, service);
+        agent->configure(service, fleet);
+        run_until([&]
+                  { return agent->authority().permit(hash, loop->now()).has_value(); });
+        return *agent;
+    }
+
+    // Runs one repeatable request to its end.
+    outcome run_one()
+    {
+        request_end end;
+        agent->submit(make_request(hash, seconds(5), end));
+        run_until([&] { return end.is_ended; });
+        return end.summary.told;
+    }
+
+    static constexpr key_hash hash{5};
+    scripted_port port;
+    std::unique_ptr<http_server> server;
+    service_config service;
+    fleet_config fleet;
+    config_agent config{*loop, *store, rpc, [](const configuration&) {
+                        }};
+    voter votes{{}, loop->now()};
+    journal_lease lease{*loop, *store};
+    std::optional<shard_agent> agent;
+};
+
+} // namespace camphorrock::testing
--- /dev/null
+++ b/router/testing/shard_settings_test.cpp
@@ -0,0 +1,48 @@
+// Settings of a service that change while a router schedules its servers.
+
+#include "router/testing/shard_fixture.hpp"
+#include "testing/test_headers.hpp"
+
+using namespace camphorrock;
+using namespace camphorrock::testing;
+
+TEST_CASE("another number of slots counts for a server that is scheduled already")
+{
+    constexpr int enough_to_ramp = 20;
+    shard_fixture fixture;
+    fixture.service.slots_per_server = GENERATE(1, 2);
+    unsigned other_slots = 3 - fixture.service.slots_per_server;
+    CAPTURE(other_slots);
+    shard_agent& agent = fixture.start();
+    for (int n = 0; n < enough_to_ramp; ++n)
+    {
+        fixture.run_one();
+    }
+
+    WHEN("the configuration changes and the server answers on")
+    {
+        fixture.service.slots_per_server = other_slots;
+        agent.configure(fixture.service, fixture.fleet);
+        for (int n = 0; n < enough_to_ramp; ++n)
+        {
+            fixture.run_one();
+        }
+
+        THEN("so many requests are sent at once")
+        {
+            std::vector<request_end> ends(3);
+            for (request_end& it : ends)
+            {
+                agent.submit(fixture.make_request(fixture.hash, seconds(5), it));
+            }
+            agent.export_metrics();
+            double in_flight = fixture.metrics
+                                   .get_gauge({"camphorrock_in_flight", ""},
+                                              {{"shard", "diary"}, {"server", "s1"}})
+                                   .value();
+            CHECK(in_flight == other_slots);
+            fixture.run_until(
+                [&] { return ends[0].is_ended && ends[1].is_ended && ends[2].is_ended; });
+        }
+    }
+}
