max_request_ms is in force: it cuts requests, and a change reaches the ownership rules

Cause: scheduler_authority and shard_controller copied the value when a shard was first configured and kept it; nothing cut a request at it, so a caller's Camphorrock-Timeout-Ms of an hour ran past what a successor waits for at a server that checks no epochs.

The scheduler, which alone sends to a server, cuts each deadline. Waits follow core/config/recent_maximum: a raised value counts at once, a lowered one once no request under the higher one can run (6 s until it is known everywhere, then the higher value, with drift); none is shorter than 6 s, so whoever has waited knows of a higher value or that its configuration is stale, and then counts an hour. Weighed: admitting under a raised value only after 6 s; a router that starts in these 6 s would not know to. Not covered: a process that starts after the value was lowered (proofs/ownership.md). A fence keeps its milestones for the new value, else a barrier for a raised one might never be reached.

Each rule broken, seen to fail (core_test, router_test, 200 cases): replaced values not counted; no floor; rows merged without the maximum; the link keeps its first value; the deadline is not cut. Unbroken, core_test, router_test and assigner_test pass.

--- a/assigner/shard_desk.cpp
+++ b/assigner/shard_desk.cpp
@@ -14,18 +14,11 @@
 constexpr duration fence_timeout = milliseconds(400);
 constexpr duration resign_pause = seconds(2);
 
-ownership_options options_for(const assigner_parts& parts, const service_config& service)
-{
-    ownership_options options = parts.ownership;
-    options.max_request_time = service.max_request;
-    return options;
-}
-
-service_view view_of(const service_config& service)
+service_view view_of(const service_config& service, duration max_request_time)
 {
     service_view view;
     view.partition_count = service.partitions;
-    view.max_request_time = service.max_request;
+    view.max_request_time = max_request_time;
     for (const server_config& it : service.servers)
     {
         view.servers.push_back({it.id, it.address, it.zone, it.checks_epoch, it.drain});
@@ -75,8 +68,7 @@
     : parts_(parts), config_(config), shard_(shard_of(service.name)),
       election_(
           parts, lease, shard_, [this](bool is_held) { election_changed(is_held); }),
-      controller_(
-          shard_, parts.settings.id, parts.assignment, options_for(parts, service)),
+      controller_(shard_, parts.settings.id, parts.assignment, parts.ownership),
       balance_({}, parts.random)
 {
     tick_timer_ = parts_.loop.every(tick_period, [this] { tick(); });
@@ -85,7 +77,15 @@
 void shard_desk::configure(const service_config& service)
 {
     service_ = service;
-    controller_.configured(view_of(service), parts_.loop.now());
+    request_time_.set(service.max_request, parts_.loop.now());
+    view_request_time_ = longest_request();
+    controller_.configured(view_of(service_, view_request_time_), parts_.loop.now());
+}
+
+// With a configuration that may be stale, requests of any length may run.
+duration shard_desk::longest_request() const
+{
+    return config_.may_serve() ? request_time_.at(parts_.loop.now()) : max_request_limit;
 }
 
 void shard_desk::routers_listed(const std::vector<router_instance>& routers)
@@ -109,6 +109,10 @@
 
 void shard_desk::tick()
 {
+    if (longest_request() != view_request_time_)
+    {
+        configure(service_);
+    }
     rebalance();
     controller_actions actions;
     controller_.tick(parts_.loop.now(), actions);
--- a/assigner/shard_desk.hpp
+++ b/assigner/shard_desk.hpp
@@ -7,7 +7,8 @@
 #include "assigner/shard_election.hpp"
 #include "codec/messages.hpp"
 #include "core/assignment/shard_controller.hpp"
-#include "core/config/service_config.hpp"
+#include "core/config/configuration.hpp"
+#include "core/config/recent_maximum.hpp"
 #include "store/config_agent.hpp"
 
 #include <json/value.h>
@@ -52,6 +53,7 @@
 
 private:
     void tick();
+    duration longest_request() const;
     void rebalance();
     void election_changed(bool is_held);
     void log_changes();
@@ -71,8 +73,10 @@
     shard_controller controller_;
     shard_balance balance_;
     service_config service_;
-    epoch known_version_;           // of the record in the store, as last seen
-    store_revision known_revision_; // its revision
+    recent_maximum request_time_{{}}; // of requests that may still run
+    duration view_request_time_{};    // as the controller has it
+    epoch known_version_;             // of the record in the store, as last seen
+    store_revision known_revision_;   // its revision
     epoch logged_version_;
     timer_handle tick_timer_;
 };
--- a/core/assignment/fence_progress.hpp
+++ b/core/assignment/fence_progress.hpp
@@ -24,6 +24,12 @@
 public:
     explicit fence_progress(ownership_options options) : options_(options) {}
 
+    // The longest `extra` that barrier() is asked for from now on.
+    void set_max_request_time(duration longest)
+    {
+        options_.max_request_time = longest;
+    }
+
     // The store holds this record at the latest now.
     void start(const shard_record& record, time_point now);
 
--- a/core/assignment/service_view.hpp
+++ b/core/assignment/service_view.hpp
@@ -27,6 +27,7 @@
 {
     std::vector<server_view> servers;
     std::size_t partition_count = 64; // of a new shard
+    // The longest that a request may take which still runs.
     duration max_request_time = seconds(10);
 };
 
--- a/core/assignment/shard_controller.cpp
+++ b/core/assignment/shard_controller.cpp
@@ -56,6 +56,7 @@
 void shard_controller::configured(const service_view& config, time_point)
 {
     config_ = config;
+    fences_.set_max_request_time(config.max_request_time);
 }
 
 void shard_controller::routers_listed(const std::vector<router_instance>& routers,
--- a/core/ownership/scheduler_authority.cpp
+++ b/core/ownership/scheduler_authority.cpp
@@ -36,6 +36,15 @@
 {
 }
 
+void scheduler_authority::set_max_request_time(duration longest)
+{
+    options_.max_request_time = longest;
+    for (auto& [id, link] : links_)
+    {
+        link.set_max_request_time(longest);
+    }
+}
+
 void scheduler_authority::store_read(const std::optional<shard_record>& record,
                                      time_point begun_at,
                                      time_point now,
--- a/core/ownership/scheduler_authority.hpp
+++ b/core/ownership/scheduler_authority.hpp
@@ -50,6 +50,10 @@
                         ownership_options options,
                         time_point started_at);
 
+    // Requests that may still run at a server, whoever sent them, take at most this long.
+    // A lower value only once no longer request can run.
+    void set_max_request_time(duration longest);
+
     // A linearizable read of the record (none: it is absent), begun at `begun_at`. The
     // first one that began after the start lets the machine act; see docs/DESIGN.md.
     void store_read(const std::optional<shard_record>& record,
--- a/core/ownership/server_link.hpp
+++ b/core/ownership/server_link.hpp
@@ -24,6 +24,12 @@
                 std::optional<time_point> inherited_at,
                 time_point now);
 
+    // Requests that may still run take at most this long.
+    void set_max_request_time(duration longest)
+    {
+        options_.max_request_time = longest;
+    }
+
     // Takes over what the record says of the server.
     void update(const server_entry& entry,
                 const std::vector<partition_entry>& partitions,
--- a/core/ownership/testing/server_link_test.cpp
+++ b/core/ownership/testing/server_link_test.cpp
@@ -134,6 +134,33 @@
             }
         }
     }
+    GIVEN("a request time that is raised while the server works")
+    {
+        fixture.answer();
+        fixture.drive();
+        fixture.answer();
+        fixture.link.set_max_request_time(seconds(60));
+        REQUIRE(fixture.link.request_sent(1, partition_hash, fixture.now));
+        fixture.link.request_ended(1, false);
+        fixture.start_move();
+        fixture.answer();
+        for (int n = 0; n < 600; ++n) // 30 s: longer than before, not than now
+        {
+            fixture.drive();
+            fixture.answer();
+        }
+
+        THEN("a server without epoch checks is waited for as long as the new one says")
+        {
+            CHECK(fixture.link.released(fixture.now).size() == (checks_epoch ? 1 : 0));
+            for (int n = 0; n < 700; ++n)
+            {
+                fixture.drive();
+                fixture.answer();
+            }
+            CHECK(fixture.link.released(fixture.now).size() == 1);
+        }
+    }
     GIVEN("a server that was never granted anything")
     {
         fixture.start_move();
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -34,13 +34,6 @@
 constexpr duration record_retry_period = seconds(1);
 constexpr duration vouch_timeout = milliseconds(400);
 
-ownership_options options_for(const router_parts& parts, const service_config& service)
-{
-    ownership_options options = parts.ownership;
-    options.max_request_time = service.max_request;
-    return options;
-}
-
 // A load, in slot seconds a second, as the slot time used in a second.
 duration span_of(double load)
 {
@@ -55,8 +48,8 @@
                          journal_lease& lease,
                          const service_config& service)
     : parts_(parts), config_(config), votes_(votes), shard_(shard_of(service.name)),
-      authority_(
-          shard_, parts.settings.id, options_for(parts, service), parts.loop.now()),
+      request_time_({}),
+      authority_(shard_, parts.settings.id, parts.ownership, parts.loop.now()),
       once_(parts,
             lease,
             shard_,
@@ -64,6 +57,8 @@
             { run(request, std::move(done)); }),
       caller_(parts.loop, parts.rpc, shard_), reporter_(parts, config, shard_), load_({})
 {
+    request_time_.set(service.max_request, parts_.loop.now());
+    update_request_time();
     tick_timer_ = parts_.loop.every(tick_period, [this] { tick(); });
     read_record();
 }
@@ -79,6 +74,8 @@
     }
     bool has_other_slots = service.slots_per_server != service_.slots_per_server;
     service_ = service;
+    request_time_.set(service.max_request, parts_.loop.now());
+    update_request_time();
     update_lanes();
     if (has_other_slots)
     {
@@ -101,6 +98,8 @@
         request->refuse(refusal::no_owner, "this router does not schedule the key");
         return;
     }
+    request->deadline =
+        std::min(request->deadline, parts_.loop.now() + service_.max_request);
     if (!request->id.empty())
     {
         submit_once(request);
@@ -185,8 +184,16 @@
                         { return it.scheduler == parts_.settings.id; });
 }
 
+// With a configuration that may be stale, requests of any length may run.
+void shard_agent::update_request_time()
+{
+    authority_.set_max_request_time(
+        config_.may_serve() ? request_time_.at(parts_.loop.now()) : max_request_limit);
+}
+
 void shard_agent::tick()
 {
+    update_request_time();
     scheduler_actions actions;
     authority_.tick(parts_.loop.now(), actions);
     carry_out(actions);
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -9,6 +9,7 @@
 #include "codec/messages.hpp"
 #include "core/balance/partition_load.hpp"
 #include "core/config/configuration.hpp"
+#include "core/config/recent_maximum.hpp"
 #include "core/membership/voter.hpp"
 #include "core/ownership/scheduler_authority.hpp"
 #include "router/once_agent.hpp"
@@ -58,6 +59,7 @@
 
 private:
     void tick();
+    void update_request_time();
     void note_authority();
     void ask_voters();
     void drop_idle_lanes(const shard_record& record);
@@ -89,6 +91,7 @@
     voter& votes_;
     shard_id shard_;
     service_config service_;
+    recent_maximum request_time_; // of requests that may still run
     scheduler_authority authority_;
     once_agent once_;
     ownership_caller caller_;
--- a/router/testing/shard_settings_test.cpp
+++ b/router/testing/shard_settings_test.cpp
@@ -46,3 +46,24 @@
         }
     }
 }
+
+TEST_CASE("a request takes no longer than the service's setting")
+{
+    shard_fixture fixture;
+    fixture.service.max_request = seconds(60);
+    shard_agent& agent = fixture.start();
+    fixture.service.max_request = GENERATE(seconds(5), seconds(90));
+    agent.configure(fixture.service, fixture.fleet);
+    time_point now = fixture.loop->now();
+    request_end end;
+    live_request_ptr request = fixture.make_request(fixture.hash, seconds(3600), end);
+    agent.submit(request);
+
+    THEN("its deadline is that much away at the most")
+    {
+        CHECK(request->deadline >= now + fixture.service.max_request);
+        CHECK(request->deadline <= fixture.loop->now() + fixture.service.max_request);
+        fixture.run_until([&] { return end.is_ended; });
+        CHECK(end.summary.told == outcome::ran);
+    }
+}
