Retention, deduplication and write budget reach gates that stand

Cause: once_agent::configure left a gate that was open as it was; once_options were copied into the gate, its writer and its id table.

once_settings is what may change. A shorter retention must not break what was promised: each id now keeps its own time; ids loaded from journals are kept for the longest retention that may have held (recent_maximum).

Each rule broken, seen to fail: settings not taken over, interval not passed on, no minimum of the retention, loaded ids at the current retention, age not counted from the lowering (core_test 'settings change while a gate stands'); gate not told (router_test).

--- a/core/once/id_table.cpp
+++ b/core/once/id_table.cpp
@@ -50,7 +50,7 @@
     }
 }
 
-void id_table::finish(id_row& row, time_point now, once_result result)
+void id_table::finish(id_row& row, time_point kept_until, once_result result)
 {
     if (bytes_ + size_of(result) > options_.max_memory_bytes)
     {
@@ -58,7 +58,7 @@
     }
     bytes_ += size_of(result);
     row.state = id_state::finished;
-    row.ended = now;
+    row.kept_until = kept_until;
     row.result = std::move(result);
 }
 
@@ -89,10 +89,10 @@
     }
 }
 
-bool id_table::is_due(const id_row& row, time_point now) const
+bool id_table::is_due(const id_row& row, time_point now)
 {
     bool has_ended = row.state == id_state::finished || row.state == id_state::unresolved;
-    return has_ended && now - row.ended >= options_.retention;
+    return has_ended && row.kept_until <= now;
 }
 
 } // namespace camphorrock
--- a/core/once/id_table.hpp
+++ b/core/once/id_table.hpp
@@ -2,7 +2,7 @@
 
 // The ids that a gate remembers, with what is known of each, within a budget of bytes.
 //
-// Rows are found by key in O(1). A row whose request has ended is kept for the retention
+// Rows are found by key in O(1). A row whose request has ended is kept until its time
 // and then moved to the filter; sweep() looks at a few rows a call, so that no call is
 // long.
 
@@ -35,7 +35,7 @@
     epoch since;
     run_id run;                       // for `running`
     once_result result;               // for `finished`
-    time_point ended;                 // for `finished` and `unresolved`
+    time_point kept_until;            // for `finished` and `unresolved`
     std::vector<waiter_id> waiters;   // for `appending` and `running`
     std::vector<instance_id> origins; // for `unresolved`
 };
@@ -44,7 +44,6 @@
 {
     std::size_t max_memory_bytes = 0;
     std::size_t filter_bytes = 0;
-    duration retention{};
 };
 
 class id_table
@@ -64,7 +63,7 @@
     void erase(const once_key& key);
 
     // Ends the row. The payload is kept only if it fits the budget.
-    void finish(id_row& row, time_point now, once_result result);
+    void finish(id_row& row, time_point kept_until, once_result result);
 
     // True where the id may have been used before and is remembered by the filter only.
     bool is_expired(const once_key& key) const
@@ -98,7 +97,7 @@
     }
 
 private:
-    bool is_due(const id_row& row, time_point now) const;
+    static bool is_due(const id_row& row, time_point now);
 
     id_table_options options_;
     std::unordered_map<once_key, id_row, once_key_hash> rows_;
--- a/core/once/journal_writer.hpp
+++ b/core/once/journal_writer.hpp
@@ -41,6 +41,11 @@
 public:
     explicit journal_writer(const once_options& options);
 
+    void set_append_interval(duration interval)
+    {
+        options_.append_interval = interval;
+    }
+
     // Starts with this number. Entries that were pushed before are kept. Each opening
     // writes under a number of its own, so that a batch of an earlier opening that
     // arrives late is not taken for one of this.
--- a/core/once/once_gate.cpp
+++ b/core/once/once_gate.cpp
@@ -13,7 +13,7 @@
 
 id_table_options table_options(const once_options& options)
 {
-    return {options.max_memory_bytes, options.filter_bytes, options.retention};
+    return {options.max_memory_bytes, options.filter_bytes};
 }
 
 once_result not_run()
@@ -30,8 +30,23 @@
 
 once_gate::once_gate(once_options options)
     : options_(std::move(options)), ids_(table_options(options_)), writer_(options_),
-      load_backoff_(options_.first_retry, options_.max_retry, options_.writer + 1)
+      load_backoff_(options_.first_retry, options_.max_retry, options_.writer + 1),
+      loaded_retention_({}), journal_life_(options_.retention)
 {
+    loaded_retention_.set(options_.retention, time_point());
+}
+
+void once_gate::change_settings(time_point now, const once_settings& settings)
+{
+    loaded_retention_.set(settings.retention, now);
+    if (settings.retention < journal_life_)
+    {
+        journal_life_ = settings.retention;
+        journal_life_from_ = now;
+    }
+    static_cast<once_settings&>(options_) = settings;
+    writer_.set_append_interval(settings.append_interval);
+    tick(now);
 }
 
 void once_gate::set_authority(time_point now, time_point until)
@@ -164,7 +179,7 @@
     }
     else
     {
-        ids_.finish(row, now, result);
+        ids_.finish(row, now + options_.retention, result);
     }
     if (result.end == outcome::ran)
     {
--- a/core/once/once_gate.hpp
+++ b/core/once/once_gate.hpp
@@ -29,6 +29,7 @@
 // decides that.
 
 #include "core/base/result.hpp"
+#include "core/config/recent_maximum.hpp"
 #include "core/once/backoff.hpp"
 #include "core/once/id_table.hpp"
 #include "core/once/journal_writer.hpp"
@@ -74,6 +75,10 @@
     // ever. Past it nothing is admitted or run, and no refusal is `not_run`.
     void set_authority(time_point now, time_point until);
 
+    // Ids that were recorded under an earlier retention are kept for that one, here or by
+    // a gate that loads them; a longer one counts for those that end from now on.
+    void change_settings(time_point now, const once_settings& settings);
+
     void arrive(time_point now, const once_request& request);
 
     // The caller of this waiter is gone; it gets no answer.
@@ -150,6 +155,7 @@
     void apply_fences(const journal_batch& batch);
     void close_journal(time_point now);
     void keep_journal(time_point now);
+    time_point journal_fresh_at() const;
     time_point next_keep() const;
 
     // The other journals (once_gate_claims.cpp)
@@ -187,6 +193,12 @@
     std::vector<fence_action> fences_; // not answered yet
     bool is_fence_lost_ = false;       // one of them did not end in `done`
     std::optional<time_point> last_load_;
+
+    recent_maximum loaded_retention_; // of ids in the journals
+    // The shortest retention so far: no batch of this gate's lapses sooner, whichever
+    // store lease it has got. Counts from the given time, since when it is in force.
+    duration journal_life_;
+    time_point journal_life_from_;
 };
 
 } // namespace camphorrock
--- a/core/once/once_gate_claims.cpp
+++ b/core/once/once_gate_claims.cpp
@@ -210,7 +210,7 @@
     if (row != nullptr && row->state == id_state::unresolved)
     {
         row->origins.clear();
-        ids_.finish(*row, now, entry.result);
+        ids_.finish(*row, row->kept_until, entry.result);
     }
 }
 
@@ -231,7 +231,7 @@
     }
     row->state = id_state::unresolved;
     row->fingerprint = fingerprint;
-    row->ended = now;
+    row->kept_until = now + loaded_retention_.at(now);
     return row;
 }
 
--- a/core/once/once_gate_journal.cpp
+++ b/core/once/once_gate_journal.cpp
@@ -242,22 +242,29 @@
     {
         return;
     }
-    duration age = now - writer_.last_written();
-    if (age >= options_.retention / close_divisor)
+    duration age = now - journal_fresh_at();
+    if (age >= journal_life_ / close_divisor)
     {
         close_journal(now);
     }
-    else if (age >= options_.retention / renew_divisor && !is_renewing_)
+    else if (age >= journal_life_ / renew_divisor && !is_renewing_)
     {
         is_renewing_ = true;
         push_claims(now);
     }
 }
 
+// A batch of a longer retention than the current one has more than this one's half left,
+// since it was written within half of its own.
+time_point once_gate::journal_fresh_at() const
+{
+    return std::max(writer_.last_written(), journal_life_from_);
+}
+
 time_point once_gate::next_keep() const
 {
     int divisor = is_renewing_ ? close_divisor : renew_divisor;
-    return writer_.last_written() + options_.retention / divisor;
+    return journal_fresh_at() + journal_life_ / divisor;
 }
 
 } // namespace camphorrock
--- a/core/once/once_options.hpp
+++ b/core/once/once_options.hpp
@@ -14,15 +14,23 @@
 constexpr std::size_t kibibyte = 1024;
 constexpr std::size_t mebibyte = 1024 * kibibyte;
 
-struct once_options
+// What operators may change while a gate stands.
+struct once_settings
 {
-    instance_id router;               // whose journal is written
-    std::uint64_t writer = 0;         // random, drawn anew by each process; not 0
     bool servers_deduplicate = false; // the service's servers recognise a repeated id
 
     duration retention = seconds(3600); // how long an id is remembered after its end
 
     duration append_interval = milliseconds(20); // least time between two batches
+
+    bool operator==(const once_settings&) const = default;
+};
+
+struct once_options : once_settings
+{
+    instance_id router;       // whose journal is written
+    std::uint64_t writer = 0; // random, drawn anew by each process; not 0
+
     duration outcome_delay =
         milliseconds(200); // batches without a new request wait so long
     std::size_t max_batch_entries = 512;
--- a/core/once/testing/once_fuzz_test.cpp
+++ b/core/once/testing/once_fuzz_test.cpp
@@ -11,6 +11,7 @@
 constexpr unsigned steps = 400;
 constexpr unsigned steps_per_id = 20;
 constexpr unsigned live_ids = 4;
+constexpr unsigned steps_per_change = 16;
 constexpr duration long_retention = seconds(3600);
 constexpr duration short_retention = seconds(2);
 constexpr unsigned last_id = steps / steps_per_id + live_ids;
@@ -63,7 +64,7 @@
     }
 }
 
-void run_world(bool keeps_authority, duration retention)
+void run_world(bool keeps_authority, duration retention, bool is_changing = false)
 {
     once_world world(keeps_authority, retention);
     // At the nominal size from the first case on; small sizes would draw small numbers.
@@ -73,6 +74,11 @@
     for (unsigned n = 0; n < steps; ++n)
     {
         take_step(world, n, draws[n]);
+        if (is_changing && n % steps_per_change == 0)
+        {
+            unsigned longer = 1 + (draws[n] / world.routers) % 3;
+            world.change_retention(draws[n] % world.routers, retention * longer);
+        }
     }
     world.settle();
     world.check_all_answered();
@@ -98,4 +104,8 @@
              [] { run_world(false, long_retention); });
     rc::prop("also while journals lapse", [] { run_world(true, short_retention); });
     rc::prop("also where both are so", [] { run_world(false, short_retention); });
+    rc::prop("also while the retention changes, for each router at its own time",
+             [] { run_world(true, short_retention, true); });
+    rc::prop("also where it does and a replaced router does not notice",
+             [] { run_world(false, short_retention, true); });
 }
--- a/core/once/testing/once_gate_test.cpp
+++ b/core/once/testing/once_gate_test.cpp
@@ -6,7 +6,7 @@
 namespace
 {
 
-// A gate with a journal that answers as the test says; the other journals are empty.
+// A gate with a journal that answers as the test says; the others hold what it says.
 struct single_gate
 {
     once_options options;
@@ -15,6 +15,7 @@
     std::vector<answer_action> answers;
     std::vector<run_action> runs;
     std::vector<append_action> appends;
+    std::vector<stored_batch> stored; // what a load finds
     std::uint64_t next_waiter = 1;
 
     explicit single_gate(once_options with = {}) : options(named(with)), gate(options)
@@ -61,7 +62,7 @@
         {
             if (std::holds_alternative<load_action>(it))
             {
-                gate.on_loaded(now, true, {});
+                gate.on_loaded(now, true, stored);
                 collect();
             }
             else if (auto* append = std::get_if<append_action>(&it))
@@ -253,3 +254,111 @@
     it.finish("done");
     CHECK(it.answers.back().result.end == outcome::ran);
 }
+
+TEST_CASE("settings change while a gate stands")
+{
+    once_options options;
+    options.retention = seconds(60);
+    single_gate it(options);
+    once_settings settings = options;
+
+    GIVEN("an id that ended under the longer of two retentions")
+    {
+        it.arrive("a");
+        it.settle();
+        it.finish("done");
+        it.answers.clear();
+        settings.retention = seconds(10);
+        it.gate.change_settings(it.now, settings);
+
+        THEN("it is kept as long as was promised, and a later one shorter")
+        {
+            it.arrive("b");
+            it.settle();
+            it.finish("done");
+            for (unsigned n = 0; n < 8; ++n) // 32 s
+            {
+                it.settle();
+            }
+            it.answers.clear();
+            it.arrive("a");
+            it.arrive("b");
+            REQUIRE(it.answers.size() == 2);
+            CHECK(it.answers[0].reason == once_reason::finished);
+            CHECK(it.answers[1].reason == once_reason::expired);
+        }
+    }
+    GIVEN("an id that another router recorded under the longer of two retentions")
+    {
+        settings.retention = seconds(10);
+        it.gate.change_settings(it.now, settings);
+        once_key key{{5}, caller_name("c"), request_id("x")};
+        journal_batch batch{30, {admitted_entry{key, 1, epoch{1}}}};
+        it.stored.push_back({instance_id("r2"), 0, batch});
+        it.gate.take_over(it.now, hash_range(), epoch{2});
+        it.settle();
+        for (unsigned n = 0; n < 8; ++n) // 32 s
+        {
+            it.settle();
+        }
+
+        THEN("it is kept as long as was promised there")
+        {
+            it.arrive("x");
+            REQUIRE(it.answers.size() == 1);
+            CHECK(it.answers[0].reason == once_reason::unresolved);
+        }
+    }
+    GIVEN("a retention that is raised after a batch was written under the shorter one")
+    {
+        settings.retention = seconds(3600);
+        it.gate.change_settings(it.now, settings);
+        it.now += options.retention / 3;
+        it.gate.tick(it.now);
+        it.collect();
+
+        THEN("the journal is written to before that batch lapses")
+        {
+            CHECK(it.appends.size() == 1);
+        }
+    }
+    GIVEN("servers that are said to deduplicate now")
+    {
+        settings.servers_deduplicate = true;
+        it.gate.change_settings(it.now, settings);
+        it.arrive("a");
+        it.gate.on_append(it.now, it.appends.back().number, append_end::failed);
+        it.runs.clear();
+        it.arrive("b");
+
+        THEN("an id is sent without the journal, until they are not")
+        {
+            CHECK(it.runs.size() == 1);
+            settings.servers_deduplicate = false;
+            it.gate.change_settings(it.now, settings);
+            it.arrive("c");
+            CHECK(it.runs.size() == 1);
+            CHECK(it.answers.back().reason == once_reason::store_unavailable);
+        }
+    }
+    GIVEN("a longer time between batches")
+    {
+        it.arrive("a");
+        it.settle();
+        it.appends.clear();
+        settings.append_interval = seconds(10);
+        it.gate.change_settings(it.now, settings);
+        it.arrive("b");
+        it.settle();
+
+        THEN("the next batch waits for it")
+        {
+            CHECK(it.runs.size() == 1);
+            for (unsigned n = 0; n < 8; ++n)
+            {
+                it.settle();
+            }
+            CHECK(it.runs.size() == 2);
+        }
+    }
+}
--- a/core/once/testing/once_world.cpp
+++ b/core/once/testing/once_world.cpp
@@ -28,6 +28,7 @@
     routers_.resize(routers);
     for (unsigned n = 0; n < routers; ++n)
     {
+        routers_[n].retention = retention;
         start(n, instance_id("r" + std::to_string(next_name_++)));
     }
     for (unsigned n = 0; n < partitions; ++n)
@@ -43,7 +44,7 @@
     options.writer = 1000 * next_writer_++;
     options.max_memory_bytes = 64 * kibibyte;
     options.filter_bytes = kibibyte;
-    options.retention = retention_;
+    options.retention = routers_[router].retention;
     options.append_interval = milliseconds(5);
     routers_[router].name = std::move(name);
     ++routers_[router].life;
@@ -70,7 +71,7 @@
     {
         std::erase_if(batches,
                       [&](const auto& it)
-                      { return now_ - it.second.written > retention_; });
+                      { return now_ - it.second.written > it.second.retention; });
     }
     for (unsigned n = 0; n < routers; ++n)
     {
@@ -119,6 +120,16 @@
     }
 }
 
+void once_world::change_retention(unsigned router, duration retention)
+{
+    routers_[router].retention = retention;
+    once_settings settings;
+    settings.retention = retention;
+    settings.append_interval = milliseconds(5);
+    routers_[router].gate->change_settings(now_, settings);
+    drain(router);
+}
+
 void once_world::drain(unsigned router)
 {
     for (once_action& it : routers_[router].gate->take_actions())
@@ -197,8 +208,9 @@
 
 bool once_world::store(const late_write& it)
 {
-    bool is_new =
-        store_[it.journal].emplace(it.number, kept_batch{it.batch, now_}).second;
+    bool is_new = store_[it.journal]
+                      .emplace(it.number, kept_batch{it.batch, now_, it.retention})
+                      .second;
     for (const journal_entry& entry : it.batch.entries)
     {
         const auto* admitted = std::get_if<admitted_entry>(&entry);
@@ -241,9 +253,11 @@
     const instance_id& self = call.self;
     once_gate& gate = *routers_[call.router].gate;
     bool is_heard = is_alive(call.router, call.life);
+    duration retention = routers_[call.router].retention;
     if (const auto* it = std::get_if<append_action>(&call.what))
     {
-        append_end got = write({self, it->number, it->batch, now_}, end, is_late);
+        append_end got =
+            write({self, it->number, it->batch, now_, retention}, end, is_late);
         if (is_heard)
         {
             gate.on_append(now_, it->number, got);
@@ -251,7 +265,8 @@
     }
     else if (const auto* it = std::get_if<fence_action>(&call.what))
     {
-        append_end got = write({it->router, it->number, it->batch, now_}, end, is_late);
+        append_end got =
+            write({it->router, it->number, it->batch, now_, retention}, end, is_late);
         if (is_heard)
         {
             gate.on_fence(now_, it->router, it->number, got);
--- a/core/once/testing/once_world.hpp
+++ b/core/once/testing/once_world.hpp
@@ -36,6 +36,10 @@
     void move(unsigned partition, unsigned router, bool is_released);
     void crash(unsigned router, bool keeps_name);
 
+    // The router learns of another retention, which is not below the world's: that one is
+    // the least that all promise at any time.
+    void change_retention(unsigned router, duration retention);
+
     // One open call of a router to the store ends so. `unknown` with `is_late`: it takes
     // effect at some later land().
     void end_call(unsigned draw, append_end end, bool is_late);
@@ -81,12 +85,14 @@
         std::uint64_t number;
         journal_batch batch;
         time_point sent;
+        duration retention;
     };
 
     struct kept_batch
     {
         journal_batch batch;
         time_point written;
+        duration retention;
     };
 
     struct router_state
@@ -94,6 +100,7 @@
         instance_id name;
         unsigned life = 0; // counts restarts
         std::unique_ptr<once_gate> gate;
+        duration retention;
     };
 
     struct waiting
--- a/router/once_agent.cpp
+++ b/router/once_agent.cpp
@@ -109,18 +109,22 @@
                            unsigned gates)
 {
     lease_.set_retention(fleet.journal_retention);
+    once_settings settings;
+    settings.servers_deduplicate = service.servers_deduplicate;
+    settings.retention = fleet.journal_retention;
+    settings.append_interval =
+        std::max(settings.append_interval,
+                 append_interval_for(fleet.store_writes_per_second, gates));
     if (gate_)
     {
+        gate_->change_settings(parts_.loop.now(), settings);
+        pump();
         return;
     }
     once_options options;
+    static_cast<once_settings&>(options) = settings;
     options.router = parts_.settings.id;
     options.writer = parts_.random() | 1;
-    options.servers_deduplicate = service.servers_deduplicate;
-    options.retention = fleet.journal_retention;
-    options.append_interval =
-        std::max(options.append_interval,
-                 append_interval_for(fleet.store_writes_per_second, gates));
     gate_.emplace(options);
 }
 
--- a/router/once_agent.hpp
+++ b/router/once_agent.hpp
@@ -29,7 +29,8 @@
 
     once_agent(router_parts& parts, journal_lease& lease, shard_id shard, runner run);
 
-    // The first call opens the gate. `gates` journals share the fleet's write budget.
+    // The first call opens the gate, a later one changes its settings. `gates` journals
+    // share the fleet's write budget.
     void
     configure(const service_config& service, const fleet_config& fleet, unsigned gates);
 
--- a/router/testing/shard_fixture.hpp
+++ b/router/testing/shard_fixture.hpp
@@ -17,7 +17,7 @@
 namespace camphorrock::testing
 {
 
-// Answers at once: the record, no journal, and every write took effect.
+// Answers at once: the record, no journal, and that a write took effect.
 class record_store : public no_store
 {
 public:
@@ -42,7 +42,7 @@
                           store_lease,
                           write_callback done) override
     {
-        done({store_end::done, {1}, {}});
+        done({is_refusing ? store_end::failed : store_end::done, {1}, {}});
     }
 
     void grant_lease(duration time_to_live, lease_callback done) override
@@ -51,6 +51,7 @@
     }
 
     shard_record record;
+    bool is_refusing = false; // writes
 };
 
 // The voter and the server behind one port. Answers requests at once, or keeps them.
@@ -122,7 +123,7 @@
         options.address = endpoint("127.0.0.1:0");
         server = http_server::create(*loop, options, port).value();
         service.name = service_name("diary");
-        shard_record& record = static_cast<record_store&>(*store).record;
+        shard_record& record = records().record;
         record.shard = shard_of(service.name);
         record.version = {1};
         record.partitions = {{hash_range(), server_id("s1"), {1}, {}}};
@@ -145,11 +146,18 @@
         return *agent;
     }
 
-    // Runs one repeatable request to its end.
-    outcome run_one()
+    record_store& records()
+    {
+        return static_cast<record_store&>(*store);
+    }
+
+    // Runs one request to its end; one without an id is repeatable.
+    outcome run_one(const std::string& id = "")
     {
         request_end end;
-        agent->submit(make_request(hash, seconds(5), end));
+        live_request_ptr request = make_request(hash, seconds(5), end);
+        request->id = request_id(id);
+        agent->submit(request);
         run_until([&] { return end.is_ended; });
         return end.summary.told;
     }
--- a/router/testing/shard_settings_test.cpp
+++ b/router/testing/shard_settings_test.cpp
@@ -67,3 +67,25 @@
         CHECK(end.summary.told == outcome::ran);
     }
 }
+
+TEST_CASE("servers may be said to deduplicate while a router schedules them")
+{
+    constexpr int tries = 50;
+    shard_fixture fixture;
+    shard_agent& agent = fixture.start();
+    REQUIRE(fixture.run_one("a") == outcome::ran);
+    fixture.records().is_refusing = true;
+    REQUIRE(fixture.run_one("b") == outcome::not_run);
+    fixture.service.servers_deduplicate = true;
+    agent.configure(fixture.service, fixture.fleet);
+
+    THEN("ids are sent although the journal cannot be written")
+    {
+        int ran = 0;
+        for (int n = 0; n < tries; ++n)
+        {
+            ran += fixture.run_one("c" + std::to_string(n)) == outcome::ran ? 1 : 0;
+        }
+        CHECK(ran > 0);
+    }
+}
