retry_percent is in force, with a retry budget for each service

Cause: a router had one budget for all services, made with the default share; the setting was only checked.

core/admission/retry_budgets keeps one budget a service and takes the share from each configuration. What callers have saved stays, but 0 percent allows no retry at all.

--- a/core/admission/retry_budget.cpp
+++ b/core/admission/retry_budget.cpp
@@ -19,7 +19,7 @@
 bool retry_budget::try_spend(const caller_name& caller)
 {
     double& saved = row(caller);
-    if (saved < 1)
+    if (options_.share <= 0 || saved < 1)
     {
         return false;
     }
--- a/core/admission/retry_budget.hpp
+++ b/core/admission/retry_budget.hpp
@@ -31,6 +31,13 @@
 public:
     explicit retry_budget(retry_budget_options options);
 
+    // Retries earned by a first attempt from now on; 0 allows none at all, whatever is
+    // saved.
+    void set_share(double share)
+    {
+        options_.share = share;
+    }
+
     void first_attempt(const caller_name& caller);
 
     // Takes one retry from the caller's budget; false where there is none.
--- a/router/forwarder.cpp
+++ b/router/forwarder.cpp
@@ -83,7 +83,8 @@
 {
     bool is_safe = request.id.empty() || is_nothing_sent(got.end);
     bool is_in_time = request.deadline > parts_.loop.now();
-    return is_safe && is_in_time && parts_.retries.try_spend(request.caller);
+    return is_safe && is_in_time &&
+           parts_.retries.try_spend(request.target.service, request.caller);
 }
 
 http_request forwarder::make_request(const live_request& request) const
--- a/router/router.hpp
+++ b/router/router.hpp
@@ -65,7 +65,7 @@
     std::unique_ptr<instance_list> instances_;
     std::unique_ptr<assigner_directory> assigners_;
     route_table routes_;
-    retry_budget retries_{retry_budget_options()};
+    retry_budgets retries_{retry_budget_options()};
     std::unique_ptr<router_parts> parts_;
     std::unique_ptr<voter> votes_;
     std::unique_ptr<journal_lease> journal_lease_;
--- a/router/server_lane.cpp
+++ b/router/server_lane.cpp
@@ -166,7 +166,8 @@
         std::optional<request_permit> permit =
             authority_.permit(it.request->target.hash, parts_.loop.now());
         bool is_ours = permit && permit->server == server_;
-        if (!is_ours || !parts_.retries.try_spend(it.request->caller))
+        const live_request& request = *it.request;
+        if (!is_ours || !parts_.retries.try_spend(request.target.service, request.caller))
         {
             continue;
         }
--- a/router/testing/parts_fixture.hpp
+++ b/router/testing/parts_fixture.hpp
@@ -55,6 +55,8 @@
           http(http_client::create(*loop, {}).value()),
           store(with ? std::move(with) : std::make_unique<no_store>())
     {
+        service.name = service_name("diary");
+        retries.configured({service});
     }
 
     // A repeatable request for `hash`, whose end is kept in `end`.
@@ -67,7 +69,7 @@
             random);
         made->method = "GET";
         made->target_text = "/diary/street";
-        made->target.service = service_name("diary");
+        made->target.service = service.name;
         made->target.hash = hash;
         made->caller = caller_name("tayside");
         made->deadline = loop->now() + timeout;
@@ -79,6 +81,7 @@
         testing::run_until(*loop, is_met);
     }
 
+    service_config service;
     router_settings settings;
     std::unique_ptr<event_loop> loop;
     std::unique_ptr<http_client> http;
@@ -90,7 +93,7 @@
     std::mt19937_64 random{7};
     instance_list instances{*http, endpoint("127.0.0.1:1")};
     assigner_directory assigners{*loop, instances};
-    retry_budget retries{retry_budget_options()};
+    retry_budgets retries{retry_budget_options()};
     router_parts parts{settings,
                        *loop,
                        *http,
--- a/router/testing/second_sending_test.cpp
+++ b/router/testing/second_sending_test.cpp
@@ -183,6 +183,21 @@
         }
     }
 
+    WHEN("the service allows no retries")
+    {
+        fixture.service.retry_percent = 0;
+        fixture.retries.configured({fixture.service});
+        lane->resend(fixture.loop->now());
+        first->send(answered);
+        fixture.run_until([&] { return end.is_ended; });
+
+        THEN("there is no second sending, and the first one is answered")
+        {
+            CHECK(end.summary.told == outcome::ran);
+            CHECK_FALSE(listener->accept());
+        }
+    }
+
     WHEN("the first sending is refused, and there is no second one")
     {
         first->send(refused);
--- a/router/testing/shard_fixture.hpp
+++ b/router/testing/shard_fixture.hpp
@@ -122,7 +122,6 @@
         http_server_options options;
         options.address = endpoint("127.0.0.1:0");
         server = http_server::create(*loop, options, port).value();
-        service.name = service_name("diary");
         shard_record& record = records().record;
         record.shard = shard_of(service.name);
         record.version = {1};
@@ -165,7 +164,6 @@
     static constexpr key_hash hash{5};
     scripted_port port;
     std::unique_ptr<http_server> server;
-    service_config service;
     fleet_config fleet;
     config_agent config{*loop, *store, rpc, [](const configuration&) {
                         }};
