long_routes are in force: declared routes are long until their times are known

Cause: the setting was only checked. A route that a server has seen alone is its own measure and so never long: reports that came before the first lookup took every slot.

A request that matches is marked, in a class of its prefix, which may be narrower than method and first segment. The table counts it as long until the route has been seen three times and another route at all; then what was learned counts, so a wrong hint does not last. server_queue only passes the mark on.

--- a/core/admission/queued_request.hpp
+++ b/core/admission/queued_request.hpp
@@ -20,6 +20,7 @@
     route_class route;
     time_point deadline;    // an answer after this is of no use to the caller
     bool repeatable = true; // false: a timeout after the start leaves the outcome unknown
+    bool is_declared_long = false; // operators expect its route to take long
 };
 
 } // namespace camphorrock
--- a/core/admission/server_queue.cpp
+++ b/core/admission/server_queue.cpp
@@ -61,7 +61,7 @@
         return;
     }
     const service_time_estimate estimate =
-        service_times_.estimate(request.caller, request.route);
+        service_times_.estimate(request.caller, request.route, request.is_declared_long);
     time_point latest_start = request.deadline - room_needed(request, estimate);
     if (latest_start < now && may_probe(request, estimate.is_long, now))
     {
--- a/core/admission/service_time_table.cpp
+++ b/core/admission/service_time_table.cpp
@@ -35,7 +35,8 @@
 }
 
 service_time_estimate service_time_table::estimate(const caller_name& caller,
-                                                   const route_class& route) const
+                                                   const route_class& route,
+                                                   bool is_declared_long) const
 {
     const auto of_route = routes_.find(route);
     if (of_route == routes_.end())
@@ -48,7 +49,10 @@
         of_caller != callers.end() && of_caller->second.samples >= trusted_samples;
     const row& known = is_trusted ? of_caller->second : of_route->second.times;
     const double bound_us = known.mean_us + options_.deviations * known.deviation_us;
-    return {to_duration(known.mean_us), to_duration(bound_us), is_long(known)};
+    const bool is_hinted_long = is_declared_long && !is_known(of_route->second);
+    return {to_duration(known.mean_us),
+            to_duration(bound_us),
+            is_hinted_long || is_long(known)};
 }
 
 void service_time_table::observe(const caller_name& caller,
@@ -120,6 +124,12 @@
     target.deviation_us += weight * (off - target.deviation_us);
 }
 
+// Alone, a route is its own measure and never long.
+bool service_time_table::is_known(const route_row& route) const
+{
+    return route.times.samples >= trusted_samples && routes_.size() > 1;
+}
+
 bool service_time_table::is_full() const
 {
     return size() >= options_.max_classes;
--- a/core/admission/service_time_table.hpp
+++ b/core/admission/service_time_table.hpp
@@ -40,8 +40,11 @@
 public:
     explicit service_time_table(service_time_table_options options);
 
+    // A route that is declared long counts as long until it is known, and another route
+    // to measure it by has been seen.
     service_time_estimate estimate(const caller_name& caller,
-                                   const route_class& route) const;
+                                   const route_class& route,
+                                   bool is_declared_long = false) const;
 
     // A request was answered after so long.
     void
@@ -75,6 +78,7 @@
     route_row* find_or_add(const route_class& route);
     row* find_or_add(route_row& route, const caller_name& caller);
     bool is_full() const;
+    bool is_known(const route_row& route) const;
     void update_short_mean();
     bool is_long(const row& from) const;
 
--- a/core/config/service_config.cpp
+++ b/core/config/service_config.cpp
@@ -23,17 +23,26 @@
 
 } // namespace
 
+const route_pattern* find_match(const std::vector<route_pattern>& routes,
+                                std::string_view method,
+                                std::string_view path)
+{
+    auto found = std::find_if(routes.begin(),
+                              routes.end(),
+                              [&](const route_pattern& it)
+                              {
+                                  bool is_method =
+                                      it.method == "*" || it.method == method;
+                                  return is_method && is_prefix(it.prefix, path);
+                              });
+    return found == routes.end() ? nullptr : &*found;
+}
+
 bool matches(const std::vector<route_pattern>& routes,
              std::string_view method,
              std::string_view path)
 {
-    return std::any_of(routes.begin(),
-                       routes.end(),
-                       [&](const route_pattern& it)
-                       {
-                           bool is_method = it.method == "*" || it.method == method;
-                           return is_method && is_prefix(it.prefix, path);
-                       });
+    return find_match(routes, method, path) != nullptr;
 }
 
 } // namespace camphorrock
--- a/core/config/service_config.hpp
+++ b/core/config/service_config.hpp
@@ -50,8 +50,13 @@
     bool operator==(const service_config&) const = default;
 };
 
-// True where one of the routes matches. `path` is the part after the key, "" or "/...".
-// A prefix matches whole segments only: "/a" matches "/a" and "/a/b", not "/ab".
+// The first of the routes that matches, or null. `path` is the part after the key, "" or
+// "/...". A prefix matches whole segments only: "/a" matches "/a" and "/a/b", not "/ab".
+const route_pattern* find_match(const std::vector<route_pattern>& routes,
+                                std::string_view method,
+                                std::string_view path);
+
+// True where one of the routes matches.
 bool matches(const std::vector<route_pattern>& routes,
              std::string_view method,
              std::string_view path);
--- a/router/live_request.hpp
+++ b/router/live_request.hpp
@@ -91,6 +91,7 @@
     caller_name caller;
     request_id id; // empty: the request may be repeated
     route_class route;
+    bool is_declared_long = false; // by the service's long_routes
     time_point arrived;
     time_point deadline;
     bool is_forwarded = false;     // it came from another router
--- a/router/request_reader.cpp
+++ b/router/request_reader.cpp
@@ -99,12 +99,20 @@
     return std::nullopt;
 }
 
-// Requests of one method and first path segment are expected to take about the same time.
-route_class classify(const live_request& request)
+// Requests of one method and first path segment are expected to take about the same time,
+// and so are those of one declared long route, which may be narrower.
+void classify(const service_config& service, live_request& request)
 {
     std::string_view path = path_after_key(request.target);
     std::size_t end = path.size() > 1 ? path.find('/', 1) : std::string_view::npos;
-    return route_class(request.method + " " + std::string(path.substr(0, end)));
+    std::string_view group = path.substr(0, end);
+    if (const route_pattern* declared =
+            find_match(service.long_routes, request.method, path))
+    {
+        request.is_declared_long = true;
+        group = declared->prefix;
+    }
+    request.route = route_class(request.method + " " + std::string(group));
 }
 
 } // namespace
@@ -142,7 +150,7 @@
     request.method = std::move(from.method);
     request.headers = std::move(from.headers);
     request.body = std::move(from.body);
-    request.route = classify(request);
+    classify(*service, request);
     return std::nullopt;
 }
 
--- a/router/testing/request_reader_test.cpp
+++ b/router/testing/request_reader_test.cpp
@@ -12,6 +12,7 @@
     service_config& valves = config.services.emplace_back();
     valves.name = service_name("valves");
     valves.repeatable_routes = {{"POST", "/search"}};
+    valves.long_routes = {{"GET", "/sheet/all"}, {"*", "/report"}};
     return config;
 }
 
@@ -112,3 +113,31 @@
         CHECK(fixture.read().has_value() == !is_declared);
     }
 }
+
+TEST_CASE("a declared long route is a class of its own")
+{
+    reader_fixture fixture;
+
+    SECTION("with the depth of its prefix")
+    {
+        fixture.sent.target = "/valves/quad-17/sheet/all/2024?x=1";
+        REQUIRE_FALSE(fixture.read());
+        CHECK(fixture.request.is_declared_long);
+        CHECK(fixture.request.route.str() == "GET /sheet/all");
+    }
+    SECTION("for the methods that it names, or all")
+    {
+        fixture.sent.method = "PUT";
+        fixture.sent.target = "/valves/quad-17/report";
+        REQUIRE_FALSE(fixture.read());
+        CHECK(fixture.request.is_declared_long);
+        CHECK(fixture.request.route.str() == "PUT /report");
+    }
+    SECTION("and others are not of it")
+    {
+        fixture.sent.target = "/valves/quad-17/sheet/one";
+        REQUIRE_FALSE(fixture.read());
+        CHECK_FALSE(fixture.request.is_declared_long);
+        CHECK(fixture.request.route.str() == "GET /sheet");
+    }
+}
--- a/router/testing/shard_settings_test.cpp
+++ b/router/testing/shard_settings_test.cpp
@@ -3,9 +3,41 @@
 #include "router/testing/shard_fixture.hpp"
 #include "testing/test_headers.hpp"
 
+#include <algorithm>
+
 using namespace camphorrock;
 using namespace camphorrock::testing;
 
+namespace
+{
+
+// Requests of three at once that are at the server; answers them all.
+double in_flight_of_three(shard_fixture& fixture, bool is_declared_long = false)
+{
+    std::vector<request_end> ends(3);
+    for (request_end& it : ends)
+    {
+        live_request_ptr made = fixture.make_request(fixture.hash, seconds(5), it);
+        made->is_declared_long = is_declared_long;
+        fixture.agent->submit(made);
+    }
+    fixture.agent->export_metrics();
+    double in_flight = fixture.metrics
+                           .get_gauge({"camphorrock_in_flight", ""},
+                                      {{"shard", "diary"}, {"server", "s1"}})
+                           .value();
+    fixture.run_until(
+        [&]
+        {
+            return std::all_of(ends.begin(),
+                               ends.end(),
+                               [](const request_end& it) { return it.is_ended; });
+        });
+    return in_flight;
+}
+
+} // namespace
+
 TEST_CASE("another number of slots counts for a server that is scheduled already")
 {
     constexpr int enough_to_ramp = 20;
@@ -30,19 +62,7 @@
 
         THEN("so many requests are sent at once")
         {
-            std::vector<request_end> ends(3);
-            for (request_end& it : ends)
-            {
-                agent.submit(fixture.make_request(fixture.hash, seconds(5), it));
-            }
-            agent.export_metrics();
-            double in_flight = fixture.metrics
-                                   .get_gauge({"camphorrock_in_flight", ""},
-                                              {{"shard", "diary"}, {"server", "s1"}})
-                                   .value();
-            CHECK(in_flight == other_slots);
-            fixture.run_until(
-                [&] { return ends[0].is_ended && ends[1].is_ended && ends[2].is_ended; });
+            CHECK(in_flight_of_three(fixture) == other_slots);
         }
     }
 }
@@ -89,3 +109,20 @@
         CHECK(ran > 0);
     }
 }
+
+TEST_CASE("declared long requests leave a slot at a server that has seen no others")
+{
+    constexpr int enough_to_ramp = 30;
+    shard_fixture fixture;
+    fixture.start();
+    for (int n = 0; n < enough_to_ramp; ++n)
+    {
+        fixture.run_one();
+    }
+
+    THEN("fewer of them are sent at once")
+    {
+        CHECK(in_flight_of_three(fixture, false) == 3);
+        CHECK(in_flight_of_three(fixture, true) < 3);
+    }
+}
