A connection that timed out was taken for proof that a server's process is gone

Cause: rpc_end::not_sent stood for every exchange of which no byte left, also where the connect timed out or the exchange waited for a connection of a full pool; ownership_caller passed it on as 'connection refused', and server_link takes that as proof that the process is gone. A server without epoch checks that is frozen and cut off would be given up after the longest request time, and could run what it had received when it came back.

Now only ECONNREFUSED says that nobody listens (exchange_result::is_refused, rpc_end::no_peer).

--- a/net/curl_exchange.cpp
+++ b/net/curl_exchange.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
 namespace camphorrock
@@ -185,10 +186,18 @@
     else
     {
         made.end = has_sent() ? exchange_end::cut : exchange_end::not_connected;
+        made.is_refused = made.end == exchange_end::not_connected && is_refused(code);
     }
     return made;
 }
 
+bool curl_exchange::is_refused(CURLcode code) const
+{
+    long ec = 0;
+    curl_easy_getinfo(easy_.get(), CURLINFO_OS_ERRNO, &ec);
+    return code == CURLE_COULDNT_CONNECT && ec == ECONNREFUSED;
+}
+
 exchange_result curl_exchange::time_out() const
 {
     exchange_result made;
--- a/net/curl_exchange.hpp
+++ b/net/curl_exchange.hpp
@@ -75,6 +75,7 @@
 
     // True once any byte of the request was handed to the operating system.
     bool has_sent() const;
+    bool is_refused(CURLcode code) const;
 
     // The end that libcurl reported, with the answer.
     exchange_result finish(CURLcode code);
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -47,6 +47,8 @@
     exchange_end end = exchange_end::not_connected;
     http_response answer; // only for `answered`
     bool reused = false;  // the connection had carried an earlier exchange
+    // For `not_connected`: the other side's host answered that nobody listens there.
+    bool is_refused = false;
     duration time_taken{};
 };
 
--- a/net/rpc_client.cpp
+++ b/net/rpc_client.cpp
@@ -74,6 +74,10 @@
 // How an exchange that brought no JSON-RPC answer counts for each of its calls.
 std::optional<rpc_result> read_exchange_failure(const exchange_result& got)
 {
+    if (got.is_refused)
+    {
+        return make_failure(rpc_end::no_peer, "connection refused");
+    }
     if (is_nothing_sent(got.end))
     {
         return make_failure(rpc_end::not_sent, std::string(name_of(got.end)));
--- a/net/rpc_client.hpp
+++ b/net/rpc_client.hpp
@@ -25,7 +25,8 @@
 {
     answered,  // `value` is the method's result
     refused,   // the other side answered with an error object; see `text`
-    not_sent,  // no byte left
+    not_sent,  // no byte left, and the other side may be there or not
+    no_peer,   // no byte left: the other side's host answered that nobody listens
     no_answer, // it may have taken effect
 };
 
--- a/net/testing/rpc_test.cpp
+++ b/net/testing/rpc_test.cpp
@@ -100,7 +100,7 @@
                     seconds(5),
                     [&](rpc_result it) { got.push_back(std::move(it)); });
         net.run_until([&] { return !got.empty(); });
-        CHECK(got[0].end == rpc_end::not_sent);
+        CHECK(got[0].end == rpc_end::no_peer);
     }
 }
 
--- a/router/ownership_caller.cpp
+++ b/router/ownership_caller.cpp
@@ -64,7 +64,7 @@
 
 bool is_refused(const std::vector<rpc_result>& results)
 {
-    return !results.empty() && results.front().end == rpc_end::not_sent;
+    return !results.empty() && results.front().end == rpc_end::no_peer;
 }
 
 } // namespace
@@ -80,7 +80,7 @@
               {
                   ownership_end end;
                   end.sent_at = sent_at;
-                  end.is_connection_refused = got.end == rpc_end::not_sent;
+                  end.is_connection_refused = got.end == rpc_end::no_peer;
                   if (std::optional<clock_answer> answer = read_answer<clock_answer>(got))
                   {
                       end.reply.emplace();
--- a/router/ownership_caller.hpp
+++ b/router/ownership_caller.hpp
@@ -21,8 +21,8 @@
 // How a call ended.
 struct ownership_end
 {
-    std::optional<server_reply> reply; // none: the server did not answer
-    bool is_connection_refused = false;
+    std::optional<server_reply> reply;  // none: the server did not answer
+    bool is_connection_refused = false; // by the server's host: no process listens
     time_point sent_at;
 };
 
