--- a/router/server_lane.cpp
+++ b/router/server_lane.cpp
@@ -112,6 +112,7 @@
     queued.route = request->route;
     queued.deadline = request->deadline;
     queued.repeatable = request->id.empty();
+    queued.is_declared_long = request->is_declared_long;
     pending_.emplace(id, pending{std::move(request), std::move(done), {}, {}, {}, false});
     queue_actions actions;
     queue_->arrive(queued, parts_.loop.now(), actions);
@@ -119,6 +120,13 @@
     return id;
 }
 
+void server_lane::set_slots(std::size_t slots)
+{
+    queue_actions actions;
+    queue_->slots_changed(slots, parts_.loop.now(), actions);
+    carry_out(actions);
+}
+
 void server_lane::withdraw(ticket id)
 {
     auto it = pending_.find(id);
@@ -159,7 +167,8 @@
         std::optional<request_permit> permit =
             authority_.permit(it.request->target.hash, parts_.loop.now());
         bool is_ours = permit && permit->server == server_;
-        if (!is_ours || !parts_.retries.try_spend(it.request->caller))
+        const live_request& request = *it.request;
+        if (!is_ours || !parts_.retries.try_spend(request.target.service, request.caller))
         {
             continue;
         }
--- a/router/testing/parts_fixture.hpp
+++ b/router/testing/parts_fixture.hpp
@@ -50,9 +50,13 @@
 
 struct parts_fixture
 {
-    parts_fixture()
-        : loop(event_loop::create().value()), http(http_client::create(*loop, {}).value())
+    explicit parts_fixture(std::unique_ptr<store_client> with = nullptr)
+        : loop(event_loop::create().value()),
+          http(http_client::create(*loop, {}).value()),
+          store(with ? std::move(with) : std::make_unique<no_store>())
     {
+        service.name = service_name("diary");
+        retries.configured({service});
     }
 
     // A repeatable request for `hash`, whose end is kept in `end`.
@@ -65,7 +69,7 @@
             random);
         made->method = "GET";
         made->target_text = "/diary/street";
-        made->target.service = service_name("diary");
+        made->target.service = service.name;
         made->target.hash = hash;
         made->caller = caller_name("tayside");
         made->deadline = loop->now() + timeout;
@@ -77,23 +81,24 @@
         testing::run_until(*loop, is_met);
     }
 
+    service_config service;
     router_settings settings;
     std::unique_ptr<event_loop> loop;
     std::unique_ptr<http_client> http;
     rpc_client rpc{*http};
-    no_store store;
+    std::unique_ptr<store_client> store;
     no_log log;
     metrics_registry metrics;
     route_table routes{instance_id("r1")};
     std::mt19937_64 random{7};
     instance_list instances{*http, endpoint("127.0.0.1:1")};
     assigner_directory assigners{*loop, instances};
-    retry_budget retries{retry_budget_options()};
+    retry_budgets retries{retry_budget_options()};
     router_parts parts{settings,
                        *loop,
                        *http,
                        rpc,
-                       store,
+                       *store,
                        log,
                        metrics,
                        routes,
--- /dev/null
+++ b/router/testing/shard_settings_test.cpp
@@ -0,0 +1,128 @@
+// Settings of a service that change while a router schedules its servers.
+
+#include "router/testing/shard_fixture.hpp"
+#include "testing/test_headers.hpp"
+
+#include <algorithm>
+
+using namespace camphorrock;
+using namespace camphorrock::testing;
+
+namespace
+{
+
+// Requests of three at once that are at the server; answers them all.
+double in_flight_of_three(shard_fixture& fixture, bool is_declared_long = false)
+{
+    std::vector<request_end> ends(3);
+    for (request_end& it : ends)
+    {
+        live_request_ptr made = fixture.make_request(fixture.hash, seconds(5), it);
+        made->is_declared_long = is_declared_long;
+        fixture.agent->submit(made);
+    }
+    fixture.agent->export_metrics();
+    double in_flight = fixture.metrics
+                           .get_gauge({"camphorrock_in_flight", ""},
+                                      {{"shard", "diary"}, {"server", "s1"}})
+                           .value();
+    fixture.run_until(
+        [&]
+        {
+            return std::all_of(ends.begin(),
+                               ends.end(),
+                               [](const request_end& it) { return it.is_ended; });
+        });
+    return in_flight;
+}
+
+} // namespace
+
+TEST_CASE("another number of slots counts for a server that is scheduled already")
+{
+    constexpr int enough_to_ramp = 20;
+    shard_fixture fixture;
+    fixture.service.slots_per_server = GENERATE(1, 2);
+    unsigned other_slots = 3 - fixture.service.slots_per_server;
+    CAPTURE(other_slots);
+    shard_agent& agent = fixture.start();
+    for (int n = 0; n < enough_to_ramp; ++n)
+    {
+        fixture.run_one();
+    }
+
+    WHEN("the configuration changes and the server answers on")
+    {
+        fixture.service.slots_per_server = other_slots;
+        agent.configure(fixture.service, fixture.fleet);
+        for (int n = 0; n < enough_to_ramp; ++n)
+        {
+            fixture.run_one();
+        }
+
+        THEN("so many requests are sent at once")
+        {
+            CHECK(in_flight_of_three(fixture) == other_slots);
+        }
+    }
+}
+
+TEST_CASE("a request takes no longer than the service's setting")
+{
+    shard_fixture fixture;
+    fixture.service.max_request = seconds(60);
+    shard_agent& agent = fixture.start();
+    fixture.service.max_request = GENERATE(seconds(5), seconds(90));
+    agent.configure(fixture.service, fixture.fleet);
+    time_point now = fixture.loop->now();
+    request_end end;
+    live_request_ptr request = fixture.make_request(fixture.hash, seconds(3600), end);
+    agent.submit(request);
+
+    THEN("its deadline is that much away at the most")
+    {
+        CHECK(request->deadline >= now + fixture.service.max_request);
+        CHECK(request->deadline <= fixture.loop->now() + fixture.service.max_request);
+        fixture.run_until([&] { return end.is_ended; });
+        CHECK(end.summary.told == outcome::ran);
+    }
+}
+
+TEST_CASE("servers may be said to deduplicate while a router schedules them")
+{
+    constexpr int tries = 50;
+    shard_fixture fixture;
+    shard_agent& agent = fixture.start();
+    REQUIRE(fixture.run_one("a") == outcome::ran);
+    fixture.records().is_refusing = true;
+    REQUIRE(fixture.run_one("b") == outcome::not_run);
+    fixture.service.servers_deduplicate = true;
+    agent.configure(fixture.service, fixture.fleet);
+
+    THEN("ids are sent although the journal cannot be written")
+    {
+        int ran = 0;
+        for (int n = 0; n < tries; ++n)
+        {
+            ran += fixture.run_one("c" + std::to_string(n)) == outcome::ran ? 1 : 0;
+        }
+        CHECK(ran > 0);
+    }
+}
+
+TEST_CASE("declared long requests leave a slot at a server that has seen no others")
+{
+    constexpr int enough_to_ramp = 30;
+    shard_fixture fixture;
+    fixture.start();
+    for (int n = 0; n < enough_to_ramp; ++n)
+    {
+        fixture.run_one();
+    }
+
+    THEN("fewer of them are sent at once")
+    {
+        CHECK(in_flight_of_three(fixture, false) == 3);
+        CHECK(in_flight_of_three(fixture, true) < 3);
+    }
+}
