A planned move waits for the fence that its release needs

Cause: a release that a scheduler reports counts only once a fence at or above the partition's 'since' has been complete for one authority_ttl. 'since' is set anew by each move and each change of scheduler. A planned move that started earlier (a join right after a move, a hand-over of a server without epoch checks right after another one, a step of the balancer, a new assigner's first) left the partition unserved for the rest of that time.

The planner now starts planned moves (drain, join, plan, hand-over by a router that leaves) only once that fence is there; the partition is served meanwhile. Moves off what is lost start at once as before.

--- a/core/assignment/shard_planner.cpp
+++ b/core/assignment/shard_planner.cpp
@@ -158,6 +158,13 @@
             seen->second.seen_at <= view_.fences.barrier(view_.now, extra));
 }
 
+// Has the fence that a release needs been complete for long enough? A planned move that
+// began earlier would leave the partition unserved until then.
+bool shard_planner::is_settled(const partition_entry& partition) const
+{
+    return partition.since <= view_.fences.barrier(view_.now, no_extra);
+}
+
 // Is nothing held by this server? True as well where it owns nothing.
 bool shard_planner::is_all_released(const server_id& owner) const
 {
--- a/core/assignment/shard_planner.hpp
+++ b/core/assignment/shard_planner.hpp
@@ -93,6 +93,8 @@
     bool needs_scheduler(const server_entry& server) const;
     bool is_cut_off_router(const server_entry& server) const;
     bool is_released(const partition_entry& partition) const;
+    bool is_settled(const partition_entry& partition) const;
+    bool is_settled(const rebalance_step& step) const;
     bool is_all_released(const server_id& owner) const;
     std::set<server_id> targets(const server_id& except) const;
     std::size_t moving_count() const;
--- a/core/assignment/shard_planner_moves.cpp
+++ b/core/assignment/shard_planner_moves.cpp
@@ -80,8 +80,10 @@
         }
         std::string reason = reason_to_leave(it.owner);
         bool is_planned = !is_lost(*owner);
-        if (reason.empty() ||
-            (is_planned && moving_count() >= view_.options.max_planned_moves))
+        bool must_wait =
+            is_planned &&
+            (!is_settled(it) || moving_count() >= view_.options.max_planned_moves);
+        if (reason.empty() || must_wait)
         {
             continue;
         }
@@ -136,7 +138,8 @@
             auto from = std::find_if(next_.partitions.begin(),
                                      next_.partitions.end(),
                                      [&](const partition_entry& it) {
-                                         return it.owner == *most && it.moving_to.empty();
+                                         return it.owner == *most &&
+                                                it.moving_to.empty() && is_settled(it);
                                      });
             if (from == next_.partitions.end())
             {
--- a/core/assignment/shard_planner_schedulers.cpp
+++ b/core/assignment/shard_planner_schedulers.cpp
@@ -47,9 +47,11 @@
             server, *router, is_doubted ? "cut off from its servers" : "lost or leaving");
         return;
     }
+    bool is_lost = !view_.routers.is_heard(server.scheduler, view_.now);
     for (partition_entry& it : next_.partitions)
     {
-        if (it.owner == server.id && it.moving_to.empty())
+        bool may_start = it.moving_to.empty() && (is_lost || is_settled(it));
+        if (it.owner == server.id && may_start)
         {
             start_move(it, server.id, "the scheduler is lost or leaving");
         }
--- a/core/assignment/shard_planner_steps.cpp
+++ b/core/assignment/shard_planner_steps.cpp
@@ -13,6 +13,10 @@
     while (!memory_.plan.empty() && moving_count() < view_.options.max_planned_moves)
     {
         planner_memory::waiting_step waiting = memory_.plan.front();
+        if (!is_settled(waiting.step))
+        {
+            return;
+        }
         memory_.plan.pop_front();
         if (!take_step(waiting.step, waiting.reason))
         {
@@ -21,6 +25,15 @@
     }
 }
 
+// Only a move has to wait, and only for a partition that is still there.
+bool shard_planner::is_settled(const rebalance_step& step) const
+{
+    const auto* move = std::get_if<move_step>(&step);
+    const partition_entry* partition =
+        move != nullptr ? find_partition(next_, move->range.first) : nullptr;
+    return partition == nullptr || is_settled(*partition);
+}
+
 bool shard_planner::take_step(const rebalance_step& step, const std::string& reason)
 {
     if (const auto* move = std::get_if<move_step>(&step))
--- a/core/ownership/testing/ownership_failure_test.cpp
+++ b/core/ownership/testing/ownership_failure_test.cpp
@@ -206,6 +206,20 @@
         CHECK(whole.contains({12345}));
     }
 
+    SECTION("a partition that has just moved moves back")
+    {
+        hash_range range = find_partition(*world.stored(), {12345})->range;
+        server_id home = find_partition(*world.stored(), {12345})->owner;
+        server_id away(owner == world.server(0) ? "s1" : "s0");
+        world.plan({{move_step{range, away}}, "there"});
+        duration span = world.unserved_within(milliseconds(100));
+        REQUIRE(world.owner_of(0) != owner);
+        world.plan({{move_step{range, home}}, "and back"});
+        check_served(world, "moved back", milliseconds(100));
+        CHECK(span <= milliseconds(100));
+        CHECK(world.owner_of(0) == owner);
+    }
+
     SECTION("a router leaves: its servers go to others")
     {
         world.leave(scheduler);
