History check of the configuration: racing operators, and the version each router serves with

camphorrock-operators lets two operators race on one base and records their answers, each document that it reads from the store, and each 100 ms the version of each router and whether it serves. camphorrock-check names version-fell, old-version, two-on-one-base, patch-lost, patch-twice and patch-after-denial. Router metrics tell camphorrock_config_current and camphorrock_started_seconds.

--- a/codec/history.hpp
+++ b/codec/history.hpp
@@ -1,18 +1,20 @@
 #pragma once
 
-// The records of a test run: what the stand-in servers did and what the load tool's
-// callers were told. They are written as JSON lines and read by the history checker. All
-// times are CLOCK_BOOTTIME in microseconds, so they compare between processes of one
-// machine only.
+// The records of a test run: what the stand-in servers did, what the load tool's callers
+// were told, and what the operators tool saw of the configuration. They are written as
+// JSON lines and read by the history checker. All times are CLOCK_BOOTTIME in
+// microseconds, so they compare between processes of one machine only.
 
 #include "core/base/epoch.hpp"
 #include "core/base/key_hash.hpp"
 #include "core/base/names.hpp"
+#include "core/config/config_version.hpp"
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace camphorrock
 {
@@ -102,10 +104,61 @@
     bool operator==(const attempt_record&) const = default;
 };
 
+// An operator's submission of a patch, and its answer.
+struct patch_record
+{
+    history_time start = 0;
+    history_time end = 0;
+    std::string caller; // the operator
+    endpoint assigner;
+    patch_id id;
+    config_version base;
+    std::string ended;      // "accepted", "stale", ...; empty: no answer
+    config_version version; // of the answer
+
+    bool operator==(const patch_record&) const = default;
+};
+
+// What a router said of the configuration that it serves with.
+struct router_config_record
+{
+    history_time start = 0;
+    history_time end = 0;
+    endpoint router;     // its admin port
+    std::string process; // differs between two processes on one port
+    config_version version;
+    bool is_serving = false; // false: it refuses, or has no configuration
+
+    bool operator==(const router_config_record&) const = default;
+};
+
+// A patch that the document lists as applied.
+struct listed_patch
+{
+    patch_id id;
+    config_version version;
+
+    bool operator==(const listed_patch&) const = default;
+};
+
+// The document as a linearizable read of the store showed it.
+struct document_record
+{
+    history_time start = 0;
+    history_time end = 0;
+    config_version version;
+    std::vector<listed_patch> patches; // the latest ones, oldest first
+
+    bool operator==(const document_record&) const = default;
+};
+
 using history_entry = std::variant<grant_record,
                                    revoke_record,
                                    run_start_record,
                                    run_end_record,
-                                   attempt_record>;
+                                   attempt_record,
+                                   patch_record,
+                                   router_config_record,
+                                   document_record>;
 
 } // namespace camphorrock
--- a/codec/history_json.cpp
+++ b/codec/history_json.cpp
@@ -71,27 +71,76 @@
     fields.required("answer_whole", it.answer_whole);
 }
 
+template<class Fields, is_type<patch_record> Record>
+void describe(Fields& fields, Record& it)
+{
+    fields.required("start_us", it.start);
+    fields.required("end_us", it.end);
+    fields.required("operator", it.caller);
+    fields.required("assigner", it.assigner);
+    fields.required("id", it.id);
+    fields.required("base", it.base);
+    fields.required("ended", it.ended);
+    fields.required("version", it.version);
+}
+
+template<class Fields, is_type<router_config_record> Record>
+void describe(Fields& fields, Record& it)
+{
+    fields.required("start_us", it.start);
+    fields.required("end_us", it.end);
+    fields.required("router", it.router);
+    fields.required("process", it.process);
+    fields.required("version", it.version);
+    fields.required("is_serving", it.is_serving);
+}
+
+template<class Fields, is_type<listed_patch> Row>
+void describe(Fields& fields, Row& it)
+{
+    fields.required("id", it.id);
+    fields.required("version", it.version);
+}
+
+template<class Fields, is_type<document_record> Record>
+void describe(Fields& fields, Record& it)
+{
+    fields.required("start_us", it.start);
+    fields.required("end_us", it.end);
+    fields.required("version", it.version);
+    fields.required("patches", it.patches);
+}
+
 namespace
 {
 
 // The kinds' names, in the order of the variant.
 constexpr std::array<const char*, std::variant_size_v<history_entry>> kinds{
-    "grant", "revoke", "run_start", "run_end", "attempt"};
+    "grant",
+    "revoke",
+    "run_start",
+    "run_end",
+    "attempt",
+    "patch",
+    "router_config",
+    "document"};
 
 constexpr const char* kind_member = "kind";
 
 template<std::size_t Index>
-result<history_entry> read_kind(const std::string& kind, const Json::Value& value)
+result<void>
+read_kind(const std::string& kind, const Json::Value& value, history_entry& out)
 {
     if constexpr (Index < kinds.size())
     {
         if (kind != kinds[Index])
         {
-            return read_kind<Index + 1>(kind, value);
+            return read_kind<Index + 1>(kind, value, out);
         }
         using record = std::variant_alternative_t<Index, history_entry>;
         BOOST_LEAF_AUTO(entry, read_described<record>(value));
-        return history_entry(std::move(entry));
+        out.emplace<Index>(std::move(entry));
+        return {};
     }
     else
     {
@@ -118,7 +167,9 @@
     }
     std::string kind = value[kind_member].asString();
     value.removeMember(kind_member);
-    return read_kind<0>(kind, value);
+    history_entry entry;
+    BOOST_LEAF_CHECK(read_kind<0>(kind, value, entry));
+    return entry;
 }
 
 } // namespace camphorrock
--- a/load/history_checker.cpp
+++ b/load/history_checker.cpp
@@ -48,6 +48,9 @@
             [&](run_start_record& it) { runs_.push_back(std::move(it)); },
             [&](run_end_record& it) { ends_[it.run] = it.at; },
             [&](attempt_record& it) { attempts_.push_back(std::move(it)); },
+            [&](patch_record& it) { config_.patches.push_back(std::move(it)); },
+            [&](router_config_record& it) { config_.routers.push_back(std::move(it)); },
+            [&](document_record& it) { config_.documents.push_back(std::move(it)); },
         },
         entry);
 }
@@ -61,6 +64,7 @@
     append(found, find_two_runs(runs_));
     append(found, find_runs_after_denial(attempts_, runs_));
     append(found, find_bad_answers(attempts_, runs_));
+    append(found, find_config_faults(config_));
     std::stable_sort(found.begin(),
                      found.end(),
                      [](const violation& one, const violation& other)
@@ -84,6 +88,9 @@
     out.ids = ids.size();
     out.runs = runs_.size();
     out.grants = grants_.size();
+    out.patches = config_.patches.size();
+    out.accepted_patches = count_accepted(config_);
+    out.router_versions = config_.routers.size();
     out.denied_after_other_attempt = count_denied_after_other_attempt(attempts_, runs_);
     return out;
 }
--- a/load/history_checker.hpp
+++ b/load/history_checker.hpp
@@ -11,6 +11,7 @@
 // is O(n log n) in all records plus the overlaps it reports.
 
 #include "codec/history.hpp"
+#include "load/config_check.hpp"
 #include "load/history_summary.hpp"
 #include "load/violation.hpp"
 
@@ -38,6 +39,7 @@
     std::vector<run_start_record> runs_;
     std::map<std::string, history_time> ends_; // by run
     std::vector<attempt_record> attempts_;
+    config_history config_;
 };
 
 } // namespace camphorrock
--- a/load/history_summary.hpp
+++ b/load/history_summary.hpp
@@ -18,6 +18,9 @@
     std::size_t ids = 0; // distinct ids of unrepeatable requests
     std::size_t runs = 0;
     std::size_t grants = 0;
+    std::size_t patches = 0; // submissions
+    std::size_t accepted_patches = 0;
+    std::size_t router_versions = 0; // answers of routers about their version
 
     // Attempts told not-run although another attempt of the same id had begun to run
     // before. True of the attempt, but a caller must not read it as "the id never ran".
--- a/load/load_runner.cpp
+++ b/load/load_runner.cpp
@@ -4,6 +4,7 @@
 #include "codec/json_text.hpp"
 #include "codec/server_answer.hpp"
 #include "core/base/outcome.hpp"
+#include "load/history_clock.hpp"
 
 #include <json/value.h>
 #include <unistd.h>
@@ -24,11 +25,6 @@
 // A caller that retries at once still needs this long.
 constexpr duration least_delay = milliseconds(1);
 
-history_time to_history(time_point at)
-{
-    return static_cast<history_time>(at.time_since_epoch().count());
-}
-
 std::string header_text(const http_response& answer, const char* name)
 {
     return std::string(answer.headers.find(name).value_or(""));
--- /dev/null
+++ b/load/operators_main.cpp
@@ -0,0 +1,57 @@
+// camphorrock-operators: operators who race with patches, and a recorded history of their
+// answers, of the store's document, and of the version that each router serves with.
+
+#include "app/program.hpp"
+#include "load/config_watch.hpp"
+#include "load/operators_runner.hpp"
+#include "load/operators_settings.hpp"
+
+#include <cstdio>
+
+using namespace camphorrock;
+
+namespace
+{
+
+result<int> patch_and_watch(const operators_settings& settings, event_log& log)
+{
+    BOOST_LEAF_AUTO(loop, event_loop::create());
+    BOOST_LEAF_AUTO(history, line_file::open(settings.history));
+    BOOST_LEAF_AUTO(http, http_client::create(*loop, {}));
+    store_client_options options;
+    options.endpoints = settings.store;
+    BOOST_LEAF_AUTO(store, create_store_client(*loop, *http, options));
+    version_lag lag;
+    config_watch watch(*loop, *http, *store, history, lag, settings);
+    operators_runner runner(*loop, *http, history, watch, lag, settings);
+    runner.start([&] { loop->stop(); });
+    loop->run();
+    log.write(event_id::load_finished, {{"seed", settings.seed}});
+    std::printf("%s\n", to_json(runner.report(), lag).c_str());
+    if (history.has_failed())
+    {
+        return fail(error_code::io, settings.history + ": records were lost");
+    }
+    return exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    command_line line("camphorrock-operators",
+                      "Operators who race with patches; records what they were told and "
+                      "which version each router serves with.");
+    std::string history;
+    line.add_option("--history", history, "file for the records");
+    return run_program<operators_settings>(
+        line,
+        argc,
+        argv,
+        read_operators_settings,
+        [&](operators_settings settings, event_log& log)
+        {
+            settings.history = history.empty() ? settings.history : history;
+            return run_to_status(log, [&] { return patch_and_watch(settings, log); });
+        });
+}
--- /dev/null
+++ b/load/version_lag.cpp
@@ -0,0 +1,48 @@
+#include "load/version_lag.hpp"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace camphorrock
+{
+
+void version_lag::on_accepted(config_version version, time_point at)
+{
+    bool is_new = accepted_.try_emplace(version, at).second;
+    for (const auto& [router, seen] : seen_)
+    {
+        if (is_new && version <= seen)
+        {
+            lags_.emplace_back(0);
+        }
+    }
+}
+
+void version_lag::on_seen(const endpoint& router, config_version version, time_point at)
+{
+    auto [seen, is_first] = seen_.try_emplace(router, version);
+    if (is_first || version <= seen->second)
+    {
+        return;
+    }
+    auto it = accepted_.upper_bound(seen->second);
+    for (; it != accepted_.end() && it->first <= version; ++it)
+    {
+        lags_.push_back(at - it->second);
+    }
+    seen->second = version;
+}
+
+duration version_lag::quantile(double share) const
+{
+    if (lags_.empty())
+    {
+        return duration(0);
+    }
+    std::vector<duration> sorted = lags_;
+    std::sort(sorted.begin(), sorted.end());
+    auto last = static_cast<double>(sorted.size() - 1);
+    return sorted[static_cast<std::size_t>(share * last)];
+}
+
+} // namespace camphorrock
--- a/load/violation.cpp
+++ b/load/violation.cpp
@@ -7,7 +7,7 @@
 namespace
 {
 
-constexpr enum_names<violation_kind, 8> names{{{
+constexpr enum_names<violation_kind, 14> names{{{
     {violation_kind::two_owners, "two-owners"},
     {violation_kind::run_not_owned, "run-not-owned"},
     {violation_kind::two_runs, "two-runs"},
@@ -16,6 +16,12 @@
     {violation_kind::cut_answer, "cut-answer"},
     {violation_kind::never_ran, "never-ran"},
     {violation_kind::no_outcome, "no-outcome"},
+    {violation_kind::version_fell, "version-fell"},
+    {violation_kind::old_version, "old-version"},
+    {violation_kind::two_on_one_base, "two-on-one-base"},
+    {violation_kind::patch_lost, "patch-lost"},
+    {violation_kind::patch_twice, "patch-twice"},
+    {violation_kind::patch_after_denial, "patch-after-denial"},
 }}};
 
 } // namespace
--- a/router/router.cpp
+++ b/router/router.cpp
@@ -14,6 +14,12 @@
                               "Requests held by this router."};
 const metric_name config_metric{"camphorrock_config_version",
                                 "Version of the configuration in force."};
+const metric_name current_metric{
+    "camphorrock_config_current",
+    "1 while the configuration is known to be current; else requests are refused."};
+const metric_name started_metric{
+    "camphorrock_started_seconds",
+    "Start of this process, counted from the start of the machine."};
 
 constexpr duration list_period = seconds(2);
 constexpr duration stop_check_period = milliseconds(20);
@@ -62,7 +68,8 @@
                                   *assigners_,
                                   retries_,
                                   ownership_options()});
-    votes_ = std::make_unique<voter>(parts_->ownership, loop_->now());
+    started_ = loop_->now();
+    votes_ = std::make_unique<voter>(parts_->ownership, started_);
     journal_lease_ = std::make_unique<journal_lease>(*loop_, *store_);
     config_ = std::make_unique<config_agent>(*loop_,
                                              *store_,
@@ -169,6 +176,9 @@
     metrics_.get_gauge(held_metric).set(static_cast<double>(entry_->held()));
     metrics_.get_gauge(config_metric)
         .set(static_cast<double>(config_->current().version.value));
+    metrics_.get_gauge(current_metric).set(config_->may_serve() ? 1 : 0);
+    metrics_.get_gauge(started_metric)
+        .set(std::chrono::duration<double>(started_.time_since_epoch()).count());
     for (const auto& [id, agent] : shards_)
     {
         agent->export_metrics();
--- a/router/router.hpp
+++ b/router/router.hpp
@@ -67,6 +67,7 @@
     route_table routes_;
     retry_budget retries_{retry_budget_options()};
     std::unique_ptr<router_parts> parts_;
+    time_point started_;
     std::unique_ptr<voter> votes_;
     std::unique_ptr<journal_lease> journal_lease_;
     std::unique_ptr<config_agent> config_;
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -90,6 +90,11 @@
     echo $((PORT_BASE + 200 + $1))
 }
 
+# admin_address N: where router N shows its metrics.
+admin_address() {
+    echo "$HOST:$((PORT_BASE + 400 + $1))"
+}
+
 start_router() {
     local n="$1"
     cat >"$OUT/router$n.yaml" <<YAML
@@ -97,7 +102,7 @@
 data_centre: $(zone_of "$n")
 listen: $HOST:$(caller_port "$n")
 peer: $HOST:$((PORT_BASE + 300 + n))
-admin: $HOST:$((PORT_BASE + 400 + n))
+admin: $(admin_address "$n")
 store: [$HOST:$STORE_PORT]
 platform: $HOST:$STORE_PORT
 drain_limit_ms: 10000
