Queue v10: at a crest long work passes short work for a tenth of the slot time

Cause: a long request that was due took its slot whenever one came free, so at a crest long work had a third of the slot time. One long request costs fifty short ones, and these were refused.

Now a long request passes waiting short ones only when the last start of a long one lies so far back that least_long_share (0.1) of the slot time is long work. Without short work that waits nothing changes.

--- a/bench/queue/named_policy.cpp
+++ b/bench/queue/named_policy.cpp
@@ -62,6 +62,7 @@
     it.long_deferral = 0;
     it.slow_bounds = std::numeric_limits<double>::infinity();
     it.quiet_short_load = 0;
+    it.least_long_share = 1;
     return it;
 }
 
@@ -105,6 +106,14 @@
     return it;
 }
 
+// Long work goes before short work that waits for a tenth of the slot time only.
+server_queue_options version_10()
+{
+    server_queue_options it = version_9();
+    it.least_long_share = 0.1;
+    return it;
+}
+
 std::vector<named_policy> all_policies()
 {
     return {simple("fifo", false, {}),
@@ -118,7 +127,8 @@
             own("v5", version_5()),
             own("v6", version_6()),
             own("v8", version_8()),
-            own("v9", version_9())};
+            own("v9", version_9()),
+            own("v10", version_10())};
 }
 
 } // namespace
--- a/core/admission/server_queue.cpp
+++ b/core/admission/server_queue.cpp
@@ -10,6 +10,9 @@
 // The part of the slots that long requests may take: one of three.
 constexpr std::size_t slots_per_long = 3;
 
+// The longest time between two long requests that pass waiting short ones.
+constexpr duration longest_long_turn = seconds(3600);
+
 // Bounds of the factor that spreads the times to come back.
 constexpr double min_jitter = 0.5;
 constexpr double max_jitter = 1.5;
@@ -26,7 +29,8 @@
                                                            std::mt19937_64& random)
 {
     if (options.max_waiting == 0 || options.admission_share <= 0 ||
-        options.admission_share > 1 || options.unrepeatable_room < 1)
+        options.admission_share > 1 || options.unrepeatable_room < 1 ||
+        options.least_long_share < 0 || options.least_long_share > 1)
     {
         return fail(error_code::invalid_argument, "server queue: option out of range");
     }
@@ -291,7 +295,7 @@
     {
         return &short_line_;
     }
-    return long_is_due(now) ? &long_line_ : &short_line_;
+    return now >= next_long_turn_ && long_is_due(now) ? &long_line_ : &short_line_;
 }
 
 // Whether the first long request has waited for its part, counting the time that those
@@ -305,6 +309,15 @@
     return now + backlog >= first.arrival + scaled(to_spare, options_.long_deferral);
 }
 
+// The time in which one long request of that cost is the least share of the slot time.
+duration server_queue::long_turn(duration cost) const
+{
+    const double part = options_.least_long_share * static_cast<double>(limit());
+    const double longest = static_cast<double>(longest_long_turn.count());
+    const double turn = static_cast<double>(cost.count()) / std::max(part, 1e-9);
+    return duration(static_cast<duration::rep>(std::min(turn, longest)));
+}
+
 void server_queue::start_front(fair_queue& from, time_point now, queue_actions& out)
 {
     const fair_position at = from.front();
@@ -314,6 +327,10 @@
         at.id,
         running_request{
             chosen.request.caller, chosen.request.route, now, chosen.is_long});
+    if (chosen.is_long)
+    {
+        next_long_turn_ = now + long_turn(at.cost);
+    }
     by_latest_start_.erase({chosen.latest_start, at.id});
     from.start(at, chosen.request.caller);
     waiting_.erase(it);
--- a/core/admission/server_queue.hpp
+++ b/core/admission/server_queue.hpp
@@ -50,6 +50,11 @@
     double unrepeatable_room = 2.0;
     // The share of its time to spare for which a long request lets short ones go first.
     double long_deferral = 0.75;
+    // The share of the slot time that long work gets while short work waits, if it has
+    // that much to do: a long request that is due goes before waiting short ones only
+    // when the last start of a long one lies so far back. Without short work that waits
+    // long work may use long_slots() all the time.
+    double least_long_share = 0.1;
     // Below this load of short work, in slots, one more slot is open to long work.
     double quiet_short_load = 0.01;
     duration short_load_half_life = seconds(5);
@@ -147,6 +152,7 @@
     void start_allowed(time_point now, queue_actions& out);
     fair_queue* choose(time_point now);
     bool long_is_due(time_point now) const;
+    duration long_turn(duration cost) const;
     void start_front(fair_queue& from, time_point now, queue_actions& out);
     void refuse(ticket id, refusal_reason reason, queue_actions& out);
     duration retry_after();
@@ -158,6 +164,7 @@
     service_time_table service_times_;
     adaptive_limit limit_;
     time_point next_probe_{};
+    time_point next_long_turn_{}; // before it no long request passes waiting short ones
     std::optional<decayed_rate> short_load_; // in slots; none before the first event
     fair_queue short_line_;
     fair_queue long_line_;
--- a/core/admission/testing/server_queue_test.cpp
+++ b/core/admission/testing/server_queue_test.cpp
@@ -104,6 +104,57 @@
     }
 }
 
+// Plays `length` of a crest in which both kinds of work always wait, and returns the
+// share of the slot time that long work got.
+double long_share_of_crest(driven_queue& on, duration length)
+{
+    std::map<ticket, duration> due_in; // of all that was sent
+    std::map<ticket, time_point> running;
+    duration long_time{};
+    const time_point end = on.now + length;
+    while (on.now < end)
+    {
+        for (int i = 0; i < 12; ++i)
+        {
+            due_in[on.arrive(builder, lookup, milliseconds(250))] = milliseconds(10);
+        }
+        due_in[on.arrive(adjuster, report, seconds(5))] = milliseconds(500);
+        for (const queue_action& it : std::exchange(on.out, {}))
+        {
+            if (const auto* start = std::get_if<start_request>(&it))
+            {
+                running[start->id] = on.now + due_in[start->id];
+            }
+        }
+        on.now += milliseconds(10);
+        for (const auto& [id, at] : std::map(running))
+        {
+            if (at <= on.now)
+            {
+                running.erase(id);
+                on.finish(id, due_in[id]);
+                long_time += due_in[id] > milliseconds(100) ? due_in[id] : duration{};
+            }
+        }
+    }
+    return static_cast<double>(long_time.count()) / static_cast<double>(length.count()) /
+           3;
+}
+
+TEST_CASE("Long work gets its least share of a crest of short work, and no more")
+{
+    GIVEN("a minute in which both kinds always wait")
+    {
+        driven_queue on;
+        const double share = long_share_of_crest(on, seconds(60));
+        THEN("long work has the tenth of the slot time that the options name")
+        {
+            CHECK(share >= 0.09);
+            CHECK(share <= 0.12);
+        }
+    }
+}
+
 TEST_CASE("What cannot end before its deadline is refused at once")
 {
     driven_queue on;
