--- a/bench/queue/queue_metrics.cpp
+++ b/bench/queue/queue_metrics.cpp
@@ -29,6 +29,9 @@
     offered += other.offered;
     within_deadline += other.within_deadline;
     waits_ms.insert(waits_ms.end(), other.waits_ms.begin(), other.waits_ms.end());
+    refused_after_ms.insert(refused_after_ms.end(),
+                            other.refused_after_ms.begin(),
+                            other.refused_after_ms.end());
 }
 
 double kind_metrics::share() const
--- a/bench/queue/queue_metrics.hpp
+++ b/bench/queue/queue_metrics.hpp
@@ -16,6 +16,7 @@
     std::size_t offered = 0;
     std::size_t within_deadline = 0;
     std::vector<float> waits_ms; // from arrival to the slot, of attempts that got one
+    std::vector<float> refused_after_ms; // from arrival to the refusal
 
     void add(const kind_metrics& other);
     double share() const;
--- a/bench/queue/queue_report.cpp
+++ b/bench/queue/queue_report.cpp
@@ -36,7 +36,10 @@
              {"long p99 ms"},
              {"refused", 0},
              {"of long", 0},
-             {"shed", 0}},
+             {"shed", 0},
+             {"short refused after p99 ms"},
+             {"long refused after p50 ms"},
+             {"p99 ms"}},
             {}};
 }
 
@@ -55,7 +58,10 @@
              quantile(got.long_work.waits_ms, 0.99),
              static_cast<double>(got.refused_deadline + got.refused_full),
              static_cast<double>(got.refused_long),
-             static_cast<double>(got.shed)}};
+             static_cast<double>(got.shed),
+             quantile(got.short_work.refused_after_ms, 0.99),
+             quantile(got.long_work.refused_after_ms, 0.5),
+             quantile(got.long_work.refused_after_ms, 0.99)}};
 }
 
 // Goodput before, in and after the storm, and the time until it is back.
--- a/bench/queue/queue_trial.cpp
+++ b/bench/queue/queue_trial.cpp
@@ -245,7 +245,10 @@
         {
             const bool full = refusal.reason == refusal_reason::queue_full;
             ++(full ? metrics_.refused_full : metrics_.refused_deadline);
-            metrics_.refused_long += requests_[it.request].is_long ? 1 : 0;
+            const scripted_request& request = requests_[it.request];
+            const std::chrono::duration<float, std::milli> after = now_ - it.arrival;
+            metrics_.refused_long += request.is_long ? 1 : 0;
+            kind(request).refused_after_ms.push_back(after.count());
         }
         if (const retry_phase* retries = retries_now(it.request))
         {
