Queue v11: the expected wait may use three quarters of the time to spare

Cause: with half of it the queue at a crest was about 100 ms deep while lookups may wait 200 ms, so requests were refused that would have been answered in time.

--- a/bench/queue/named_policy.cpp
+++ b/bench/queue/named_policy.cpp
@@ -114,6 +114,14 @@
     return it;
 }
 
+// Admits what is expected to use three quarters of the time that it has to spare.
+server_queue_options version_11()
+{
+    server_queue_options it = version_10();
+    it.admission_share = 0.75;
+    return it;
+}
+
 std::vector<named_policy> all_policies()
 {
     return {simple("fifo", false, {}),
@@ -128,7 +136,8 @@
             own("v6", version_6()),
             own("v8", version_8()),
             own("v9", version_9()),
-            own("v10", version_10())};
+            own("v10", version_10()),
+            own("v11", version_11())};
 }
 
 } // namespace
--- a/core/admission/server_queue.hpp
+++ b/core/admission/server_queue.hpp
@@ -45,7 +45,7 @@
     fair_queue_options fairness;
 
     // The share of the time to spare that the expected wait may take at arrival.
-    double admission_share = 0.5;
+    double admission_share = 0.75;
     // Room before the deadline that an unrepeatable request needs, in service bounds.
     double unrepeatable_room = 2.0;
     // The share of its time to spare for which a long request lets short ones go first.
