--- a/core/admission/server_queue.cpp
+++ b/core/admission/server_queue.cpp
@@ -201,7 +201,8 @@
                              bool is_long,
                              time_point now) const
 {
-    const bool slot_idles = running_.size() < limit() && waiting_.empty();
+    // Whatever waits although a slot is free may not start.
+    const bool slot_idles = running_.size() < limit();
     const bool may_start = !is_long || long_in_flight(now) < long_slots(now);
     const bool may_end_late = request.repeatable && now < request.deadline;
     return slot_idles && may_start && may_end_late && now >= next_probe_;
--- a/core/admission/testing/server_queue_test.cpp
+++ b/core/admission/testing/server_queue_test.cpp
@@ -344,6 +344,31 @@
     }
 }
 
+TEST_CASE("A slot that idles tries what is only likely to be late")
+{
+    driven_queue on;
+    GIVEN("lookups that took too long for their deadline, and reports that wait")
+    {
+        for (int i = 0; i < 100; ++i)
+        {
+            const bool is_long = i % 4 == 0;
+            const duration took = is_long ? seconds(8) : milliseconds(400);
+            const ticket id = on.arrive(builder, is_long ? report : lookup, seconds(60));
+            on.now += took;
+            on.finish(id, took);
+        }
+        const ticket first = on.arrive(adjuster, report, seconds(60));
+        on.arrive(adjuster, report, seconds(60));
+        REQUIRE(on.has_started(first));
+        REQUIRE(on.queue->waiting() == 1);
+        THEN("a lookup is tried on the slot that no report may take")
+        {
+            on.now += milliseconds(100);
+            CHECK(on.has_started(on.arrive(builder, lookup, milliseconds(250))));
+        }
+    }
+}
+
 TEST_CASE("Retries are bounded by what a caller sends first")
 {
     retry_budget budget({.share = 0.1, .max_saved = 10, .initial = 0, .max_callers = 2});
