--- a/core/admission/server_queue.cpp
+++ b/core/admission/server_queue.cpp
@@ -70,10 +70,9 @@
     const service_time_estimate estimate =
         service_times_.estimate(request.caller, request.route);
     time_point latest_start = request.deadline - room_needed(request, estimate);
-    if (latest_start < now && may_probe(request, estimate.is_long, now))
+    if (latest_start < now && idle_slot_takes(request, estimate, now))
     {
         latest_start = now;
-        next_probe_ = now + options_.probe_interval;
     }
     const duration to_spare = scaled(latest_start - now, options_.admission_share);
     const fair_position at = line(estimate.is_long).next_position(request.caller, now);
@@ -197,15 +196,27 @@
                               : scaled(estimate.bound, options_.unrepeatable_room);
 }
 
-bool server_queue::may_probe(const queued_request& request,
-                             bool is_long,
-                             time_point now) const
+// Whether a request starts although its bound lies beyond its deadline: a slot that idles
+// takes it if its mean does not, and now and then as a probe.
+bool server_queue::idle_slot_takes(const queued_request& request,
+                                   const service_time_estimate& estimate,
+                                   time_point now)
 {
     // Whatever waits although a slot is free may not start.
     const bool slot_idles = running_.size() < limit();
-    const bool may_start = !is_long || long_in_flight(now) < long_slots(now);
+    const bool may_start = !estimate.is_long || long_in_flight(now) < long_slots(now);
     const bool may_end_late = request.repeatable && now < request.deadline;
-    return slot_idles && may_start && may_end_late && now >= next_probe_;
+    if (!slot_idles || !may_start || !may_end_late)
+    {
+        return false;
+    }
+    if (now + estimate.mean <= request.deadline)
+    {
+        return true;
+    }
+    const bool is_probe = now >= next_probe_;
+    next_probe_ = is_probe ? now + options_.probe_interval : next_probe_;
+    return is_probe;
 }
 
 void server_queue::learn(const running_request& ended,
--- a/core/admission/server_queue.hpp
+++ b/core/admission/server_queue.hpp
@@ -140,7 +140,9 @@
                            time_point now) const;
     duration room_needed(const queued_request& request,
                          const service_time_estimate& estimate) const;
-    bool may_probe(const queued_request& request, bool is_long, time_point now) const;
+    bool idle_slot_takes(const queued_request& request,
+                         const service_time_estimate& estimate,
+                         time_point now);
     void
     learn(const running_request& ended, const service_report& report, time_point now);
     void enqueue(const queued_request& request,
--- a/core/admission/testing/server_queue_test.cpp
+++ b/core/admission/testing/server_queue_test.cpp
@@ -367,6 +367,39 @@
             CHECK(on.has_started(on.arrive(builder, lookup, milliseconds(250))));
         }
     }
+    GIVEN("lookups whose bound, but not whose mean, lies beyond their deadline")
+    {
+        for (int i = 0; i < 100; ++i)
+        {
+            const duration took = milliseconds(i % 2 == 0 ? 10 : 190);
+            const ticket id = on.arrive(builder, lookup, seconds(60));
+            on.now += took;
+            on.finish(id, took);
+        }
+        const duration deadline = milliseconds(250);
+        REQUIRE(on.queue->service_times().estimate(builder, lookup).bound > deadline);
+        WHEN("as many come at once as there are slots, and one more")
+        {
+            std::size_t started = 0;
+            for (int i = 0; i < 3; ++i)
+            {
+                started += on.has_started(on.arrive(builder, lookup, deadline)) ? 1 : 0;
+            }
+            const ticket last = on.arrive(builder, lookup, deadline);
+            THEN("the slots take them, and the last is refused")
+            {
+                CHECK(started == 3);
+                CHECK(on.refusal_of(last) != nullptr);
+            }
+        }
+        THEN("one that may not be repeated is refused")
+        {
+            const ticket id{on.next++};
+            on.queue->arrive(
+                {id, builder, lookup, on.now + deadline, false}, on.now, on.out);
+            CHECK(on.refusal_of(id) != nullptr);
+        }
+    }
 }
 
 TEST_CASE("Retries are bounded by what a caller sends first")
