--- a/core/admission/server_queue.cpp
+++ b/core/admission/server_queue.cpp
@@ -10,6 +10,12 @@
 // The part of the slots that long requests may take: one of three.
 constexpr std::size_t slots_per_long = 3;
 
+// The longest time between two long requests that pass waiting short ones.
+constexpr duration longest_long_turn = seconds(3600);
+
+// The fewest slots that a wait is reckoned with.
+constexpr double least_usable = 1;
+
 // Bounds of the factor that spreads the times to come back.
 constexpr double min_jitter = 0.5;
 constexpr double max_jitter = 1.5;
@@ -26,7 +32,8 @@
                                                            std::mt19937_64& random)
 {
     if (options.max_waiting == 0 || options.admission_share <= 0 ||
-        options.admission_share > 1 || options.unrepeatable_room < 1)
+        options.admission_share > 1 || options.unrepeatable_room < 1 ||
+        options.least_long_share < 0 || options.least_long_share > 1)
     {
         return fail(error_code::invalid_argument, "server queue: option out of range");
     }
@@ -63,10 +70,9 @@
     const service_time_estimate estimate =
         service_times_.estimate(request.caller, request.route, request.is_declared_long);
     time_point latest_start = request.deadline - room_needed(request, estimate);
-    if (latest_start < now && may_probe(request, estimate.is_long, now))
+    if (latest_start < now && idle_slot_takes(request, estimate, now))
     {
         latest_start = now;
-        next_probe_ = now + options_.probe_interval;
     }
     const duration to_spare = scaled(latest_start - now, options_.admission_share);
     const fair_position at = line(estimate.is_long).next_position(request.caller, now);
@@ -161,15 +167,16 @@
 }
 
 // The slots that requests of this kind may count on.
-std::size_t server_queue::usable_slots(bool is_long, time_point now) const
+double server_queue::usable_slots(bool is_long, time_point now) const
 {
     if (is_long)
     {
-        return long_slots(now);
+        return static_cast<double>(long_slots(now));
     }
-    const std::size_t allowed = limit();
-    const bool long_work = long_in_flight(now) > 0 || !long_line_.empty();
-    return long_work && allowed > long_slots(now) ? allowed - long_slots(now) : allowed;
+    const auto allowed = static_cast<double>(limit());
+    const auto taken = static_cast<double>(long_in_flight(now));
+    const double least = long_line_.empty() ? 0 : options_.least_long_share * allowed;
+    return std::max(allowed - std::max(taken, least), least_usable);
 }
 
 duration server_queue::expected_wait(bool is_long,
@@ -178,8 +185,8 @@
                                      time_point now) const
 {
     const fair_queue& ahead = is_long ? long_line_ : short_line_;
-    const auto n = static_cast<duration::rep>(usable_slots(is_long, now));
-    return ahead.work_before(at, enough * n) / n;
+    const double n = usable_slots(is_long, now);
+    return scaled(ahead.work_before(at, scaled(enough, n)), 1 / n);
 }
 
 duration server_queue::room_needed(const queued_request& request,
@@ -189,14 +196,27 @@
                               : scaled(estimate.bound, options_.unrepeatable_room);
 }
 
-bool server_queue::may_probe(const queued_request& request,
-                             bool is_long,
-                             time_point now) const
+// Whether a request starts although its bound lies beyond its deadline: a slot that idles
+// takes it if its mean does not, and now and then as a probe.
+bool server_queue::idle_slot_takes(const queued_request& request,
+                                   const service_time_estimate& estimate,
+                                   time_point now)
 {
-    const bool slot_idles = running_.size() < limit() && waiting_.empty();
-    const bool may_start = !is_long || long_in_flight(now) < long_slots(now);
+    // Whatever waits although a slot is free may not start.
+    const bool slot_idles = running_.size() < limit();
+    const bool may_start = !estimate.is_long || long_in_flight(now) < long_slots(now);
     const bool may_end_late = request.repeatable && now < request.deadline;
-    return slot_idles && may_start && may_end_late && now >= next_probe_;
+    if (!slot_idles || !may_start || !may_end_late)
+    {
+        return false;
+    }
+    if (now + estimate.mean <= request.deadline)
+    {
+        return true;
+    }
+    const bool is_probe = now >= next_probe_;
+    next_probe_ = is_probe ? now + options_.probe_interval : next_probe_;
+    return is_probe;
 }
 
 void server_queue::learn(const running_request& ended,
@@ -291,7 +311,7 @@
     {
         return &short_line_;
     }
-    return long_is_due(now) ? &long_line_ : &short_line_;
+    return now >= next_long_turn_ && long_is_due(now) ? &long_line_ : &short_line_;
 }
 
 // Whether the first long request has waited for its part, counting the time that those
@@ -305,6 +325,15 @@
     return now + backlog >= first.arrival + scaled(to_spare, options_.long_deferral);
 }
 
+// The time in which one long request of that cost is the least share of the slot time.
+duration server_queue::long_turn(duration cost) const
+{
+    const double part = options_.least_long_share * static_cast<double>(limit());
+    const double longest = static_cast<double>(longest_long_turn.count());
+    const double turn = static_cast<double>(cost.count()) / std::max(part, 1e-9);
+    return duration(static_cast<duration::rep>(std::min(turn, longest)));
+}
+
 void server_queue::start_front(fair_queue& from, time_point now, queue_actions& out)
 {
     const fair_position at = from.front();
@@ -314,6 +343,10 @@
         at.id,
         running_request{
             chosen.request.caller, chosen.request.route, now, chosen.is_long});
+    if (chosen.is_long)
+    {
+        next_long_turn_ = now + long_turn(at.cost);
+    }
     by_latest_start_.erase({chosen.latest_start, at.id});
     from.start(at, chosen.request.caller);
     waiting_.erase(it);
--- a/core/admission/testing/server_queue_test.cpp
+++ b/core/admission/testing/server_queue_test.cpp
@@ -104,6 +104,58 @@
     }
 }
 
+// Plays `length` of a crest in which both kinds of work always wait, and returns the
+// share of the slot time that long work got.
+double long_share_of_crest(driven_queue& on, duration length)
+{
+    std::map<ticket, duration> due_in; // of all that was sent
+    std::map<ticket, time_point> running;
+    duration long_time{};
+    const time_point end = on.now + length;
+    while (on.now < end)
+    {
+        for (int i = 0; i < 12; ++i)
+        {
+            due_in[on.arrive(builder, lookup, milliseconds(250))] = milliseconds(10);
+        }
+        due_in[on.arrive(adjuster, report, seconds(5))] = milliseconds(500);
+        for (const queue_action& it : std::exchange(on.out, {}))
+        {
+            if (const auto* start = std::get_if<start_request>(&it))
+            {
+                running[start->id] = on.now + due_in[start->id];
+            }
+        }
+        on.now += milliseconds(10);
+        for (const auto& [id, at] : std::map(running))
+        {
+            if (at <= on.now)
+            {
+                running.erase(id);
+                on.finish(id, due_in[id]);
+                long_time += due_in[id] > milliseconds(100) ? due_in[id] : duration{};
+            }
+        }
+    }
+    return static_cast<double>(long_time.count()) / static_cast<double>(length.count()) /
+           3;
+}
+
+TEST_CASE("Long work gets its least share of a crest of short work, and no more")
+{
+    GIVEN("a minute in which both kinds always wait")
+    {
+        driven_queue on;
+        const double share = long_share_of_crest(on, seconds(60));
+        THEN("long work has the share of the slot time that the options name")
+        {
+            const double least = server_queue_options{}.least_long_share;
+            CHECK(share >= 0.9 * least);
+            CHECK(share <= 1.2 * least);
+        }
+    }
+}
+
 TEST_CASE("What cannot end before its deadline is refused at once")
 {
     driven_queue on;
@@ -148,6 +200,38 @@
     }
 }
 
+TEST_CASE("Lookups may count on the slots that reports do not use")
+{
+    driven_queue on;
+    GIVEN("lookups on all slots and reports that wait")
+    {
+        for (int i = 0; i < 4; ++i)
+        {
+            on.arrive(builder, lookup, milliseconds(250));
+        }
+        for (int i = 0; i < 3; ++i)
+        {
+            on.arrive(adjuster, report, seconds(5));
+        }
+        REQUIRE(on.queue->long_in_flight(on.now) == 0);
+        WHEN("more lookups come than can be answered")
+        {
+            std::size_t admitted = 0;
+            for (int i = 0; i < 100; ++i)
+            {
+                const ticket id = on.arrive(builder, lookup, milliseconds(250));
+                admitted += on.refusal_of(id) == nullptr ? 1 : 0;
+            }
+            THEN(
+                "as many are admitted as three slots carry in three quarters of the time")
+            {
+                CHECK(admitted >= 45);
+                CHECK(admitted <= 55);
+            }
+        }
+    }
+}
+
 TEST_CASE("A caller that sends little goes ahead of one that floods")
 {
     driven_queue on;
@@ -260,6 +344,64 @@
     }
 }
 
+TEST_CASE("A slot that idles tries what is only likely to be late")
+{
+    driven_queue on;
+    GIVEN("lookups that took too long for their deadline, and reports that wait")
+    {
+        for (int i = 0; i < 100; ++i)
+        {
+            const bool is_long = i % 4 == 0;
+            const duration took = is_long ? seconds(8) : milliseconds(400);
+            const ticket id = on.arrive(builder, is_long ? report : lookup, seconds(60));
+            on.now += took;
+            on.finish(id, took);
+        }
+        const ticket first = on.arrive(adjuster, report, seconds(60));
+        on.arrive(adjuster, report, seconds(60));
+        REQUIRE(on.has_started(first));
+        REQUIRE(on.queue->waiting() == 1);
+        THEN("a lookup is tried on the slot that no report may take")
+        {
+            on.now += milliseconds(100);
+            CHECK(on.has_started(on.arrive(builder, lookup, milliseconds(250))));
+        }
+    }
+    GIVEN("lookups whose bound, but not whose mean, lies beyond their deadline")
+    {
+        for (int i = 0; i < 100; ++i)
+        {
+            const duration took = milliseconds(i % 2 == 0 ? 10 : 190);
+            const ticket id = on.arrive(builder, lookup, seconds(60));
+            on.now += took;
+            on.finish(id, took);
+        }
+        const duration deadline = milliseconds(250);
+        REQUIRE(on.queue->service_times().estimate(builder, lookup).bound > deadline);
+        WHEN("as many come at once as there are slots, and one more")
+        {
+            std::size_t started = 0;
+            for (int i = 0; i < 3; ++i)
+            {
+                started += on.has_started(on.arrive(builder, lookup, deadline)) ? 1 : 0;
+            }
+            const ticket last = on.arrive(builder, lookup, deadline);
+            THEN("the slots take them, and the last is refused")
+            {
+                CHECK(started == 3);
+                CHECK(on.refusal_of(last) != nullptr);
+            }
+        }
+        THEN("one that may not be repeated is refused")
+        {
+            const ticket id{on.next++};
+            on.queue->arrive(
+                {id, builder, lookup, on.now + deadline, false}, on.now, on.out);
+            CHECK(on.refusal_of(id) != nullptr);
+        }
+    }
+}
+
 TEST_CASE("Retries are bounded by what a caller sends first")
 {
     retry_budget budget({.share = 0.1, .max_saved = 10, .initial = 0, .max_callers = 2});
