Journals are read page by page, so a take-over does not stop the loop

Cause (rolling restart slower after many faults): each change of scheduler or owner makes the new gate read all journals of the shard in one call, and decode the answer in one go. The cost grows with all that was written within the retention (1 h): the router serves nothing and renews nothing meanwhile, and an answer above the client's 8 MB could not be read at all, which would have left the range closed for ids for good.

A batch added behind a page that was read is met by the fence as a conflict, then all is read again; a later claimant reads after our claim.

--- a/assigner/testing/shard_election_test.cpp
+++ b/assigner/testing/shard_election_test.cpp
@@ -15,7 +15,9 @@
 struct store_mock : store_client
 {
     MAKE_MOCK2(get, void(const std::string&, read_callback), override);
-    MAKE_MOCK2(get_prefix, void(const std::string&, read_callback), override);
+    MAKE_MOCK3(get_prefix,
+               void(const std::string&, const store_page&, read_callback),
+               override);
     MAKE_MOCK5(compare_and_swap,
                void(const std::string&,
                     store_revision,
--- a/core/once/testing/once_world.cpp
+++ b/core/once/testing/once_world.cpp
@@ -2,11 +2,15 @@
 
 #include "testing/test_headers.hpp"
 
+#include <tuple>
+
 namespace camphorrock
 {
 namespace
 {
 
+constexpr std::size_t page_size = 3; // batches of a load that one call reads
+
 hash_range range_of(unsigned partition)
 {
     constexpr std::uint64_t half = std::uint64_t(1) << 63;
@@ -269,17 +273,41 @@
     }
     else if (std::holds_alternative<load_action>(call.what) && is_heard)
     {
-        std::vector<stored_batch> all;
-        for (const auto& [router, batches] : store_)
+        bool is_read = end == append_end::done;
+        if (is_read && load_page(call.loaded))
         {
-            for (const auto& [number, kept] : batches)
+            calls_.push_back(std::move(call));
+            return;
+        }
+        gate.on_loaded(now_, is_read, call.loaded);
+    }
+    drain(call.router);
+}
+
+// Adds the next batches in the order of their keys; false where none are left.
+bool once_world::load_page(std::vector<stored_batch>& loaded) const
+{
+    std::size_t left = page_size;
+    for (const auto& [router, batches] : store_)
+    {
+        for (const auto& [number, kept] : batches)
+        {
+            bool is_read = !loaded.empty() &&
+                           std::tie(router, number) <=
+                               std::tie(loaded.back().router, loaded.back().number);
+            if (is_read)
             {
-                all.push_back({router, number, kept.batch});
+                continue;
             }
+            if (left == 0)
+            {
+                return true;
+            }
+            loaded.push_back({router, number, kept.batch});
+            --left;
         }
-        gate.on_loaded(now_, end == append_end::done, all);
     }
-    drain(call.router);
+    return false;
 }
 
 void once_world::land(unsigned draw)
--- a/core/once/testing/once_world.hpp
+++ b/core/once/testing/once_world.hpp
@@ -73,6 +73,7 @@
         unsigned life;
         instance_id self;
         once_action what;
+        std::vector<stored_batch> loaded = {}; // the pages that a load has read
     };
 
     struct late_write
@@ -110,6 +111,7 @@
     void told(const answer_action& it);
     append_end write(const late_write& it, append_end end, bool is_late);
     bool store(const late_write& it);
+    bool load_page(std::vector<stored_batch>& loaded) const;
     bool is_remembered(const once_key& key) const;
     void apply_release(const released_action& it);
     bool is_alive(unsigned router, unsigned life) const;
--- a/fakes/platform/platform_service.cpp
+++ b/fakes/platform/platform_service.cpp
@@ -223,11 +223,23 @@
 http_response platform_service::run_range(const Json::Value& body) const
 {
     const std::optional<kv_range> keys = read_range_request(body);
-    if (!keys)
+    const std::optional<std::uint64_t> limit = read_uint64(body, "limit");
+    if (!keys || !limit)
     {
         return bad_request();
     }
-    return json_of(http_status::ok, make_range_answer(kv_.range(*keys), kv_.revision()));
+    std::vector<kv_entry> found = kv_.range(*keys);
+    const bool has_more = *limit != 0 && found.size() > *limit;
+    if (has_more)
+    {
+        found.resize(*limit);
+    }
+    Json::Value answer = make_range_answer(found, kv_.revision());
+    if (has_more)
+    {
+        answer["more"] = true;
+    }
+    return json_of(http_status::ok, answer);
 }
 
 http_response platform_service::run_transaction(const Json::Value& body)
--- a/fakes/testing/platform_test.cpp
+++ b/fakes/testing/platform_test.cpp
@@ -126,6 +126,48 @@
         }
     }
 
+    GIVEN("five keys under a prefix, and others beside it")
+    {
+        for (const char* key : {"j/1", "j/2", "j/3", "j/4", "j/5", "i/9", "k/0"})
+        {
+            REQUIRE(platform.swap(key, {}, key).end == store_end::done);
+        }
+        auto read = [&](const store_page& page)
+        {
+            return platform.wait<store_read>(
+                [&](auto done) { platform.store->get_prefix("j/", page, done); });
+        };
+
+        THEN("without a bound all of them are read at once")
+        {
+            const store_read all = read({});
+            CHECK(all.entries.size() == 5);
+            CHECK_FALSE(all.has_more);
+        }
+
+        THEN("pages show each of them once, in order, and say where there is more")
+        {
+            std::vector<std::string> seen;
+            store_read page = read({{}, 2});
+            CHECK(page.has_more);
+            while (page.has_more)
+            {
+                CHECK(page.entries.size() == 2);
+                seen.push_back(page.entries[0].key);
+                seen.push_back(page.entries[1].key);
+                page = read({seen.back(), 2});
+            }
+            REQUIRE(page.entries.size() == 1);
+            seen.push_back(page.entries[0].key);
+            CHECK(seen == std::vector<std::string>{"j/1", "j/2", "j/3", "j/4", "j/5"});
+        }
+
+        THEN("a page of just what is left has no more")
+        {
+            CHECK_FALSE(read({"j/3", 2}).has_more);
+        }
+    }
+
     GIVEN("no store at all")
     {
         platform.server.reset();
--- a/router/once_agent.cpp
+++ b/router/once_agent.cpp
@@ -100,7 +100,8 @@
                        journal_lease& lease,
                        shard_id shard,
                        runner run)
-    : parts_(parts), lease_(lease), shard_(std::move(shard)), run_(std::move(run))
+    : parts_(parts), lease_(lease), shard_(std::move(shard)), reader_(parts, shard_),
+      run_(std::move(run))
 {
 }
 
@@ -318,28 +319,9 @@
 
 void once_agent::carry_out(const load_action&)
 {
-    parts_.store.get_prefix(
-        journal_prefix(shard_),
-        [this](const store_read& got)
+    reader_.read(
+        [this](bool is_read, std::vector<stored_batch> batches)
         {
-            std::vector<stored_batch> batches;
-            bool is_read = value_or_handle(
-                [&]() -> result<bool>
-                {
-                    for (const store_entry& it : got.entries)
-                    {
-                        BOOST_LEAF_AUTO(stored, parse_journal_key(shard_, it.key));
-                        BOOST_LEAF_ASSIGN(stored.batch, read_journal_batch(it.value));
-                        batches.push_back(std::move(stored));
-                    }
-                    return got.end == store_end::done;
-                },
-                [&](const error& ec)
-                {
-                    parts_.log.write(event_id::journal_unreadable,
-                                     {{"shard", shard_}, {"fault", ec.text}});
-                    return false;
-                });
             gate_->on_loaded(parts_.loop.now(), is_read, std::move(batches));
             pump();
         });
--- a/router/once_agent.hpp
+++ b/router/once_agent.hpp
@@ -8,6 +8,7 @@
 #include "core/once/once_gate.hpp"
 #include "core/ownership/shard_record.hpp"
 #include "router/journal_lease.hpp"
+#include "router/journal_reader.hpp"
 #include "router/live_request.hpp"
 #include "router/router_parts.hpp"
 #include "router/server_lane.hpp"
@@ -84,6 +85,7 @@
     router_parts& parts_;
     journal_lease& lease_;
     shard_id shard_;
+    journal_reader reader_;
     runner run_;
     std::optional<once_gate> gate_;
     claim_map claims_;
--- a/router/testing/parts_fixture.hpp
+++ b/router/testing/parts_fixture.hpp
@@ -15,7 +15,7 @@
 {
 public:
     void get(const std::string&, read_callback) override {}
-    void get_prefix(const std::string&, read_callback) override {}
+    void get_prefix(const std::string&, const store_page&, read_callback) override {}
     void compare_and_swap(const std::string&,
                           store_revision,
                           std::string,
--- a/store/etcd_json.cpp
+++ b/store/etcd_json.cpp
@@ -194,6 +194,20 @@
     return made;
 }
 
+Json::Value make_page_range(const std::string& prefix, const store_page& page)
+{
+    Json::Value made = make_prefix_range(prefix);
+    if (!page.after.empty())
+    {
+        made["key"] = to_base64(page.after + '\0'); // the next possible key
+    }
+    if (page.limit != 0)
+    {
+        made["limit"] = to_text(page.limit);
+    }
+    return made;
+}
+
 Json::Value make_swap(const std::string& key,
                       store_revision expected,
                       const std::string& value,
@@ -254,7 +268,7 @@
     {
         return std::nullopt;
     }
-    return store_read{store_end::done, std::move(*entries), *at};
+    return store_read{store_end::done, std::move(*entries), *at, is_true(body, "more")};
 }
 
 std::optional<store_write> read_txn(const Json::Value& body)
--- a/store/etcd_json.hpp
+++ b/store/etcd_json.hpp
@@ -41,6 +41,7 @@
 
 Json::Value make_range(const std::string& key);
 Json::Value make_prefix_range(const std::string& prefix);
+Json::Value make_page_range(const std::string& prefix, const store_page& page);
 Json::Value make_swap(const std::string& key,
                       store_revision expected,
                       const std::string& value,
--- a/store/store_client.cpp
+++ b/store/store_client.cpp
@@ -50,9 +50,11 @@
         read(make_range(key), std::move(done));
     }
 
-    void get_prefix(const std::string& prefix, read_callback done) override
+    void get_prefix(const std::string& prefix,
+                    const store_page& page,
+                    read_callback done) override
     {
-        read(make_prefix_range(prefix), std::move(done));
+        read(make_page_range(prefix, page), std::move(done));
     }
 
     void compare_and_swap(const std::string& key,
--- a/store/store_client.hpp
+++ b/store/store_client.hpp
@@ -59,6 +59,14 @@
     store_end end = store_end::failed;
     std::vector<store_entry> entries; // in the order of their keys
     store_revision at;                // the store's revision when it was read
+    bool has_more = false;            // of the prefix, after these
+};
+
+// A part of the keys under a prefix.
+struct store_page
+{
+    std::string after;     // the keys behind this one; empty: from the first on
+    std::size_t limit = 0; // at most so many; 0: no bound
 };
 
 struct store_write
@@ -90,8 +98,10 @@
     // something is sent at most once.
     virtual void get(const std::string& key, read_callback done) = 0;
 
-    // Linearizable read of all keys that begin with `prefix`.
-    virtual void get_prefix(const std::string& prefix, read_callback done) = 0;
+    // Linearizable read of a page of the keys that begin with `prefix`. Two pages are two
+    // reads: the later one shows what was written between them.
+    virtual void
+    get_prefix(const std::string& prefix, const store_page& page, read_callback done) = 0;
 
     // Writes `value` if the key's revision is `expected` (0: the key is absent). With a
     // lease, the key goes when the lease ends.
