A router crashed when a request that it could not start was withdrawn

Cause: a request that the queue starts and that may not be sent (authority lost, deadline passed) is refused in the loop's next round, by a callback that held the lane's address. Where its caller goes in the same round, the queue forgets it, the lane counts as idle and the next record drops it: the callback then runs on a lane that is gone.

The lane now holds the requests and the timer itself, so they go with it.

Test: 'a lane may go while a request that it could not start has yet to be refused' ended in SIGSEGV before (three runs of three), passes now.

--- a/router/server_lane.cpp
+++ b/router/server_lane.cpp
@@ -211,13 +211,20 @@
     }
     refusal why = is_ours && it.request->deadline <= now ? refusal::deadline_passed
                                                          : refusal::no_authority;
-    // The queue must not be entered again while it hands out its actions.
-    parts_.loop.post(
-        [this, id, why]
-        {
-            leave_slot(id, answer_kind::good, duration::zero());
-            end(id, not_run(why));
-        });
+    // The queue must not be entered again while it hands out its actions. The lane may be
+    // gone by then, where the caller was gone before.
+    unstarted_.push_back({id, why});
+    unstarted_timer_ =
+        parts_.loop.after(duration::zero(), [this] { refuse_unstarted(); });
+}
+
+void server_lane::refuse_unstarted()
+{
+    for (const unstarted& it : std::exchange(unstarted_, {}))
+    {
+        leave_slot(it.id, answer_kind::good, duration::zero());
+        end(it.id, not_run(it.why));
+    }
 }
 
 void server_lane::send(ticket id,
--- a/router/server_lane.hpp
+++ b/router/server_lane.hpp
@@ -18,6 +18,7 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 namespace camphorrock
 {
@@ -90,6 +91,13 @@
         bool is_resent = false;
     };
 
+    // A request that the queue started and that could not be sent.
+    struct unstarted
+    {
+        ticket id;
+        refusal why;
+    };
+
     server_lane(router_parts& parts,
                 scheduler_authority& authority,
                 partition_load& load,
@@ -100,6 +108,7 @@
     void start(ticket id);
     void
     send(ticket id, pending& it, const request_permit& permit, connection_choice choice);
+    void refuse_unstarted();
     void ended(ticket id, exchange_result got);
     void end(ticket id, lane_end how);
     void leave_slot(ticket id, answer_kind answer, duration service_time);
@@ -115,6 +124,8 @@
     std::uint64_t last_ticket_ = 0;
     lane_figures figures_;
     timer_handle timer_;
+    std::vector<unstarted> unstarted_;
+    timer_handle unstarted_timer_;
 };
 
 } // namespace camphorrock
--- a/router/testing/second_sending_test.cpp
+++ b/router/testing/second_sending_test.cpp
@@ -195,6 +195,44 @@
     }
 }
 
+TEST_CASE("a lane may go while a request that it could not start has yet to be refused")
+{
+    parts_fixture fixture;
+    granted_authority granted(endpoint("127.0.0.1:1"), true, fixture.loop->now());
+    partition_load load({});
+    std::unique_ptr<server_lane> lane =
+        server_lane::create(fixture.parts, granted.authority, load, owner, 3).value();
+    granted.start_move(fixture.loop->now());
+    request_end end;
+    live_request_ptr request = fixture.make_request(asked_hash, patience, end);
+
+    SECTION("its caller has gone before: nothing is left to refuse")
+    {
+        ticket id = lane->submit(request, [](const lane_end&) { FAIL("withdrawn"); });
+        lane->withdraw(id);
+        CHECK(lane->in_flight() == 0);
+        lane.reset();
+        bool is_passed = false;
+        timer_handle later =
+            fixture.loop->after(milliseconds(1), [&] { is_passed = true; });
+        fixture.run_until([&] { return is_passed; });
+    }
+
+    SECTION("its caller is there: it is refused, though never inside submit")
+    {
+        bool is_refused = false;
+        lane->submit(request,
+                     [&](const lane_end& got)
+                     {
+                         is_refused = got.verdict == lane_verdict::not_run;
+                         request->refuse(got.why);
+                     });
+        CHECK_FALSE(is_refused);
+        fixture.run_until([&] { return is_refused; });
+        CHECK(lane->in_flight() == 0);
+    }
+}
+
 TEST_CASE("a lost scheduler makes the entry router forward a request again")
 {
     parts_fixture fixture;
