Journals share one write budget a router: an idle budget writes at once

core/once/write_budget is a token bucket that all gates of a router share: the fleet's budget by the routers that schedule servers in the records held. Turns go in the order of asking, one a gate. Outcomes of runs fill the room that other entries leave and use no saved budget. Fences and repeated appends are counted. append_interval and append_interval_for() are gone.

Ruled out: the store (answers in milliseconds at 219 writes a second) and the hop (p50 4.5 ms with it).

--- a/core/once/journal_writer.cpp
+++ b/core/once/journal_writer.cpp
@@ -31,15 +31,35 @@
     return bytes;
 }
 
-bool is_urgent(const journal_entry& entry)
+bool is_awaited(const journal_entry& entry)
 {
     return !std::holds_alternative<finished_entry>(entry);
 }
 
+// An id that ran is not admitted again, so its outcome may follow later entries. One that
+// did not run may be admitted again after this entry.
+bool is_outcome_of_run(const journal_entry& entry)
+{
+    const auto* it = std::get_if<finished_entry>(&entry);
+    return it != nullptr && it->result.end != outcome::not_run;
+}
+
+bool is_release(const journal_entry& entry)
+{
+    return std::holds_alternative<released_entry>(entry);
+}
+
+void move_all(std::deque<journal_entry>& from, std::vector<journal_entry>& to)
+{
+    std::move(from.begin(), from.end(), std::back_inserter(to));
+    from.clear();
+}
+
 } // namespace
 
-journal_writer::journal_writer(const once_options& options)
-    : options_(options), backoff_(options.first_retry, options.max_retry, options.writer),
+journal_writer::journal_writer(const once_options& options, write_budget& budget)
+    : options_(options), budget_(budget),
+      backoff_(options.first_retry, options.max_retry, options.writer),
       writer_(options.writer)
 {
 }
@@ -56,10 +76,15 @@
 std::vector<journal_entry> journal_writer::close()
 {
     std::vector<journal_entry> left = std::move(batch_);
-    std::move(queue_.begin(), queue_.end(), std::back_inserter(left));
     batch_.clear();
-    queue_.clear();
+    move_all(queue_, left);
+    move_all(outcomes_, left);
     urgent_ = 0;
+    if (turn_)
+    {
+        budget_.give_back(*turn_);
+        turn_.reset();
+    }
     queued_since_.reset();
     is_open_ = false;
     is_answer_due_ = step_ == step::sent || step_ == step::reading;
@@ -70,9 +95,21 @@
 
 void journal_writer::push(time_point now, journal_entry entry)
 {
-    urgent_ += is_urgent(entry) ? 1 : 0;
+    urgent_ += is_awaited(entry) ? 1 : 0;
     queued_since_ = queued_since_.value_or(now);
-    queue_.push_back(std::move(entry));
+    if (is_release(entry))
+    {
+        move_outcomes_before_release();
+    }
+    std::deque<journal_entry>& queue = is_outcome_of_run(entry) ? outcomes_ : queue_;
+    queue.push_back(std::move(entry));
+}
+
+// What a router releases shows its outcomes to the next one.
+void journal_writer::move_outcomes_before_release()
+{
+    std::move(outcomes_.begin(), outcomes_.end(), std::back_inserter(queue_));
+    outcomes_.clear();
 }
 
 void journal_writer::push_front(time_point now, std::vector<journal_entry> entries)
@@ -82,15 +119,25 @@
         return;
     }
     urgent_ += static_cast<std::size_t>(
-        std::count_if(entries.begin(), entries.end(), is_urgent));
+        std::count_if(entries.begin(), entries.end(), is_awaited));
     queued_since_ = std::min(now, queued_since_.value_or(now));
+    bool has_release = std::any_of(entries.begin(), entries.end(), is_release);
+    auto middle = has_release ? entries.end()
+                              : std::stable_partition(entries.begin(),
+                                                      entries.end(),
+                                                      [](const journal_entry& it)
+                                                      { return !is_outcome_of_run(it); });
     queue_.insert(queue_.begin(),
                   std::make_move_iterator(entries.begin()),
-                  std::make_move_iterator(entries.end()));
+                  std::make_move_iterator(middle));
+    outcomes_.insert(outcomes_.begin(),
+                     std::make_move_iterator(middle),
+                     std::make_move_iterator(entries.end()));
 }
 
 std::optional<once_action> journal_writer::poll(time_point now)
 {
+    ask_turn(now);
     std::optional<time_point> at = next_poll();
     if (!at || now < *at)
     {
@@ -105,11 +152,27 @@
     {
         batch_ = take_batch();
         sent_ = now;
+        turn_.reset();
+    }
+    else
+    {
+        budget_.spend(now);
     }
     step_ = step::sent;
     return make_append();
 }
 
+// Only when the batch could be written at once, so that no turn is kept for later.
+void journal_writer::ask_turn(time_point now)
+{
+    std::optional<time_point> at = next_poll();
+    bool is_wanted = step_ == step::idle && at && *at <= now;
+    if (is_wanted && !turn_)
+    {
+        turn_ = budget_.reserve(now);
+    }
+}
+
 std::optional<time_point> journal_writer::next_poll() const
 {
     std::optional<time_point> retry = backoff_.next();
@@ -131,36 +194,50 @@
     return std::max(*at, retry.value_or(*at));
 }
 
+bool journal_writer::is_empty() const
+{
+    return queue_.empty() && outcomes_.empty();
+}
+
+bool journal_writer::is_urgent() const
+{
+    return urgent_ > 0 || queue_.size() + outcomes_.size() >= options_.max_batch_entries;
+}
+
 std::optional<time_point> journal_writer::due() const
 {
-    if (queue_.empty())
+    if (is_empty())
     {
         return std::nullopt;
     }
-    time_point earliest = sent_ ? *sent_ + options_.append_interval : *queued_since_;
-    if (urgent_ > 0 || queue_.size() >= options_.max_batch_entries)
+    if (turn_)
     {
-        return earliest;
+        return is_urgent() ? turn_->soonest : turn_->nominal;
     }
-    return std::max(earliest, *queued_since_ + options_.outcome_delay);
+    return is_urgent() ? *queued_since_ : *queued_since_ + options_.outcome_delay;
 }
 
 std::vector<journal_entry> journal_writer::take_batch()
 {
     std::vector<journal_entry> taken;
     std::size_t bytes = 0;
-    while (!queue_.empty() && taken.size() < options_.max_batch_entries)
+    auto take = [&](std::deque<journal_entry>& queue)
     {
-        bytes += size_of(queue_.front());
-        if (!taken.empty() && bytes > options_.max_batch_bytes)
+        while (!queue.empty() && taken.size() < options_.max_batch_entries)
         {
-            break;
+            bytes += size_of(queue.front());
+            if (!taken.empty() && bytes > options_.max_batch_bytes)
+            {
+                return;
+            }
+            urgent_ -= is_awaited(queue.front()) ? 1 : 0;
+            taken.push_back(std::move(queue.front()));
+            queue.pop_front();
         }
-        urgent_ -= is_urgent(queue_.front()) ? 1 : 0;
-        taken.push_back(std::move(queue_.front()));
-        queue_.pop_front();
-    }
-    if (queue_.empty())
+    };
+    take(queue_);
+    take(outcomes_);
+    if (is_empty())
     {
         queued_since_.reset();
     }
--- a/core/once/journal_writer.hpp
+++ b/core/once/journal_writer.hpp
@@ -1,7 +1,12 @@
 #pragma once
 
 // Writes one router's journal: gathers entries into batches, one batch in flight, with
-// strictly consecutive numbers.
+// strictly consecutive numbers. A batch is written at a turn of the router's
+// write_budget, and takes what has been pushed until then.
+//
+// Outcomes of runs go into the room that the other entries leave. They wait
+// outcome_delay for such a batch, then ask for a turn of their own. A release goes after
+// the outcomes that were pushed before it.
 //
 // A batch that ended in `unknown` is written again with the same content until the store
 // says whose batch has that number: only one batch can ever have it. A batch that ended
@@ -11,6 +16,7 @@
 #include "core/once/backoff.hpp"
 #include "core/once/once_actions.hpp"
 #include "core/once/once_options.hpp"
+#include "core/once/write_budget.hpp"
 
 #include <cstddef>
 #include <deque>
@@ -39,7 +45,8 @@
 class journal_writer
 {
 public:
-    explicit journal_writer(const once_options& options);
+    // `budget` must outlive the writer.
+    journal_writer(const once_options& options, write_budget& budget);
 
     // Starts with this number. Entries that were pushed before are kept. Each opening
     // writes under a number of its own, so that a batch of an earlier opening that
@@ -52,7 +59,7 @@
 
     void push(time_point now, journal_entry entry);
 
-    // Puts entries before all others, in their order.
+    // Puts entries before all others of their kind, in their order.
     void push_front(time_point now, std::vector<journal_entry> entries);
 
     // The call to make now, if one is due: an append_action or a read_batch_action.
@@ -111,19 +118,26 @@
         reading, // waits for on_batch_read
     };
 
+    bool is_empty() const;
+    bool is_urgent() const;
     std::optional<time_point> due() const;
+    void ask_turn(time_point now);
     std::vector<journal_entry> take_batch();
+    void move_outcomes_before_release();
     append_action make_append() const;
     batch_report end_batch(batch_end end);
 
     once_options options_;
+    write_budget& budget_;
     backoff backoff_;
+    std::optional<write_turn> turn_; // for the next batch
     bool is_open_ = false;
     bool is_answer_due_ = false;
     step step_ = step::idle;
     std::uint64_t writer_;
     std::uint64_t number_ = 0;
-    std::deque<journal_entry> queue_;
+    std::deque<journal_entry> queue_;        // whose order matters
+    std::deque<journal_entry> outcomes_;     // of runs, in any order
     std::optional<time_point> queued_since_; // of the oldest entry
     std::size_t urgent_ = 0;                 // entries that someone waits for
     std::vector<journal_entry> batch_;       // in flight
--- a/core/once/once_gate.cpp
+++ b/core/once/once_gate.cpp
@@ -28,8 +28,9 @@
 
 } // namespace
 
-once_gate::once_gate(once_options options)
-    : options_(std::move(options)), ids_(table_options(options_)), writer_(options_),
+once_gate::once_gate(once_options options, write_budget& budget)
+    : options_(std::move(options)), budget_(budget), ids_(table_options(options_)),
+      writer_(options_, budget_),
       load_backoff_(options_.first_retry, options_.max_retry, options_.writer + 1)
 {
 }
--- a/core/once/once_gate.hpp
+++ b/core/once/once_gate.hpp
@@ -4,7 +4,7 @@
 // router for each shard; only requests of ranges that it has taken over pass it. See
 // docs/DESIGN.md, "At most once".
 //
-//     once_gate gate(options);
+//     once_gate gate(options, budget); // of all gates of the router
 //     gate.take_over(now, range, epoch{7});
 //     gate.arrive(now, request);
 //     for (once_action& it : gate.take_actions()) ...   // carry out
@@ -36,6 +36,7 @@
 #include "core/once/once_options.hpp"
 #include "core/once/range_claims.hpp"
 #include "core/once/waiter_table.hpp"
+#include "core/once/write_budget.hpp"
 
 #include <map>
 #include <optional>
@@ -57,7 +58,8 @@
 class once_gate
 {
 public:
-    explicit once_gate(once_options options);
+    // `budget` must outlive the gate.
+    once_gate(once_options options, write_budget& budget);
 
     // The router schedules this range from this epoch on.
     void take_over(time_point now, const hash_range& range, epoch since);
@@ -166,6 +168,7 @@
     id_row* insert_loaded(time_point now, const once_key& key, std::uint64_t fingerprint);
 
     once_options options_;
+    write_budget& budget_;
     id_table ids_;
     waiter_table waiters_;
     journal_writer writer_;
--- a/core/once/once_gate_claims.cpp
+++ b/core/once/once_gate_claims.cpp
@@ -242,6 +242,7 @@
     {
         journal_batch batch{writer_.writer(), {entries.begin(), entries.end()}};
         fences_.push_back({router, view_.next_number(router), std::move(batch)});
+        budget_.spend(now_); // the service waits for its fences
         actions_.push_back(fences_.back());
     }
 }
--- a/core/once/once_options.hpp
+++ b/core/once/once_options.hpp
@@ -22,7 +22,6 @@
 
     duration retention = seconds(3600); // how long an id is remembered after its end
 
-    duration append_interval = milliseconds(20); // least time between two batches
     duration outcome_delay =
         milliseconds(200); // batches without a new request wait so long
     std::size_t max_batch_entries = 512;
@@ -39,7 +38,4 @@
         seconds(2); // between looks for a predecessor's late outcome
 };
 
-// The least append_interval at which `gates` journals together stay within the budget.
-duration append_interval_for(unsigned store_writes_per_second, unsigned gates);
-
 } // namespace camphorrock
--- a/core/once/testing/once_bench_test.cpp
+++ b/core/once/testing/once_bench_test.cpp
@@ -35,7 +35,8 @@
 // Plays the store and the servers, which answer at once.
 struct instant_platform
 {
-    once_gate gate{bench_options()};
+    write_budget budget;
+    once_gate gate{bench_options(), budget};
     time_point now{seconds(1)};
     std::vector<stored_batch> stored;
     std::shared_ptr<const std::string> payload =
@@ -110,7 +111,8 @@
     options.router = instance_id("r2");
     options.writer = 9;
     std::size_t held = mallinfo2().uordblks;
-    once_gate successor(options);
+    write_budget budget;
+    once_gate successor(options, budget);
     successor.take_over(world.now, hash_range(), epoch{2});
     start = std::chrono::steady_clock::now();
     successor.on_loaded(world.now, true, world.stored);
--- a/core/once/testing/once_gate_test.cpp
+++ b/core/once/testing/once_gate_test.cpp
@@ -10,6 +10,7 @@
 struct single_gate
 {
     once_options options;
+    write_budget budget;
     once_gate gate;
     time_point now{seconds(100)};
     std::vector<answer_action> answers;
@@ -17,7 +18,8 @@
     std::vector<append_action> appends;
     std::uint64_t next_waiter = 1;
 
-    explicit single_gate(once_options with = {}) : options(named(with)), gate(options)
+    explicit single_gate(once_options with = {})
+        : options(named(with)), gate(options, budget)
     {
         gate.take_over(now, hash_range(), epoch{1});
         settle();
--- a/core/once/testing/once_world.cpp
+++ b/core/once/testing/once_world.cpp
@@ -44,10 +44,13 @@
     options.max_memory_bytes = 64 * kibibyte;
     options.filter_bytes = kibibyte;
     options.retention = retention_;
-    options.append_interval = milliseconds(5);
     routers_[router].name = std::move(name);
     ++routers_[router].life;
-    routers_[router].gate = std::make_unique<once_gate>(options);
+    routers_[router].budget =
+        std::make_unique<write_budget>(write_budget_options{milliseconds(10)});
+    routers_[router].budget->share(100, 1);
+    routers_[router].gate =
+        std::make_unique<once_gate>(options, *routers_[router].budget);
 }
 
 void once_world::arrive(unsigned router, unsigned id, duration patience)
--- a/core/once/testing/once_world.hpp
+++ b/core/once/testing/once_world.hpp
@@ -93,6 +93,7 @@
     {
         instance_id name;
         unsigned life = 0; // counts restarts
+        std::unique_ptr<write_budget> budget;
         std::unique_ptr<once_gate> gate;
     };
 
--- /dev/null
+++ b/core/once/testing/write_budget_test.cpp
@@ -0,0 +1,544 @@
+#include "core/once/once_gate.hpp"
+#include "core/once/write_budget.hpp"
+#include "testing/test_headers.hpp"
+
+#include <deque>
+#include <map>
+#include <vector>
+
+using namespace camphorrock;
+
+namespace
+{
+
+constexpr duration unit = milliseconds(1);
+
+// The slow oracle: all writes so far. A further one may be made at the first time at
+// which no span has more than 1 + (span + burst_span) / interval writes.
+struct write_log
+{
+    duration burst_span;
+    std::vector<time_point> writes;
+    std::vector<duration> costs; // the interval in force when each was given
+
+    bool allows(time_point at, duration cost) const
+    {
+        duration owed = cost;
+        for (std::size_t n = writes.size(); n-- > 0;)
+        {
+            if (at - writes[n] + burst_span < owed)
+            {
+                return false;
+            }
+            owed += costs[n];
+        }
+        return true;
+    }
+
+    time_point earliest(time_point now, duration cost) const
+    {
+        time_point at = writes.empty() ? now : std::max(now, writes.back());
+        while (!allows(at, cost))
+        {
+            at += unit;
+        }
+        return at;
+    }
+
+    void add(time_point at, duration cost)
+    {
+        writes.push_back(at);
+        costs.push_back(cost);
+    }
+};
+
+struct budget_run
+{
+    write_budget budget;
+    write_log log;
+    time_point now{seconds(10)};
+
+    budget_run(duration burst_span, unsigned interval)
+        : budget({burst_span}), log{burst_span, {}, {}}
+    {
+        set_interval(interval);
+    }
+
+    void set_interval(unsigned units)
+    {
+        budget.share(1000, units); // a unit is a thousandth of a second
+    }
+
+    // A batch that somebody waits for is as early as the oracle allows.
+    void reserve()
+    {
+        time_point expected = log.earliest(now, budget.interval());
+        time_point at = std::max(now, budget.reserve(now).soonest);
+        RC_ASSERT(at == expected);
+        log.add(at, budget.interval());
+    }
+};
+
+} // namespace
+
+TEST_CASE("a write budget gives each turn as early as its rate and burst allow")
+{
+    SECTION("in all sequences of seven pauses")
+    {
+        constexpr unsigned pauses[] = {0, 1, 2, 5, 9};
+        constexpr unsigned length = 7;
+        constexpr unsigned all = 5 * 5 * 5 * 5 * 5 * 5 * 5;
+        for (unsigned burst : {0U, 3U, 8U})
+        {
+            for (unsigned sequence = 0; sequence < all; ++sequence)
+            {
+                budget_run it(burst * unit, 4);
+                unsigned left = sequence;
+                for (unsigned n = 0; n < length; ++n, left /= 5)
+                {
+                    it.now += pauses[left % 5] * unit;
+                    it.reserve();
+                }
+            }
+        }
+    }
+
+    rc::prop("also while its share changes",
+             []
+             {
+                 auto draws = *rc::gen::container<std::vector<unsigned>>(
+                     100, rc::gen::inRange(0U, 64U));
+                 budget_run it(milliseconds(*rc::gen::inRange(0, 40)), 5);
+                 for (unsigned draw : draws)
+                 {
+                     it.now += (draw % 8) * unit;
+                     if (draw >= 60)
+                     {
+                         it.set_interval(1 + draw % 4 * 3);
+                     }
+                     it.reserve();
+                 }
+             });
+}
+
+TEST_CASE("turns that are used late, given back or not waited for keep the rate")
+{
+    rc::prop("in any span",
+             []
+             {
+                 duration burst_span = milliseconds(*rc::gen::inRange(0, 40));
+                 write_budget budget({burst_span});
+                 budget.share(1000, 5);
+                 time_point now{seconds(10)};
+                 std::vector<time_point> writes;
+                 auto draws = *rc::gen::container<std::vector<unsigned>>(
+                     100, rc::gen::inRange(0U, 4096U));
+                 for (unsigned draw : draws)
+                 {
+                     now += (draw % 8) * unit;
+                     write_turn turn = budget.reserve(now);
+                     if (draw / 8 % 4 == 0)
+                     {
+                         budget.give_back(turn);
+                         RC_ASSERT(budget.reserve(now).nominal <= turn.nominal);
+                         budget.give_back(turn);
+                         continue;
+                     }
+                     bool is_awaited = draw / 32 % 2 == 0;
+                     writes.push_back(is_awaited ? std::max(now, turn.soonest)
+                                                 : turn.nominal);
+                 }
+                 std::sort(writes.begin(), writes.end());
+                 for (std::size_t first = 0; first < writes.size(); ++first)
+                 {
+                     for (std::size_t last = first; last < writes.size(); ++last)
+                     {
+                         auto further = static_cast<std::int64_t>(last - first);
+                         duration span = writes[last] - writes[first];
+                         RC_ASSERT(further * budget.interval() <= span + burst_span);
+                     }
+                 }
+             });
+
+    SECTION("a write that does not wait is paid by the next ones")
+    {
+        write_budget budget({duration()});
+        budget.share(100, 1);
+        time_point now{seconds(10)};
+        budget.spend(now);
+        budget.spend(now);
+        CHECK(budget.reserve(now).soonest == now + milliseconds(20));
+    }
+
+    SECTION("a turn given back out of order is lost")
+    {
+        write_budget budget({duration()});
+        budget.share(100, 1);
+        time_point now{seconds(10)};
+        write_turn first = budget.reserve(now);
+        budget.reserve(now);
+        budget.give_back(first);
+        CHECK(budget.reserve(now).soonest == now + milliseconds(20));
+    }
+}
+
+namespace
+{
+
+// Gates of several shards on one budget, over a store that answers after a while.
+struct shared_budget
+{
+    static constexpr duration store_time = milliseconds(2);
+
+    struct pending
+    {
+        time_point due;
+        std::size_t gate;
+        std::uint64_t number;
+    };
+
+    write_budget budget;
+    std::vector<std::unique_ptr<once_gate>> gates;
+    time_point now{seconds(10)};
+    std::deque<pending> calls;
+    std::vector<append_action> appends;          // since the start
+    std::vector<std::size_t> writers;            // the gate of each of them
+    std::vector<time_point> times;               // and when
+    std::map<std::uint64_t, time_point> arrived; // by waiter
+    std::map<std::size_t, duration> longest;     // until the run, by gate
+    std::uint64_t last_waiter = 0;
+
+    shared_budget(unsigned count, unsigned writes_per_second)
+    {
+        budget.share(writes_per_second, 1);
+        for (unsigned n = 0; n < count; ++n)
+        {
+            once_options options;
+            options.router = instance_id("r1");
+            options.writer = 70 + n;
+            gates.push_back(std::make_unique<once_gate>(options, budget));
+            gates.back()->take_over(now, hash_range(), epoch{1});
+            collect(n);
+        }
+        pass(seconds(2));
+        appends.clear();
+        writers.clear();
+        times.clear();
+    }
+
+    void arrive(std::size_t gate)
+    {
+        waiter_id waiter{++last_waiter};
+        std::string id = std::to_string(waiter.value);
+        once_key key{{5}, caller_name("c"), request_id(id)};
+        arrived[waiter.value] = now;
+        gates[gate]->arrive(now, {waiter, key, 1, epoch{1}, now + seconds(60)});
+        collect(gate);
+    }
+
+    void collect(std::size_t gate)
+    {
+        for (once_action& it : gates[gate]->take_actions())
+        {
+            if (std::holds_alternative<load_action>(it))
+            {
+                gates[gate]->on_loaded(now, true, {});
+                collect(gate);
+            }
+            else if (const auto* append = std::get_if<append_action>(&it))
+            {
+                calls.push_back({now + store_time, gate, append->number});
+                appends.push_back(*append);
+                writers.push_back(gate);
+                times.push_back(now);
+            }
+            else if (const auto* run = std::get_if<run_action>(&it))
+            {
+                duration waited = now - arrived[run->waiter.value];
+                longest[gate] = std::max(longest[gate], waited);
+                auto answer = std::make_shared<const std::string>(payload_bytes, 'x');
+                gates[gate]->on_finished(now, run->run, {outcome::ran, 200, answer});
+                collect(gate);
+            }
+        }
+    }
+
+    void step()
+    {
+        now += unit;
+        while (!calls.empty() && calls.front().due <= now)
+        {
+            pending it = calls.front();
+            calls.pop_front();
+            gates[it.gate]->on_append(now, it.number, append_end::done);
+            collect(it.gate);
+        }
+        for (std::size_t n = 0; n < gates.size(); ++n)
+        {
+            gates[n]->tick(now);
+            collect(n);
+        }
+    }
+
+    void pass(duration by)
+    {
+        for (time_point end = now + by; now < end;)
+        {
+            step();
+        }
+    }
+
+    std::size_t payload_bytes = 300;
+};
+
+} // namespace
+
+TEST_CASE("the gates of a router share one write budget")
+{
+    GIVEN("three gates and a budget that is idle")
+    {
+        shared_budget it(3, 50);
+
+        WHEN("ids come to all of them at once")
+        {
+            it.arrive(0);
+            it.arrive(1);
+            it.arrive(2);
+
+            THEN("each is written at once")
+            {
+                CHECK(it.appends.size() == 3);
+            }
+        }
+    }
+
+    GIVEN("three gates, of which two have more ids than the budget has writes")
+    {
+        shared_budget it(3, 50);
+        duration interval = it.budget.interval();
+        for (unsigned n = 0; n < 2000; ++n)
+        {
+            it.arrive(0);
+            it.arrive(1);
+            if (n % 400 == 0)
+            {
+                it.arrive(2);
+            }
+            it.step();
+        }
+
+        THEN("every gate gets its turn, and none waits longer than one round and its own "
+             "batch")
+        {
+            duration most = 2 * 3 * interval + 2 * it.store_time;
+            CHECK(it.longest[0] <= most);
+            CHECK(it.longest[1] <= most);
+            CHECK(it.longest[2] <= most);
+        }
+
+        THEN("the writes are those of the budget, none is left unused")
+        {
+            CHECK(static_cast<std::int64_t>(it.appends.size()) <=
+                  1 + milliseconds(2100) / interval);
+            CHECK(it.appends.size() >= 100);
+        }
+    }
+
+    GIVEN("a gate with more large outcomes than a batch takes")
+    {
+        shared_budget it(1, 5);
+        it.payload_bytes = 4000;
+        for (unsigned n = 0; n < 200; ++n)
+        {
+            it.arrive(0);
+        }
+        it.pass(milliseconds(250));
+        std::size_t before = it.appends.size();
+
+        WHEN("one more id comes")
+        {
+            it.arrive(0);
+            it.pass(seconds(1));
+
+            THEN("it is in the next batch, and the outcomes follow")
+            {
+                REQUIRE(it.appends.size() > before);
+                const auto& entries = it.appends[before].batch.entries;
+                CHECK(std::holds_alternative<admitted_entry>(entries.front()));
+            }
+        }
+    }
+
+    GIVEN("a gate with an outcome that waits for company")
+    {
+        shared_budget it(1, 50);
+        it.arrive(0);
+        it.pass(milliseconds(10));
+        REQUIRE(it.appends.size() == 1);
+
+        WHEN("another id comes, the outcome goes with it")
+        {
+            it.arrive(0);
+            REQUIRE(it.appends.size() == 2);
+            CHECK(it.appends[1].batch.entries.size() == 2);
+        }
+
+        WHEN("none comes, the outcome is written after outcome_delay")
+        {
+            it.pass(once_options().outcome_delay + milliseconds(5));
+            CHECK(it.appends.size() == 2);
+        }
+    }
+
+    GIVEN("five gates with an outcome each, of which none has an id to come")
+    {
+        shared_budget it(5, 50);
+        for (std::size_t n = 0; n < it.gates.size(); ++n)
+        {
+            it.arrive(n);
+        }
+        it.pass(once_options().outcome_delay);
+        std::size_t before = it.appends.size();
+
+        WHEN("they are due, they are written at the budget's rate and leave its burst")
+        {
+            it.pass(milliseconds(200));
+            REQUIRE(it.times.size() == before + 5);
+            CHECK(it.times.back() - it.times[before] >= 4 * it.budget.interval());
+        }
+
+        WHEN("an id comes to the one that waits longest, it takes the turn at once")
+        {
+            it.pass(milliseconds(5));
+            it.arrive(it.gates.size() - 1);
+            CHECK(it.times.back() == it.now);
+            CHECK(it.writers.back() == it.gates.size() - 1);
+        }
+    }
+
+    GIVEN("a gate whose range is released while an outcome waits")
+    {
+        shared_budget it(1, 50);
+        it.arrive(0);
+        it.pass(milliseconds(10));
+        it.gates[0]->release(it.now, hash_range());
+        it.collect(0);
+
+        THEN("the outcome goes before the release")
+        {
+            REQUIRE(it.appends.size() == 2);
+            const auto& entries = it.appends[1].batch.entries;
+            REQUIRE(entries.size() == 2);
+            CHECK(std::holds_alternative<finished_entry>(entries[0]));
+            CHECK(std::holds_alternative<released_entry>(entries[1]));
+        }
+    }
+}
+
+namespace
+{
+
+// A gate with ten writes a second and no burst.
+struct slow_gate
+{
+    write_budget budget{{duration()}};
+    std::unique_ptr<once_gate> gate;
+    time_point now{seconds(10)};
+
+    slow_gate()
+    {
+        budget.share(10, 1);
+        once_options options;
+        options.router = instance_id("r1");
+        options.writer = 70;
+        gate = std::make_unique<once_gate>(options, budget);
+        gate->take_over(now, hash_range(), epoch{2});
+        gate->take_actions();
+        gate->on_loaded(now, true, {}); // and writes its claim
+    }
+
+    template<class Action>
+    std::optional<Action> take()
+    {
+        for (once_action& it : gate->take_actions())
+        {
+            if (auto* found = std::get_if<Action>(&it))
+            {
+                return *found;
+            }
+        }
+        return std::nullopt;
+    }
+
+    void wait_until_next()
+    {
+        now = *gate->next_tick();
+        gate->tick(now);
+    }
+};
+
+} // namespace
+
+TEST_CASE("writes that cannot wait for a turn delay those that can")
+{
+    slow_gate it;
+    time_point start = it.now;
+    std::uint64_t number = it.take<append_action>()->number;
+
+    SECTION("the fence of a predecessor")
+    {
+        claimed_entry claim{hash_range(), epoch{1}};
+        it.gate->on_append(it.now, number, append_end::done);
+        REQUIRE(it.take<load_action>());
+        it.gate->on_loaded(it.now, true, {{instance_id("r2"), 1, {9, {claim}}}});
+        std::optional<fence_action> fence = it.take<fence_action>();
+        REQUIRE(fence); // at once
+        it.gate->on_fence(it.now, fence->router, fence->number, append_end::done);
+    }
+    SECTION("a batch that is written again")
+    {
+        it.gate->on_append(it.now, number, append_end::unknown);
+        it.wait_until_next();
+        REQUIRE(it.take<append_action>());
+        it.gate->on_append(it.now, number, append_end::done);
+        REQUIRE(it.take<load_action>());
+        it.gate->on_loaded(it.now, true, {});
+    }
+
+    once_key key{{5}, caller_name("c"), request_id("a")};
+    it.gate->arrive(it.now, {{1}, key, 1, epoch{2}, it.now + seconds(60)});
+    CHECK_FALSE(it.take<append_action>());
+    it.wait_until_next();
+    CHECK(it.take<append_action>());
+    CHECK(it.now == start + 2 * it.budget.interval());
+}
+
+TEST_CASE(
+    "an id that did not run is free again in the journal before it is admitted anew")
+{
+    slow_gate it;
+    once_key key{{5}, caller_name("c"), request_id("a")};
+    auto write = [&]
+    {
+        it.wait_until_next();
+        std::optional<append_action> append = it.take<append_action>();
+        REQUIRE(append);
+        it.gate->on_append(it.now, append->number, append_end::done);
+        return append->batch.entries;
+    };
+    it.gate->on_append(it.now, it.take<append_action>()->number, append_end::done);
+    REQUIRE(it.take<load_action>());
+    it.gate->on_loaded(it.now, true, {});
+
+    it.gate->arrive(it.now, {{1}, key, 1, epoch{2}, it.now + seconds(60)});
+    write();
+    std::optional<run_action> run = it.take<run_action>();
+    REQUIRE(run);
+    it.gate->on_finished(it.now, run->run, {outcome::not_run, 0, nullptr});
+    it.gate->arrive(it.now, {{2}, key, 1, epoch{2}, it.now + seconds(60)});
+
+    std::vector<journal_entry> entries = write();
+    REQUIRE(entries.size() == 2);
+    CHECK(std::holds_alternative<finished_entry>(entries[0]));
+    CHECK(std::holds_alternative<admitted_entry>(entries[1]));
+}
--- a/core/routing/route_table.cpp
+++ b/core/routing/route_table.cpp
@@ -1,5 +1,7 @@
 #include "core/routing/route_table.hpp"
 
+#include <set>
+
 namespace camphorrock
 {
 
@@ -20,6 +22,22 @@
     return it == records_.end() ? nullptr : &it->second;
 }
 
+std::size_t route_table::schedulers() const
+{
+    std::set<instance_id> found;
+    for (const auto& [shard, record] : records_)
+    {
+        for (const server_entry& it : record.servers)
+        {
+            if (!it.scheduler.empty())
+            {
+                found.insert(it.scheduler);
+            }
+        }
+    }
+    return found.size();
+}
+
 route route_table::find(const shard_id& shard, key_hash at) const
 {
     route found;
--- a/core/routing/route_table.hpp
+++ b/core/routing/route_table.hpp
@@ -48,6 +48,9 @@
 
     route find(const shard_id& shard, key_hash at) const;
 
+    // Routers that schedule servers of any shard, by the records held.
+    std::size_t schedulers() const;
+
     const std::map<shard_id, shard_record>& all() const
     {
         return records_;
--- a/core/routing/testing/route_table_test.cpp
+++ b/core/routing/testing/route_table_test.cpp
@@ -37,9 +37,21 @@
     SECTION("with a record")
     {
         REQUIRE(table.offer(record_at(4, "r1")));
+        CHECK(table.schedulers() == 1);
         CHECK(table.find(shard, key_hash{5}).kind == route_kind::local);
         CHECK(table.find(shard, key_hash{100}).kind == route_kind::refuse);
 
+        SECTION("routers that schedule servers of any shard are counted once")
+        {
+            shard_record other = record_at(1, "r2");
+            other.shard = shard_id("diary");
+            other.servers.push_back(other.servers[0]);
+            other.servers.push_back(other.servers[0]);
+            other.servers[1].scheduler = instance_id("r1");
+            other.servers[2].scheduler = {};
+            REQUIRE(table.offer(other));
+            CHECK(table.schedulers() == 2);
+        }
         SECTION("a newer one replaces it")
         {
             REQUIRE(table.offer(record_at(5, "r2")));
--- a/router/once_agent.cpp
+++ b/router/once_agent.cpp
@@ -104,9 +104,7 @@
 {
 }
 
-void once_agent::configure(const service_config& service,
-                           const fleet_config& fleet,
-                           unsigned gates)
+void once_agent::configure(const service_config& service, const fleet_config& fleet)
 {
     lease_.set_retention(fleet.journal_retention);
     if (gate_)
@@ -118,10 +116,7 @@
     options.writer = parts_.random() | 1;
     options.servers_deduplicate = service.servers_deduplicate;
     options.retention = fleet.journal_retention;
-    options.append_interval =
-        std::max(options.append_interval,
-                 append_interval_for(fleet.store_writes_per_second, gates));
-    gate_.emplace(options);
+    gate_.emplace(options, parts_.journal_writes);
 }
 
 void once_agent::record_changed(const shard_record& record)
--- a/router/once_agent.hpp
+++ b/router/once_agent.hpp
@@ -29,9 +29,8 @@
 
     once_agent(router_parts& parts, journal_lease& lease, shard_id shard, runner run);
 
-    // The first call opens the gate. `gates` journals share the fleet's write budget.
-    void
-    configure(const service_config& service, const fleet_config& fleet, unsigned gates);
+    // The first call opens the gate.
+    void configure(const service_config& service, const fleet_config& fleet);
 
     // Takes over, releases and loses ranges as a new record says.
     void record_changed(const shard_record& record);
--- a/router/router.cpp
+++ b/router/router.cpp
@@ -61,6 +61,7 @@
                                   random_,
                                   *assigners_,
                                   retries_,
+                                  journal_writes_,
                                   ownership_options()});
     votes_ = std::make_unique<voter>(parts_->ownership, loop_->now());
     journal_lease_ = std::make_unique<journal_lease>(*loop_, *store_);
--- a/router/router.hpp
+++ b/router/router.hpp
@@ -66,6 +66,7 @@
     std::unique_ptr<assigner_directory> assigners_;
     route_table routes_;
     retry_budget retries_{retry_budget_options()};
+    write_budget journal_writes_;
     std::unique_ptr<router_parts> parts_;
     std::unique_ptr<voter> votes_;
     std::unique_ptr<journal_lease> journal_lease_;
--- a/router/router_parts.hpp
+++ b/router/router_parts.hpp
@@ -5,6 +5,7 @@
 #include "app/event_log.hpp"
 #include "app/metrics_registry.hpp"
 #include "core/admission/retry_budget.hpp"
+#include "core/once/write_budget.hpp"
 #include "core/ownership/ownership_options.hpp"
 #include "core/routing/route_table.hpp"
 #include "net/event_loop.hpp"
@@ -31,7 +32,8 @@
     route_table& routes;
     std::mt19937_64& random;
     const assigner_directory& assigners;
-    retry_budget& retries; // of hedges and second sends, for each caller
+    retry_budget& retries;        // of hedges and second sends, for each caller
+    write_budget& journal_writes; // of the gates of all shards
     ownership_options ownership;
 };
 
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -12,9 +12,6 @@
 namespace
 {
 
-// Journals share the fleet's write budget as if so many routers kept one of each shard.
-constexpr unsigned expected_routers = 10;
-
 const metric_name epoch_metric{"camphorrock_record_epoch",
                                "Version of the shard record in use."};
 const metric_name authority_metric{"camphorrock_authority",
@@ -70,8 +67,8 @@
 
 void shard_agent::configure(const service_config& service, const fleet_config& fleet)
 {
-    auto services = static_cast<unsigned>(config_.current().services.size());
-    once_.configure(service, fleet, services * expected_routers);
+    share_journal_writes();
+    once_.configure(service, fleet);
     if (authority_.record())
     {
         once_.set_authority(authority_.authority_until());
@@ -296,6 +293,7 @@
                          {{"shard", shard_},
                           {"epoch", record->version},
                           {"assigner", record->assigner}});
+        share_journal_writes();
         once_.set_authority(authority_.authority_until());
         once_.record_changed(*record);
         measure_partitions(*record);
@@ -303,6 +301,14 @@
     update_lanes();
 }
 
+// Only routers that schedule servers write to journals.
+void shard_agent::share_journal_writes()
+{
+    const fleet_config& fleet = config_.current().fleet;
+    parts_.journal_writes.share(fleet.store_writes_per_second,
+                                parts_.routes.schedulers());
+}
+
 void shard_agent::measure_partitions(const shard_record& record)
 {
     std::vector<hash_range> ranges;
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -77,6 +77,7 @@
                       const ownership_end& end);
     std::vector<partition_traffic> make_traffic() const;
     server_status make_server_status(const server_observation& observed);
+    void share_journal_writes();
     void measure_partitions(const shard_record& record);
     void update_lanes();
     server_lane* lane_of(const server_id& server);
--- a/router/testing/parts_fixture.hpp
+++ b/router/testing/parts_fixture.hpp
@@ -89,6 +89,7 @@
     instance_list instances{*http, endpoint("127.0.0.1:1")};
     assigner_directory assigners{*loop, instances};
     retry_budget retries{retry_budget_options()};
+    write_budget journal_writes;
     router_parts parts{settings,
                        *loop,
                        *http,
@@ -100,6 +101,7 @@
                        random,
                        assigners,
                        retries,
+                       journal_writes,
                        {}};
 };
 
