--- a/core/once/once_options.hpp
+++ b/core/once/once_options.hpp
@@ -21,8 +21,6 @@
 
     duration retention = seconds(3600); // how long an id is remembered after its end
 
-    duration append_interval = milliseconds(20); // least time between two batches
-
     bool operator==(const once_settings&) const = default;
 };
 
@@ -47,7 +45,4 @@
         seconds(2); // between looks for a predecessor's late outcome
 };
 
-// The least append_interval at which `gates` journals together stay within the budget.
-duration append_interval_for(unsigned store_writes_per_second, unsigned gates);
-
 } // namespace camphorrock
--- a/router/once_agent.cpp
+++ b/router/once_agent.cpp
@@ -105,17 +105,12 @@
 {
 }
 
-void once_agent::configure(const service_config& service,
-                           const fleet_config& fleet,
-                           unsigned gates)
+void once_agent::configure(const service_config& service, const fleet_config& fleet)
 {
     lease_.set_retention(fleet.journal_retention);
     once_settings settings;
     settings.servers_deduplicate = service.servers_deduplicate;
     settings.retention = fleet.journal_retention;
-    settings.append_interval =
-        std::max(settings.append_interval,
-                 append_interval_for(fleet.store_writes_per_second, gates));
     if (gate_)
     {
         gate_->change_settings(parts_.loop.now(), settings);
@@ -126,7 +121,7 @@
     static_cast<once_settings&>(options) = settings;
     options.router = parts_.settings.id;
     options.writer = parts_.random() | 1;
-    gate_.emplace(options);
+    gate_.emplace(options, parts_.journal_writes);
 }
 
 void once_agent::record_changed(const shard_record& record)
--- a/router/router.cpp
+++ b/router/router.cpp
@@ -67,6 +67,7 @@
                                   random_,
                                   *assigners_,
                                   retries_,
+                                  journal_writes_,
                                   ownership_options()});
     started_ = loop_->now();
     votes_ = std::make_unique<voter>(parts_->ownership, started_);
--- a/router/testing/shard_fixture.hpp
+++ b/router/testing/shard_fixture.hpp
@@ -31,7 +31,7 @@
         done(got);
     }
 
-    void get_prefix(const std::string&, read_callback done) override
+    void get_prefix(const std::string&, const store_page&, read_callback done) override
     {
         done({store_end::done, {}, {}});
     }
