connections_per_server is in force

Cause: each HTTP client had one bound, 32 connections, for every endpoint; requests and grants use two clients, and a dropped pool's connections were not counted beside those of its successor.

http_client::limit_connections bounds one endpoint: exchanges wait for a pooled connection, and open sockets are counted over all pools of the endpoint, dropped ones included; past the limit nothing is opened. server_connections shares the service's number out: 1 to 4 for grants, the rest for requests, of which it pools 32 or twice the slots (so more than 32 slots are usable now). Connections to servers that another router schedules are closed at once, since that one counts its own. The setting must be 2 at least now (it had to be 1 and the slots): a server with one connection cannot be granted anything while a request runs.

--- a/core/config/configuration.cpp
+++ b/core/config/configuration.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr unsigned max_port = 65535;
+constexpr unsigned min_connections = 2; // for a request, and for grants
 
 result<void> invalid(const std::string& path, const std::string& what)
 {
@@ -125,7 +126,7 @@
         path + ".slots_per_server", it.slots_per_server, 1U, max_slots_per_server));
     BOOST_LEAF_CHECK(check_range(path + ".connections_per_server",
                                  it.connections_per_server,
-                                 it.slots_per_server,
+                                 std::max(it.slots_per_server, min_connections),
                                  max_connections_per_server));
     BOOST_LEAF_CHECK(
         check_range(path + ".partitions", it.partitions, 1U, max_partitions));
--- /dev/null
+++ b/net/connection_count.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+// The open connections of a client to one endpoint, whichever pool they are in.
+
+#include <cstddef>
+#include <limits>
+
+namespace camphorrock
+{
+
+// How many connections a client may have to one endpoint.
+struct connection_limit
+{
+    std::size_t pooled = 0; // further exchanges wait for one
+    // Those of pools that were dropped count too, until the exchanges there have ended;
+    // past it an exchange that needs a connection ends as not_connected.
+    std::size_t open = std::numeric_limits<std::size_t>::max();
+
+    bool operator==(const connection_limit&) const = default;
+};
+
+struct connection_count
+{
+    std::size_t open = 0;
+    connection_limit limit;
+};
+
+} // namespace camphorrock
--- a/net/curl_exchange.cpp
+++ b/net/curl_exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <strings.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -79,9 +80,11 @@
 
 void curl_exchange::set_up(const endpoint& to,
                            seconds max_idle,
+                           connection_count& connections,
                            std::function<void()> on_stored_piece)
 {
     CURL* easy = easy_.get();
+    connections_ = &connections;
     on_stored_piece_ = std::move(on_stored_piece);
     curl_easy_setopt(easy, CURLOPT_URL, ("http://" + to.str() + "/").c_str());
     curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request_.target.c_str());
@@ -106,6 +109,8 @@
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
     curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &curl_exchange::on_open_socket);
     curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &curl_exchange::on_close_socket);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, connections_);
     set_method();
     set_headers(to);
 }
@@ -268,11 +273,23 @@
 curl_exchange::on_open_socket(void* self, curlsocktype, curl_sockaddr* address)
 {
     const auto* it = static_cast<curl_exchange*>(self);
-    if (it->is_requested_ && it->has_sent())
+    connection_count& count = *it->connections_;
+    const bool is_second = it->is_requested_ && it->has_sent();
+    if (is_second || count.open >= count.limit.open)
     {
         return CURL_SOCKET_BAD;
     }
-    return socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    const int fd =
+        socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    count.open += fd >= 0 ? 1 : 0;
+    return fd;
+}
+
+// Called by libcurl for each connection that it closes, also after the exchange.
+int curl_exchange::on_close_socket(void* count, curl_socket_t fd)
+{
+    --static_cast<connection_count*>(count)->open;
+    return ::close(fd);
 }
 
 bool curl_exchange::take_bytes(std::size_t n)
--- a/net/curl_exchange.hpp
+++ b/net/curl_exchange.hpp
@@ -58,10 +58,13 @@
     curl_exchange(const curl_exchange&) = delete;
     curl_exchange& operator=(const curl_exchange&) = delete;
 
-    // Fills the easy handle. With `on_stored_piece`, the body is not kept: each piece is
-    // stored until take_pieces(), and `on_stored_piece` is called within libcurl.
-    void
-    set_up(const endpoint& to, seconds max_idle, std::function<void()> on_stored_piece);
+    // Fills the easy handle. `connections` must outlive every connection that it opens.
+    // With `on_stored_piece`, the body is not kept: each piece is stored until
+    // take_pieces(), and `on_stored_piece` is called within libcurl.
+    void set_up(const endpoint& to,
+                seconds max_idle,
+                connection_count& connections,
+                std::function<void()> on_stored_piece);
 
     exchange_id id() const
     {
@@ -96,6 +99,7 @@
     on_body(const char* data, std::size_t size, std::size_t n, void* self);
     static int on_request(void* self, char*, char*, int, int);
     static curl_socket_t on_open_socket(void* self, curlsocktype, curl_sockaddr* address);
+    static int on_close_socket(void* count, curl_socket_t fd);
 
     void set_method();
     void set_headers(const endpoint& to);
@@ -108,6 +112,7 @@
     curl_list headers_;
     http_request request_;
     exchange_options options_;
+    connection_count* connections_ = nullptr;
     std::function<void()> on_stored_piece_;
     std::string pieces_;
     http_response answer_;
--- a/net/curl_pool.cpp
+++ b/net/curl_pool.cpp
@@ -41,8 +41,8 @@
     }
 };
 
-result<std::shared_ptr<curl_pool>>
-curl_pool::create(event_loop& loop, long max_connections, curl_pool_owner& owner)
+result<std::shared_ptr<curl_pool>> curl_pool::create(
+    event_loop& loop, std::shared_ptr<connection_count> count, curl_pool_owner& owner)
 {
     CURLM* multi = curl_multi_init();
     if (multi == nullptr)
@@ -50,14 +50,18 @@
         return fail(error_code::io, "libcurl gives no multi handle");
     }
     curl_multi_setopt(multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
-    curl_multi_setopt(multi, CURLMOPT_MAX_TOTAL_CONNECTIONS, max_connections);
-    curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, max_connections);
-    return std::shared_ptr<curl_pool>(new curl_pool(loop, multi, owner));
+    return std::shared_ptr<curl_pool>(
+        new curl_pool(loop, multi, std::move(count), owner));
 }
 
-curl_pool::curl_pool(event_loop& loop, CURLM* multi, curl_pool_owner& owner)
-    : loop_(loop), multi_(multi), owner_(owner), last_used_(loop.now())
+curl_pool::curl_pool(event_loop& loop,
+                     CURLM* multi,
+                     std::shared_ptr<connection_count> count,
+                     curl_pool_owner& owner)
+    : loop_(loop), multi_(multi), count_(std::move(count)), owner_(owner),
+      last_used_(loop.now())
 {
+    limit_changed();
     curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &curl_pool::on_socket);
     curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
     curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &curl_pool::on_timer);
@@ -74,6 +78,13 @@
     ev_timer_stop(loop_.raw(), &timer_);
 }
 
+void curl_pool::limit_changed()
+{
+    const auto n = static_cast<long>(count_->limit.pooled);
+    curl_multi_setopt(multi_, CURLMOPT_MAX_TOTAL_CONNECTIONS, n);
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, n);
+}
+
 bool curl_pool::add(CURL* easy)
 {
     if (curl_multi_add_handle(multi_, easy) != CURLM_OK)
--- a/net/curl_pool.hpp
+++ b/net/curl_pool.hpp
@@ -37,7 +37,9 @@
 public:
     // `loop` and `owner` must outlive the pool.
     static result<std::shared_ptr<curl_pool>>
-    create(event_loop& loop, long max_connections, curl_pool_owner& owner);
+    create(event_loop& loop,
+           std::shared_ptr<connection_count> count,
+           curl_pool_owner& owner);
 
     curl_pool(const curl_pool&) = delete;
     curl_pool& operator=(const curl_pool&) = delete;
@@ -51,6 +53,16 @@
     // Ends the part of libcurl. The connection of an unfinished exchange is closed.
     void remove(CURL* easy);
 
+    // The connections to the endpoint, also of other pools. It is shared since libcurl
+    // closes connections until the pool's end.
+    connection_count& connections()
+    {
+        return *count_;
+    }
+
+    // Follows a change of the limit.
+    void limit_changed();
+
     // Exchanges added and not removed.
     std::size_t active() const
     {
@@ -66,7 +78,10 @@
 private:
     struct socket_watch;
 
-    curl_pool(event_loop& loop, CURLM* multi, curl_pool_owner& owner);
+    curl_pool(event_loop& loop,
+              CURLM* multi,
+              std::shared_ptr<connection_count> count,
+              curl_pool_owner& owner);
     static int on_socket(CURL*, curl_socket_t fd, int what, void* self, void* watch);
     static int on_timer(CURLM*, long wait_ms, void* self);
     void act(curl_socket_t fd, int events);
@@ -74,6 +89,7 @@
 
     event_loop& loop_;
     CURLM* multi_;
+    std::shared_ptr<connection_count> count_;
     curl_pool_owner& owner_;
     ev_timer timer_{};
     std::size_t active_ = 0;
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -94,6 +94,31 @@
         pools_.erase(to);
     }
 
+    void limit_connections(const endpoint& to,
+                           std::optional<connection_limit> limit) override
+    {
+        if (limit)
+        {
+            limits_[to] = *limit;
+        }
+        else
+        {
+            limits_.erase(to);
+        }
+        auto it = pools_.find(to);
+        if (it == pools_.end() || it->second->connections().limit == limit_of(to))
+        {
+            return;
+        }
+        connection_count& count = it->second->connections();
+        count.limit = limit_of(to);
+        it->second->limit_changed();
+        if (count.open > count.limit.pooled)
+        {
+            drop_connections(to);
+        }
+    }
+
     void on_finished(CURL* easy, CURLcode code) override
     {
         void* number = nullptr;
@@ -144,7 +169,7 @@
                 with_pieces_.push_back(id);
             };
         }
-        made->curl.set_up(to, options_.max_idle, std::move(stored));
+        made->curl.set_up(to, options_.max_idle, pool->connections(), std::move(stored));
         curl_easy_setopt(
             made->curl.easy(), CURLOPT_PRIVATE, reinterpret_cast<void*>(id.value));
         if (!pool->add(made->curl.easy()))
@@ -157,6 +182,29 @@
         return id;
     }
 
+    connection_limit limit_of(const endpoint& to) const
+    {
+        auto it = limits_.find(to);
+        if (it != limits_.end())
+        {
+            return it->second;
+        }
+        return {static_cast<std::size_t>(options_.max_connections_per_endpoint)};
+    }
+
+    // Shared with dropped pools of the endpoint, as long as there is one.
+    std::shared_ptr<connection_count> count_of(const endpoint& to)
+    {
+        std::shared_ptr<connection_count> count = counts_[to].lock();
+        if (!count)
+        {
+            count = std::make_shared<connection_count>();
+            counts_[to] = count;
+        }
+        count->limit = limit_of(to);
+        return count;
+    }
+
     // None for an address that is not "IP:port".
     std::shared_ptr<curl_pool> pool_of(const endpoint& to)
     {
@@ -169,12 +217,9 @@
         {
             return nullptr;
         }
-        std::shared_ptr<curl_pool> made = value_or_handle(
-            [&] {
-                return curl_pool::create(
-                    loop_, options_.max_connections_per_endpoint, *this);
-            },
-            [](const error&) { return std::shared_ptr<curl_pool>(); });
+        std::shared_ptr<curl_pool> made =
+            value_or_handle([&] { return curl_pool::create(loop_, count_of(to), *this); },
+                            [](const error&) { return std::shared_ptr<curl_pool>(); });
         if (made)
         {
             pools_.emplace(to, made);
@@ -274,11 +319,14 @@
                           return it.second->active() == 0 &&
                                  it.second->last_used() < limit;
                       });
+        std::erase_if(counts_, [](const auto& it) { return it.second.expired(); });
     }
 
     event_loop& loop_;
     http_client_options options_;
     std::uint64_t last_id_ = 0;
+    std::unordered_map<endpoint, connection_limit> limits_;
+    std::unordered_map<endpoint, std::weak_ptr<connection_count>> counts_;
     std::unordered_map<endpoint, std::shared_ptr<curl_pool>> pools_;
     std::unordered_map<std::uint64_t, std::unique_ptr<client_exchange>> exchanges_;
     std::unordered_map<std::uint64_t, timer_handle> refused_;
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -12,6 +12,7 @@
 #include "core/base/names.hpp"
 #include "core/base/result.hpp"
 #include "core/base/time.hpp"
+#include "net/connection_count.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_message.hpp"
 
@@ -105,6 +106,11 @@
     // exchanges that run to it have ended. For a pool that has gone silent.
     virtual void drop_connections(const endpoint& to) = 0;
 
+    // Bounds the connections to `to`; none: as the options say again. Where more are
+    // open, the pool is dropped.
+    virtual void limit_connections(const endpoint& to,
+                                   std::optional<connection_limit> limit) = 0;
+
     // Called for each piece of an answer as it arrives, for streams that do not end (a
     // watch). The exchange still ends in `done`; its answer's body is then empty.
     virtual exchange_id stream(const endpoint& to,
--- a/router/router.cpp
+++ b/router/router.cpp
@@ -53,6 +53,7 @@
     parts_.reset(new router_parts{settings_,
                                   *loop_,
                                   *http_,
+                                  *control_http_,
                                   *rpc_,
                                   *store_,
                                   log_,
--- a/router/router_parts.hpp
+++ b/router/router_parts.hpp
@@ -23,8 +23,9 @@
 {
     const router_settings& settings;
     event_loop& loop;
-    http_client& http; // to servers and to other routers
-    rpc_client& rpc;   // control messages
+    http_client& http;         // to servers and to other routers
+    http_client& control_http; // below `rpc`
+    rpc_client& rpc;           // control messages
     store_client& store;
     event_log& log;
     metrics_registry& metrics;
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -55,7 +55,8 @@
             shard_,
             [this](const live_request_ptr& request, server_lane::callback done)
             { run(request, std::move(done)); }),
-      caller_(parts.loop, parts.rpc, shard_), reporter_(parts, config, shard_), load_({})
+      caller_(parts.loop, parts.rpc, shard_), reporter_(parts, config, shard_), load_({}),
+      connections_(parts.http, parts.control_http)
 {
     request_time_.set(service.max_request, parts_.loop.now());
     update_request_time();
@@ -81,6 +82,7 @@
     {
         set_slots();
     }
+    limit_connections();
 }
 
 void shard_agent::set_slots()
@@ -91,6 +93,20 @@
     }
 }
 
+void shard_agent::limit_connections()
+{
+    std::set<endpoint> servers;
+    for (const auto& [id, lane] : lanes_)
+    {
+        const server_entry* server = find_server(*authority_.record(), id);
+        if (server != nullptr)
+        {
+            servers.insert(server->address);
+        }
+    }
+    connections_.update(service_, servers);
+}
+
 void shard_agent::submit(const live_request_ptr& request)
 {
     if (!authority_.is_scheduler_of(request->target.hash))
@@ -365,6 +381,7 @@
                                  {{"server", it.id}, {"fault", ec.text}});
             });
     }
+    limit_connections();
 }
 
 void shard_agent::drop_idle_lanes(const shard_record& record)
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -15,6 +15,7 @@
 #include "router/once_agent.hpp"
 #include "router/ownership_caller.hpp"
 #include "router/router_parts.hpp"
+#include "router/server_connections.hpp"
 #include "router/server_lane.hpp"
 #include "router/shard_reporter.hpp"
 #include "router/voter_round.hpp"
@@ -82,6 +83,7 @@
     void measure_partitions(const shard_record& record);
     void update_lanes();
     void set_slots();
+    void limit_connections();
     server_lane* lane_of(const server_id& server);
     void submit_once(const live_request_ptr& request);
     void run(const live_request_ptr& request, server_lane::callback done);
@@ -98,6 +100,7 @@
     shard_reporter reporter_;
     partition_load load_; // slot seconds of the partitions of its servers
     std::map<server_id, std::unique_ptr<server_lane>> lanes_;
+    server_connections connections_;
     bool is_reading_ = false;
     epoch lanes_version_;
     voter_round round_; // of configuration versions
--- a/router/testing/parts_fixture.hpp
+++ b/router/testing/parts_fixture.hpp
@@ -76,6 +76,14 @@
         return made;
     }
 
+    // Lets what is under way on the loop go on.
+    void run_on()
+    {
+        constexpr int looks = 50;
+        int n = 0;
+        run_until([&] { return ++n > looks; });
+    }
+
     void run_until(const std::function<bool()>& is_met)
     {
         testing::run_until(*loop, is_met);
@@ -85,7 +93,8 @@
     router_settings settings;
     std::unique_ptr<event_loop> loop;
     std::unique_ptr<http_client> http;
-    rpc_client rpc{*http};
+    std::unique_ptr<http_client> control_http = http_client::create(*loop, {}).value();
+    rpc_client rpc{*control_http};
     std::unique_ptr<store_client> store;
     no_log log;
     metrics_registry metrics;
@@ -97,6 +106,7 @@
     router_parts parts{settings,
                        *loop,
                        *http,
+                       *control_http,
                        rpc,
                        *store,
                        log,
--- a/router/testing/shard_settings_test.cpp
+++ b/router/testing/shard_settings_test.cpp
@@ -126,3 +126,41 @@
         CHECK(in_flight_of_three(fixture, true) < 3);
     }
 }
+
+TEST_CASE(
+    "a change of connections_per_server counts for servers that are scheduled already")
+{
+    constexpr int enough_to_ramp = 30;
+    constexpr unsigned most = 3;      // one of them for grants
+    std::vector<request_end> ends(4); // outlive the requests
+    shard_fixture fixture;
+    shard_agent& agent = fixture.start();
+    for (int n = 0; n < enough_to_ramp; ++n)
+    {
+        fixture.run_one();
+    }
+    fixture.service.connections_per_server = most;
+    agent.configure(fixture.service, fixture.fleet);
+    fixture.port.is_keeping = true;
+    for (request_end& it : ends)
+    {
+        agent.submit(fixture.make_request(fixture.hash, seconds(60), it));
+    }
+    fixture.run_until([&] { return fixture.port.kept.size() >= most - 1; });
+    fixture.run_on();
+
+    THEN("no more are open, and grants are renewed")
+    {
+        CHECK(fixture.port.kept.size() == most - 1);
+        CHECK(fixture.server->connections() <= most);
+        time_point until =
+            agent.authority().permit(fixture.hash, fixture.loop->now())->until;
+        fixture.run_until(
+            [&]
+            {
+                auto permit = agent.authority().permit(fixture.hash, fixture.loop->now());
+                return permit && permit->until > until;
+            });
+        CHECK(fixture.server->connections() <= most);
+    }
+}
