A removed service is refused, drained and given up; adding it again works

Cause: config_changed of router and assigner only walked the services that are there. A shard of a removed one kept its scheduler, which went on granting, its assigner, which kept the lease and balanced it, and its place in ctl status.

The agent is kept, so the ids that it knows survive a removal, and starting it again is like the end of a long pause. Weighed: destroying it; calls that it made may still be answered, and its ids would have to be read back from the journals. Assigner: the desk gives the lease's key up, also where the key is being created, and stands in no election until the service is there again. The record stays.

Seen to fail (router_test 'a service is removed while its requests are in flight', assigner_test 'one assigner holds a shard'): no refusal, no end of the agent, no drain, ranges not released, key kept when it came late, candidacy kept.

--- a/assigner/assigner.cpp
+++ b/assigner/assigner.cpp
@@ -5,6 +5,8 @@
 #include "core/ownership/record_keys.hpp"
 
 #include <csignal>
+#include <iterator>
+#include <set>
 
 namespace camphorrock
 {
@@ -123,9 +125,15 @@
 void assigner::config_changed(const configuration& config)
 {
     log_.write(event_id::config_in_force, {{"version", config.version.value}});
+    remove_shards(config);
     for (const service_config& it : config.services)
     {
         shard_id shard = shard_of(it.name);
+        if (auto again = removed_.extract(shard))
+        {
+            again.mapped()->routers_listed(listed_);
+            shards_.insert(std::move(again));
+        }
         std::unique_ptr<shard_desk>& desk = shards_[shard];
         if (!desk)
         {
@@ -137,6 +145,25 @@
     attempt_elections();
 }
 
+void assigner::remove_shards(const configuration& config)
+{
+    std::set<shard_id> wanted;
+    for (const service_config& it : config.services)
+    {
+        wanted.insert(shard_of(it.name));
+    }
+    for (auto it = shards_.begin(); it != shards_.end();)
+    {
+        auto next = std::next(it);
+        if (!wanted.contains(it->first))
+        {
+            it->second->remove();
+            removed_.insert(shards_.extract(it));
+        }
+        it = next;
+    }
+}
+
 void assigner::read_list()
 {
     instances_->read(
--- a/assigner/assigner.hpp
+++ b/assigner/assigner.hpp
@@ -45,6 +45,7 @@
     result<void> open_clients();
     result<void> open_ports();
     void config_changed(const configuration& config);
+    void remove_shards(const configuration& config);
     void read_list();
     void enter_list(instance_state state);
     void attempt_elections();
@@ -67,6 +68,8 @@
     std::unique_ptr<lease_keeper> lease_;
     std::unique_ptr<config_agent> config_;
     std::map<shard_id, std::unique_ptr<shard_desk>> shards_;
+    // Of removed services; calls that they made may still be answered.
+    std::map<shard_id, std::unique_ptr<shard_desk>> removed_;
     std::vector<router_instance> listed_;
     std::map<instance_id, router_contact> routers_;
     std::unique_ptr<operator_port> port_;
--- a/assigner/shard_desk.cpp
+++ b/assigner/shard_desk.cpp
@@ -71,11 +71,15 @@
       controller_(shard_, parts.settings.id, parts.assignment, parts.ownership),
       balance_({}, parts.random)
 {
-    tick_timer_ = parts_.loop.every(tick_period, [this] { tick(); });
 }
 
 void shard_desk::configure(const service_config& service)
 {
+    if (!tick_timer_)
+    {
+        tick_timer_ = parts_.loop.every(tick_period, [this] { tick(); });
+        election_.stand_again();
+    }
     service_ = service;
     request_time_.set(service.max_request, parts_.loop.now());
     view_request_time_ = longest_request();
@@ -88,6 +92,12 @@
     return config_.may_serve() ? request_time_.at(parts_.loop.now()) : max_request_limit;
 }
 
+void shard_desk::remove()
+{
+    tick_timer_.reset();
+    election_.stand_down();
+}
+
 void shard_desk::routers_listed(const std::vector<router_instance>& routers)
 {
     controller_.routers_listed(routers, parts_.loop.now());
--- a/assigner/shard_desk.hpp
+++ b/assigner/shard_desk.hpp
@@ -24,7 +24,13 @@
                const config_agent& config,
                const service_config& service);
 
+    // Also takes part in the elections again after remove().
     void configure(const service_config& service);
+
+    // The service has left the configuration: gives the shard up and does nothing more.
+    // The record stays in the store, so that its versions go on where the service is
+    // added again.
+    void remove();
     void routers_listed(const std::vector<router_instance>& routers);
     void reported(const report_params& report, const shard_status& status);
 
--- a/assigner/shard_election.cpp
+++ b/assigner/shard_election.cpp
@@ -16,8 +16,8 @@
 void shard_election::attempt()
 {
     store_lease lease = lease_.current();
-    bool may_try =
-        !is_held_ && !is_calling_ && lease.value != 0 && parts_.loop.now() >= not_before_;
+    bool may_try = is_candidate_ && !is_held_ && !is_calling_ && lease.value != 0 &&
+                   parts_.loop.now() >= not_before_;
     if (!may_try)
     {
         return;
@@ -74,6 +74,17 @@
 void shard_election::resign(duration pause)
 {
     not_before_ = parts_.loop.now() + pause;
+    give_up();
+}
+
+void shard_election::stand_down()
+{
+    is_candidate_ = false;
+    give_up();
+}
+
+void shard_election::give_up()
+{
     if (!is_held_)
     {
         return;
@@ -97,6 +108,10 @@
         holder_ = {};
     }
     changed_(is_held);
+    if (is_held && !is_candidate_)
+    {
+        give_up();
+    }
 }
 
 } // namespace camphorrock
--- a/assigner/shard_election.hpp
+++ b/assigner/shard_election.hpp
@@ -37,6 +37,15 @@
     // Gives the key up, and stays out of the next elections for `pause`.
     void resign(duration pause);
 
+    // Gives the key up and tries no more.
+    void stand_down();
+
+    // Tries again after stand_down().
+    void stand_again()
+    {
+        is_candidate_ = true;
+    }
+
     bool is_held() const
     {
         return is_held_;
@@ -52,6 +61,7 @@
     void ended(store_lease lease, const store_write& got);
     std::string value_of(store_lease lease) const;
     void set_held(bool is_held);
+    void give_up();
 
     assigner_parts& parts_;
     lease_keeper& lease_;
@@ -59,6 +69,7 @@
     std::function<void(bool)> changed_;
     bool is_held_ = false;
     bool is_calling_ = false;
+    bool is_candidate_ = true;
     store_revision revision_;
     instance_id holder_;
     time_point not_before_;
--- a/assigner/testing/shard_election_test.cpp
+++ b/assigner/testing/shard_election_test.cpp
@@ -105,6 +105,31 @@
             CHECK(fixture.changes == 2);
         }
     }
+    SECTION("until the service is removed, and again once it is added")
+    {
+        REQUIRE_CALL(fixture.store,
+                     compare_and_delete(lease_key(shard), store_revision{42}, _));
+        SECTION("which may be while the key is created")
+        {
+            store_client::write_callback done;
+            REQUIRE_CALL(fixture.store, compare_and_swap(_, _, _, _, _))
+                .LR_SIDE_EFFECT(done = _5);
+            fixture.election.attempt();
+            fixture.election.stand_down();
+            done({store_end::done, {42}, {}});
+        }
+        SECTION("or later")
+        {
+            fixture.answer({store_end::done, {42}, {}});
+            fixture.election.stand_down();
+        }
+        CHECK_FALSE(fixture.election.is_held());
+        CHECK(fixture.changes == 2);
+        fixture.election.key_gone(); // no call to the store
+        fixture.election.stand_again();
+        fixture.answer({store_end::done, {43}, {}});
+        CHECK(fixture.election.is_held());
+    }
     SECTION("the one whose reply was lost, when it finds the key of its lease")
     {
         fixture.answer({store_end::unknown, {}, {}});
--- a/router/once_agent.cpp
+++ b/router/once_agent.cpp
@@ -158,6 +158,18 @@
     pump();
 }
 
+void once_agent::release_all()
+{
+    for (const auto& [range, it] : std::exchange(claims_, {}))
+    {
+        gate_->release(parts_.loop.now(), range);
+    }
+    if (gate_)
+    {
+        pump();
+    }
+}
+
 once_agent::claim_map once_agent::claims_of(const shard_record& record) const
 {
     claim_map claims;
--- a/router/once_agent.hpp
+++ b/router/once_agent.hpp
@@ -44,6 +44,15 @@
     // later.
     void submit(const live_request_ptr& request, epoch since);
 
+    // Gives all ranges up; the next record_changed() takes them over again.
+    void release_all();
+
+    // No request is held.
+    bool is_idle() const
+    {
+        return held_.empty();
+    }
+
     // Ids whose outcome is remembered here.
     std::size_t remembered_ids() const
     {
--- a/router/router.cpp
+++ b/router/router.cpp
@@ -153,6 +153,13 @@
         }
         agent->configure(it, config.fleet);
     }
+    for (auto& [shard, agent] : shards_)
+    {
+        if (find_service(config, agent->service()) == nullptr)
+        {
+            agent->remove();
+        }
+    }
 }
 
 shard_agent* router::find_shard(const shard_id& shard)
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -60,10 +60,31 @@
 {
     request_time_.set(service.max_request, parts_.loop.now());
     update_request_time();
+    start();
+}
+
+void shard_agent::start()
+{
     tick_timer_ = parts_.loop.every(tick_period, [this] { tick(); });
     read_record();
 }
 
+void shard_agent::remove()
+{
+    is_removed_ = true;
+}
+
+// Grants lapse by themselves. A later start() is like the end of a long pause.
+void shard_agent::stop()
+{
+    tick_timer_.reset();
+    read_timer_.reset();
+    once_.release_all();
+    lanes_.clear();
+    lanes_version_ = {};
+    limit_connections();
+}
+
 void shard_agent::configure(const service_config& service, const fleet_config& fleet)
 {
     auto services = static_cast<unsigned>(config_.current().services.size());
@@ -77,6 +98,11 @@
     service_ = service;
     request_time_.set(service.max_request, parts_.loop.now());
     update_request_time();
+    is_removed_ = false;
+    if (!tick_timer_)
+    {
+        start();
+    }
     update_lanes();
     if (has_other_slots)
     {
@@ -109,6 +135,11 @@
 
 void shard_agent::submit(const live_request_ptr& request)
 {
+    if (is_removed_)
+    {
+        request->refuse(refusal::unknown_service, service_.name.str());
+        return;
+    }
     if (!authority_.is_scheduler_of(request->target.hash))
     {
         request->refuse(refusal::no_owner, "this router does not schedule the key");
@@ -166,6 +197,10 @@
 
 void shard_agent::record_received(const shard_record& record, const endpoint& peer)
 {
+    if (!tick_timer_)
+    {
+        return;
+    }
     reporter_.assigner_seen(peer);
     scheduler_actions actions;
     authority_.record_received(record, parts_.loop.now(), actions);
@@ -180,17 +215,23 @@
     carry_out(actions);
 }
 
+bool shard_agent::is_drained() const
+{
+    return once_.is_idle() &&
+           std::all_of(lanes_.begin(),
+                       lanes_.end(),
+                       [](const auto& it)
+                       { return it.second->waiting() + it.second->in_flight() == 0; });
+}
+
 bool shard_agent::is_idle() const
 {
-    for (const auto& [id, lane] : lanes_)
+    if (!is_drained())
     {
-        if (lane->waiting() > 0 || lane->in_flight() > 0)
-        {
-            return false;
-        }
+        return false;
     }
     const std::optional<shard_record>& record = authority_.record();
-    if (!record)
+    if (!record || is_removed_)
     {
         return true;
     }
@@ -209,6 +250,11 @@
 
 void shard_agent::tick()
 {
+    if (is_removed_ && is_drained())
+    {
+        stop();
+        return;
+    }
     update_request_time();
     scheduler_actions actions;
     authority_.tick(parts_.loop.now(), actions);
@@ -281,6 +327,10 @@
         [this, begun_at](const store_read& got)
         {
             is_reading_ = false;
+            if (!tick_timer_)
+            {
+                return;
+            }
             bool is_done = got.end == store_end::done;
             duration next = is_done && !got.entries.empty() ? record_read_period
                                                             : record_retry_period;
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -36,8 +36,18 @@
                 journal_lease& lease,
                 const service_config& service);
 
+    // Also takes the service up again after remove().
     void configure(const service_config& service, const fleet_config& fleet);
 
+    // The service has left the configuration: refuses new requests, ends those that it
+    // has, and then does nothing more. The ids that it knows are kept.
+    void remove();
+
+    const service_name& service() const
+    {
+        return service_.name;
+    }
+
     // A request for a partition that this router schedules; ends it, now or later.
     void submit(const live_request_ptr& request);
 
@@ -60,6 +70,9 @@
 
 private:
     void tick();
+    void start();
+    void stop();
+    bool is_drained() const;
     void update_request_time();
     void note_authority();
     void ask_voters();
@@ -105,6 +118,7 @@
     epoch lanes_version_;
     voter_round round_; // of configuration versions
     bool had_authority_ = false;
+    bool is_removed_ = false;
     std::uint64_t own_rounds_ = 0;
     timer_handle tick_timer_;
     timer_handle read_timer_;
--- a/router/testing/shard_fixture.hpp
+++ b/router/testing/shard_fixture.hpp
@@ -3,6 +3,7 @@
 // One shard agent on a real loop: a store that holds the shard's record, and one port
 // that is the only voter and the only server, which accepts every grant.
 
+#include "codec/journal_codec.hpp"
 #include "codec/messages_json.hpp"
 #include "codec/shard_record_json.hpp"
 #include "core/ownership/record_keys.hpp"
@@ -38,10 +39,11 @@
 
     void compare_and_swap(const std::string&,
                           store_revision,
-                          std::string,
+                          std::string value,
                           store_lease,
                           write_callback done) override
     {
+        last_batch = read_journal_batch(value).value();
         done({is_refusing ? store_end::failed : store_end::done, {1}, {}});
     }
 
@@ -52,6 +54,7 @@
 
     shard_record record;
     bool is_refusing = false; // writes
+    journal_batch last_batch; // that was to be written
 };
 
 // The voter and the server behind one port. Answers requests at once, or keeps them.
@@ -84,11 +87,13 @@
     {
         if (request.target == "/rpc")
         {
+            ++calls;
             http_response answer;
             answer.body = rpc_.dispatch(request.body);
             responder->respond(std::move(answer));
             return;
         }
+        ++requests;
         if (!is_keeping)
         {
             responder->respond({});
@@ -98,7 +103,19 @@
         responders.push_back(std::move(responder));
     }
 
+    // Answers what is kept, and from now on all at once.
+    void answer_all()
+    {
+        is_keeping = false;
+        for (const std::shared_ptr<http_responder>& it : std::exchange(responders, {}))
+        {
+            it->respond({});
+        }
+    }
+
     bool is_keeping = false;
+    std::size_t calls = 0;    // to /rpc
+    std::size_t requests = 0; // others
     std::vector<http_request> kept;
     std::vector<std::shared_ptr<http_responder>> responders;
 
--- a/router/testing/shard_settings_test.cpp
+++ b/router/testing/shard_settings_test.cpp
@@ -164,3 +164,68 @@
         CHECK(fixture.server->connections() <= most);
     }
 }
+
+TEST_CASE("a service is removed while its requests are in flight")
+{
+    std::vector<request_end> ends(3); // outlive the requests
+    shard_fixture fixture;
+    shard_agent& agent = fixture.start();
+    fixture.port.is_keeping = true;
+    for (std::size_t n = 0; n < 2; ++n) // one is sent, one waits or has an id
+    {
+        live_request_ptr made = fixture.make_request(fixture.hash, seconds(60), ends[n]);
+        made->id = request_id(n == 0 ? "" : "booking");
+        agent.submit(made);
+    }
+    fixture.run_until([&] { return !fixture.port.kept.empty(); });
+    agent.remove();
+
+    THEN("a new request is refused at once")
+    {
+        agent.submit(fixture.make_request(fixture.hash, seconds(60), ends[2]));
+        REQUIRE(ends[2].is_ended);
+        CHECK(ends[2].summary.why == refusal::unknown_service);
+        CHECK(ends[2].summary.told == outcome::not_run);
+    }
+    THEN("those that it has are ended whole, and then the server hears no more")
+    {
+        CHECK_FALSE(agent.is_idle());
+        fixture.port.answer_all();
+        fixture.run_until([&] { return ends[0].is_ended && ends[1].is_ended; });
+        CHECK(ends[0].summary.told == outcome::ran);
+        CHECK(ends[1].summary.told == outcome::ran);
+        CHECK(agent.is_idle());
+        auto has_authority = [&]
+        {
+            return agent.authority().holds_authority(fixture.loop->now());
+        };
+        fixture.run_until([&] { return !has_authority(); });
+        std::size_t heard = fixture.port.calls;
+        fixture.run_on();
+        CHECK(fixture.port.calls == heard);
+        const std::vector<journal_entry>& last = fixture.records().last_batch.entries;
+        CHECK(std::holds_alternative<released_entry>(last.back()));
+        CHECK(fixture.server->connections() == 0);
+
+        AND_WHEN("it is added again")
+        {
+            agent.configure(fixture.service, fixture.fleet);
+            fixture.run_until(
+                [&] {
+                    return agent.authority()
+                        .permit(fixture.hash, fixture.loop->now())
+                        .has_value();
+                });
+
+            THEN("it serves, and knows the ids from before")
+            {
+                CHECK(fixture.run_one() == outcome::ran);
+                std::size_t before = fixture.port.requests;
+                CHECK(fixture.run_one("booking") == outcome::ran);
+                CHECK(fixture.port.requests == before);
+                CHECK(fixture.run_one("another") == outcome::ran);
+                CHECK(fixture.port.requests == before + 1);
+            }
+        }
+    }
+}
