One reader of answered remote calls

read_answer stood in ownership_caller, and the same steps in shard_agent, shard_desk and shard_reporter; it is net/rpc_answer.hpp now. No change of behaviour: router_test and assigner_test pass.

--- a/assigner/shard_desk.cpp
+++ b/assigner/shard_desk.cpp
@@ -1,8 +1,8 @@
 #include "assigner/shard_desk.hpp"
 
-#include "codec/messages_json.hpp"
 #include "codec/shard_record_json.hpp"
 #include "core/ownership/record_keys.hpp"
+#include "net/rpc_answer.hpp"
 
 namespace camphorrock
 {
@@ -291,23 +291,14 @@
                     fence_timeout,
                     [this, action](const rpc_result& got)
                     {
-                        if (got.end != rpc_end::answered)
+                        if (auto answer = read_answer<fence_answer>(got))
                         {
-                            return;
+                            controller_.fence_answered(action.to.id,
+                                                       action.version,
+                                                       answer->ok,
+                                                       answer->highest,
+                                                       parts_.loop.now());
                         }
-                        value_or_handle(
-                            [&]() -> result<void>
-                            {
-                                BOOST_LEAF_AUTO(answer,
-                                                read_message<fence_answer>(got.value));
-                                controller_.fence_answered(action.to.id,
-                                                           action.version,
-                                                           answer.ok,
-                                                           answer.highest,
-                                                           parts_.loop.now());
-                                return {};
-                            },
-                            [](const error&) {});
                     });
 }
 
--- a/router/ownership_caller.cpp
+++ b/router/ownership_caller.cpp
@@ -1,6 +1,6 @@
 #include "router/ownership_caller.hpp"
 
-#include "codec/messages_json.hpp"
+#include "net/rpc_answer.hpp"
 
 #include <utility>
 
@@ -26,19 +26,6 @@
     return {method, write_message(params)};
 }
 
-// The message of an answered call; none for another end or an answer that cannot be read.
-template<class Message>
-std::optional<Message> read_answer(const rpc_result& got)
-{
-    if (got.end != rpc_end::answered)
-    {
-        return std::nullopt;
-    }
-    return value_or_handle([&]() -> result<std::optional<Message>>
-                           { return read_message<Message>(got.value); },
-                           [](const error&) { return std::optional<Message>(); });
-}
-
 // What the answers say: the server's clock, and the partitions that it accepted.
 std::optional<server_reply> read_reply(const std::vector<granted_partition>& partitions,
                                        const std::vector<rpc_result>& results)
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -1,8 +1,8 @@
 #include "router/shard_agent.hpp"
 
-#include "codec/messages_json.hpp"
 #include "codec/shard_record_json.hpp"
 #include "core/ownership/record_keys.hpp"
+#include "net/rpc_answer.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -471,31 +471,23 @@
                     vouch_timeout,
                     [this, action](const rpc_result& got)
                     {
-                        if (got.end != rpc_end::answered)
+                        if (auto answer = read_answer<vouch_answer>(got))
                         {
-                            return;
+                            vouch_answered(action, *answer);
                         }
-                        value_or_handle(
-                            [&]() -> result<void>
-                            {
-                                BOOST_LEAF_AUTO(answer,
-                                                read_message<vouch_answer>(got.value));
-                                note_config(action, answer.config);
-                                scheduler_actions actions;
-                                authority_.vouch_answered(action.to.id,
-                                                          action.round,
-                                                          answer.ok,
-                                                          answer.highest,
-                                                          parts_.loop.now(),
-                                                          actions);
-                                carry_out(actions);
-                                once_.set_authority(authority_.authority_until());
-                                return {};
-                            },
-                            [](const error&) {});
                     });
 }
 
+void shard_agent::vouch_answered(const send_vouch& asked, const vouch_answer& answer)
+{
+    note_config(asked, answer.config);
+    scheduler_actions actions;
+    authority_.vouch_answered(
+        asked.to.id, asked.round, answer.ok, answer.highest, parts_.loop.now(), actions);
+    carry_out(actions);
+    once_.set_authority(authority_.authority_until());
+}
+
 void shard_agent::note_config(const send_vouch& asked, config_version seen)
 {
     config_.version_seen(seen, asked.to.peer);
--- a/router/shard_reporter.cpp
+++ b/router/shard_reporter.cpp
@@ -1,6 +1,6 @@
 #include "router/shard_reporter.hpp"
 
-#include "codec/messages_json.hpp"
+#include "net/rpc_answer.hpp"
 
 namespace camphorrock
 {
@@ -75,14 +75,10 @@
         }
         return;
     }
-    value_or_handle(
-        [&]() -> result<void>
-        {
-            BOOST_LEAF_AUTO(answer, read_message<report_answer>(got.value));
-            config_.version_seen(answer.config, peer);
-            return {};
-        },
-        [](const error&) {});
+    if (auto answer = read_answer<report_answer>(got))
+    {
+        config_.version_seen(answer->config, peer);
+    }
 }
 
 } // namespace camphorrock
