--- a/assigner/shard_desk.cpp
+++ b/assigner/shard_desk.cpp
@@ -1,8 +1,8 @@
 #include "assigner/shard_desk.hpp"
 
-#include "codec/messages_json.hpp"
 #include "codec/shard_record_json.hpp"
 #include "core/ownership/record_keys.hpp"
+#include "net/rpc_answer.hpp"
 
 namespace camphorrock
 {
@@ -71,11 +71,15 @@
       controller_(shard_, parts.settings.id, parts.assignment, parts.ownership),
       balance_({}, parts.random)
 {
-    tick_timer_ = parts_.loop.every(tick_period, [this] { tick(); });
 }
 
 void shard_desk::configure(const service_config& service)
 {
+    if (!tick_timer_)
+    {
+        tick_timer_ = parts_.loop.every(tick_period, [this] { tick(); });
+        election_.stand_again();
+    }
     service_ = service;
     request_time_.set(service.max_request, parts_.loop.now());
     view_request_time_ = longest_request();
@@ -88,6 +92,12 @@
     return config_.may_serve() ? request_time_.at(parts_.loop.now()) : max_request_limit;
 }
 
+void shard_desk::remove()
+{
+    tick_timer_.reset();
+    election_.stand_down();
+}
+
 void shard_desk::routers_listed(const std::vector<router_instance>& routers)
 {
     controller_.routers_listed(routers, parts_.loop.now());
@@ -281,23 +291,14 @@
                     fence_timeout,
                     [this, action](const rpc_result& got)
                     {
-                        if (got.end != rpc_end::answered)
+                        if (auto answer = read_answer<fence_answer>(got))
                         {
-                            return;
+                            controller_.fence_answered(action.to.id,
+                                                       action.version,
+                                                       answer->ok,
+                                                       answer->highest,
+                                                       parts_.loop.now());
                         }
-                        value_or_handle(
-                            [&]() -> result<void>
-                            {
-                                BOOST_LEAF_AUTO(answer,
-                                                read_message<fence_answer>(got.value));
-                                controller_.fence_answered(action.to.id,
-                                                           action.version,
-                                                           answer.ok,
-                                                           answer.highest,
-                                                           parts_.loop.now());
-                                return {};
-                            },
-                            [](const error&) {});
                     });
 }
 
--- a/router/router.cpp
+++ b/router/router.cpp
@@ -59,6 +59,7 @@
     parts_.reset(new router_parts{settings_,
                                   *loop_,
                                   *http_,
+                                  *control_http_,
                                   *rpc_,
                                   *store_,
                                   log_,
@@ -160,6 +161,13 @@
         }
         agent->configure(it, config.fleet);
     }
+    for (auto& [shard, agent] : shards_)
+    {
+        if (find_service(config, agent->service()) == nullptr)
+        {
+            agent->remove();
+        }
+    }
 }
 
 shard_agent* router::find_shard(const shard_id& shard)
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -1,8 +1,8 @@
 #include "router/shard_agent.hpp"
 
-#include "codec/messages_json.hpp"
 #include "codec/shard_record_json.hpp"
 #include "core/ownership/record_keys.hpp"
+#include "net/rpc_answer.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -52,14 +52,36 @@
             shard_,
             [this](const live_request_ptr& request, server_lane::callback done)
             { run(request, std::move(done)); }),
-      caller_(parts.loop, parts.rpc, shard_), reporter_(parts, config, shard_), load_({})
+      caller_(parts.loop, parts.rpc, shard_), reporter_(parts, config, shard_), load_({}),
+      connections_(parts.http, parts.control_http)
 {
     request_time_.set(service.max_request, parts_.loop.now());
     update_request_time();
+    start();
+}
+
+void shard_agent::start()
+{
     tick_timer_ = parts_.loop.every(tick_period, [this] { tick(); });
     read_record();
 }
 
+void shard_agent::remove()
+{
+    is_removed_ = true;
+}
+
+// Grants lapse by themselves. A later start() is like the end of a long pause.
+void shard_agent::stop()
+{
+    tick_timer_.reset();
+    read_timer_.reset();
+    once_.release_all();
+    lanes_.clear();
+    lanes_version_ = {};
+    limit_connections();
+}
+
 void shard_agent::configure(const service_config& service, const fleet_config& fleet)
 {
     share_journal_writes();
@@ -73,11 +95,17 @@
     service_ = service;
     request_time_.set(service.max_request, parts_.loop.now());
     update_request_time();
+    is_removed_ = false;
+    if (!tick_timer_)
+    {
+        start();
+    }
     update_lanes();
     if (has_other_slots)
     {
         set_slots();
     }
+    limit_connections();
 }
 
 void shard_agent::set_slots()
@@ -88,8 +116,27 @@
     }
 }
 
+void shard_agent::limit_connections()
+{
+    std::set<endpoint> servers;
+    for (const auto& [id, lane] : lanes_)
+    {
+        const server_entry* server = find_server(*authority_.record(), id);
+        if (server != nullptr)
+        {
+            servers.insert(server->address);
+        }
+    }
+    connections_.update(service_, servers);
+}
+
 void shard_agent::submit(const live_request_ptr& request)
 {
+    if (is_removed_)
+    {
+        request->refuse(refusal::unknown_service, service_.name.str());
+        return;
+    }
     if (!authority_.is_scheduler_of(request->target.hash))
     {
         request->refuse(refusal::no_owner, "this router does not schedule the key");
@@ -147,6 +194,10 @@
 
 void shard_agent::record_received(const shard_record& record, const endpoint& peer)
 {
+    if (!tick_timer_)
+    {
+        return;
+    }
     reporter_.assigner_seen(peer);
     scheduler_actions actions;
     authority_.record_received(record, parts_.loop.now(), actions);
@@ -161,17 +212,23 @@
     carry_out(actions);
 }
 
+bool shard_agent::is_drained() const
+{
+    return once_.is_idle() &&
+           std::all_of(lanes_.begin(),
+                       lanes_.end(),
+                       [](const auto& it)
+                       { return it.second->waiting() + it.second->in_flight() == 0; });
+}
+
 bool shard_agent::is_idle() const
 {
-    for (const auto& [id, lane] : lanes_)
+    if (!is_drained())
     {
-        if (lane->waiting() > 0 || lane->in_flight() > 0)
-        {
-            return false;
-        }
+        return false;
     }
     const std::optional<shard_record>& record = authority_.record();
-    if (!record)
+    if (!record || is_removed_)
     {
         return true;
     }
@@ -190,6 +247,11 @@
 
 void shard_agent::tick()
 {
+    if (is_removed_ && is_drained())
+    {
+        stop();
+        return;
+    }
     update_request_time();
     scheduler_actions actions;
     authority_.tick(parts_.loop.now(), actions);
@@ -262,6 +324,10 @@
         [this, begun_at](const store_read& got)
         {
             is_reading_ = false;
+            if (!tick_timer_)
+            {
+                return;
+            }
             bool is_done = got.end == store_end::done;
             duration next = is_done && !got.entries.empty() ? record_read_period
                                                             : record_retry_period;
@@ -371,6 +437,7 @@
                                  {{"server", it.id}, {"fault", ec.text}});
             });
     }
+    limit_connections();
 }
 
 void shard_agent::drop_idle_lanes(const shard_record& record)
@@ -410,31 +477,23 @@
                     vouch_timeout,
                     [this, action](const rpc_result& got)
                     {
-                        if (got.end != rpc_end::answered)
+                        if (auto answer = read_answer<vouch_answer>(got))
                         {
-                            return;
+                            vouch_answered(action, *answer);
                         }
-                        value_or_handle(
-                            [&]() -> result<void>
-                            {
-                                BOOST_LEAF_AUTO(answer,
-                                                read_message<vouch_answer>(got.value));
-                                note_config(action, answer.config);
-                                scheduler_actions actions;
-                                authority_.vouch_answered(action.to.id,
-                                                          action.round,
-                                                          answer.ok,
-                                                          answer.highest,
-                                                          parts_.loop.now(),
-                                                          actions);
-                                carry_out(actions);
-                                once_.set_authority(authority_.authority_until());
-                                return {};
-                            },
-                            [](const error&) {});
                     });
 }
 
+void shard_agent::vouch_answered(const send_vouch& asked, const vouch_answer& answer)
+{
+    note_config(asked, answer.config);
+    scheduler_actions actions;
+    authority_.vouch_answered(
+        asked.to.id, asked.round, answer.ok, answer.highest, parts_.loop.now(), actions);
+    carry_out(actions);
+    once_.set_authority(authority_.authority_until());
+}
+
 void shard_agent::note_config(const send_vouch& asked, config_version seen)
 {
     config_.version_seen(seen, asked.to.peer);
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -15,6 +15,7 @@
 #include "router/once_agent.hpp"
 #include "router/ownership_caller.hpp"
 #include "router/router_parts.hpp"
+#include "router/server_connections.hpp"
 #include "router/server_lane.hpp"
 #include "router/shard_reporter.hpp"
 #include "router/voter_round.hpp"
@@ -35,8 +36,18 @@
                 journal_lease& lease,
                 const service_config& service);
 
+    // Also takes the service up again after remove().
     void configure(const service_config& service, const fleet_config& fleet);
 
+    // The service has left the configuration: refuses new requests, ends those that it
+    // has, and then does nothing more. The ids that it knows are kept.
+    void remove();
+
+    const service_name& service() const
+    {
+        return service_.name;
+    }
+
     // A request for a partition that this router schedules; ends it, now or later.
     void submit(const live_request_ptr& request);
 
@@ -59,6 +70,9 @@
 
 private:
     void tick();
+    void start();
+    void stop();
+    bool is_drained() const;
     void update_request_time();
     void note_authority();
     void ask_voters();
@@ -72,6 +86,7 @@
     void carry_out(const send_revoke& action);
     void carry_out(const send_report& action);
     void carry_out(const fetch_record& action);
+    void vouch_answered(const send_vouch& asked, const vouch_answer& answer);
     void note_config(const send_vouch& asked, config_version seen);
     void server_ended(const server_id& server,
                       const endpoint& address,
@@ -83,6 +98,7 @@
     void measure_partitions(const shard_record& record);
     void update_lanes();
     void set_slots();
+    void limit_connections();
     server_lane* lane_of(const server_id& server);
     void submit_once(const live_request_ptr& request);
     void run(const live_request_ptr& request, server_lane::callback done);
@@ -99,10 +115,12 @@
     shard_reporter reporter_;
     partition_load load_; // slot seconds of the partitions of its servers
     std::map<server_id, std::unique_ptr<server_lane>> lanes_;
+    server_connections connections_;
     bool is_reading_ = false;
     epoch lanes_version_;
     voter_round round_; // of configuration versions
     bool had_authority_ = false;
+    bool is_removed_ = false;
     std::uint64_t own_rounds_ = 0;
     timer_handle tick_timer_;
     timer_handle read_timer_;
