--- a/app/endpoint_text.cpp
+++ b/app/endpoint_text.cpp
@@ -16,4 +16,9 @@
         [](const error&) { return false; });
 }
 
+bool is_ip_text(const std::string& text)
+{
+    return is_endpoint_text(text + ":0") || is_endpoint_text("[" + text + "]:0");
+}
+
 } // namespace camphorrock
--- a/app/process_settings.cpp
+++ b/app/process_settings.cpp
@@ -1,5 +1,7 @@
 #include "app/process_settings.hpp"
 
+#include "app/endpoint_text.hpp"
+
 #include <limits>
 
 namespace camphorrock
@@ -17,10 +19,20 @@
     settings.id = instance_id(root.require_text("id"));
     settings.zone = data_centre(root.require_text("data_centre"));
     settings.peer = root.require_endpoint("peer");
+    settings.advertise = root.endpoint_or("advertise", endpoint());
+    settings.source = root.text_or("source", "");
     settings.admin = root.require_endpoint("admin");
     settings.store = root.endpoints("store");
     settings.platform = root.require_endpoint("platform");
     settings.seed = static_cast<std::uint64_t>(root.integer_or("seed", seed_bounds, 0));
+    if (settings.advertise.str().ends_with(":0"))
+    {
+        root.fault("advertise", "needs a port");
+    }
+    if (!settings.source.empty() && !is_ip_text(settings.source))
+    {
+        root.fault("source", "must be an IP address");
+    }
     if (settings.store.empty())
     {
         root.fault("store", "must name at least one endpoint");
--- a/app/process_settings.hpp
+++ b/app/process_settings.hpp
@@ -6,6 +6,7 @@
 #include "core/base/names.hpp"
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace camphorrock
@@ -15,7 +16,9 @@
 {
     instance_id id;
     data_centre zone;
-    endpoint peer;               // where other instances reach this one
+    endpoint peer;               // where this instance listens for others
+    endpoint advertise;          // where they reach it; empty: at `peer`
+    std::string source;          // IP of outgoing connections; empty: any
     endpoint admin;              // health, readiness, metrics
     std::vector<endpoint> store; // the platform's key-value service
     endpoint platform;           // the platform's instance list
--- a/assigner/assigner.cpp
+++ b/assigner/assigner.cpp
@@ -69,7 +69,9 @@
 result<void> assigner::open_clients()
 {
     BOOST_LEAF_ASSIGN(loop_, event_loop::create());
-    BOOST_LEAF_ASSIGN(http_, http_client::create(*loop_, {}));
+    http_client_options clients;
+    clients.source = settings_.source;
+    BOOST_LEAF_ASSIGN(http_, http_client::create(*loop_, clients));
     rpc_ = std::make_unique<rpc_client>(*http_);
     store_client_options options;
     options.endpoints = settings_.store;
@@ -85,6 +87,10 @@
     peers.max_body_bytes = max_peer_body_bytes;
     BOOST_LEAF_ASSIGN(peer_server_, http_server::create(*loop_, peers, *port_));
     settings_.peer = peer_server_->bound();
+    if (settings_.advertise.empty())
+    {
+        settings_.advertise = settings_.peer;
+    }
     BOOST_LEAF_ASSIGN(
         admin_server_,
         admin_server::create(*loop_,
@@ -168,7 +174,7 @@
     self.id = settings_.id;
     self.role = instance_role::assigner;
     self.zone = settings_.zone;
-    self.peer = settings_.peer;
+    self.peer = settings_.advertise;
     self.state = state;
     instances_->enter(self, [](bool) {});
 }
--- a/assigner/shard_desk.cpp
+++ b/assigner/shard_desk.cpp
@@ -260,7 +260,7 @@
     update_params params;
     params.record = *controller_.record();
     params.config = config_.current().version;
-    params.assigner_peer = parts_.settings.peer;
+    params.assigner_peer = parts_.settings.advertise;
     parts_.rpc.call(action.peer,
                     "shard.update",
                     write_message(params),
--- a/fakes/relay/relay.cpp
+++ b/fakes/relay/relay.cpp
@@ -37,33 +37,30 @@
                {{"mode", name_of(fault.mode)},
                 {"direction", name_of(fault.direction)},
                 {"delay_us", fault.delay},
+                {"source", fault.source},
                 {"connections", links_.size()}});
-    fault_ = fault;
-    if (fault.mode == relay_mode::cut)
+    if (!fault.source.empty())
     {
-        cut();
+        faults_[fault.source] = fault;
+        apply(fault.source, faults_[fault.source]);
         return {};
     }
-    for (auto& [name, link] : links_)
+    fault_ = fault;
+    for (auto& [source, held] : faults_)
     {
-        if (fault.mode == relay_mode::silence)
-        {
-            link->silence(fault.direction);
-        }
+        held = fault;
+        apply(source, held);
     }
     if (fault.mode == relay_mode::silence)
     {
         fault_ = relay_fault();
     }
-    for (auto& [name, link] : links_)
-    {
-        link->pump();
-    }
-    if (!listener_)
+    if (fault.mode == relay_mode::cut)
     {
-        return listen(bound_);
+        stop_listening();
+        return {};
     }
-    return {};
+    return listener_ ? result<void>() : listen(bound_);
 }
 
 result<void> relay::listen(const endpoint& address)
@@ -88,29 +85,66 @@
 
 void relay::add_link(tcp_socket caller)
 {
+    std::string source = caller.peer_ip();
+    relay_fault& fault = faults_.try_emplace(source, fault_).first->second;
     std::optional<tcp_socket> target = to_optional(tcp_socket::connect(target_));
-    if (!target)
+    if (!target || fault.mode == relay_mode::cut)
     {
         caller.reset_on_close();
         return;
     }
     std::uint64_t name = ++last_link_;
-    links_[name] = std::make_unique<relay_link>(loop_,
-                                                fault_,
-                                                std::move(caller),
-                                                std::move(*target),
-                                                [this, name] { links_.erase(name); });
+    links_[name] = {source,
+                    std::make_unique<relay_link>(loop_,
+                                                 fault,
+                                                 std::move(caller),
+                                                 std::move(*target),
+                                                 [this, name] { links_.erase(name); })};
 }
 
-void relay::cut()
+// Lets the links of a source act on the fault that they refer to.
+void relay::apply(const std::string& source, relay_fault& held)
 {
-    readable_.reset();
-    listener_.reset();
-    for (auto& [name, link] : links_)
+    if (held.mode == relay_mode::cut)
     {
-        link->reset_on_close();
+        cut(source);
+        return;
     }
-    links_.clear();
+    bool is_silence = held.mode == relay_mode::silence;
+    relay_direction direction = held.direction;
+    held = is_silence ? relay_fault() : held;
+    for (auto& [name, it] : links_)
+    {
+        if (it.source != source)
+        {
+            continue;
+        }
+        if (is_silence)
+        {
+            it.link->silence(direction);
+        }
+        it.link->pump();
+    }
+}
+
+void relay::cut(const std::string& source)
+{
+    for (auto it = links_.begin(); it != links_.end();)
+    {
+        if (it->second.source != source)
+        {
+            ++it;
+            continue;
+        }
+        it->second.link->reset_on_close();
+        it = links_.erase(it);
+    }
+}
+
+void relay::stop_listening()
+{
+    readable_.reset();
+    listener_.reset();
 }
 
 } // namespace camphorrock
--- a/fakes/relay/relay_fault.cpp
+++ b/fakes/relay/relay_fault.cpp
@@ -57,8 +57,10 @@
     {
         return std::nullopt;
     }
-    return relay_fault{
-        *mode, *direction, milliseconds(static_cast<std::int64_t>(delay_ms))};
+    return relay_fault{*mode,
+                       *direction,
+                       milliseconds(static_cast<std::int64_t>(delay_ms)),
+                       std::string(query_value(target, "source").value_or(""))};
 }
 
 } // namespace camphorrock
--- a/fakes/relay/tcp_socket.cpp
+++ b/fakes/relay/tcp_socket.cpp
@@ -2,6 +2,7 @@
 
 #include "net/socket_address.hpp"
 
+#include <netdb.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -72,6 +73,18 @@
     return tcp_socket(fd);
 }
 
+std::string tcp_socket::peer_ip() const
+{
+    sockaddr_storage at{};
+    socklen_t size = sizeof at;
+    char buf[INET6_ADDRSTRLEN] = {};
+    auto* raw = reinterpret_cast<sockaddr*>(&at);
+    bool is_known =
+        ::getpeername(fd_, raw, &size) == 0 &&
+        ::getnameinfo(raw, size, buf, sizeof buf, nullptr, 0, NI_NUMERICHOST) == 0;
+    return is_known ? buf : "";
+}
+
 socket_read tcp_socket::read()
 {
     std::string buf(read_bytes, '\0');
--- a/fakes/relay/tcp_socket.hpp
+++ b/fakes/relay/tcp_socket.hpp
@@ -57,6 +57,9 @@
     // The next waiting connection of a listening socket; fails where there is none.
     result<tcp_socket> accept();
 
+    // The IP address of the other side; empty where there is none.
+    std::string peer_ip() const;
+
     socket_read read();
     socket_write write(std::string_view bytes);
 
--- a/load/check_main.cpp
+++ b/load/check_main.cpp
@@ -4,6 +4,7 @@
 #include "app/command_line.hpp"
 #include "codec/history_json.hpp"
 #include "load/history_checker.hpp"
+#include "load/violation_trace.hpp"
 
 #include <cstdint>
 #include <cstdio>
@@ -16,6 +17,9 @@
 namespace
 {
 
+// Violations whose records are printed.
+constexpr std::size_t max_traced = 5;
+
 // Adds one record; the fault as text where the line is none, or "".
 std::string add_line(const std::string& line, history_checker& checker)
 {
@@ -79,6 +83,40 @@
     return true;
 }
 
+// Prints the records that concern the first violations.
+void print_records(const std::vector<std::string>& paths,
+                   const std::vector<violation>& found,
+                   std::int64_t limit)
+{
+    std::vector<violation_trace> traces;
+    for (const violation& it : found)
+    {
+        if (traces.size() < max_traced)
+        {
+            traces.emplace_back(it, static_cast<std::size_t>(limit));
+        }
+    }
+    for (const std::string& path : paths)
+    {
+        std::ifstream file(path);
+        for (std::string line; std::getline(file, line);)
+        {
+            for (violation_trace& it : traces)
+            {
+                it.add(line);
+            }
+        }
+    }
+    for (std::size_t n = 0; n < traces.size(); ++n)
+    {
+        std::printf("records of %s\n", to_string(found[n]).c_str());
+        for (const std::string& line : traces[n].take())
+        {
+            std::printf("    %s\n", line.c_str());
+        }
+    }
+}
+
 void print(const std::vector<violation>& found, std::int64_t limit)
 {
     std::int64_t n = 0;
@@ -100,8 +138,11 @@
                       "Checks recorded histories for broken promises.");
     std::vector<std::string> files;
     std::int64_t limit = 100;
+    std::int64_t records = 0;
     line.add_option("files", files, "histories (JSON lines)");
     line.require("files");
+    line.add_option(
+        "--records", records, "records to print for each of the first violations");
     line.add_option("--limit", limit, "violations to print at most");
     if (std::optional<int> status = line.parse(argc, argv))
     {
@@ -114,6 +155,10 @@
     }
     std::vector<violation> found = checker.check();
     print(found, limit);
+    if (records > 0 && !found.empty())
+    {
+        print_records(files, found, records);
+    }
     std::printf(
         "violations=%zu %s\n", found.size(), to_string(checker.summary()).c_str());
     return found.empty() ? exit_ok : exit_failure;
--- /dev/null
+++ b/load/violation_trace.cpp
@@ -0,0 +1,151 @@
+#include "load/violation_trace.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <iterator>
+#include <utility>
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr std::string_view separators = " ;,\"";
+constexpr std::string_view digits = "0123456789";
+constexpr std::string_view time_mark = "_us\":";
+constexpr std::size_t least_name = 6;     // shorter words are no names
+constexpr std::size_t longest_line = 600; // of what is kept
+
+bool is_number(std::string_view word)
+{
+    return word.find_first_not_of(digits) == std::string_view::npos;
+}
+
+bool is_name(std::string_view word)
+{
+    return word.size() >= least_name && !is_number(word) &&
+           word.find_first_of(digits) != std::string_view::npos;
+}
+
+std::vector<std::string_view> words_of(std::string_view text)
+{
+    std::vector<std::string_view> words;
+    while (!text.empty())
+    {
+        std::size_t end = std::min(text.find_first_of(separators), text.size());
+        if (end > 0)
+        {
+            words.push_back(text.substr(0, end));
+        }
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return words;
+}
+
+std::uint64_t number_of(std::string_view text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+// An attempt is named by its request's tag, a point and a number.
+std::string_view without_count(std::string_view name)
+{
+    std::size_t point = name.rfind('.');
+    bool is_attempt = point != std::string_view::npos &&
+                      is_number(name.substr(point + 1)) &&
+                      name.find(':') == std::string_view::npos;
+    return is_attempt ? name.substr(0, point) : name;
+}
+
+// The name as a whole: "a-1" is not in "a-10".
+bool contains_name(std::string_view line, std::string_view name)
+{
+    for (std::size_t at = line.find(name); at != std::string_view::npos;
+         at = line.find(name, at + 1))
+    {
+        std::size_t end = at + name.size();
+        if (end == line.size() ||
+            std::isalnum(static_cast<unsigned char>(line[end])) == 0)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::uint64_t time_of(std::string_view line)
+{
+    std::size_t at = line.find(time_mark);
+    return at == std::string_view::npos ? 0
+                                        : number_of(line.substr(at + time_mark.size()));
+}
+
+} // namespace
+
+violation_trace::violation_trace(const violation& found, std::size_t limit)
+    : limit_(limit)
+{
+    std::vector<std::string_view> words = words_of(found.subject);
+    std::vector<std::string_view> more = words_of(found.text);
+    std::copy(more.begin(), more.end(), std::back_inserter(words));
+    for (std::string_view it : words)
+    {
+        if (is_name(it))
+        {
+            names_.emplace_back(without_count(it));
+        }
+        if (is_number(it))
+        {
+            at_ = std::max(at_, number_of(it));
+        }
+    }
+}
+
+void violation_trace::add(std::string_view line)
+{
+    if (!is_named_in(line))
+    {
+        return;
+    }
+    std::uint64_t at = time_of(line);
+    std::uint64_t distance = at > at_ ? at - at_ : at_ - at;
+    by_distance_.emplace(distance,
+                         kept_line{at, std::string(line.substr(0, longest_line))});
+    if (by_distance_.size() > limit_)
+    {
+        by_distance_.erase(std::prev(by_distance_.end()));
+    }
+}
+
+std::vector<std::string> violation_trace::take()
+{
+    std::vector<kept_line> lines;
+    for (auto& [distance, it] : by_distance_)
+    {
+        lines.push_back(std::move(it));
+    }
+    by_distance_.clear();
+    std::stable_sort(lines.begin(),
+                     lines.end(),
+                     [](const kept_line& one, const kept_line& other)
+                     { return one.at < other.at; });
+    std::vector<std::string> out;
+    out.reserve(lines.size());
+    for (kept_line& it : lines)
+    {
+        out.push_back(std::move(it.text));
+    }
+    return out;
+}
+
+bool violation_trace::is_named_in(std::string_view line) const
+{
+    return std::any_of(names_.begin(),
+                       names_.end(),
+                       [&](const std::string& it) { return contains_name(line, it); });
+}
+
+} // namespace camphorrock
--- a/net/curl_exchange.cpp
+++ b/net/curl_exchange.cpp
@@ -109,6 +109,14 @@
     set_headers(to);
 }
 
+void curl_exchange::set_source(const std::string& ip)
+{
+    if (!ip.empty())
+    {
+        curl_easy_setopt(easy_.get(), CURLOPT_INTERFACE, ("host!" + ip).c_str());
+    }
+}
+
 void curl_exchange::set_method()
 {
     CURL* easy = easy_.get();
--- a/net/curl_exchange.hpp
+++ b/net/curl_exchange.hpp
@@ -63,6 +63,9 @@
     void
     set_up(const endpoint& to, seconds max_idle, std::function<void()> on_stored_piece);
 
+    // The IP address that the connection comes from; empty: any.
+    void set_source(const std::string& ip);
+
     exchange_id id() const
     {
         return id_;
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -51,7 +51,7 @@
 {
 public:
     curl_client(event_loop& loop, http_client_options options)
-        : loop_(loop), options_(options)
+        : loop_(loop), options_(std::move(options))
     {
         sweep_ = loop_.every(options_.max_idle, [this] { close_idle_pools(); });
     }
@@ -145,6 +145,7 @@
             };
         }
         made->curl.set_up(to, options_.max_idle, std::move(stored));
+        made->curl.set_source(options_.source);
         curl_easy_setopt(
             made->curl.easy(), CURLOPT_PRIVATE, reinterpret_cast<void*>(id.value));
         if (!pool->add(made->curl.easy()))
@@ -307,7 +308,7 @@
     {
         return fail(error_code::io, "libcurl does not start");
     }
-    return std::make_unique<curl_client>(loop, options);
+    return std::make_unique<curl_client>(loop, std::move(options));
 }
 
 } // namespace camphorrock
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -76,6 +76,7 @@
 {
     long max_connections_per_endpoint = 32; // further exchanges wait for one
     seconds max_idle = seconds(30);         // a connection idle for longer is not reused
+    std::string source{}; // IP address that connections come from; empty: any
 };
 
 class http_client
--- a/router/router.cpp
+++ b/router/router.cpp
@@ -98,8 +98,10 @@
 result<void> router::open_clients()
 {
     BOOST_LEAF_ASSIGN(loop_, event_loop::create());
-    BOOST_LEAF_ASSIGN(http_, http_client::create(*loop_, {}));
-    BOOST_LEAF_ASSIGN(control_http_, http_client::create(*loop_, {}));
+    http_client_options clients;
+    clients.source = settings_.source;
+    BOOST_LEAF_ASSIGN(http_, http_client::create(*loop_, clients));
+    BOOST_LEAF_ASSIGN(control_http_, http_client::create(*loop_, clients));
     rpc_ = std::make_unique<rpc_client>(*control_http_);
     store_client_options options;
     options.endpoints = settings_.store;
@@ -121,6 +123,10 @@
     peers.max_header_bytes = 2 * callers.max_header_bytes;
     BOOST_LEAF_ASSIGN(peer_server_, http_server::create(*loop_, peers, *peer_port_));
     settings_.peer = peer_server_->bound();
+    if (settings_.advertise.empty())
+    {
+        settings_.advertise = settings_.peer;
+    }
     BOOST_LEAF_ASSIGN(
         admin_server_,
         admin_server::create(
@@ -191,7 +197,7 @@
     self.id = settings_.id;
     self.role = instance_role::router;
     self.zone = settings_.zone;
-    self.peer = settings_.peer;
+    self.peer = settings_.advertise;
     self.state = state;
     instances_->enter(self, [](bool) {});
 }
--- a/router/shard_reporter.cpp
+++ b/router/shard_reporter.cpp
@@ -29,7 +29,7 @@
 {
     report_params params;
     params.router = parts_.settings.id;
-    params.peer = parts_.settings.peer;
+    params.peer = parts_.settings.advertise;
     params.zone = parts_.settings.zone;
     params.leaving = report.is_leaving;
     params.config = config_.current().version;
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -27,7 +27,7 @@
         sleep 0.05
     done
     echo "$name did not start:" >&2
-    tail -n 5 "$OUT/$name.log" >&2
+    tail -n 20 "$OUT/$name.log" >&2
     return 1
 }
 
@@ -75,6 +75,65 @@
         --target "$HOST:$RELAY_TARGET_PORT" --admin "$HOST:$RELAY_ADMIN_PORT"
 }
 
+# With RELAYED_PEERS=yes, routers and assigners reach each other and the platform through relays only:
+# one before each peer port, one before the platform. Each process has an IP address of its own, by
+# which a relay tells its connections from those of others.
+RELAYED_PEERS="${RELAYED_PEERS:-no}"
+
+# source_ip r1|r2|...|a1|a2|...: where the connections of an instance come from.
+source_ip() {
+    case "$1" in
+    r*) echo "127.0.0.$((10 + ${1#r}))" ;;
+    a*) echo "127.0.0.$((20 + ${1#a}))" ;;
+    esac
+}
+
+# relay_port r1|...|a1|...|store: where its relay listens; the relay's admin port is 50 above.
+relay_port() {
+    case "$1" in
+    r*) echo $((PORT_BASE + 700 + ${1#r})) ;;
+    a*) echo $((PORT_BASE + 710 + ${1#a})) ;;
+    store) echo $((PORT_BASE + 720)) ;;
+    esac
+}
+
+# start_peer_relay NAME TARGET_PORT
+start_peer_relay() {
+    spawn "relay-$1" "$BIN/camphorrock-relay" --listen "$HOST:$(relay_port "$1")" \
+        --target "$HOST:$2" --admin "$HOST:$(($(relay_port "$1") + 50))"
+}
+
+start_peer_relays() {
+    local n
+    [ "$RELAYED_PEERS" = yes ] || return 0
+    for n in 1 2 3 4; do start_peer_relay "r$n" $((PORT_BASE + 300 + n)) || return 1; done
+    for n in 1 2; do start_peer_relay "a$n" $((PORT_BASE + 500 + n)) || return 1; done
+    start_peer_relay store "$STORE_PORT"
+}
+
+# part MODE ONE OTHER: brings a fault about between two of r1, ..., a1, ..., store, both ways.
+part() {
+    local at from
+    for at in "$2:$3" "$3:$2"; do
+        from="${at#*:}" at="${at%:*}"
+        [ "$from" = store ] && continue
+        curl -s -o /dev/null -X POST \
+            "http://$HOST:$(($(relay_port "$at") + 50))/fault?mode=$1&source=$(source_ip "$from")"
+    done
+}
+
+# network_settings r1|...|a1|...: the lines of a settings file that say where the others are.
+network_settings() {
+    local store="$STORE_PORT"
+    if [ "$RELAYED_PEERS" = yes ]; then
+        store="$(relay_port store)"
+        echo "advertise: $HOST:$(relay_port "$1")"
+        echo "source: $(source_ip "$1")"
+    fi
+    echo "store: [$HOST:$store]"
+    echo "platform: $HOST:$store"
+}
+
 # start_server N: servers 1 to 4 are of valves, 5 to 8 of diary; server 8 checks no epochs.
 start_server() {
     local n="$1" port="$((PORT_BASE + 100 + $1))" extra=()
@@ -103,8 +162,7 @@
 listen: $HOST:$(caller_port "$n")
 peer: $HOST:$((PORT_BASE + 300 + n))
 admin: $(admin_address "$n")
-store: [$HOST:$STORE_PORT]
-platform: $HOST:$STORE_PORT
+$(network_settings "r$n")
 drain_limit_ms: 10000
 YAML
     spawn "router$n" "$BIN/camphorrock-router" --config "$OUT/router$n.yaml"
@@ -121,8 +179,7 @@
 data_centre: $(zone_of "$n")
 peer: $(assigner_peer "$n")
 admin: $HOST:$((PORT_BASE + 600 + n))
-store: [$HOST:$STORE_PORT]
-platform: $HOST:$STORE_PORT
+$(network_settings "a$n")
 YAML
     spawn "assigner$n" "$BIN/camphorrock-assigner" --config "$OUT/assigner$n.yaml"
 }
@@ -176,12 +233,33 @@
     rm -f "$OUT"/*
     start_platform || return 1
     start_relay || return 1
+    start_peer_relays || return 1
     for n in 1 2 3 4 5 6 7 8; do start_server "$n" || return 1; done
     for n in 1 2 3 4; do start_router "$n" || return 1; done
     for n in 1 2; do start_assigner "$n" || return 1; done
     configure_fleet || return 1
     for n in 1 2 3 4 5 6 7 8 9 10; do
-        wait_served valves "quad-$n" || return 1
-        wait_served diary "street-$n" || return 1
+        wait_served valves "quad-$n" || { show_fleet "valves/quad-$n"; return 1; }
+        wait_served diary "street-$n" || { show_fleet "diary/street-$n"; return 1; }
+    done
+}
+
+# show_fleet SERVICE/KEY: what is known about a key that is not served, for the reader of a log.
+show_fleet() {
+    local name
+    echo "$1 is not served after 10 s; router 1 answers:"
+    curl -s -i --max-time 2 "http://$HOST:$(caller_port 1)/$1"
+    echo
+    ctl status
+    ctl explain "${1%/*}" "${1#*/}"
+    show_logs 15
+}
+
+# show_logs N: the last N lines of the log of each process.
+show_logs() {
+    local name
+    for name in "$OUT"/*.log; do
+        echo "-- ${name##*/}"
+        tail -n "$1" "$name"
     done
 }
