A router crashed when a lane was dropped while it was about to refuse a request

Seen: scripts/prove split split_store, router 2: segmentation fault in server_lane::leave_slot (addr2line of the kernel's line), right after three records were adopted at once when a split had healed. Cause: a request that gets a slot without authority is refused by a callback posted to the loop; if its caller goes first, the queue forgets it, the lane is idle, a record that takes the server away drops the lane, and the callback runs on freed memory. Now the refusals wait in the lane, behind a timer that ends with it.

--- a/router/server_lane.cpp
+++ b/router/server_lane.cpp
@@ -212,12 +212,17 @@
     refusal why = is_ours && it.request->deadline <= now ? refusal::deadline_passed
                                                          : refusal::no_authority;
     // The queue must not be entered again while it hands out its actions.
-    parts_.loop.post(
-        [this, id, why]
-        {
-            leave_slot(id, answer_kind::good, duration::zero());
-            end(id, not_run(why));
-        });
+    not_sent_.push_back({id, why});
+    not_sent_timer_ = parts_.loop.after(duration::zero(), [this] { refuse_not_sent(); });
+}
+
+void server_lane::refuse_not_sent()
+{
+    for (const not_sent& it : std::exchange(not_sent_, {}))
+    {
+        leave_slot(it.id, answer_kind::good, duration::zero());
+        end(it.id, not_run(it.why));
+    }
 }
 
 void server_lane::send(ticket id,
--- a/router/server_lane.hpp
+++ b/router/server_lane.hpp
@@ -18,6 +18,7 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 namespace camphorrock
 {
@@ -90,6 +91,13 @@
         bool is_resent = false;
     };
 
+    // The queue gave it a slot, but it may not be sent.
+    struct not_sent
+    {
+        ticket id;
+        refusal why;
+    };
+
     server_lane(router_parts& parts,
                 scheduler_authority& authority,
                 partition_load& load,
@@ -98,6 +106,7 @@
 
     void carry_out(const queue_actions& actions);
     void start(ticket id);
+    void refuse_not_sent();
     void
     send(ticket id, pending& it, const request_permit& permit, connection_choice choice);
     void ended(ticket id, exchange_result got);
@@ -115,6 +124,8 @@
     std::uint64_t last_ticket_ = 0;
     lane_figures figures_;
     timer_handle timer_;
+    std::vector<not_sent> not_sent_; // until the loop's next turn
+    timer_handle not_sent_timer_;    // ends with the lane, which may be dropped before
 };
 
 } // namespace camphorrock
