A patch is accepted only once a majority of each shard's voters has its version

Two halves lose each other, the store stays with the half that has one voter of three; its assigner accepts patches, and the other half serves on with the older version, since a majority of voters counts as fresh contact. It stood in docs/proofs/config.md as not proved. Now the assigner answers 'accepted' once config_spread says that a majority of each shard's voters has the version, else after 3 s 'unknown' (submit the id again). A voter's word about the version counts only with its vouching and once it has a configuration: one that has restarted may have forgotten.

--- a/assigner/patch_job.cpp
+++ b/assigner/patch_job.cpp
@@ -1,5 +1,6 @@
 #include "assigner/patch_job.hpp"
 
+#include "assigner/spread_job.hpp"
 #include "codec/configuration_json.hpp"
 #include "codec/json_merge.hpp"
 #include "store/config_agent.hpp"
@@ -57,9 +58,27 @@
         swap();
         return;
     case patch_step::answer:
+        answer(action);
+        return;
+    }
+}
+
+// An operator is told "accepted" only once no router can go on with an older version.
+void patch_job::answer(const patch_action& action)
+{
+    if (action.end != patch_end::accepted)
+    {
         finish({action.end, action.version, {}});
         return;
     }
+    spread_job::start(parts_,
+                      action.version,
+                      [self = shared_from_this(), action](bool is_known)
+                      {
+                          patch_end end =
+                              is_known ? patch_end::accepted : patch_end::unknown;
+                          self->finish({end, action.version, {}});
+                      });
 }
 
 void patch_job::read()
--- a/assigner/patch_job.hpp
+++ b/assigner/patch_job.hpp
@@ -40,6 +40,7 @@
               Json::Value patch,
               callback done);
     void carry_out(const patch_action& action);
+    void answer(const patch_action& action);
     void read();
     void swap();
     void finish(patch_result result);
--- a/core/config/config_patcher.hpp
+++ b/core/config/config_patcher.hpp
@@ -43,7 +43,8 @@
     id_reused,   // another patch had this id and made `version`
     unavailable, // the store could not be used; this submission has no effect (an earlier
                  // one of the same id that ended in `unknown` still may)
-    unknown,     // it may have taken effect: submit it again, with the same id and base
+    unknown,     // it may have taken effect, or is in the store but not known to a
+                 // majority of voters: submit it again, with the same id and base
 };
 
 std::string_view name_of(patch_end value);
--- a/load/operators_settings.hpp
+++ b/load/operators_settings.hpp
@@ -25,7 +25,7 @@
     std::vector<service_name> services; // one operator each, who patches it
     duration poll_period = milliseconds(100);
     duration round_pause = milliseconds(300);
-    duration timeout = seconds(2); // of one submission
+    duration timeout = seconds(4); // of one submission
     unsigned submissions = 6;      // of one patch that stays unsettled
     double repeat_share = 0.2;     // accepted patches that are submitted once more
 };
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -398,7 +398,7 @@
                             {
                                 BOOST_LEAF_AUTO(answer,
                                                 read_message<vouch_answer>(got.value));
-                                note_config(action, answer.config);
+                                note_config(action, answer);
                                 scheduler_actions actions;
                                 authority_.vouch_answered(action.to.id,
                                                           action.round,
@@ -414,16 +414,16 @@
                     });
 }
 
-void shard_agent::note_config(const send_vouch& asked, config_version seen)
+void shard_agent::note_config(const send_vouch& asked, const vouch_answer& answer)
 {
-    config_.version_seen(seen, asked.to.peer);
+    config_.version_seen(answer.config, asked.to.peer);
     const std::optional<shard_record>& record = authority_.record();
     if (!record)
     {
         return;
     }
     std::optional<config_version> highest =
-        round_.answered(asked.round, asked.to.id, seen, record->voters);
+        round_.answered(asked.round, asked.to.id, answer, record->voters);
     if (highest)
     {
         config_.majority_seen(round_.sent_at(), *highest);
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -70,7 +70,7 @@
     void carry_out(const send_revoke& action);
     void carry_out(const send_report& action);
     void carry_out(const fetch_record& action);
-    void note_config(const send_vouch& asked, config_version seen);
+    void note_config(const send_vouch& asked, const vouch_answer& answer);
     void server_ended(const server_id& server,
                       const endpoint& address,
                       server_exchange_id exchange,
--- a/router/voter_round.cpp
+++ b/router/voter_round.cpp
@@ -19,17 +19,18 @@
 std::optional<config_version>
 voter_round::answered(std::uint64_t round,
                       const instance_id& voter,
-                      config_version version,
+                      const vouch_answer& answer,
                       const std::vector<voter_entry>& voters)
 {
     bool is_voter = std::any_of(voters.begin(),
                                 voters.end(),
                                 [&](const voter_entry& it) { return it.id == voter; });
-    if (round != round_ || !is_voter)
+    bool is_counted = answer.ok && answer.config != config_version();
+    if (round != round_ || !is_voter || !is_counted)
     {
         return std::nullopt;
     }
-    versions_[voter] = version;
+    versions_[voter] = answer.config;
     if (2 * versions_.size() <= voters.size())
     {
         return std::nullopt;
--- a/router/voter_round.hpp
+++ b/router/voter_round.hpp
@@ -4,6 +4,7 @@
 // they know: once a majority has answered, the highest is what the fleet had when the
 // round was sent.
 
+#include "codec/messages.hpp"
 #include "core/base/time.hpp"
 #include "core/config/config_version.hpp"
 #include "core/ownership/shard_record.hpp"
@@ -22,10 +23,11 @@
     void begin(std::uint64_t round, time_point sent_at);
 
     // A voter's answer to a round. The highest version, once a majority of `voters`
-    // answered.
+    // answered. A voter that does not vouch, or has no configuration yet, may have
+    // forgotten by a restart what it knew, so it does not count.
     std::optional<config_version> answered(std::uint64_t round,
                                            const instance_id& voter,
-                                           config_version version,
+                                           const vouch_answer& answer,
                                            const std::vector<voter_entry>& voters);
 
     std::uint64_t round() const
