--- a/net/curl_exchange.hpp
+++ b/net/curl_exchange.hpp
@@ -66,6 +66,9 @@
                 connection_count& connections,
                 std::function<void()> on_stored_piece);
 
+    // The IP address that the connection comes from; empty: any.
+    void set_source(const std::string& ip);
+
     exchange_id id() const
     {
         return id_;
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -486,7 +486,7 @@
 
 void shard_agent::vouch_answered(const send_vouch& asked, const vouch_answer& answer)
 {
-    note_config(asked, answer.config);
+    note_config(asked, answer);
     scheduler_actions actions;
     authority_.vouch_answered(
         asked.to.id, asked.round, answer.ok, answer.highest, parts_.loop.now(), actions);
@@ -494,16 +494,16 @@
     once_.set_authority(authority_.authority_until());
 }
 
-void shard_agent::note_config(const send_vouch& asked, config_version seen)
+void shard_agent::note_config(const send_vouch& asked, const vouch_answer& answer)
 {
-    config_.version_seen(seen, asked.to.peer);
+    config_.version_seen(answer.config, asked.to.peer);
     const std::optional<shard_record>& record = authority_.record();
     if (!record)
     {
         return;
     }
     std::optional<config_version> highest =
-        round_.answered(asked.round, asked.to.id, seen, record->voters);
+        round_.answered(asked.round, asked.to.id, answer, record->voters);
     if (highest)
     {
         config_.majority_seen(round_.sent_at(), *highest);
