--- a/router/testing/parts_fixture.hpp
+++ b/router/testing/parts_fixture.hpp
@@ -48,6 +48,15 @@
     request_summary summary;
 };
 
+// Authority and grants that outlast any stall of the machine that runs the tests.
+inline ownership_options patient_ownership()
+{
+    ownership_options options;
+    options.authority_ttl = seconds(600);
+    options.grant_ttl = seconds(600);
+    return options;
+}
+
 struct parts_fixture
 {
     explicit parts_fixture(std::unique_ptr<store_client> with = nullptr)
@@ -115,7 +124,7 @@
                        random,
                        assigners,
                        retries,
-                       {}};
+                       patient_ownership()};
 };
 
 } // namespace camphorrock::testing
