As many requests in flight as slots_per_server allows

Cause: a server's link counted 512 requests at most and refused further ones as no-authority, while the setting goes to 1024. The bound follows the setting's now. core_test 'a server may work on as many requests as the configuration allows' passes; it was not seen to fail on its own, since the name of the bound was out of reach before.

--- a/core/ownership/ownership_options.hpp
+++ b/core/ownership/ownership_options.hpp
@@ -7,6 +7,7 @@
 // router_silence + server_silence while grants lapse within authority_ttl.
 
 #include "core/base/time.hpp"
+#include "core/config/configuration.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -52,10 +53,12 @@
     // The rates of two instances' clocks differ by at most this many parts in a million.
     std::int64_t clock_drift_ppm = 1000;
 
-    std::size_t max_shards = 1024;            // per voter
-    std::size_t max_partitions = 4096;        // per shard, in each table that holds them
-    std::size_t max_exchanges = 64;           // unanswered messages kept per server
-    std::size_t max_requests_in_flight = 512; // counted per server
+    std::size_t max_shards = 1024;     // per voter
+    std::size_t max_partitions = 4096; // per shard, in each table that holds them
+    std::size_t max_exchanges = 64;    // unanswered messages kept per server
+    // Counted per server: those of max_slots_per_server, and as many that ended without
+    // an answer.
+    std::size_t max_requests_in_flight = std::size_t{2} * max_slots_per_server;
 };
 
 // The longest that `span`, measured on one clock, can last on another one.
--- a/core/ownership/testing/server_link_test.cpp
+++ b/core/ownership/testing/server_link_test.cpp
@@ -64,6 +64,18 @@
 
 } // namespace
 
+TEST_CASE("a server may work on as many requests as the configuration allows")
+{
+    link_fixture fixture(true);
+    unsigned sent = 0;
+    while (sent < max_slots_per_server &&
+           fixture.link.request_sent(sent, partition_hash, fixture.now))
+    {
+        ++sent;
+    }
+    CHECK(sent == max_slots_per_server);
+}
+
 TEST_CASE("a moving partition is released once its server holds nothing")
 {
     bool checks_epoch = GENERATE(true, false);
