Waits for max_request_ms are not stretched to 6 s

Cause: the floor of 6 s under each wait was there so that whoever waited had learned of a raised value. It cost servers without epoch checks up to 6 s where max_request_ms is shorter: the fleet of demo and prove has 2 s.

What is waited for was begun at least the wait ago, so it is enough to know that the configuration was current that long ago or later (config_tracker::is_current_within); otherwise the highest allowed value counts, 1 h.

--- a/assigner/shard_desk.cpp
+++ b/assigner/shard_desk.cpp
@@ -86,10 +86,12 @@
     controller_.configured(view_of(service_, view_request_time_), parts_.loop.now());
 }
 
-// With a configuration that may be stale, requests of any length may run.
+// A request that is waited for as long as this was begun that long ago or earlier. Unless
+// the configuration is known to have been current since, it may be of any length.
 duration shard_desk::longest_request() const
 {
-    return config_.may_serve() ? request_time_.at(parts_.loop.now()) : max_request_limit;
+    duration longest = request_time_.at(parts_.loop.now());
+    return config_.is_current_within(longest) ? longest : max_request_limit;
 }
 
 void shard_desk::remove()
--- a/core/config/config_tracker.cpp
+++ b/core/config/config_tracker.cpp
@@ -7,7 +7,7 @@
 
 bool config_tracker::may_serve(time_point now) const
 {
-    return current_as_of_ && now - *current_as_of_ <= options_.freshness_bound;
+    return is_current_within(options_.freshness_bound, now);
 }
 
 bool config_tracker::on_document(config_version version)
--- a/core/config/config_tracker.hpp
+++ b/core/config/config_tracker.hpp
@@ -40,6 +40,12 @@
     // True while the version in force is known to be current within the bound.
     bool may_serve(time_point now) const;
 
+    // True if the version in force is known to have been current `age` ago or later.
+    bool is_current_within(duration age, time_point now) const
+    {
+        return current_as_of_ && now - *current_as_of_ <= age;
+    }
+
     // A document of this version is at hand. True if it is newer: it is in force from now
     // on. False: drop it.
     bool on_document(config_version version);
--- a/core/config/recent_maximum.cpp
+++ b/core/config/recent_maximum.cpp
@@ -28,7 +28,7 @@
 
 duration recent_maximum::at(time_point now) const
 {
-    duration longest = std::max(value_, options_.spread);
+    duration longest = value_;
     for (const replaced_value& it : replaced_)
     {
         if (now < it.counts_until)
--- a/core/config/recent_maximum.hpp
+++ b/core/config/recent_maximum.hpp
@@ -9,8 +9,9 @@
 //
 // A lower value counts only once nothing begun under a higher one can last: other
 // instances may go on with the old configuration for `spread`, and what they begin last
-// then takes its time. at() is never below `spread`, so that whoever waits so long has
-// learned of a higher value by then, or knows that its configuration is stale.
+// then takes its time. A higher value that this instance has not learned of yet is not
+// counted: who waits for something must know that its configuration was current when
+// that was begun at the latest.
 //
 // O(values replaced). Memory: at most `max_replaced` rows; further ones share a row.
 
@@ -26,7 +27,7 @@
 
 struct recent_maximum_options
 {
-    // In it, every instance has a new configuration in force or refuses.
+    // Within it, every instance has a new configuration in force or refuses.
     duration spread = config_tracker_options().freshness_bound;
     std::int64_t clock_drift_ppm = 1000; // between two instances' clocks, at most
     std::size_t max_replaced = 16;
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -241,11 +241,13 @@
                         { return it.scheduler == parts_.settings.id; });
 }
 
-// With a configuration that may be stale, requests of any length may run.
+// A request that is waited for as long as this was begun that long ago or earlier. Unless
+// the configuration is known to have been current since, it may be of any length.
 void shard_agent::update_request_time()
 {
+    duration longest = request_time_.at(parts_.loop.now());
     authority_.set_max_request_time(
-        config_.may_serve() ? request_time_.at(parts_.loop.now()) : max_request_limit);
+        config_.is_current_within(longest) ? longest : max_request_limit);
 }
 
 void shard_agent::tick()
--- a/router/testing/shard_fixture.hpp
+++ b/router/testing/shard_fixture.hpp
@@ -3,6 +3,7 @@
 // One shard agent on a real loop: a store that holds the shard's record, and one port
 // that is the only voter and the only server, which accepts every grant.
 
+#include "codec/configuration_json.hpp"
 #include "codec/journal_codec.hpp"
 #include "codec/messages_json.hpp"
 #include "codec/shard_record_json.hpp"
@@ -18,7 +19,7 @@
 namespace camphorrock::testing
 {
 
-// Answers at once: the record, no journal, and that a write took effect.
+// Answers at once: the record, a configuration, no journal, and that a write took effect.
 class record_store : public no_store
 {
 public:
@@ -29,6 +30,12 @@
         {
             got.entries.push_back({key, shard_record_text(record), {1}});
         }
+        if (key == config_key)
+        {
+            configuration first;
+            first.version = {1};
+            got.entries.push_back({key, configuration_text(first), {1}});
+        }
         done(got);
     }
 
@@ -57,7 +64,8 @@
     journal_batch last_batch; // that was to be written
 };
 
-// The voter and the server behind one port. Answers requests at once, or keeps them.
+// The voter, the assigner and the server behind one port. Answers requests at once, or
+// keeps them.
 class scripted_port : public http_handler
 {
 public:
@@ -72,6 +80,13 @@
         rpc_.add("ownership.clock",
                  [this](const Json::Value&) -> result<Json::Value>
                  { return write_message(clock_answer{clock_ms()}); });
+        rpc_.add("shard.report",
+                 [this](const Json::Value& params) -> result<Json::Value>
+                 {
+                     BOOST_LEAF_AUTO(sent, read_message<report_params>(params));
+                     reports.push_back(sent.shards.front());
+                     return write_message(report_answer{});
+                 });
         for (const char* name : {"ownership.grant", "ownership.revoke"})
         {
             rpc_.add(name,
@@ -114,6 +129,7 @@
     }
 
     bool is_keeping = false;
+    std::vector<shard_status> reports;
     std::size_t calls = 0;    // to /rpc
     std::size_t requests = 0; // others
     std::vector<http_request> kept;
--- a/router/testing/shard_settings_test.cpp
+++ b/router/testing/shard_settings_test.cpp
@@ -240,3 +240,39 @@
         }
     }
 }
+
+TEST_CASE("a server without epoch checks is given up after max_request_ms")
+{
+    constexpr std::size_t many_reports = 8;
+    shard_fixture fixture;
+    fixture.service.max_request = milliseconds(200);
+    shard_record record = fixture.records().record;
+    record.servers.front().checks_epoch = false;
+    fixture.records().record = record;
+    const bool is_current = GENERATE(true, false);
+    CAPTURE(is_current);
+    if (is_current)
+    {
+        fixture.config.start();
+    }
+    shard_agent& agent = fixture.start();
+    record.version = {2};
+    record.partitions.front().moving_to = server_id("s2");
+    agent.record_received(record, fixture.server->bound());
+    auto is_released = [&]
+    {
+        const std::vector<shard_status>& all = fixture.port.reports;
+        return !all.empty() && !all.back().released_partitions.empty();
+    };
+
+    THEN("it is released, but not while a higher value may be in force elsewhere")
+    {
+        fixture.run_until(
+            [&]
+            {
+                return is_released() ||
+                       (!is_current && fixture.port.reports.size() >= many_reports);
+            });
+        CHECK(is_released() == is_current);
+    }
+}
--- a/store/config_agent.hpp
+++ b/store/config_agent.hpp
@@ -47,6 +47,12 @@
         return tracker_.may_serve(loop_.now());
     }
 
+    // Was the configuration in force current `age` ago or later?
+    bool is_current_within(duration age) const
+    {
+        return tracker_.is_current_within(age, loop_.now());
+    }
+
 private:
     void read_store();
     bool take(const std::string& text); // false: it is no configuration
