--- a/core/once/once_options.hpp
+++ b/core/once/once_options.hpp
@@ -23,7 +23,7 @@
     duration retention = seconds(3600); // how long an id is remembered after its end
 
     duration outcome_delay =
-        milliseconds(200); // batches without a new request wait so long
+        milliseconds(100); // batches without a new request wait so long
     std::size_t max_batch_entries = 512;
     std::size_t max_batch_bytes = 512 * kibibyte; // the store takes 1 MB
 
--- a/core/once/testing/write_budget_test.cpp
+++ b/core/once/testing/write_budget_test.cpp
@@ -189,6 +189,7 @@
 struct shared_budget
 {
     static constexpr duration store_time = milliseconds(2);
+    static constexpr duration outcome_delay = milliseconds(200); // the burst is back then
 
     struct pending
     {
@@ -216,6 +217,7 @@
             once_options options;
             options.router = instance_id("r1");
             options.writer = 70 + n;
+            options.outcome_delay = outcome_delay;
             gates.push_back(std::make_unique<once_gate>(options, budget));
             gates.back()->take_over(now, hash_range(), epoch{1});
             collect(n);
@@ -385,7 +387,7 @@
 
         WHEN("none comes, the outcome is written after outcome_delay")
         {
-            it.pass(once_options().outcome_delay + milliseconds(5));
+            it.pass(it.outcome_delay + milliseconds(5));
             CHECK(it.appends.size() == 2);
         }
     }
@@ -397,7 +399,7 @@
         {
             it.arrive(n);
         }
-        it.pass(once_options().outcome_delay);
+        it.pass(it.outcome_delay);
         std::size_t before = it.appends.size();
 
         WHEN("they are due, they are written at the budget's rate and leave its burst")
@@ -513,6 +515,20 @@
     CHECK(it.now == start + 2 * it.budget.interval());
 }
 
+TEST_CASE("a gate whose append failed holds no turn until it may try again")
+{
+    slow_gate it;
+    time_point start = it.now;
+    it.gate->on_append(it.now, it.take<append_action>()->number, append_end::failed);
+    CHECK(it.budget.reserve(it.now).nominal == start + it.budget.interval());
+
+    it.wait_until_next();
+    CHECK_FALSE(it.take<append_action>()); // the turn after that one
+    it.wait_until_next();
+    CHECK(it.take<append_action>());
+    CHECK(it.now == start + 2 * it.budget.interval());
+}
+
 TEST_CASE(
     "an id that did not run is free again in the journal before it is admitted anew")
 {
