--- a/core/once/once_options.hpp
+++ b/core/once/once_options.hpp
@@ -30,7 +30,7 @@
     std::uint64_t writer = 0; // random, drawn anew by each process; not 0
 
     duration outcome_delay =
-        milliseconds(200); // batches without a new request wait so long
+        milliseconds(100); // batches without a new request wait so long
     std::size_t max_batch_entries = 512;
     std::size_t max_batch_bytes = 512 * kibibyte; // the store takes 1 MB
 
