A service's balancer can be switched off; long load requests have a route of their own

It is needed to measure the balancer beside no balancer.

camphorrock-load asked for the same path with ?work=long, so that a router could tell long work by the caller only, while the users' long requests are report pulls of their own. Long requests now ask for /report.

Both new test sections were seen to fail on the code before.

--- a/assigner/shard_balance.cpp
+++ b/assigner/shard_balance.cpp
@@ -60,6 +60,12 @@
     std::erase_if(samples_,
                   [&](const auto& it)
                   { return now - it.second.at > options_.sample_limit; });
+    if (!service.balance)
+    {
+        due_ = now + options_.pause;
+        last_imbalance_ = imbalance(view_of(record, service, now));
+        return {};
+    }
     auto make_view = [&]
     {
         balance_view view = view_of(record, service, now);
--- a/assigner/shard_balance.hpp
+++ b/assigner/shard_balance.hpp
@@ -38,6 +38,7 @@
 
     void reported(const shard_status& status, time_point now);
 
+    // Empty where the configuration has balancing off.
     rebalance_plan
     plan(const shard_record& record, const service_config& service, time_point now);
 
--- a/assigner/testing/shard_balance_test.cpp
+++ b/assigner/testing/shard_balance_test.cpp
@@ -58,6 +58,12 @@
         CHECK(fixture.plans(milliseconds(2000), milliseconds(100)));
         CHECK(fixture.balance.last_imbalance() > 1.5);
     }
+    SECTION("not where the configuration has it off, but it still measures")
+    {
+        fixture.service.balance = false;
+        CHECK_FALSE(fixture.plans(milliseconds(2000), milliseconds(100)));
+        CHECK(fixture.balance.last_imbalance() > 1.5);
+    }
     SECTION("not where both carry the same")
     {
         CHECK_FALSE(fixture.plans(milliseconds(1000), milliseconds(1000)));
--- a/codec/configuration_json.cpp
+++ b/codec/configuration_json.cpp
@@ -44,6 +44,7 @@
     fields.optional("slots_per_server", it.slots_per_server);
     fields.optional("connections_per_server", it.connections_per_server);
     fields.optional("partitions", it.partitions);
+    fields.optional("balance", it.balance);
     fields.optional("repeatable_routes", it.repeatable_routes);
     fields.optional("long_routes", it.long_routes);
     fields.optional("servers_deduplicate", it.servers_deduplicate);
--- a/core/config/service_config.hpp
+++ b/core/config/service_config.hpp
@@ -41,6 +41,7 @@
     unsigned slots_per_server = 3;      // requests that a server works on at once
     unsigned connections_per_server = 110;
     unsigned partitions = 64; // of a new shard; splits and merges change it later
+    bool balance = true;      // partitions move between servers as their load asks for
     std::vector<route_pattern> repeatable_routes; // need no Idempotency-Key
     std::vector<route_pattern> long_routes; // hint: start in the class of long requests
     bool servers_deduplicate = false;   // the servers recognise a repeated id themselves
--- a/load/load_request.cpp
+++ b/load/load_request.cpp
@@ -7,8 +7,9 @@
 {
     http_request out;
     out.method = request.id.empty() ? "GET" : "POST";
+    const std::string path = request.is_long ? "/report" : "/sheet";
     out.target =
-        "/" + request.service.str() + "/" + request.key + "/sheet?tag=" + request.tag;
+        "/" + request.service.str() + "/" + request.key + path + "?tag=" + request.tag;
     if (request.is_long)
     {
         out.target += "&work=long";
--- a/load/testing/load_request_test.cpp
+++ b/load/testing/load_request_test.cpp
@@ -26,5 +26,12 @@
             CHECK(second.headers.find("Idempotency-Key") == "order-1");
             CHECK(second.headers.find("Camphorrock-Timeout-Ms") == "300");
         }
+        THEN("long work is of another route")
+        {
+            CHECK(first.target == "/valves/quad-1/sheet?tag=t");
+            request.is_long = true;
+            CHECK(to_http(request, "t.3").target ==
+                  "/valves/quad-1/report?tag=t&work=long");
+        }
     }
 }
