--- a/bench/testing/policy_targets_test.cpp
+++ b/bench/testing/policy_targets_test.cpp
@@ -47,6 +47,45 @@
     }
 }
 
+const named_policy& policy_named(const std::string& name)
+{
+    const std::vector<named_policy>& all = named_policies();
+    return *std::find_if(
+        all.begin(), all.end(), [&](const named_policy& it) { return it.name == name; });
+}
+
+TEST_CASE("A crest is answered nearly as well as by strict priority of short work")
+{
+    for (const deployment& of : deployments())
+    {
+        const std::vector<queue_scenario> all = queue_scenarios(of);
+        for (const char* name : {"crest-1.5", "crest-2.0"})
+        {
+            INFO(of.name << " " << name);
+            const queue_scenario& crest = scenario_named(all, name);
+            const queue_metrics priority =
+                run_queue_trials(crest, policy_named("priority"), seed, servers);
+            const queue_metrics own =
+                run_queue_trials(crest, current_policy(), seed, servers);
+            CHECK(own.within_deadline_share() >= 0.92 * priority.within_deadline_share());
+        }
+    }
+}
+
+TEST_CASE("A cold server answers as many as under first in first out, and sheds few")
+{
+    for (const deployment& of : deployments())
+    {
+        INFO(of.name);
+        const std::vector<queue_scenario> all = queue_scenarios(of);
+        const queue_scenario& cold = scenario_named(all, "cold-start");
+        const queue_metrics fifo = run_queue_trials(cold, fifo_policy(), seed, servers);
+        const queue_metrics own = run_queue_trials(cold, current_policy(), seed, servers);
+        CHECK(own.within_deadline_share() >= 0.99 * fifo.within_deadline_share());
+        CHECK(20 * own.shed <= fifo.shed);
+    }
+}
+
 TEST_CASE("Short work does not stall behind long work")
 {
     for (const blocking_mix mix :
