Queue v16: slow answers are learned as 1.5 service bounds

Cause, by a trace of misleading health: a server that reports three slots and works on one queues the others out of sight, so a lookup sent beside a report waits behind it for its whole deadline. These waits entered the learned times (Tayside: bound of lookups 37 to 350 ms in 15 s), slow answers no longer stood out, and the limit stayed up while lookups were refused.

--- a/bench/queue/named_policy.cpp
+++ b/bench/queue/named_policy.cpp
@@ -52,7 +52,8 @@
 
 // The versions differ in their options; what replaced code outright (the bound of service
 // times in version 4, the limit in version 7, the slots that a wait is reckoned with and
-// the use of idle slots in versions 13 to 15) holds for all. See docs/POLICY.md.
+// the use of idle slots in versions 13 to 15, what is learned of slow answers in version
+// 16) holds for all. See docs/POLICY.md.
 
 // Admits whatever may still end in time, in turns of the callers, long work first.
 server_queue_options version_2()
@@ -123,8 +124,8 @@
     return it;
 }
 
-// Half as much of a crest for long work. Also the options of versions 12 to 14.
-server_queue_options version_15()
+// Half as much of a crest for long work. Also the options of versions 12 to 15.
+server_queue_options version_16()
 {
     server_queue_options it = version_11();
     it.least_long_share = 0.05;
@@ -147,7 +148,7 @@
             own("v9", version_9()),
             own("v10", version_10()),
             own("v11", version_11()),
-            own("v15", version_15())};
+            own("v16", version_16())};
 }
 
 } // namespace
--- a/core/admission/server_queue.cpp
+++ b/core/admission/server_queue.cpp
@@ -244,7 +244,11 @@
     }
     if (!is_failed)
     {
-        service_times_.observe(ended.caller, ended.route, report.service_time);
+        // One straggler, or a wait within the server, does not stand for all requests.
+        const bool is_known = bound != options_.service_times.unknown;
+        const duration learned = is_slow && is_known ? scaled(bound, options_.slow_bounds)
+                                                     : report.service_time;
+        service_times_.observe(ended.caller, ended.route, learned);
     }
 }
 
--- a/core/admission/server_queue.hpp
+++ b/core/admission/server_queue.hpp
@@ -59,7 +59,8 @@
     double quiet_short_load = 0.01;
     duration short_load_half_life = seconds(5);
     // An answer or timeout speaks against the server after so many service bounds; an
-    // earlier timeout only says that the request was started late.
+    // earlier timeout only says that the request was started late. Longer service times
+    // are learned as that many bounds, so a slower server is learned step by step.
     double slow_bounds = 1.5;
     // A request that is expected to end too late starts nevertheless, at most once in
     // this time and only on a slot that idles, so that an outdated estimate can be
--- a/core/admission/testing/server_queue_test.cpp
+++ b/core/admission/testing/server_queue_test.cpp
@@ -344,6 +344,41 @@
     }
 }
 
+TEST_CASE("A server that has become slower is learned step by step")
+{
+    driven_queue on;
+    const auto serve = [&](duration took)
+    {
+        const ticket id = on.arrive(builder, lookup, seconds(60));
+        on.now += took;
+        on.finish(id, took);
+    };
+    const auto estimate = [&]
+    {
+        return on.queue->service_times().estimate(builder, lookup);
+    };
+    WHEN("one lookup takes a thousand times as long as the others")
+    {
+        serve(seconds(10));
+        THEN("the others are not expected to be late")
+        {
+            CHECK(estimate().bound < milliseconds(100));
+        }
+    }
+    WHEN("all lookups take ten times as long")
+    {
+        for (int i = 0; i < 200; ++i)
+        {
+            serve(milliseconds(100));
+        }
+        THEN("their time is known")
+        {
+            CHECK(estimate().mean >= milliseconds(95));
+            CHECK(estimate().mean <= milliseconds(105));
+        }
+    }
+}
+
 TEST_CASE("A slot that idles tries what is only likely to be late")
 {
     driven_queue on;
