--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -134,6 +134,7 @@
         for service in valves diary; do
             echo "  $service:"
             echo "    partitions: ${PARTITIONS:-16}"
+            echo "    balance: ${BALANCE:-true}"
             echo "    max_request_ms: 2000"
             echo "    servers:"
             for n in 1 2 3 4; do
