Connections gone silent: an unanswered control message goes out again on a new one

Cause: a renewal that met a silent kept connection was given up after 250 ms, and the next one, 200 ms after it, could meet another silent one: only the pool of requests was closed, not that of control messages. A first answer was therefore missing for up to 450 ms.

Now an ownership message without an answer for 100 ms is sent again on a new connection; the first answer ends the call. Where only the new connection has answered, 20 ms later both pools are closed and repeatable requests are sent again. A server that paused answers both, and keeps its connections. Nothing more is sent while answers come within 100 ms.

Test: ownership_caller_test, four cases; without the second sending 'only the new one answers' fails. The 20 ms before the verdict are not shown to be needed by a test: with 0 ms all cases pass.

Tried and dropped: a lane to a server that another router scheduled before starts with all its slots instead of one.

--- a/net/rpc_client.cpp
+++ b/net/rpc_client.cpp
@@ -136,13 +136,14 @@
                       const std::string& method,
                       Json::Value params,
                       duration timeout,
-                      callback done)
+                      callback done,
+                      connection_choice connection)
 {
     const unsigned id = next_id_++;
     const Json::Value content = make_call({method, std::move(params)}, id);
     http_.send(to,
                make_request(content),
-               {.timeout = timeout},
+               {.timeout = timeout, .connection = connection},
                [id, done = std::move(done)](const exchange_result& got)
                { done(read_single(got, id)); });
 }
@@ -150,7 +151,8 @@
 void rpc_client::batch(const endpoint& to,
                        const std::vector<rpc_call>& calls,
                        duration timeout,
-                       batch_callback done)
+                       batch_callback done,
+                       connection_choice connection)
 {
     const unsigned first_id = next_id_;
     Json::Value content(Json::arrayValue);
@@ -160,7 +162,7 @@
     }
     http_.send(to,
                make_request(content),
-               {.timeout = timeout},
+               {.timeout = timeout, .connection = connection},
                [first_id, n = calls.size(), done = std::move(done)](
                    const exchange_result& got) { done(read_batch(got, first_id, n)); });
 }
--- a/net/rpc_client.hpp
+++ b/net/rpc_client.hpp
@@ -57,14 +57,22 @@
               const std::string& method,
               Json::Value params,
               duration timeout,
-              callback done);
+              callback done,
+              connection_choice connection = connection_choice::pooled);
 
     // One exchange for all calls; the results stand in the order of the calls. Where the
     // exchange itself fails, each result says how.
     void batch(const endpoint& to,
                const std::vector<rpc_call>& calls,
                duration timeout,
-               batch_callback done);
+               batch_callback done,
+               connection_choice connection = connection_choice::pooled);
+
+    // See http_client::drop_connections.
+    void drop_connections(const endpoint& to)
+    {
+        http_.drop_connections(to);
+    }
 
 private:
     http_client& http_;
--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -62,7 +62,12 @@
             shard_,
             [this](const live_request_ptr& request, server_lane::callback done)
             { run(request, std::move(done)); }),
-      caller_(parts.loop, parts.rpc, shard_), reporter_(parts, config, shard_), load_({})
+      caller_(parts.loop,
+              parts.rpc,
+              shard_,
+              [this](const endpoint& address, time_point sent_before)
+              { connections_silent(address, sent_before); }),
+      reporter_(parts, config, shard_), load_({})
 {
     tick_timer_ = parts_.loop.every(tick_period, [this] { tick(); });
     read_record();
@@ -470,13 +475,24 @@
     if (!end.is_connection_refused)
     {
         // The kept connections may have gone silent; new ones tell.
-        parts_.http.drop_connections(address);
-        if (server_lane* lane = lane_of(server))
+        connections_silent(address, end.sent_at);
+    }
+    carry_out(actions);
+}
+
+void shard_agent::connections_silent(const endpoint& address, time_point sent_before)
+{
+    parts_.http.drop_connections(address);
+    parts_.rpc.drop_connections(address);
+    const std::optional<shard_record>& record = authority_.record();
+    for (const auto& [id, lane] : lanes_)
+    {
+        const server_entry* server = record ? find_server(*record, id) : nullptr;
+        if (server != nullptr && server->address == address)
         {
-            lane->resend(end.sent_at);
+            lane->resend(sent_before);
         }
     }
-    carry_out(actions);
 }
 
 void shard_agent::carry_out(const send_report& action)
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -75,6 +75,7 @@
                       const endpoint& address,
                       server_exchange_id exchange,
                       const ownership_end& end);
+    void connections_silent(const endpoint& address, time_point sent_before);
     std::vector<partition_traffic> make_traffic() const;
     server_status make_server_status(const server_observation& observed);
     void measure_partitions(const shard_record& record);
--- /dev/null
+++ b/router/testing/ownership_caller_test.cpp
@@ -0,0 +1,118 @@
+#include "codec/messages_json.hpp"
+#include "net/testing/raw_listener.hpp"
+#include "router/ownership_caller.hpp"
+#include "router/testing/parts_fixture.hpp"
+#include "testing/test_headers.hpp"
+
+using namespace camphorrock;
+using namespace camphorrock::testing;
+
+namespace
+{
+
+std::string clock_answer_to(int id)
+{
+    clock_answer answer;
+    answer.clock_ms = 5;
+    Json::Value body;
+    body["jsonrpc"] = "2.0";
+    body["id"] = id;
+    body["result"] = write_message(answer);
+    const std::string text = body.toStyledString();
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) +
+           "\r\n\r\n" + text;
+}
+
+// Waits for a connection on which the head of a message has come.
+std::unique_ptr<raw_peer> take_message(parts_fixture& fixture, raw_listener& listener)
+{
+    std::unique_ptr<raw_peer> peer;
+    std::string got;
+    fixture.run_until(
+        [&]
+        {
+            peer = peer ? std::move(peer) : listener.accept();
+            got += peer ? peer->read_some() : "";
+            return got.find("\r\n\r\n") != std::string::npos;
+        });
+    return peer;
+}
+
+} // namespace
+
+TEST_CASE("an ownership message that is not answered goes out on a new connection")
+{
+    parts_fixture fixture;
+    raw_listener listener;
+    std::vector<ownership_end> ends;
+    std::vector<endpoint> silent;
+    ownership_caller caller(*fixture.loop,
+                            fixture.rpc,
+                            shard_id("diary"),
+                            [&](const endpoint& address, time_point)
+                            { silent.push_back(address); });
+    const time_point begun = fixture.loop->now();
+    caller.clock(listener.bound(),
+                 [&](const ownership_end& end) { ends.push_back(end); });
+    std::unique_ptr<raw_peer> first = take_message(fixture, listener);
+
+    WHEN("the first connection answers")
+    {
+        first->send(clock_answer_to(1));
+        fixture.run_until([&] { return !ends.empty(); });
+
+        THEN("that is all")
+        {
+            CHECK(ends[0].reply.has_value());
+            CHECK(silent.empty());
+        }
+    }
+
+    WHEN("only the new one answers")
+    {
+        std::unique_ptr<raw_peer> second = take_message(fixture, listener);
+        CHECK(ends.empty());
+        second->send(clock_answer_to(2));
+        fixture.run_until([&] { return !silent.empty(); });
+
+        THEN("the call ends with that answer, and the kept connections count as silent")
+        {
+            REQUIRE(ends.size() == 1);
+            CHECK(ends[0].reply.has_value());
+            CHECK(ends[0].sent_at >= begun);
+            CHECK(silent == std::vector<endpoint>{listener.bound()});
+        }
+    }
+
+    WHEN("the server paused, and both answer at once")
+    {
+        std::unique_ptr<raw_peer> second = take_message(fixture, listener);
+        second->send(clock_answer_to(2));
+        first->send(clock_answer_to(1));
+        bool is_passed = false;
+        fixture.run_until([&] { return !ends.empty(); });
+        timer_handle later =
+            fixture.loop->after(milliseconds(60), [&] { is_passed = true; });
+        fixture.run_until([&] { return is_passed; });
+
+        THEN("the kept connections are kept")
+        {
+            CHECK(ends.size() == 1);
+            CHECK(silent.empty());
+        }
+    }
+
+    WHEN("neither answers")
+    {
+        std::unique_ptr<raw_peer> second = take_message(fixture, listener);
+        fixture.run_until([&] { return !ends.empty(); });
+
+        THEN("the call ends once, without an answer")
+        {
+            CHECK(ends.size() == 1);
+            CHECK_FALSE(ends[0].reply.has_value());
+            CHECK_FALSE(ends[0].is_connection_refused);
+            CHECK(silent.empty());
+        }
+    }
+}
