A new assigner counts what its predecessor had fenced

Cause: where the assigner goes together with a server (data centre killed), its successor is elected after 1 s (lease), moves the server's partitions at once, but could end the moves only after a fence of its own and one authority_ttl. Log of a run: killed at 06.42, elected 07.39, move-started 07.41, move-ended 08.21; the grants had lapsed at about 07.2, and the old assigner had fenced that version seconds before.

A voter's answer to a fence now says for how long it has refused lower versions. The successor counts the fence from then on, less the drift of the voter's clock. It is as safe as before: the age is measured at the voter from the moment at which its present process began to refuse, any vouch of the voter below the version is older, and the answer's way only makes the time later. A voter of an older build says nothing, which counts as now.

Left on this path: the lease (1 s), then 0.5 s of silence of the lost router, counted anew from the election.

--- a/assigner/shard_desk.cpp
+++ b/assigner/shard_desk.cpp
@@ -290,6 +290,7 @@
                                                            action.version,
                                                            answer.ok,
                                                            answer.highest,
+                                                           answer.fenced_for,
                                                            parts_.loop.now());
                                 return {};
                             },
--- a/codec/messages.hpp
+++ b/codec/messages.hpp
@@ -48,6 +48,7 @@
 {
     bool ok = false;
     epoch highest;
+    duration fenced_for{}; // for how long the voter has refused lower versions
 
     bool operator==(const fence_answer&) const = default;
 };
--- a/codec/messages_json.cpp
+++ b/codec/messages_json.cpp
@@ -28,6 +28,7 @@
 {
     fields.required("ok", it.ok);
     fields.required("highest", it.highest);
+    fields.optional("fenced_for_ms", it.fenced_for);
 }
 
 template<class Fields, is_type<update_params> Message>
--- a/core/assignment/fence_progress.cpp
+++ b/core/assignment/fence_progress.cpp
@@ -28,10 +28,17 @@
     note_fenced(now);
 }
 
-void fence_progress::acknowledged(const instance_id& voter, epoch version, time_point now)
+void fence_progress::acknowledged(const instance_id& voter,
+                                  epoch version,
+                                  duration fenced_for,
+                                  time_point now)
 {
-    epoch& highest = acknowledged_[voter];
-    highest = std::max(highest, version);
+    acknowledgement& highest = acknowledged_[voter];
+    if (highest.version < version)
+    {
+        duration drift = with_drift(fenced_for, options_) - fenced_for;
+        highest = {version, now - std::max(fenced_for - drift, duration::zero())};
+    }
     note_fenced(now);
 }
 
@@ -52,26 +59,29 @@
 epoch fence_progress::acknowledged_by(const instance_id& voter) const
 {
     auto it = acknowledged_.find(voter);
-    return it == acknowledged_.end() ? epoch{} : it->second;
+    return it == acknowledged_.end() ? epoch{} : it->second.version;
 }
 
-// The highest version that majorities of both sets acknowledged.
-epoch fence_progress::joint_version() const
+// The highest version that majorities of both sets acknowledged, and by when.
+fence_progress::milestone fence_progress::joint_fence() const
 {
-    epoch highest;
-    for (const auto& [voter, version] : acknowledged_)
+    milestone highest{};
+    for (const auto& [voter, last] : acknowledged_)
     {
         std::set<instance_id> at_least;
+        time_point by = last.at;
         for (const auto& [other, reached] : acknowledged_)
         {
-            if (version <= reached)
+            if (last.version <= reached.version)
             {
                 at_least.insert(other);
+                by = std::max(by, reached.at);
             }
         }
-        if (is_joint_majority(voters_, previous_voters_, at_least))
+        bool is_higher = highest.version < last.version;
+        if (is_higher && is_joint_majority(voters_, previous_voters_, at_least))
         {
-            highest = std::max(highest, version);
+            highest = {last.version, by};
         }
     }
     return highest;
@@ -79,7 +89,8 @@
 
 void fence_progress::note_fenced(time_point now)
 {
-    add(fenced_, joint_version(), now);
+    milestone reached = joint_fence();
+    add(fenced_, reached.version, std::min(reached.at, now));
 }
 
 // Keeps the oldest ones, whose time comes first, and the newest.
--- a/core/assignment/shard_controller.cpp
+++ b/core/assignment/shard_controller.cpp
@@ -155,14 +155,18 @@
     }
 }
 
-void shard_controller::fence_answered(
-    const instance_id& voter, epoch version, bool is_ok, epoch highest, time_point now)
+void shard_controller::fence_answered(const instance_id& voter,
+                                      epoch version,
+                                      bool is_ok,
+                                      epoch highest,
+                                      duration fenced_for,
+                                      time_point now)
 {
     voters_heard_[voter] = now;
     note_higher(highest);
     if (is_ok)
     {
-        fences_.acknowledged(voter, version, now);
+        fences_.acknowledged(voter, version, fenced_for, now);
     }
     if (hears_majority(now))
     {
--- a/core/assignment/shard_controller.hpp
+++ b/core/assignment/shard_controller.hpp
@@ -78,6 +78,7 @@
                         epoch version,
                         bool is_ok,
                         epoch highest,
+                        duration fenced_for,
                         time_point now);
 
     // Adds a plan; steps beyond max_plan are dropped.
--- a/core/membership/voter.cpp
+++ b/core/membership/voter.cpp
@@ -13,15 +13,14 @@
 void voter::store_read(const shard_id& shard,
                        epoch version,
                        time_point begun_at,
-                       time_point)
+                       time_point now)
 {
     shard_state* state = begun_at < started_at_ ? nullptr : find_or_add(shard);
     if (!state)
     {
         return;
     }
-    state->fenced = std::max(state->fenced, version);
-    state->highest = std::max(state->highest, version);
+    raise_fence(*state, version, now);
     state->read_begun_at =
         state->has_read ? std::max(state->read_begun_at, begun_at) : begun_at;
     state->has_read = true;
@@ -35,7 +34,7 @@
         return {};
     }
     state->highest = std::max(state->highest, version);
-    return {is_current(*state, now) && state->fenced <= version, state->highest};
+    return {is_current(*state, now) && state->fenced <= version, state->highest, {}};
 }
 
 voter_reply voter::fence(const shard_id& shard, epoch version, time_point now)
@@ -45,9 +44,18 @@
     {
         return {};
     }
-    state->fenced = std::max(state->fenced, version);
-    state->highest = std::max(state->highest, version);
-    return {is_current(*state, now), state->highest};
+    raise_fence(*state, version, now);
+    return {is_current(*state, now), state->highest, now - state->fenced_at};
+}
+
+void voter::raise_fence(shard_state& state, epoch version, time_point now)
+{
+    if (state.fenced < version)
+    {
+        state.fenced = version;
+        state.fenced_at = now;
+    }
+    state.highest = std::max(state.highest, version);
 }
 
 bool voter::is_ready(const shard_id& shard, time_point now) const
--- a/core/membership/voter.hpp
+++ b/core/membership/voter.hpp
@@ -29,6 +29,7 @@
 {
     bool is_ok = false;
     epoch highest; // the highest version known here; a router below it fetches the record
+    duration fenced_for{}; // for how long, on this clock, lower versions were refused
 };
 
 class voter
@@ -54,11 +55,13 @@
     struct shard_state
     {
         epoch fenced;
+        time_point fenced_at; // of that version
         epoch highest;
         bool has_read = false;
         time_point read_begun_at;
     };
 
+    static void raise_fence(shard_state& state, epoch version, time_point now);
     bool is_current(const shard_state& state, time_point now) const;
     shard_state* find_or_add(const shard_id& shard);
 
--- a/core/ownership/testing/authority_time_test.cpp
+++ b/core/ownership/testing/authority_time_test.cpp
@@ -48,9 +48,9 @@
     {
         fence_progress fences(options);
         fences.start(record_of(4), at_ms(1000));
-        fences.acknowledged(instance_id("a"), {4}, at_ms(1100));
+        fences.acknowledged(instance_id("a"), {4}, {}, at_ms(1100));
         CHECK_FALSE(fences.is_fenced({4}, at_ms(5000)));
-        fences.acknowledged(instance_id("b"), {4}, at_ms(2000));
+        fences.acknowledged(instance_id("b"), {4}, {}, at_ms(2000));
         CHECK(fences.is_fenced({4}, at_ms(2000)));
         CHECK(fences.barrier(at_ms(2879), duration{}) == epoch{});
         CHECK(fences.barrier(at_ms(2881), duration{}) == epoch{4});
@@ -59,13 +59,25 @@
         AND_THEN("answers of fewer than half count only after the voters' store limit")
         {
             fences.start(record_of(5), at_ms(3000));
-            fences.acknowledged(instance_id("a"), {5}, at_ms(3001));
+            fences.acknowledged(instance_id("a"), {5}, {}, at_ms(3001));
             int limit = 990000; // 15 minutes and a tenth
             CHECK_FALSE(fences.is_fenced({5}, at_ms(3000 + limit)));
             CHECK(fences.is_fenced({5}, at_ms(3001 + limit)));
         }
     }
 
+    SECTION("what an earlier assigner fenced counts from then on, by the slowest clock")
+    {
+        fence_progress fences(options);
+        fences.start(record_of(4), at_ms(5000));
+        fences.acknowledged(instance_id("a"), {4}, milliseconds(3000), at_ms(5100));
+        CHECK(fences.barrier(at_ms(5100), duration{}) == epoch{});
+        fences.acknowledged(instance_id("b"), {4}, milliseconds(300), at_ms(5100));
+        // fenced by 4832 at the latest, and authority has lapsed by 5712
+        CHECK(fences.barrier(at_ms(5690), duration{}) == epoch{});
+        CHECK(fences.barrier(at_ms(5715), duration{}) == epoch{4});
+    }
+
     SECTION("while voters change, both sets are needed")
     {
         shard_record joint = record_of(6);
@@ -74,12 +86,12 @@
             {instance_id("d"), {}}, {instance_id("e"), {}}, {instance_id("a"), {}}};
         fence_progress fences(options);
         fences.start(joint, at_ms(1000));
-        fences.acknowledged(instance_id("d"), {6}, at_ms(1100));
-        fences.acknowledged(instance_id("e"), {6}, at_ms(1100));
+        fences.acknowledged(instance_id("d"), {6}, {}, at_ms(1100));
+        fences.acknowledged(instance_id("e"), {6}, {}, at_ms(1100));
         CHECK_FALSE(fences.is_fenced({6}, at_ms(1100)));
-        fences.acknowledged(instance_id("a"), {6}, at_ms(1200));
+        fences.acknowledged(instance_id("a"), {6}, {}, at_ms(1200));
         CHECK_FALSE(fences.is_fenced({6}, at_ms(1200)));
-        fences.acknowledged(instance_id("b"), {6}, at_ms(1300));
+        fences.acknowledged(instance_id("b"), {6}, {}, at_ms(1300));
         CHECK(fences.is_fenced({6}, at_ms(1300)));
     }
 }
--- a/core/ownership/testing/ownership_failure_test.cpp
+++ b/core/ownership/testing/ownership_failure_test.cpp
@@ -104,6 +104,19 @@
         check_served(world, "the other resumed", duration{});
     }
 
+    SECTION(
+        "the assigner and a server are killed: what the one had fenced counts for the "
+        "next")
+    {
+        world.crash(world.assigner(0));
+        world.crash(world.assigner(1));
+        world.crash(owner);
+        world.run(milliseconds(900));
+        world.restart(world.assigner(0));
+        check_served(
+            world, "assigner back 900 ms after a server's loss", milliseconds(300));
+    }
+
     SECTION("the assigner is killed: nobody notices")
     {
         world.crash(world.elected() ? world.assigner(0) : world.assigner(1));
--- a/core/ownership/testing/ownership_world.cpp
+++ b/core/ownership/testing/ownership_world.cpp
@@ -458,9 +458,14 @@
                 voter_reply reply =
                     processes_[to]->voter->fence(the_shard, fence.version, local(to));
                 return then(
-                    [=](auto& c, auto now, auto&) {
-                        c.fence_answered(
-                            fence.to.id, fence.version, reply.is_ok, reply.highest, now);
+                    [=](auto& c, auto now, auto&)
+                    {
+                        c.fence_answered(fence.to.id,
+                                         fence.version,
+                                         reply.is_ok,
+                                         reply.highest,
+                                         reply.fenced_for,
+                                         now);
                     });
             };
             rpc(n, to, handle, {});
--- a/router/peer_port.cpp
+++ b/router/peer_port.cpp
@@ -68,7 +68,7 @@
 {
     BOOST_LEAF_AUTO(asked, read_message<fence_params>(params));
     voter_reply reply = votes_.fence(asked.shard, asked.version, parts_.loop.now());
-    return write_message(fence_answer{reply.is_ok, reply.highest});
+    return write_message(fence_answer{reply.is_ok, reply.highest, reply.fenced_for});
 }
 
 result<Json::Value> peer_port::update(const Json::Value& params)
