--- a/load/ownership_check.cpp
+++ b/load/ownership_check.cpp
@@ -279,10 +279,11 @@
             {
                 if (old->server != it->server && is_without_epoch_check(*old, *it))
                 {
-                    found.push_back(
-                        {violation_kind::two_owners,
-                         place.service.str() + " " + to_hex(place.hash),
-                         "runs " + old->run + " and " + it->run + " at one time"});
+                    found.push_back({violation_kind::two_owners,
+                                     place.service.str() + " " + to_hex(place.hash),
+                                     "runs " + old->run + " and " + it->run +
+                                         " at one time, " + std::to_string(it->at) +
+                                         " us"});
                 }
             }
             open.push_back(it);
--- a/load/testing/violation_trace_test.cpp
+++ b/load/testing/violation_trace_test.cpp
@@ -42,6 +42,16 @@
         CHECK(trace_of(found, 2, {end, second, begin, first}) == lines{second, begin});
     }
 
+    SECTION("records of the runs come before those that only have the hash")
+    {
+        violation owners{violation_kind::two_owners,
+                         "diary a9cfcb5708840715",
+                         "runs s3-run-9 and s4-run-1 at one time, 2000700 us"};
+        const std::string near = R"({"at_us":2000700,"hash":"a9cfcb5708840715"})";
+        CHECK(trace_of(owners, 2, {near, begin, end}) == lines{begin, end});
+        CHECK(trace_of(owners, 3, {near, end}) == lines{near, end});
+    }
+
     SECTION("a hash is found in records of its partition")
     {
         violation owners{violation_kind::two_owners,
--- a/load/violation_trace.cpp
+++ b/load/violation_trace.cpp
@@ -14,8 +14,10 @@
 constexpr std::string_view separators = " ;,\"";
 constexpr std::string_view digits = "0123456789";
 constexpr std::string_view time_mark = "_us\":";
-constexpr std::size_t least_name = 6;     // shorter words are no names
-constexpr std::size_t longest_line = 600; // of what is kept
+constexpr std::size_t least_name = 6; // shorter words are no names
+constexpr std::size_t hash_digits = 16;
+constexpr std::uint64_t behind_names = std::uint64_t(1) << 62; // added to a distance
+constexpr std::size_t longest_line = 600;                      // of what is kept
 
 bool is_number(std::string_view word)
 {
@@ -76,6 +78,24 @@
     return false;
 }
 
+bool contains_any(std::string_view line, const std::vector<std::string>& names)
+{
+    return std::any_of(names.begin(),
+                       names.end(),
+                       [&](const std::string& it) { return contains_name(line, it); });
+}
+
+// A hash, a range of hashes or an endpoint.
+bool is_broad(std::string_view name)
+{
+    constexpr std::string_view hash_letters = "0123456789abcdef-";
+    constexpr std::string_view endpoint_letters = "0123456789.:";
+    bool is_hash = name.size() >= hash_digits &&
+                   name.find_first_of("abcdef") != std::string_view::npos &&
+                   name.find_first_not_of(hash_letters) == std::string_view::npos;
+    return is_hash || name.find_first_not_of(endpoint_letters) == std::string_view::npos;
+}
+
 std::uint64_t time_of(std::string_view line)
 {
     std::size_t at = line.find(time_mark);
@@ -95,7 +115,8 @@
     {
         if (is_name(it))
         {
-            names_.emplace_back(without_count(it));
+            std::vector<std::string>& names = is_broad(it) ? broad_names_ : names_;
+            names.emplace_back(without_count(it));
         }
         if (is_number(it))
         {
@@ -106,12 +127,14 @@
 
 void violation_trace::add(std::string_view line)
 {
-    if (!is_named_in(line))
+    bool is_close = contains_any(line, names_);
+    if (!is_close && !contains_any(line, broad_names_))
     {
         return;
     }
     std::uint64_t at = time_of(line);
     std::uint64_t distance = at > at_ ? at - at_ : at_ - at;
+    distance += is_close ? 0 : behind_names;
     by_distance_.emplace(distance,
                          kept_line{at, std::string(line.substr(0, longest_line))});
     if (by_distance_.size() > limit_)
@@ -141,11 +164,4 @@
     return out;
 }
 
-bool violation_trace::is_named_in(std::string_view line) const
-{
-    return std::any_of(names_.begin(),
-                       names_.end(),
-                       [&](const std::string& it) { return contains_name(line, it); });
-}
-
 } // namespace camphorrock
--- a/load/violation_trace.hpp
+++ b/load/violation_trace.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 // Picks the records of a history that tell how a violation came about: those which
-// contain one of its names (an attempt, its request's tag, a run, an id, a hash, an
-// endpoint), the nearest in time where there are many.
+// contain one of its names (an attempt, its request's tag, a run, an id), then those with
+// its hash or endpoint only; of each the nearest in time where there are many.
 //
 //     violation_trace trace(found, 60);
 //     for (...) trace.add(line);            // in any order
@@ -40,10 +40,9 @@
         std::string text;
     };
 
-    bool is_named_in(std::string_view line) const;
-
     std::vector<std::string> names_;
-    std::uint64_t at_ = 0; // of the violation
+    std::vector<std::string> broad_names_; // hashes and endpoints, which many lines name
+    std::uint64_t at_ = 0;                 // of the violation
     std::size_t limit_;
     std::multimap<std::uint64_t, kept_line> by_distance_;
 };
--- a/router/testing/server_lane_test.cpp
+++ b/router/testing/server_lane_test.cpp
@@ -9,10 +9,8 @@
 {
     parts_fixture fixture;
     // This router holds no authority, so a request that gets a slot is not sent.
-    scheduler_authority authority(shard_id("diary"),
-                                  instance_id("r1"),
-                                  ownership_options(),
-                                  fixture.loop->now());
+    scheduler_authority authority(
+        shard_id("diary"), instance_id("r1"), ownership_options(), fixture.loop->now());
     partition_load load({});
     request_end end;
     bool is_called = false;
