--- a/load/history_checker.cpp
+++ b/load/history_checker.cpp
@@ -59,6 +59,7 @@
 {
     std::vector<ownership_span> spans = ownership_spans(grants_, revokes_);
     std::vector<violation> found = find_two_owners(spans);
+    append(found, find_runs_beside_owner(runs_, ends_, spans));
     append(found, find_overlapping_runs(runs_, ends_));
     append(found, find_runs_not_owned(runs_, spans));
     append(found, find_two_runs(runs_));
--- a/load/ownership_check.cpp
+++ b/load/ownership_check.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <iterator>
+#include <set>
 #include <utility>
 #include <variant>
 
@@ -160,9 +161,26 @@
     return it == ends.end() ? run.at : it->second;
 }
 
-bool is_without_epoch_check(const run_start_record& one, const run_start_record& other)
+std::set<server_id> servers_without_check(const std::vector<run_start_record>& runs)
 {
-    return !one.checks_epoch || !other.checks_epoch;
+    std::set<server_id> found;
+    for (const run_start_record& it : runs)
+    {
+        if (!it.checks_epoch)
+        {
+            found.insert(it.server);
+        }
+    }
+    return found;
+}
+
+// A run without an end record is taken to have ended at its start.
+bool is_beside(const run_start_record& run, history_time end, const ownership_span& owner)
+{
+    // A service has one shard, of the same name.
+    return run.at < owner.until && owner.from < std::max(end, run.at + 1) &&
+           owner.server != run.server && owner.partition.contains(run.hash) &&
+           owner.shard.str() == run.service.str();
 }
 
 // The runs of one hash in one service, as places in a list of runs.
@@ -255,6 +273,35 @@
     return found;
 }
 
+std::vector<violation>
+find_runs_beside_owner(const std::vector<run_start_record>& runs,
+                       const std::map<std::string, history_time>& ends,
+                       const std::vector<ownership_span>& spans)
+{
+    const std::set<server_id> unchecked = servers_without_check(runs);
+    std::vector<ownership_span> owners;
+    std::copy_if(spans.begin(),
+                 spans.end(),
+                 std::back_inserter(owners),
+                 [&](const ownership_span& it)
+                 { return !unchecked.contains(it.server); });
+    std::vector<violation> found;
+    for (const run_start_record& run : runs)
+    {
+        for (const ownership_span& it : owners)
+        {
+            if (!run.checks_epoch && is_beside(run, end_of(run, ends), it))
+            {
+                found.push_back({violation_kind::two_owners,
+                                 run.service.str() + " " + to_hex(run.hash),
+                                 "run " + run.run + " at " + std::to_string(run.at) +
+                                     " us; " + describe_span(it)});
+            }
+        }
+    }
+    return found;
+}
+
 std::vector<violation>
 find_overlapping_runs(const std::vector<run_start_record>& runs,
                       const std::map<std::string, history_time>& ends)
@@ -277,12 +324,13 @@
                           [&](const auto* old) { return end_of(*old, ends) <= it->at; });
             for (const run_start_record* old : open)
             {
-                if (old->server != it->server && is_without_epoch_check(*old, *it))
+                if (old->server != it->server && !old->checks_epoch && !it->checks_epoch)
                 {
-                    found.push_back(
-                        {violation_kind::two_owners,
-                         place.service.str() + " " + to_hex(place.hash),
-                         "runs " + old->run + " and " + it->run + " at one time"});
+                    found.push_back({violation_kind::two_owners,
+                                     place.service.str() + " " + to_hex(place.hash),
+                                     "runs " + old->run + " and " + it->run +
+                                         " at one time, " + std::to_string(it->at) +
+                                         " us"});
                 }
             }
             open.push_back(it);
--- a/load/ownership_check.hpp
+++ b/load/ownership_check.hpp
@@ -35,8 +35,15 @@
 std::vector<violation> find_runs_not_owned(const std::vector<run_start_record>& runs,
                                            const std::vector<ownership_span>& spans);
 
-// Runs of one hash that overlap on two servers of which one checks no epoch: there the
-// run itself, not the grant, shows who acts as owner. `ends` is keyed by run.
+// A server that checks epochs acts as owner while its grant holds, and one that does not
+// check them while it runs a request. So there are two owners where a run of a server
+// without the check overlaps with a grant of one that has it, `ends` being keyed by run:
+std::vector<violation>
+find_runs_beside_owner(const std::vector<run_start_record>& runs,
+                       const std::map<std::string, history_time>& ends,
+                       const std::vector<ownership_span>& spans);
+
+// or where runs of one hash overlap on two servers without the check.
 std::vector<violation>
 find_overlapping_runs(const std::vector<run_start_record>& runs,
                       const std::map<std::string, history_time>& ends);
--- a/load/testing/history_checker_test.cpp
+++ b/load/testing/history_checker_test.cpp
@@ -141,6 +141,35 @@
             CHECK(kinds_in({one, other, end}).empty());
         }
     }
+
+    GIVEN("a server that checks epochs, frozen for long within a run")
+    {
+        grant_record owner = grant("a", 0, 100, 1);
+        run_start_record frozen = run("r1", "a", 50, 1);
+        run_end_record end{500, "r1", server_id("a")};
+        run_start_record next = run("r2", "b", 100, 2);
+        next.id = request_id("order-2");
+        next.checks_epoch = false;
+        run_end_record next_end{120, "r2", server_id("b")};
+
+        THEN("it is owner until its grant lapses, and one without the check may follow")
+        {
+            CHECK(kinds_in({owner, frozen, end, next, next_end}).empty());
+            next.at = 99;
+            CHECK(kinds_in({owner, frozen, end, next, next_end}) ==
+                  kinds{violation_kind::two_owners});
+        }
+
+        THEN(
+            "a run without the check that goes on into its grant is found, also where it "
+            "runs nothing itself")
+        {
+            owner = grant("a", 119, 300, 3);
+            CHECK(kinds_in({owner, next, next_end}) == kinds{violation_kind::two_owners});
+            owner = grant("a", 120, 300, 3);
+            CHECK(kinds_in({owner, next, next_end}).empty());
+        }
+    }
 }
 
 TEST_CASE("the checker compares what was told with what ran")
--- a/router/journal_reader.cpp
+++ b/router/journal_reader.cpp
@@ -1,6 +1,7 @@
 #include "router/journal_reader.hpp"
 
 #include "codec/journal_codec.hpp"
+#include "core/once/once_options.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -10,11 +11,11 @@
 namespace
 {
 
-constexpr std::size_t first_limit = 64;              // batches of the first page
-constexpr std::size_t most_limit = 4096;             // batches of any page
-constexpr std::size_t page_bytes = 128 * 1024;       // aimed at, of a page's values
-constexpr std::size_t slow_page_bytes = 2048 * 1024; // the same where the store is slow
-constexpr duration slow_page = milliseconds(300);    // a page that takes longer is slow
+constexpr std::size_t first_limit = 64;               // batches of the first page
+constexpr std::size_t most_limit = 4096;              // batches of any page
+constexpr std::size_t page_bytes = 128 * kibibyte;    // aimed at, of a page's values
+constexpr std::size_t slow_page_bytes = 2 * mebibyte; // the same where the store is slow
+constexpr duration slow_page = milliseconds(300);     // a page that takes longer is slow
 
 } // namespace
 
