A router crashed at its exit when a request came while its ports were closed

Ruled out: a caller's going (it is reported by the loop, which has stopped).

A server that is taken down hands on no request any more; the router closes its ports first, then the exchanges, then the lanes, all while the entry is there. Besides, a request could come while the instance list was told that the router leaves, and was cut off by the exit: the router now looks again after that answer.

http_server_test.cpp, "a server that is taken down hands on no request", sees two requests instead of one without the change.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -59,6 +59,7 @@
 
     ~mhd_server() override
     {
+        is_closing_ = true;
         if (acceptor_)
         {
             acceptor_->stop();
@@ -262,6 +263,10 @@
                                 void** seen)
     {
         auto* server = static_cast<mhd_server*>(self);
+        if (server->is_closing_)
+        {
+            return MHD_NO;
+        }
         const std::shared_ptr<mhd_exchange> exchange = connection_of(raw)->current;
         if (*seen == nullptr)
         {
@@ -367,6 +372,7 @@
     std::unique_ptr<tcp_acceptor> acceptor_; // the last part to start
     std::size_t in_flight_ = 0;
     bool is_run_posted_ = false;
+    bool is_closing_ = false; // requests that come now are not handed on
     watch_handle daemon_readable_;
     timer_handle timeout_;
     std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true); // posts look
--- a/net/testing/http_server_test.cpp
+++ b/net/testing/http_server_test.cpp
@@ -297,3 +297,15 @@
         CHECK(net.handler.seen.size() == 1);
     }
 }
+
+TEST_CASE("a server that is taken down hands on no request that comes meanwhile")
+{
+    loop_fixture net;
+    raw_peer peer(net.server->bound());
+    peer.send(get_request);
+    REQUIRE(net.read(peer, "\r\n\r\n").starts_with("HTTP/1.1 200"));
+    REQUIRE(net.handler.seen.size() == 1);
+    peer.send(get_request);
+    net.server.reset();
+    CHECK(net.handler.seen.size() == 1);
+}
--- a/router/router.cpp
+++ b/router/router.cpp
@@ -3,7 +3,9 @@
 #include "app/program.hpp"
 #include "core/ownership/record_keys.hpp"
 
+#include <algorithm>
 #include <csignal>
+#include <utility>
 
 namespace camphorrock
 {
@@ -48,9 +50,13 @@
 
 router::~router()
 {
-    // What calls back into the parts goes first.
+    // Whatever holds a request ends it while the entry is there: first the ports, which
+    // bring new ones, then the exchanges, then the lanes.
+    peer_server_.reset();
+    caller_server_.reset();
     http_.reset();
     control_http_.reset();
+    shards_.clear();
 }
 
 result<void> router::open()
@@ -238,15 +244,18 @@
                                });
 }
 
+bool router::is_idle() const
+{
+    return entry_->held() == 0 && caller_server_->in_flight() == 0 &&
+           std::all_of(shards_.begin(),
+                       shards_.end(),
+                       [](const auto& it) { return it.second->is_idle(); });
+}
+
 void router::finish_stop()
 {
-    bool is_done = entry_->held() == 0 && caller_server_->in_flight() == 0;
-    for (auto& [id, agent] : shards_)
-    {
-        is_done = is_done && agent->is_idle();
-    }
     time_point now = loop_->now();
-    if (!is_done)
+    if (!is_idle())
     {
         last_busy_ = now;
     }
@@ -255,9 +264,18 @@
     {
         return;
     }
-    stop_timer_.reset();
+    if (has_left_list_)
+    {
+        stop_timer_.reset();
+        loop_->stop();
+        return;
+    }
+    // Requests may come while the list is told; then the wait begins anew.
     list_timer_.reset();
-    instances_->leave(settings_.id, [this](bool) { loop_->stop(); });
+    if (!std::exchange(is_leaving_list_, true))
+    {
+        instances_->leave(settings_.id, [this](bool) { has_left_list_ = true; });
+    }
 }
 
 } // namespace camphorrock
--- a/router/router.hpp
+++ b/router/router.hpp
@@ -51,6 +51,7 @@
     void export_metrics();
     void enter_list(instance_state state);
     void stop();
+    bool is_idle() const;
     void finish_stop();
 
     router_settings settings_;
@@ -84,6 +85,8 @@
     time_point stop_by_;
     time_point last_busy_; // while stopping
     bool is_stopping_ = false;
+    bool is_leaving_list_ = false;
+    bool has_left_list_ = false;
 };
 
 } // namespace camphorrock
