A router refuses at once what it would forward to a silent scheduler

A request that cannot be served is to get its final answer at once.

Ruled out: judging by the age of the request, since a long request is no sign of silence, and by time alone, since a paused router would find all others silent.

Seen to fail: without the refusal the test in second_sending_test.cpp waits for ever (ended after 10 s). Passes with it.

--- a/router/forwarder.cpp
+++ b/router/forwarder.cpp
@@ -27,6 +27,12 @@
         request->refuse(refusal::deadline_passed);
         return;
     }
+    peers_.sent(to.peer);
+    if (peers_.is_silent(to.peer))
+    {
+        request->refuse(refusal::scheduler_unreachable, "silent");
+        return;
+    }
     exchange_options options;
     options.timeout = left + hop_allowance;
     bool needs_fresh = is_second || !request->id.empty();
@@ -54,6 +60,7 @@
     request->on_gone = nullptr;
     if (got.end == exchange_end::answered)
     {
+        peers_.heard(to.peer);
         request->pass_on(std::move(got.answer));
         return;
     }
--- a/router/forwarder.hpp
+++ b/router/forwarder.hpp
@@ -5,9 +5,11 @@
 //
 // A request whose hop ends without a whole answer is `not-run` only where no byte of it
 // left this router; otherwise it is `unknown`. A request that may be repeated is sent
-// once more where the first hop broke and a newer record names another scheduler.
+// once more where the first hop broke and a newer record names another scheduler. Where
+// the scheduler is silent, as peer_prober finds, a request is refused at once.
 
 #include "router/live_request.hpp"
+#include "router/peer_prober.hpp"
 #include "router/router_parts.hpp"
 
 namespace camphorrock
@@ -19,7 +21,7 @@
 class forwarder
 {
 public:
-    explicit forwarder(router_parts& parts) : parts_(parts) {}
+    explicit forwarder(router_parts& parts) : parts_(parts), peers_(parts) {}
 
     // Ends the request, now or later.
     void forward(const live_request_ptr& request, const route& to);
@@ -34,6 +36,7 @@
     http_request make_request(const live_request& request) const;
 
     router_parts& parts_;
+    peer_prober peers_;
 };
 
 } // namespace camphorrock
--- a/router/peer_port.cpp
+++ b/router/peer_port.cpp
@@ -35,6 +35,9 @@
     rpc_.add("shard.update",
              [this](const Json::Value& params) { return update(params); });
     rpc_.add("config.get", [this](const Json::Value&) { return get_config(); });
+    rpc_.add("peer.ping",
+             [](const Json::Value&) -> result<Json::Value>
+             { return Json::Value(Json::objectValue); });
 }
 
 void peer_port::handle(http_request request, std::shared_ptr<http_responder> responder)
--- a/router/testing/second_sending_test.cpp
+++ b/router/testing/second_sending_test.cpp
@@ -8,6 +8,8 @@
 #include "testing/test_headers.hpp"
 
 #include <algorithm>
+#include <memory>
+#include <vector>
 
 using namespace camphorrock;
 using namespace camphorrock::testing;
@@ -213,6 +215,34 @@
     }
 }
 
+TEST_CASE("a scheduler that has gone silent makes the entry router refuse at once")
+{
+    std::vector<std::unique_ptr<request_end>> ends;
+    parts_fixture fixture;
+    raw_listener silent;
+    server_entry server{
+        owner, endpoint("127.0.0.1:1"), true, instance_id("r2"), silent.bound(), since};
+    shard_record record = record_of(server);
+    fixture.routes.offer(record);
+    forwarder sender(fixture.parts);
+    const route to = fixture.routes.find(record.shard, asked_hash);
+    auto ask = [&]
+    {
+        ends.push_back(std::make_unique<request_end>());
+        sender.forward(fixture.make_request(asked_hash, patience, *ends.back()), to);
+        return ends.back()->is_ended;
+    };
+
+    THEN("what it has is waited for, and what comes later was not run")
+    {
+        CHECK_FALSE(ask());
+        fixture.run_until(ask);
+        CHECK(ends.back()->summary.told == outcome::not_run);
+        CHECK(ends.back()->summary.why == refusal::scheduler_unreachable);
+        CHECK_FALSE(ends.front()->is_ended);
+    }
+}
+
 TEST_CASE("a lost scheduler makes the entry router forward a request again")
 {
     parts_fixture fixture;
