--- a/router/shard_agent.cpp
+++ b/router/shard_agent.cpp
@@ -18,9 +18,6 @@
                                    "1 while a majority vouches for this router."};
 const metric_name ids_metric{"camphorrock_remembered_ids",
                              "Ids of unrepeatable requests held in memory."};
-const metric_name in_flight_metric{"camphorrock_in_flight", "Requests at a server."};
-const metric_name waiting_metric{"camphorrock_waiting",
-                                 "Requests that wait for a server."};
 
 // Rounds that are not the authority's own have numbers that it never uses.
 constexpr std::uint64_t first_own_round = std::uint64_t(1) << 62;
@@ -58,7 +55,7 @@
               [this](const endpoint& address, time_point sent_before)
               { connections_silent(address, sent_before); }),
       reporter_(parts, config, shard_), load_({}),
-      connections_(parts.http, parts.control_http)
+      lanes_(parts, authority_, load_, shard_)
 {
     request_time_.set(service.max_request, parts_.loop.now());
     update_request_time();
@@ -83,8 +80,6 @@
     read_timer_.reset();
     once_.release_all();
     lanes_.clear();
-    lanes_version_ = {};
-    limit_connections();
 }
 
 void shard_agent::configure(const service_config& service, const fleet_config& fleet)
@@ -96,7 +91,6 @@
         once_.set_authority(authority_.authority_until());
         once_.record_changed(*authority_.record());
     }
-    bool has_other_slots = service.slots_per_server != service_.slots_per_server;
     service_ = service;
     request_time_.set(service.max_request, parts_.loop.now());
     update_request_time();
@@ -105,34 +99,7 @@
     {
         start();
     }
-    update_lanes();
-    if (has_other_slots)
-    {
-        set_slots();
-    }
-    limit_connections();
-}
-
-void shard_agent::set_slots()
-{
-    for (auto& [id, lane] : lanes_)
-    {
-        lane->set_slots(service_.slots_per_server);
-    }
-}
-
-void shard_agent::limit_connections()
-{
-    std::set<endpoint> servers;
-    for (const auto& [id, lane] : lanes_)
-    {
-        const server_entry* server = find_server(*authority_.record(), id);
-        if (server != nullptr)
-        {
-            servers.insert(server->address);
-        }
-    }
-    connections_.update(service_, servers);
+    lanes_.configure(service);
 }
 
 void shard_agent::submit(const live_request_ptr& request)
@@ -177,7 +144,7 @@
 {
     std::optional<request_permit> permit =
         authority_.permit(request->target.hash, parts_.loop.now());
-    server_lane* lane = permit ? lane_of(permit->server) : nullptr;
+    server_lane* lane = permit ? lanes_.find(permit->server) : nullptr;
     if (lane == nullptr)
     {
         done({lane_verdict::not_run, {}, {refusal::no_authority, {}, {}}});
@@ -189,7 +156,7 @@
     {
         request->on_gone = [this, server, id]
         {
-            if (server_lane* it = lane_of(server))
+            if (server_lane* it = lanes_.find(server))
             {
                 it->withdraw(id);
             }
@@ -219,11 +186,7 @@
 
 bool shard_agent::is_drained() const
 {
-    return once_.is_idle() &&
-           std::all_of(lanes_.begin(),
-                       lanes_.end(),
-                       [](const auto& it)
-                       { return it.second->waiting() + it.second->in_flight() == 0; });
+    return once_.is_idle() && lanes_.is_idle();
 }
 
 bool shard_agent::is_idle() const
@@ -308,14 +271,7 @@
         .set(authority_.holds_authority(parts_.loop.now()) ? 1 : 0);
     parts_.metrics.get_gauge(ids_metric, {{"shard", shard}})
         .set(static_cast<double>(once_.remembered_ids()));
-    for (const auto& [id, lane] : lanes_)
-    {
-        metric_labels labels{{"shard", shard}, {"server", id.str()}};
-        parts_.metrics.get_gauge(in_flight_metric, labels)
-            .set(static_cast<double>(lane->in_flight()));
-        parts_.metrics.get_gauge(waiting_metric, labels)
-            .set(static_cast<double>(lane->waiting()));
-    }
+    lanes_.export_metrics();
 }
 
 void shard_agent::read_record()
@@ -386,7 +342,7 @@
         once_.record_changed(*record);
         measure_partitions(*record);
     }
-    update_lanes();
+    lanes_.record_changed();
 }
 
 // Only routers that schedule servers write to journals.
@@ -411,62 +367,6 @@
     load_.set_partitions(ranges, parts_.loop.now());
 }
 
-void shard_agent::update_lanes()
-{
-    const std::optional<shard_record>& record = authority_.record();
-    bool is_current = record && record->version == lanes_version_;
-    if (!record || is_current || service_.name.empty())
-    {
-        return;
-    }
-    lanes_version_ = record->version;
-    drop_idle_lanes(*record);
-    for (const server_entry& it : record->servers)
-    {
-        bool is_ours = it.scheduler == parts_.settings.id;
-        bool is_new = is_ours && lanes_.count(it.id) == 0;
-        if (!is_new)
-        {
-            continue;
-        }
-        value_or_handle(
-            [&]() -> result<void>
-            {
-                BOOST_LEAF_AUTO(
-                    lane,
-                    server_lane::create(
-                        parts_, authority_, load_, it.id, service_.slots_per_server));
-                lanes_.emplace(it.id, std::move(lane));
-                return {};
-            },
-            [&](const error& ec) {
-                parts_.log.write(event_id::lane_failed,
-                                 {{"server", it.id}, {"fault", ec.text}});
-            });
-    }
-    limit_connections();
-}
-
-void shard_agent::drop_idle_lanes(const shard_record& record)
-{
-    std::erase_if(lanes_,
-                  [&](const auto& it)
-                  {
-                      const server_entry* server = find_server(record, it.first);
-                      bool is_ours =
-                          server != nullptr && server->scheduler == parts_.settings.id;
-                      bool is_idle =
-                          it.second->waiting() == 0 && it.second->in_flight() == 0;
-                      return !is_ours && is_idle;
-                  });
-}
-
-server_lane* shard_agent::lane_of(const server_id& server)
-{
-    auto it = lanes_.find(server);
-    return it == lanes_.end() ? nullptr : it->second.get();
-}
-
 void shard_agent::carry_out(const scheduler_actions& actions)
 {
     for (const scheduler_action& action : actions)
@@ -566,15 +466,7 @@
 {
     parts_.http.drop_connections(address);
     parts_.rpc.drop_connections(address);
-    const std::optional<shard_record>& record = authority_.record();
-    for (const auto& [id, lane] : lanes_)
-    {
-        const server_entry* server = record ? find_server(*record, id) : nullptr;
-        if (server != nullptr && server->address == address)
-        {
-            lane->resend(sent_before);
-        }
-    }
+    lanes_.resend(address, sent_before);
 }
 
 void shard_agent::carry_out(const send_report& action)
@@ -582,7 +474,7 @@
     std::vector<server_status> servers;
     for (const server_observation& it : action.report.servers)
     {
-        servers.push_back(make_server_status(it));
+        servers.push_back(lanes_.take_status(it));
     }
     std::vector<partition_traffic> load;
     if (reporter_.take_load_turn())
@@ -608,23 +500,6 @@
     return made;
 }
 
-server_status shard_agent::make_server_status(const server_observation& observed)
-{
-    server_status made;
-    made.id = observed.id;
-    made.condition = observed.condition;
-    if (server_lane* lane = lane_of(observed.id))
-    {
-        lane_figures figures = lane->take_figures();
-        made.in_flight = lane->in_flight();
-        made.queued = lane->waiting();
-        made.answered = figures.answered;
-        made.shed = figures.shed;
-        made.slot_time = figures.slot_time;
-    }
-    return made;
-}
-
 void shard_agent::carry_out(const fetch_record&)
 {
     read_record();
--- a/router/shard_agent.hpp
+++ b/router/shard_agent.hpp
@@ -15,13 +15,11 @@
 #include "router/once_agent.hpp"
 #include "router/ownership_caller.hpp"
 #include "router/router_parts.hpp"
-#include "router/server_connections.hpp"
-#include "router/server_lane.hpp"
+#include "router/server_lanes.hpp"
 #include "router/shard_reporter.hpp"
 #include "router/voter_round.hpp"
 #include "store/config_agent.hpp"
 
-#include <map>
 #include <memory>
 
 namespace camphorrock
@@ -76,7 +74,6 @@
     void update_request_time();
     void note_authority();
     void ask_voters();
-    void drop_idle_lanes(const shard_record& record);
     void read_record();
     void took_record();
     void carry_out(const scheduler_actions& actions);
@@ -94,13 +91,8 @@
                       const ownership_end& end);
     void connections_silent(const endpoint& address, time_point sent_before);
     std::vector<partition_traffic> make_traffic() const;
-    server_status make_server_status(const server_observation& observed);
     void share_journal_writes();
     void measure_partitions(const shard_record& record);
-    void update_lanes();
-    void set_slots();
-    void limit_connections();
-    server_lane* lane_of(const server_id& server);
     void submit_once(const live_request_ptr& request);
     void run(const live_request_ptr& request, server_lane::callback done);
 
@@ -115,10 +107,8 @@
     ownership_caller caller_;
     shard_reporter reporter_;
     partition_load load_; // slot seconds of the partitions of its servers
-    std::map<server_id, std::unique_ptr<server_lane>> lanes_;
-    server_connections connections_;
+    server_lanes lanes_;
     bool is_reading_ = false;
-    epoch lanes_version_;
     voter_round round_; // of configuration versions
     bool had_authority_ = false;
     bool is_removed_ = false;
--- a/router/testing/ownership_caller_test.cpp
+++ b/router/testing/ownership_caller_test.cpp
@@ -1,9 +1,9 @@
 // What the end of an ownership call says of the server's process and connections.
 
 #include "codec/messages_json.hpp"
-#include "net/testing/raw_listener.hpp"
 #include "router/ownership_caller.hpp"
 #include "router/testing/parts_fixture.hpp"
+#include "router/testing/take_request.hpp"
 #include "testing/test_headers.hpp"
 
 #include <vector>
@@ -27,21 +27,6 @@
            "\r\n\r\n" + text;
 }
 
-// Waits for a connection on which the head of a message has come.
-std::unique_ptr<raw_peer> take_message(parts_fixture& fixture, raw_listener& listener)
-{
-    std::unique_ptr<raw_peer> peer;
-    std::string got;
-    fixture.run_until(
-        [&]
-        {
-            peer = peer ? std::move(peer) : listener.accept();
-            got += peer ? peer->read_some() : "";
-            return got.find("\r\n\r\n") != std::string::npos;
-        });
-    return peer;
-}
-
 } // namespace
 
 TEST_CASE("an ownership message that is not answered goes out on a new connection")
@@ -58,7 +43,7 @@
     const time_point begun = fixture.loop->now();
     caller.clock(listener.bound(),
                  [&](const ownership_end& end) { ends.push_back(end); });
-    std::unique_ptr<raw_peer> first = take_message(fixture, listener);
+    std::unique_ptr<raw_peer> first = take_request(fixture, listener);
 
     WHEN("the first connection answers")
     {
@@ -74,7 +59,7 @@
 
     WHEN("only the new one answers")
     {
-        std::unique_ptr<raw_peer> second = take_message(fixture, listener);
+        std::unique_ptr<raw_peer> second = take_request(fixture, listener);
         CHECK(ends.empty());
         second->send(clock_answer_to(2));
         fixture.run_until([&] { return !silent.empty(); });
@@ -90,7 +75,7 @@
 
     WHEN("the server paused, and both answer at once")
     {
-        std::unique_ptr<raw_peer> second = take_message(fixture, listener);
+        std::unique_ptr<raw_peer> second = take_request(fixture, listener);
         second->send(clock_answer_to(2));
         first->send(clock_answer_to(1));
         bool is_passed = false;
@@ -108,7 +93,7 @@
 
     WHEN("neither answers")
     {
-        std::unique_ptr<raw_peer> second = take_message(fixture, listener);
+        std::unique_ptr<raw_peer> second = take_request(fixture, listener);
         fixture.run_until([&] { return !ends.empty(); });
 
         THEN("the call ends once, without an answer")
--- a/router/testing/second_sending_test.cpp
+++ b/router/testing/second_sending_test.cpp
@@ -1,10 +1,10 @@
 // A repeatable request that the router itself sends twice: what the second sending comes
 // to is no proof that the first one did not run.
 
-#include "net/testing/raw_listener.hpp"
 #include "router/forwarder.hpp"
 #include "router/server_lane.hpp"
 #include "router/testing/parts_fixture.hpp"
+#include "router/testing/take_request.hpp"
 #include "testing/test_headers.hpp"
 
 #include <algorithm>
@@ -110,21 +110,6 @@
     }
 };
 
-// Waits for a connection on which the whole head of a request has come.
-std::unique_ptr<raw_peer> take_request(parts_fixture& fixture, raw_listener& listener)
-{
-    std::unique_ptr<raw_peer> peer;
-    std::string got;
-    fixture.run_until(
-        [&]
-        {
-            peer = peer ? std::move(peer) : listener.accept();
-            got += peer ? peer->read_some() : "";
-            return got.find("\r\n\r\n") != std::string::npos;
-        });
-    return peer;
-}
-
 } // namespace
 
 TEST_CASE("a server's silence makes the scheduler send a request again")
