One type for how a call of the store ended

core/once, core/assignment, core/config and store/ each had the same four ends, and three functions mapped one onto the other. They share core/base/store_end.hpp now. No behaviour changes; core, store, router and assigner tests pass.

--- a/assigner/patch_job.cpp
+++ b/assigner/patch_job.cpp
@@ -10,22 +10,6 @@
 namespace
 {
 
-patch_swap_end swap_end_of(store_end end)
-{
-    switch (end)
-    {
-    case store_end::done:
-        return patch_swap_end::done;
-    case store_end::conflict:
-        return patch_swap_end::conflict;
-    case store_end::failed:
-        return patch_swap_end::failed;
-    case store_end::unknown:
-        return patch_swap_end::unknown;
-    }
-    return patch_swap_end::unknown;
-}
-
 } // namespace
 
 void patch_job::start(assigner_parts& parts,
@@ -117,7 +101,7 @@
                 configuration_text(next),
                 store_lease{},
                 [self = shared_from_this()](const store_write& got)
-                { self->carry_out(self->patcher_.on_swap(swap_end_of(got.end))); });
+                { self->carry_out(self->patcher_.on_swap(got.end)); });
             return {};
         },
         [&](const error& ec) {
--- a/assigner/shard_desk.cpp
+++ b/assigner/shard_desk.cpp
@@ -26,22 +26,6 @@
     return view;
 }
 
-write_end end_of(store_end end)
-{
-    switch (end)
-    {
-    case store_end::done:
-        return write_end::done;
-    case store_end::conflict:
-        return write_end::conflict;
-    case store_end::failed:
-        return write_end::failed;
-    case store_end::unknown:
-        return write_end::unknown;
-    }
-    return write_end::unknown;
-}
-
 shard_report report_of(const report_params& report, const shard_status& status)
 {
     shard_report made;
@@ -243,7 +227,7 @@
                          {{"shard", shard_}, {"epoch", version}});
     }
     controller_actions actions;
-    controller_.write_ended(end_of(got.end), parts_.loop.now(), actions);
+    controller_.write_ended(got.end, parts_.loop.now(), actions);
     log_changes();
     carry_out(actions);
 }
--- a/core/assignment/shard_controller.cpp
+++ b/core/assignment/shard_controller.cpp
@@ -88,7 +88,7 @@
     }
 }
 
-void shard_controller::write_ended(write_end end,
+void shard_controller::write_ended(store_end end,
                                    time_point now,
                                    controller_actions& actions)
 {
@@ -97,7 +97,7 @@
         return;
     }
     call_ = store_call::none;
-    if (end == write_end::done)
+    if (end == store_end::done)
     {
         adopt(*written_, now);
         keep_changes(written_changes_);
@@ -107,7 +107,7 @@
         // What the store holds now decides; a write without an answer may be there, may
         // come yet, or never.
         needs_read_ = true;
-        store_due_ = end == write_end::conflict ? now : now + options_.store_retry;
+        store_due_ = end == store_end::conflict ? now : now + options_.store_retry;
     }
     written_.reset();
     drive(now, actions);
--- a/core/assignment/shard_controller.hpp
+++ b/core/assignment/shard_controller.hpp
@@ -29,6 +29,7 @@
 #include "core/assignment/planner_memory.hpp"
 #include "core/assignment/router_table.hpp"
 #include "core/assignment/service_view.hpp"
+#include "core/base/store_end.hpp"
 #include "core/ownership/shard_report.hpp"
 
 #include <deque>
@@ -38,15 +39,6 @@
 namespace camphorrock
 {
 
-// How a write_record ended.
-enum class write_end
-{
-    done,
-    conflict, // the store has another version
-    failed,   // it had no effect
-    unknown,  // it may take effect, now or later
-};
-
 class shard_controller
 {
 public:
@@ -67,7 +59,7 @@
                      time_point now,
                      controller_actions& actions);
     void read_failed(time_point now);
-    void write_ended(write_end end, time_point now, controller_actions& actions);
+    void write_ended(store_end end, time_point now, controller_actions& actions);
 
     void reported(const router_instance& router,
                   const shard_report& report,
--- a/core/config/config_patcher.cpp
+++ b/core/config/config_patcher.cpp
@@ -66,18 +66,18 @@
     return {patch_step::swap, {}, {}};
 }
 
-patch_action config_patcher::on_swap(patch_swap_end end)
+patch_action config_patcher::on_swap(store_end end)
 {
     switch (end)
     {
-    case patch_swap_end::done:
+    case store_end::done:
         return answer(patch_end::accepted, next(request_.base));
-    case patch_swap_end::failed:
+    case store_end::failed:
         return give_up();
-    case patch_swap_end::unknown:
+    case store_end::unknown:
         may_have_applied_ = true;
         break;
-    case patch_swap_end::conflict:
+    case store_end::conflict:
         break;
     }
     return {patch_step::read, {}, {}};
--- a/core/config/config_patcher.hpp
+++ b/core/config/config_patcher.hpp
@@ -6,7 +6,7 @@
 //     config_patcher patcher({id, base}, {});
 //     patch_action next = patcher.start();           // read the document
 //     next = patcher.on_read(&document);             // swap, or answer
-//     next = patcher.on_swap(patch_swap_end::unknown); // read back
+//     next = patcher.on_swap(store_end::unknown); // read back
 //
 // A swap writes next_configuration() by compare-and-swap at the revision that was read.
 //
@@ -16,6 +16,7 @@
 // version went on without it, it never can; if the version is still the base, the same
 // swap is sent again, of which at most one can succeed.
 
+#include "core/base/store_end.hpp"
 #include "core/config/configuration.hpp"
 
 #include <optional>
@@ -58,14 +59,6 @@
     bool operator==(const patch_action&) const = default;
 };
 
-enum class patch_swap_end
-{
-    done,
-    conflict, // the document had another revision
-    failed,   // it had no effect
-    unknown,  // it may have taken effect
-};
-
 struct config_patcher_options
 {
     unsigned max_swaps = 5; // further ones end in `unavailable` or `unknown`
@@ -84,7 +77,7 @@
     // `current` is the document that the store has, null where it could not be read.
     patch_action on_read(const configuration* current);
 
-    patch_action on_swap(patch_swap_end end);
+    patch_action on_swap(store_end end);
 
 private:
     patch_action answer(patch_end end, config_version version = {}) const;
--- a/core/config/testing/config_fuzz_test.cpp
+++ b/core/config/testing/config_fuzz_test.cpp
@@ -89,24 +89,24 @@
         }
     }
 
-    patch_swap_end write(const operator_patch& it, unsigned fault)
+    store_end write(const operator_patch& it, unsigned fault)
     {
         pending_swap todo{it.seen.version, next_configuration(it.seen, {}, it.request)};
         if (fault == 3)
         {
             delayed.push_back(todo);
-            return patch_swap_end::unknown;
+            return store_end::unknown;
         }
         if (fault == 1)
         {
-            return patch_swap_end::failed;
+            return store_end::failed;
         }
         bool is_done = swap(todo);
         if (fault == 2)
         {
-            return patch_swap_end::unknown;
+            return store_end::unknown;
         }
-        return is_done ? patch_swap_end::done : patch_swap_end::conflict;
+        return is_done ? store_end::done : store_end::conflict;
     }
 
     // What the operator knows after this answer: after `unknown`, only an answer about
--- a/core/once/journal_writer.cpp
+++ b/core/once/journal_writer.cpp
@@ -267,25 +267,25 @@
 }
 
 batch_report
-journal_writer::on_append(time_point now, std::uint64_t number, append_end end)
+journal_writer::on_append(time_point now, std::uint64_t number, store_end end)
 {
     if (step_ != step::sent || number != number_)
     {
         is_answer_due_ = false;
         return {};
     }
-    if (end == append_end::done)
+    if (end == store_end::done)
     {
         backoff_.on_success();
         return end_batch(batch_end::written);
     }
-    if (end == append_end::conflict)
+    if (end == store_end::conflict)
     {
         step_ = step::read;
         return {};
     }
     backoff_.on_failure(now);
-    may_be_written_ = may_be_written_ || end == append_end::unknown;
+    may_be_written_ = may_be_written_ || end == store_end::unknown;
     if (!may_be_written_)
     {
         return end_batch(batch_end::not_written);
--- a/core/once/journal_writer.hpp
+++ b/core/once/journal_writer.hpp
@@ -65,7 +65,7 @@
     // The call to make now, if one is due: an append_action or a read_batch_action.
     std::optional<once_action> poll(time_point now);
 
-    batch_report on_append(time_point now, std::uint64_t number, append_end end);
+    batch_report on_append(time_point now, std::uint64_t number, store_end end);
     batch_report on_batch_read(time_point now,
                                std::uint64_t number,
                                bool is_read,
--- a/core/once/once_actions.hpp
+++ b/core/once/once_actions.hpp
@@ -4,6 +4,7 @@
 
 #include "core/base/epoch.hpp"
 #include "core/base/outcome.hpp"
+#include "core/base/store_end.hpp"
 #include "core/base/time.hpp"
 #include "core/once/journal_batch.hpp"
 
@@ -107,13 +108,4 @@
                                  answer_action,
                                  released_action>;
 
-// How a call to the store ended.
-enum class append_end
-{
-    done,
-    conflict, // the key exists
-    failed,   // it had no effect
-    unknown,  // it may have taken effect, or may still
-};
-
 } // namespace camphorrock
--- a/core/once/once_gate.hpp
+++ b/core/once/once_gate.hpp
@@ -8,7 +8,7 @@
 //     gate.take_over(now, range, epoch{7});
 //     gate.arrive(now, request);
 //     for (once_action& it : gate.take_actions()) ...   // carry out
-//     gate.on_append(now, number, append_end::done);    // report what came of it
+//     gate.on_append(now, number, store_end::done);    // report what came of it
 //
 // After each call the program carries out take_actions() and calls tick() at next_tick().
 // Every append, read, load, fence and run action is answered by exactly one call.
@@ -90,7 +90,7 @@
     // server itself.
     void on_finished(time_point now, run_id run, once_result result);
 
-    void on_append(time_point now, std::uint64_t number, append_end end);
+    void on_append(time_point now, std::uint64_t number, store_end end);
     void on_batch_read(time_point now,
                        std::uint64_t number,
                        bool is_read,
@@ -101,7 +101,7 @@
     void on_fence(time_point now,
                   const instance_id& router,
                   std::uint64_t number,
-                  append_end end);
+                  store_end end);
 
     void tick(time_point now);
 
--- a/core/once/once_gate_claims.cpp
+++ b/core/once/once_gate_claims.cpp
@@ -250,7 +250,7 @@
 void once_gate::on_fence(time_point now,
                          const instance_id& router,
                          std::uint64_t number,
-                         append_end end)
+                         store_end end)
 {
     begin(now);
     auto found = std::find_if(fences_.begin(),
@@ -261,7 +261,7 @@
     {
         return;
     }
-    if (end == append_end::done)
+    if (end == store_end::done)
     {
         view_.apply({router, number, std::move(found->batch)});
     }
@@ -269,7 +269,7 @@
     {
         is_fence_lost_ = true;
     }
-    if (end == append_end::failed || end == append_end::unknown)
+    if (end == store_end::failed || end == store_end::unknown)
     {
         load_backoff_.on_failure(now);
     }
--- a/core/once/once_gate_journal.cpp
+++ b/core/once/once_gate_journal.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-void once_gate::on_append(time_point now, std::uint64_t number, append_end end)
+void once_gate::on_append(time_point now, std::uint64_t number, store_end end)
 {
     begin(now);
     on_report(now, writer_.on_append(now, number, end));
--- a/core/once/testing/once_bench_test.cpp
+++ b/core/once/testing/once_bench_test.cpp
@@ -62,7 +62,7 @@
         if (auto* append = std::get_if<append_action>(&action))
         {
             stored.push_back({instance_id("r1"), append->number, append->batch});
-            gate.on_append(now, append->number, append_end::done);
+            gate.on_append(now, append->number, store_end::done);
         }
         else if (auto* run = std::get_if<run_action>(&action))
         {
--- a/core/once/testing/once_fuzz_test.cpp
+++ b/core/once/testing/once_fuzz_test.cpp
@@ -22,7 +22,7 @@
 {
     unsigned kind = draw % 64;
     unsigned arg = draw / 64;
-    constexpr append_end ends[] = {append_end::failed, append_end::unknown};
+    constexpr store_end ends[] = {store_end::failed, store_end::unknown};
     constexpr outcome outcomes[] = {outcome::ran, outcome::not_run, outcome::unknown};
     if (kind < 16)
     {
@@ -32,7 +32,7 @@
     }
     else if (kind < 38)
     {
-        world.end_call(arg, append_end::done, false);
+        world.end_call(arg, store_end::done, false);
     }
     else if (kind < 42)
     {
--- a/core/once/testing/once_gate_test.cpp
+++ b/core/once/testing/once_gate_test.cpp
@@ -43,7 +43,7 @@
     }
 
     // Ends every append with `end`, and every load with an empty shard.
-    void settle(append_end end = append_end::done)
+    void settle(store_end end = store_end::done)
     {
         for (unsigned n = 0; n < 4; ++n)
         {
@@ -176,7 +176,7 @@
 
         WHEN("the journal's reply is lost")
         {
-            it.settle(append_end::unknown);
+            it.settle(store_end::unknown);
 
             THEN("it is refused at once, and the same batch is written again")
             {
@@ -250,7 +250,7 @@
     options.servers_deduplicate = true;
     single_gate it(options);
     it.arrive("a");
-    it.gate.on_append(it.now, it.appends.back().number, append_end::failed);
+    it.gate.on_append(it.now, it.appends.back().number, store_end::failed);
     it.arrive("b");
     REQUIRE(it.runs.size() == 1);
     it.finish("done");
@@ -329,7 +329,7 @@
         settings.servers_deduplicate = true;
         it.gate.change_settings(it.now, settings);
         it.arrive("a");
-        it.gate.on_append(it.now, it.appends.back().number, append_end::failed);
+        it.gate.on_append(it.now, it.appends.back().number, store_end::failed);
         it.runs.clear();
         it.arrive("b");
 
--- a/core/once/testing/once_world.cpp
+++ b/core/once/testing/once_world.cpp
@@ -228,26 +228,26 @@
     return is_new;
 }
 
-append_end once_world::write(const late_write& it, append_end end, bool is_late)
+store_end once_world::write(const late_write& it, store_end end, bool is_late)
 {
-    if (end == append_end::failed)
+    if (end == store_end::failed)
     {
         return end;
     }
-    if (end == append_end::unknown && is_late)
+    if (end == store_end::unknown && is_late)
     {
         late_.push_back(it);
         return end;
     }
     bool is_new = store(it);
-    if (end == append_end::unknown)
+    if (end == store_end::unknown)
     {
         return end;
     }
-    return is_new ? append_end::done : append_end::conflict;
+    return is_new ? store_end::done : store_end::conflict;
 }
 
-void once_world::end_call(unsigned draw, append_end end, bool is_late)
+void once_world::end_call(unsigned draw, store_end end, bool is_late)
 {
     if (calls_.empty())
     {
@@ -262,7 +262,7 @@
     duration retention = routers_[call.router].retention;
     if (const auto* it = std::get_if<append_action>(&call.what))
     {
-        append_end got =
+        store_end got =
             write({self, it->number, it->batch, now_, retention}, end, is_late);
         if (is_heard)
         {
@@ -271,7 +271,7 @@
     }
     else if (const auto* it = std::get_if<fence_action>(&call.what))
     {
-        append_end got =
+        store_end got =
             write({it->router, it->number, it->batch, now_, retention}, end, is_late);
         if (is_heard)
         {
@@ -285,12 +285,12 @@
         bool is_there = found != journal.end();
         gate.on_batch_read(now_,
                            it->number,
-                           end == append_end::done,
+                           end == store_end::done,
                            is_there ? std::optional(found->second.batch) : std::nullopt);
     }
     else if (std::holds_alternative<load_action>(call.what) && is_heard)
     {
-        bool is_read = end == append_end::done;
+        bool is_read = end == store_end::done;
         if (is_read && load_page(call.loaded))
         {
             calls_.push_back(std::move(call));
@@ -400,7 +400,7 @@
         {
             land(0);
         }
-        end_call(0, append_end::done, false);
+        end_call(0, store_end::done, false);
         end_run(0, outcome::ran);
         pass_time(milliseconds(50));
     }
--- a/core/once/testing/once_world.hpp
+++ b/core/once/testing/once_world.hpp
@@ -42,7 +42,7 @@
 
     // One open call of a router to the store ends so. `unknown` with `is_late`: it takes
     // effect at some later land().
-    void end_call(unsigned draw, append_end end, bool is_late);
+    void end_call(unsigned draw, store_end end, bool is_late);
     void land(unsigned draw);
 
     // One open run: the server runs it, refuses it, or its answer is lost.
@@ -117,7 +117,7 @@
     void drain(unsigned router);
     void take(unsigned router, once_action action);
     void told(const answer_action& it);
-    append_end write(const late_write& it, append_end end, bool is_late);
+    store_end write(const late_write& it, store_end end, bool is_late);
     bool store(const late_write& it);
     bool load_page(std::vector<stored_batch>& loaded) const;
     bool is_remembered(const once_key& key) const;
--- a/core/once/testing/write_budget_test.cpp
+++ b/core/once/testing/write_budget_test.cpp
@@ -272,7 +272,7 @@
         {
             pending it = calls.front();
             calls.pop_front();
-            gates[it.gate]->on_append(now, it.number, append_end::done);
+            gates[it.gate]->on_append(now, it.number, store_end::done);
             collect(it.gate);
         }
         for (std::size_t n = 0; n < gates.size(); ++n)
@@ -490,19 +490,19 @@
     SECTION("the fence of a predecessor")
     {
         claimed_entry claim{hash_range(), epoch{1}};
-        it.gate->on_append(it.now, number, append_end::done);
+        it.gate->on_append(it.now, number, store_end::done);
         REQUIRE(it.take<load_action>());
         it.gate->on_loaded(it.now, true, {{instance_id("r2"), 1, {9, {claim}}}});
         std::optional<fence_action> fence = it.take<fence_action>();
         REQUIRE(fence); // at once
-        it.gate->on_fence(it.now, fence->router, fence->number, append_end::done);
+        it.gate->on_fence(it.now, fence->router, fence->number, store_end::done);
     }
     SECTION("a batch that is written again")
     {
-        it.gate->on_append(it.now, number, append_end::unknown);
+        it.gate->on_append(it.now, number, store_end::unknown);
         it.wait_until_next();
         REQUIRE(it.take<append_action>());
-        it.gate->on_append(it.now, number, append_end::done);
+        it.gate->on_append(it.now, number, store_end::done);
         REQUIRE(it.take<load_action>());
         it.gate->on_loaded(it.now, true, {});
     }
@@ -519,7 +519,7 @@
 {
     slow_gate it;
     time_point start = it.now;
-    it.gate->on_append(it.now, it.take<append_action>()->number, append_end::failed);
+    it.gate->on_append(it.now, it.take<append_action>()->number, store_end::failed);
     CHECK(it.budget.reserve(it.now).nominal == start + it.budget.interval());
 
     it.wait_until_next();
@@ -539,10 +539,10 @@
         it.wait_until_next();
         std::optional<append_action> append = it.take<append_action>();
         REQUIRE(append);
-        it.gate->on_append(it.now, append->number, append_end::done);
+        it.gate->on_append(it.now, append->number, store_end::done);
         return append->batch.entries;
     };
-    it.gate->on_append(it.now, it.take<append_action>()->number, append_end::done);
+    it.gate->on_append(it.now, it.take<append_action>()->number, store_end::done);
     REQUIRE(it.take<load_action>());
     it.gate->on_loaded(it.now, true, {});
 
--- a/core/ownership/testing/ownership_world.cpp
+++ b/core/ownership/testing/ownership_world.cpp
@@ -421,7 +421,7 @@
         }
         else if (const auto* write = std::get_if<write_record>(&action))
         {
-            auto ended = [=](write_end end)
+            auto ended = [=](store_end end)
             {
                 return then([=](auto& c, auto now, auto& more)
                             { c.write_ended(end, now, more); });
@@ -430,13 +430,13 @@
             {
                 if ((stored_ ? stored_->version : epoch{}) != write.expected)
                 {
-                    return ended(write_end::conflict);
+                    return ended(store_end::conflict);
                 }
                 stored_ = write.record;
                 oracle_.written(write.record);
-                return ended(write_end::done);
+                return ended(store_end::done);
             };
-            store_call(n, effect, ended(write_end::unknown));
+            store_call(n, effect, ended(store_end::unknown));
         }
         else if (const auto* send = std::get_if<send_record>(&action))
         {
--- a/router/once_agent.cpp
+++ b/router/once_agent.cpp
@@ -12,22 +12,6 @@
 namespace
 {
 
-append_end end_of(store_end end)
-{
-    switch (end)
-    {
-    case store_end::done:
-        return append_end::done;
-    case store_end::conflict:
-        return append_end::conflict;
-    case store_end::failed:
-        return append_end::failed;
-    case store_end::unknown:
-        return append_end::unknown;
-    }
-    return append_end::unknown;
-}
-
 // Two requests with one id must be the same in all of this.
 std::uint64_t fingerprint_of(const live_request& request)
 {
@@ -260,11 +244,11 @@
 void once_agent::create_batch(const instance_id& router,
                               std::uint64_t number,
                               const journal_batch& batch,
-                              std::function<void(append_end)> done)
+                              std::function<void(store_end)> done)
 {
     if (lease_.current().value == 0)
     {
-        parts_.loop.post([done = std::move(done)] { done(append_end::failed); });
+        parts_.loop.post([done = std::move(done)] { done(store_end::failed); });
         return;
     }
     parts_.store.compare_and_swap(journal_key(shard_, router, number),
@@ -272,7 +256,7 @@
                                   write_journal_batch(batch),
                                   lease_.current(),
                                   [done = std::move(done)](const store_write& got)
-                                  { done(end_of(got.end)); });
+                                  { done(got.end); });
 }
 
 void once_agent::carry_out(const append_action& action)
@@ -280,7 +264,7 @@
     create_batch(parts_.settings.id,
                  action.number,
                  action.batch,
-                 [this, number = action.number](append_end end)
+                 [this, number = action.number](store_end end)
                  {
                      gate_->on_append(parts_.loop.now(), number, end);
                      pump();
@@ -292,7 +276,7 @@
     create_batch(action.router,
                  action.number,
                  action.batch,
-                 [this, router = action.router, number = action.number](append_end end)
+                 [this, router = action.router, number = action.number](store_end end)
                  {
                      gate_->on_fence(parts_.loop.now(), router, number, end);
                      pump();
--- a/router/once_agent.hpp
+++ b/router/once_agent.hpp
@@ -87,7 +87,7 @@
     void create_batch(const instance_id& router,
                       std::uint64_t number,
                       const journal_batch& batch,
-                      std::function<void(append_end)> done);
+                      std::function<void(store_end)> done);
     void run_ended(run_id run, waiter_id waiter, const lane_end& end);
 
     router_parts& parts_;
--- a/store/store_client.hpp
+++ b/store/store_client.hpp
@@ -9,6 +9,7 @@
 
 #include "core/base/names.hpp"
 #include "core/base/result.hpp"
+#include "core/base/store_end.hpp"
 #include "core/base/time.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
@@ -46,14 +47,6 @@
     store_revision revision; // of the last write of this key
 };
 
-enum class store_end
-{
-    done,     // it took effect, or the read is complete
-    conflict, // compare-and-swap only: the key had another revision; see `current`
-    failed,   // it had no effect: not sent, or the store refused it
-    unknown,  // no answer: it may have taken effect
-};
-
 struct store_read
 {
     store_end end = store_end::failed;
