After a store outage journals were read a batch at a time

Cause: journal_reader halves its page at each failure, since a page may have been too large for an answer; in an outage all pages fail, so it came to pages of one batch, and only a whole reading set it back. The bound now doubles with each page that is read. New section of journal_reader_test.cpp: 1000 pages for 1000 batches before, at most 12 after.

--- a/router/journal_reader.cpp
+++ b/router/journal_reader.cpp
@@ -52,6 +52,7 @@
         max_limit_ = most_limit;
         return end(true);
     }
+    max_limit_ = std::min(2 * max_limit_, most_limit);
     page_.after = got.entries.back().key;
     size_next_page(got.entries);
     read_page();
--- a/router/journal_reader.hpp
+++ b/router/journal_reader.hpp
@@ -43,8 +43,9 @@
     callback done_;
     std::vector<stored_batch> batches_;
     store_page page_;
-    time_point asked_at_;       // for the page
-    std::size_t max_limit_ = 0; // halved by a page that could not be read
+    time_point asked_at_; // for the page
+    std::size_t max_limit_ =
+        0; // halved by a page that fails, doubled by one that does not
 };
 
 } // namespace camphorrock
--- a/router/testing/journal_reader_test.cpp
+++ b/router/testing/journal_reader_test.cpp
@@ -160,6 +160,26 @@
         CHECK(it.journals.asked.back().limit <= 4);
     }
 
+    SECTION("after a store outage the pages grow again")
+    {
+        constexpr int failures = 20;
+        for (int n = 0; n < failures; ++n)
+        {
+            it.read();
+            it.journals.fail();
+        }
+        for (std::uint64_t n = 0; n < 1000; ++n)
+        {
+            it.journals.add("r1", n, make_batch(n));
+        }
+        it.journals.asked.clear();
+        it.read();
+        it.answer_all();
+        CHECK(it.is_whole);
+        CHECK(it.batches.size() == 1000);
+        CHECK(it.journals.asked.size() <= 12);
+    }
+
     SECTION("a page that fails ends the reading; the next one asks for smaller pages")
     {
         for (std::uint64_t n = 0; n < 100; ++n)
