The once fuzz read past its map; found by the address sanitizer

Cause: RC_ASSERT evaluates both sides of ||, so the time of a run that the map does not hold was read from its end.

--- a/core/once/testing/once_world.cpp
+++ b/core/once/testing/once_world.cpp
@@ -350,8 +350,10 @@
     if (!it.is_executed && now_ - it.given <= retention_ / 2)
     {
         auto before = executed_.find(it.what.key);
-        RC_ASSERT(before == executed_.end() ||
-                  it.given - before->second > retention_); // at most once
+        // RC_ASSERT evaluates both sides of ||.
+        bool is_forgotten =
+            before == executed_.end() || it.given - before->second > retention_;
+        RC_ASSERT(is_forgotten); // at most once
         it.is_executed = true;
         executed_[it.what.key] = it.admitted;
         ++executions_;
