--- a/assigner/spread_job.cpp
+++ b/assigner/spread_job.cpp
@@ -1,8 +1,8 @@
 #include "assigner/spread_job.hpp"
 
-#include "codec/messages_json.hpp"
 #include "codec/shard_record_json.hpp"
 #include "core/ownership/record_keys.hpp"
+#include "net/rpc_answer.hpp"
 
 #include <utility>
 
@@ -101,18 +101,12 @@
         ask_timeout,
         [self = shared_from_this(), id = question.voter.id](const rpc_result& got)
         {
-            if (got.end != rpc_end::answered || !self->done_)
+            std::optional<vouch_answer> answer = read_answer<vouch_answer>(got);
+            if (!answer || !self->done_)
             {
                 return;
             }
-            value_or_handle(
-                [&]() -> result<void>
-                {
-                    BOOST_LEAF_AUTO(answer, read_message<vouch_answer>(got.value));
-                    self->spread_->answered(id, answer.config);
-                    return {};
-                },
-                [](const error&) {});
+            self->spread_->answered(id, answer->config);
             if (self->spread_->is_known())
             {
                 self->finish(true);
