A gateway that stops closes idle connections before it exits

After 2.6 s a stopping gateway accepts no more connections and closes those without a request; a request that crosses the closing is not handed on.

Test: net, "a server that closes its idle connections".

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -11,8 +11,9 @@
 {
 
 constexpr duration stop_check_period = milliseconds(50);
-// Clients' next requests on open connections still come for a while.
-constexpr duration shortest_stop = milliseconds(2500);
+// How long clients' next requests are still taken, so that the balancer in front can send
+// new clients elsewhere. What is taken by then can be answered before the exit.
+constexpr duration taking_time = milliseconds(2600);
 constexpr duration server_silence = milliseconds(1500);
 constexpr duration store_silence = milliseconds(3000);
 constexpr long connections_per_server = 24;
@@ -213,8 +214,13 @@
 void gateway::check_stopped()
 {
     const duration left = stop_by_ - loop_->now();
-    const bool is_early = left > settings_.stop_limit - shortest_stop;
-    const bool is_idle = client_server_->connections() == 0 && !is_early;
+    if (left > settings_.stop_limit - taking_time)
+    {
+        return;
+    }
+    client_server_->stop_accepting();
+    client_server_->close_idle();
+    const bool is_idle = client_server_->connections() == 0;
     const bool is_over = left <= duration::zero();
     if (is_idle || is_over)
     {
--- a/net/connection_table.cpp
+++ b/net/connection_table.cpp
@@ -49,6 +49,18 @@
     }
 }
 
+void connection_table::close_idle()
+{
+    for (auto& [number, it] : rows_)
+    {
+        if (!it->current && !it->is_closing)
+        {
+            it->is_closing = true;
+            shutdown(it->fd, SHUT_RDWR);
+        }
+    }
+}
+
 void connection_table::hung_up(std::uint64_t number)
 {
     auto it = rows_.find(number);
--- a/net/connection_table.hpp
+++ b/net/connection_table.hpp
@@ -22,6 +22,7 @@
     int fd = -1;
     std::shared_ptr<mhd_exchange> current; // from the request line to the whole answer
     bool is_hung_up = false;               // the other side has closed its half
+    bool is_closing = false;               // closed by this side while it was idle
 };
 
 class connection_table
@@ -46,6 +47,9 @@
     // Cuts every connection that carries a request, without telling its handler.
     void abort_all();
 
+    // Closes every connection that carries no request.
+    void close_idle();
+
 private:
     explicit connection_table(mhd_runner& server) : server_(server) {}
 
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -102,6 +102,11 @@
         closes_after_answers_ = true;
     }
 
+    void close_idle() override
+    {
+        connections_->close_idle();
+    }
+
     std::size_t in_flight() const override
     {
         return in_flight_;
@@ -268,7 +273,7 @@
                                 void** seen)
     {
         auto* server = static_cast<mhd_server*>(self);
-        if (server->is_closing_)
+        if (server->is_closing_ || connection_of(raw)->is_closing)
         {
             return MHD_NO;
         }
--- a/net/http_server.hpp
+++ b/net/http_server.hpp
@@ -89,6 +89,10 @@
     // From now on each answer closes its connection; new connections are still accepted.
     virtual void close_after_answers() = 0;
 
+    // Closes the connections that carry no request. A request that arrives there in the
+    // same moment is not handed on.
+    virtual void close_idle() = 0;
+
     // Requests whose answer has not been sent whole yet.
     virtual std::size_t in_flight() const = 0;
 
--- a/net/testing/http_server_test.cpp
+++ b/net/testing/http_server_test.cpp
@@ -309,3 +309,39 @@
     net.server.reset();
     CHECK(net.handler.seen.size() == 1);
 }
+
+TEST_CASE("a server that closes its idle connections")
+{
+    std::vector<std::shared_ptr<http_responder>> held;
+    loop_fixture net(
+        [&](const http_request& request, std::shared_ptr<http_responder> responder)
+        {
+            if (request.method == "POST")
+            {
+                held.push_back(std::move(responder));
+                return;
+            }
+            responder->respond({});
+        });
+    raw_peer idle(net.server->bound());
+    raw_peer busy(net.server->bound());
+    idle.send(get_request);
+    REQUIRE(net.read(idle, "\r\n\r\n").starts_with("HTTP/1.1 200"));
+    busy.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+    net.run_until([&] { return held.size() == 1; });
+
+    SECTION("ends those that carry no request, and lets the others be answered")
+    {
+        net.server->close_idle();
+        net.run_until([&] { return net.server->connections() == 1; });
+        held.front()->respond({});
+        CHECK(net.read(busy, "\r\n\r\n").starts_with("HTTP/1.1 200"));
+    }
+    SECTION("hands on no request that crosses the closing")
+    {
+        idle.send(get_request);
+        net.server->close_idle();
+        net.run_until([&] { return net.server->connections() == 1; });
+        CHECK(net.handler.seen.size() == 2);
+    }
+}
