--- a/core/gateway/key_assigner.cpp
+++ b/core/gateway/key_assigner.cpp
@@ -66,8 +66,9 @@
             return it;
         }
     }
-    services_.push_back({name, {}, key_load(), {}});
-    return services_.back();
+    keyed_service& made = services_.emplace_back();
+    made.name = name;
+    return made;
 }
 
 void key_assigner::add_load(const service_name& service, shard_key key, time_point now)
@@ -251,6 +252,7 @@
     case order_end::no_answer:
         it->is_silent = true;
         it->renew_at = now + (is_grant ? duration::zero() : release_pause);
+        it->unsure_until = is_grant ? it->held_until : it->unsure_until;
         break;
     }
 }
@@ -261,44 +263,76 @@
     {
         return true;
     }
-    return it.target && (it.is_released || now >= it.held_until);
+    const bool is_given_up = it.is_released && now >= it.unsure_until;
+    return it.target && (is_given_up || now >= it.held_until);
 }
 
-std::optional<key_assignment> key_assigner::next_record(time_point now)
+// A settled share can be joined with its neighbour into one grant.
+bool key_assigner::is_settled(const held_share& it) const
+{
+    return !it.target && !it.is_stale && !it.is_silent && !it.order &&
+           !it.share.owner.empty();
+}
+
+bool key_assigner::may_join(const held_share& first, const held_share& second) const
 {
-    if (writing_ || !has_authority(now))
+    return is_settled(first) && is_settled(second) &&
+           first.share.owner == second.share.owner &&
+           first.share.life == second.share.life &&
+           first.share.keys.last + 1 == second.share.keys.first;
+}
+
+bool key_assigner::is_record_due(time_point now) const
+{
+    if (is_first_record_ || next_epoch_.value + epochs_to_spare >= epoch_limit_.value)
     {
-        return std::nullopt;
+        return true;
     }
-    bool is_due =
-        is_first_record_ || next_epoch_.value + epochs_to_spare >= epoch_limit_.value;
-    key_assignment made;
-    made.writer = self_;
     for (const keyed_service& row : services_)
     {
-        service_shares& shares = made.services.emplace_back();
-        shares.service = row.name;
         for (const held_share& it : row.shares)
         {
-            key_share share = it.share;
-            share.is_moving = false;
-            if (!is_first_record_ && is_ready(it, now))
-            {
-                share.owner = it.target.value_or(share.owner);
-                share.life = it.target ? it.target_life : share.life;
-                share.at = take_epoch();
-                is_due = true;
-            }
-            if (!share.owner.empty())
+            if (is_ready(it, now))
             {
-                shares.shares.push_back(share);
+                return true;
             }
         }
+        if (is_join_due(row, now))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool key_assigner::is_join_due(const keyed_service& row, time_point now) const
+{
+    if (now < row.join_at)
+    {
+        return false;
+    }
+    for (std::size_t n = 1; n < row.shares.size(); ++n)
+    {
+        if (may_join(row.shares[n - 1], row.shares[n]))
+        {
+            return true;
+        }
     }
-    if (!is_due)
+    return false;
+}
+
+std::optional<key_assignment> key_assigner::next_record(time_point now)
+{
+    if (writing_ || !has_authority(now) || !is_record_due(now))
     {
         return std::nullopt;
     }
+    key_assignment made;
+    made.writer = self_;
+    for (const keyed_service& row : services_)
+    {
+        made.services.push_back(next_shares(row, now));
+    }
     changed();
     made.version = version_;
     made.limit = epoch{next_epoch_.value + options_.epoch_block};
@@ -306,6 +340,42 @@
     return made;
 }
 
+service_shares key_assigner::next_shares(const keyed_service& row, time_point now)
+{
+    service_shares made;
+    made.service = row.name;
+    const held_share* last = nullptr; // of the share made last
+    unsigned parts = 0;               // that it was made of
+    for (const held_share& it : row.shares)
+    {
+        key_share share = it.share;
+        share.is_moving = false;
+        const bool is_joined =
+            !is_first_record_ && last != nullptr && may_join(*last, it);
+        last = &it;
+        if (is_joined)
+        {
+            key_share& joined = made.shares.back();
+            joined.at = parts == 1 ? take_epoch() : joined.at;
+            ++parts;
+            joined.keys.last = share.keys.last;
+            continue;
+        }
+        parts = 1;
+        if (!is_first_record_ && is_ready(it, now))
+        {
+            share.owner = it.target.value_or(share.owner);
+            share.life = it.target ? it.target_life : share.life;
+            share.at = take_epoch();
+        }
+        if (!share.owner.empty())
+        {
+            made.shares.push_back(share);
+        }
+    }
+    return made;
+}
+
 void key_assigner::record_written(time_point now)
 {
     if (!writing_)
@@ -316,41 +386,71 @@
     epoch_limit_ = writing_->limit;
     for (keyed_service& row : services_)
     {
-        const service_shares* written = writing_->find_service(row.name);
-        for (held_share& it : row.shares)
-        {
-            adopt(it, *written, now);
-        }
+        adopt(row, *writing_->find_service(row.name), now);
     }
     writing_.reset();
 }
 
-void key_assigner::adopt(held_share& it, const service_shares& written, time_point now)
+void key_assigner::adopt(keyed_service& row,
+                         const service_shares& written,
+                         time_point now)
 {
-    for (const key_share& share : written.shares)
+    std::vector<held_share> adopted;
+    for (held_share& it : row.shares)
     {
-        if (share.keys.first != it.share.keys.first || share.at == it.share.at)
+        const bool is_joined =
+            !adopted.empty() && adopted.back().share.keys.contains({it.share.keys.first});
+        if (is_joined)
         {
+            join(adopted.back(), it);
             continue;
         }
-        const bool is_other =
-            share.owner != it.share.owner || share.life != it.share.life;
-        it.share = share;
-        it.target.reset();
-        it.release_at.reset();
-        it.is_released = false;
-        it.is_stale = false;
-        it.is_silent = false;
-        it.order.reset();
-        it.renew_at = now;
-        it.moved_at = now;
-        it.last_accepted = now;
-        if (is_other)
+        adopted.push_back(std::move(it));
+        for (const key_share& share : written.shares)
         {
-            it.held_until = {};
-            it.held_before = {};
+            if (share.keys.first == adopted.back().share.keys.first)
+            {
+                adopt(adopted.back(), share, now);
+            }
         }
     }
+    row.shares = std::move(adopted);
+    row.join_at = now + options_.join_every;
+}
+
+void key_assigner::adopt(held_share& it, const key_share& written, time_point now)
+{
+    if (written.at == it.share.at)
+    {
+        return;
+    }
+    const bool is_other =
+        written.owner != it.share.owner || written.life != it.share.life;
+    it.unsure_until = it.order ? it.held_until : it.unsure_until;
+    it.share = written;
+    it.target.reset();
+    it.release_at.reset();
+    it.is_released = false;
+    it.is_stale = false;
+    it.is_silent = false;
+    it.order.reset();
+    it.renew_at = now;
+    it.moved_at = now;
+    it.last_accepted = now;
+    if (is_other)
+    {
+        it.held_until = {};
+        it.held_before = {};
+        it.unsure_until = {};
+    }
+}
+
+// What may be in force for a part may be in force for the whole.
+void key_assigner::join(held_share& whole, const held_share& part)
+{
+    whole.held_until = std::max(whole.held_until, part.held_until);
+    const time_point unsure = part.order ? part.held_until : part.unsure_until;
+    whole.unsure_until = std::max(whole.unsure_until, unsure);
 }
 
 void key_assigner::record_not_written()
--- a/core/gateway/key_assigner.hpp
+++ b/core/gateway/key_assigner.hpp
@@ -12,7 +12,8 @@
 //     assigner.record_written(now);
 //
 // Safety. An owner is followed by another one only
-//   - after it acknowledged a release, whose epoch is above that of all its grants, or
+//   - after it acknowledged a release, whose epoch is above that of all its grants, and
+//     every grant that it did not answer has run out, or
 //   - after every grant that may have reached it has run out: counted from the end of the
 //     order that carried it, by a clock that may run `drift` slow, or
 //   - when the server says that it has started anew, since then it holds nothing.
@@ -54,17 +55,22 @@
     duration plan_every = milliseconds(300);
     std::uint64_t epoch_block = 1000; // epochs that a record reserves
     std::size_t max_shares = 512;     // of a service; no more are cut
+    unsigned shares_per_server = 5;   // balance cuts no more
+    duration join_every = seconds(1); // neighbouring shares of one owner become one
+    duration first_wait = seconds(1); // for more servers, before the first assignment
     unsigned max_moves = 6;           // for balance, of a service, at once
-    double imbalance = 1.3; // load over the mean, from which a server gives keys
-    double min_excess = 8;  // requests above the mean in key_load's span
+    duration balance_every = milliseconds(600);
+    double imbalance = 1.3;    // load over the mean, from which a server gives keys
+    double min_busy = 0.5;     // share of its capacity, from which a server gives keys
+    double significance = 2.0; // standard deviations of a count by which it is above
 };
 
-// What the assigner looks at in each tick.
+// What the assigner looks at in each tick. Neither pointer nor function is kept.
 struct assigner_view
 {
     const server_directory* servers = nullptr;
     std::vector<service_name> keyed_services;
-    // The work that a server does in a unit of time, in any unit.
+    // The requests that a server can work off in a second.
     std::function<double(const service_name&, const server_entry&)> capacity;
 };
 
@@ -119,6 +125,7 @@
         bool is_stale = false;           // the owner wants a higher epoch
         bool is_released = false;        // the owner acknowledged
         std::optional<order_id> order;   // under way
+        time_point unsure_until{};       // a grant without an answer may be in force
         time_point held_before{};        // without that order
         std::string handover;            // for the first grant
         std::optional<server_id> target; // of a move
@@ -134,6 +141,8 @@
         key_load load;
         time_point plan_at{};
         time_point balance_at{};
+        time_point join_at{};
+        std::optional<time_point> first_server; // when one was first there
     };
 
     struct server_load
@@ -142,7 +151,8 @@
         double capacity = 1;
         double load = 0;
         unsigned shares = 0;
-        unsigned silent_shares = 0;
+        bool is_silent = false;    // some order was not answered
+        bool is_answering = false; // some order was, lately
 
         double ratio() const
         {
@@ -158,8 +168,15 @@
 
     keyed_service& service_row(const service_name& name);
     held_share* find_order(const sent_order& sent);
-    void adopt(held_share& it, const service_shares& written, time_point now);
     bool is_ready(const held_share& it, time_point now) const;
+    bool is_settled(const held_share& it) const;
+    bool may_join(const held_share& first, const held_share& second) const;
+    bool is_record_due(time_point now) const;
+    bool is_join_due(const keyed_service& row, time_point now) const;
+    service_shares next_shares(const keyed_service& row, time_point now);
+    void adopt(keyed_service& row, const service_shares& written, time_point now);
+    void adopt(held_share& it, const key_share& written, time_point now);
+    static void join(held_share& whole, const held_share& part);
 
     double load_of(const keyed_service& row, const held_share& share) const;
     std::vector<server_load>
--- a/core/gateway/key_assigner_plan.cpp
+++ b/core/gateway/key_assigner_plan.cpp
@@ -3,6 +3,7 @@
 #include "core/gateway/key_assigner.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace camphorrock
@@ -18,7 +19,8 @@
 }
 
 constexpr double width_load = 0.1; // load of all keys by their number, beside the samples
-constexpr double orphan_part = 0.25; // of a server's mean load: the largest piece to move
+constexpr double orphan_part = 0.5; // of a server's mean load: the largest piece to move
+constexpr double min_piece = 8;     // requests: no smaller piece is cut for its load
 
 } // namespace
 
@@ -52,12 +54,18 @@
             {
                 load.load += load_of(row, it);
                 ++load.shares;
-                const bool is_answering = now - it.last_accepted < silent_after;
-                load.silent_shares += is_answering || it.target ? 0 : 1;
+            }
+            if (load.server->entry.id == it.share.owner &&
+                load.server->entry.life == it.share.life)
+            {
+                load.is_silent = load.is_silent || it.is_silent;
+                load.is_answering =
+                    load.is_answering || now - it.last_accepted < silent_after;
             }
         }
     }
-    std::erase_if(loads, [](const server_load& it) { return it.silent_shares > 0; });
+    std::erase_if(loads,
+                  [](const server_load& it) { return it.is_silent && !it.is_answering; });
     return loads;
 }
 
@@ -75,7 +83,11 @@
     }
     if (row.shares.empty())
     {
-        plan_initial(row, loads);
+        row.first_server = row.first_server.value_or(now);
+        if (now - *row.first_server >= options_.first_wait)
+        {
+            plan_initial(row, loads);
+        }
         return;
     }
     const bool is_balancing = now >= row.balance_at;
@@ -87,6 +99,7 @@
     }
     if (is_balancing)
     {
+        row.balance_at = now + options_.balance_every;
         balance(row, loads, now);
     }
 }
@@ -144,7 +157,8 @@
     {
         total += it.load;
     }
-    const double piece = orphan_part * total / static_cast<double>(loads.size());
+    const double piece =
+        std::max(min_piece, orphan_part * total / static_cast<double>(loads.size()));
     for (std::size_t n = 0; n < row.shares.size(); ++n)
     {
         held_share& it = row.shares[n];
@@ -306,10 +320,16 @@
         [](const server_load& a, const server_load& b) { return a.ratio() < b.ratio(); });
     const double excess = most->load - mean * most->capacity;
     const double room = mean * least->capacity - least->load;
+    const double span = std::chrono::duration<double>(row.load.span()).count();
+    const bool is_busy = most->ratio() / span > options_.min_busy;
+    const bool is_significant = excess > options_.significance * std::sqrt(most->load);
     const bool is_uneven =
-        most->ratio() > options_.imbalance * mean && excess > options_.min_excess;
+        is_busy && is_significant && most->ratio() > options_.imbalance * mean;
     const bool is_unused = least->shares == 0;
-    if ((!is_uneven && !is_unused) || row.shares.size() >= options_.max_shares)
+    const std::size_t most_shares =
+        std::min(options_.max_shares, options_.shares_per_server * loads.size());
+    const bool may_cut = row.shares.size() < most_shares || is_unused;
+    if ((!is_uneven && !is_unused) || !may_cut)
     {
         return false;
     }
--- a/core/gateway/key_load.hpp
+++ b/core/gateway/key_load.hpp
@@ -31,6 +31,11 @@
     // Forgets what is older than the span.
     void expire(time_point now);
 
+    duration span() const
+    {
+        return options_.span;
+    }
+
     std::size_t size() const
     {
         return samples_.size();
--- a/core/gateway/server_pool.cpp
+++ b/core/gateway/server_pool.cpp
@@ -239,7 +239,9 @@
     {
         return 1e6 / mean_us_;
     }
-    return 1e6 * std::max(1U, it->second.entry.slots) / std::max(it->second.time_us, 1.0);
+    // Few answers say little of one server, so it counts as nearer to the mean.
+    const double time_us = (it->second.time_us + mean_us_) / 2;
+    return 1e6 * std::max(1U, it->second.entry.slots) / std::max(time_us, 1.0);
 }
 
 unsigned server_pool::in_flight(const server_id& server) const
--- a/gateway/directory_agent.cpp
+++ b/gateway/directory_agent.cpp
@@ -107,7 +107,9 @@
         return;
     }
     const known_server* old = state_.servers().find(server->id);
-    const bool is_new = old == nullptr || old->is_missing || old->entry != *server;
+    const bool is_new = old == nullptr || old->is_missing ||
+                        old->entry.life != server->life ||
+                        old->entry.is_draining != server->is_draining;
     state_.servers().put(*server, loop_.now());
     if (is_new)
     {
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -3,8 +3,8 @@
 // A gateway: one process on an entry instance. Takes clients' requests, sends each to a
 // server, and holds the assigner's role when it is elected.
 //
-// SIGTERM: not ready at once; requests are still taken for a while, each answer closing its
-// connection; then idle connections are closed and no more are accepted. Exit when no
+// SIGTERM: not ready at once; requests are still taken for a while, each answer closing
+// its connection; then idle connections are closed and no more are accepted. Exit when no
 // connection is left, or after `stop_limit`.
 
 #include "app/admin_server.hpp"
