Clients' requests are read while earlier ones of the connection wait

Ruled out: servers' queues (the wait was before sending).

net/pipelined_server parses with libhttp-parser, hands requests on as they come, and sends the answers in order.

--- a/core/gateway/key_assigner.cpp
+++ b/core/gateway/key_assigner.cpp
@@ -263,8 +263,13 @@
     {
         return true;
     }
+    if (!it.target)
+    {
+        return false;
+    }
+    const bool is_same_server = *it.target == it.share.owner;
     const bool is_given_up = it.is_released && now >= it.unsure_until;
-    return it.target && (is_given_up || now >= it.held_until);
+    return is_same_server || is_given_up || now >= it.held_until;
 }
 
 // A settled share can be joined with its neighbour into one grant.
@@ -424,8 +429,7 @@
     {
         return;
     }
-    const bool is_other =
-        written.owner != it.share.owner || written.life != it.share.life;
+    const bool is_other = written.owner != it.share.owner;
     it.unsure_until = it.order ? it.held_until : it.unsure_until;
     it.share = written;
     it.target.reset();
--- a/core/gateway/key_assigner_plan.cpp
+++ b/core/gateway/key_assigner_plan.cpp
@@ -200,8 +200,8 @@
         owner != nullptr && owner->is_usable() && owner->entry.life != it.share.life;
     if (has_new_life)
     {
-        // The life that held the keys is over.
-        it.held_until = {};
+        // It holds nothing of its earlier life, but a grant that was sent to that one may
+        // still reach it, so what is known of those stays.
         it.handover.clear();
         move(it, *owner, now);
         return;
--- a/core/gateway/testing/owner_world.cpp
+++ b/core/gateway/testing/owner_world.cpp
@@ -315,8 +315,19 @@
     const time_point arrived = now_ + way;
     if (!is_calm_ && chance(options_.late_share))
     {
-        later(way + drawn(seconds(2), seconds(12)),
-              [this, to, order, arrived] { carry_out(servers_[to], order, arrived); });
+        later(way,
+              [this, to, order, arrived]
+              {
+                  // What a server has not carried out when it ends is lost with it.
+                  later(drawn(seconds(2), seconds(12)),
+                        [this, to, order, arrived, life = servers_[to].entry.life]
+                        {
+                            if (servers_[to].entry.life == life)
+                            {
+                                carry_out(servers_[to], order, arrived);
+                            }
+                        });
+              });
         later(order.timeout, [answer] { answer({order_end::no_answer, {}}); });
         return;
     }
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.hpp"
 
 #include "net/http_status.hpp"
+#include "net/pipelined_server.hpp"
 
 #include <csignal>
 #include <utility>
@@ -20,7 +21,6 @@
 constexpr seconds client_idle_timeout = seconds(60);
 constexpr std::size_t max_client_body_bytes = std::size_t{64} << 20;
 constexpr std::size_t max_peer_body_bytes = std::size_t{4} << 20;
-constexpr std::size_t small_header_bytes = 4096;
 
 http_response make_status(int status)
 {
@@ -149,20 +149,18 @@
 {
     ready_ = std::make_unique<ready_port>(*this);
     peer_ = std::make_unique<peer_port>(rpc_methods_);
-    http_server_options clients;
-    clients.address = settings_.listen;
-    clients.max_body_bytes = max_client_body_bytes;
-    clients.idle_timeout = client_idle_timeout;
-    BOOST_LEAF_ASSIGN(client_server_, http_server::create(*loop_, clients, *front_));
-    http_server_options asked;
-    asked.address = settings_.ready;
-    asked.max_header_bytes = small_header_bytes;
-    BOOST_LEAF_ASSIGN(ready_server_, http_server::create(*loop_, asked, *ready_));
-    http_server_options peers;
-    peers.address = settings_.peer;
-    peers.max_header_bytes = small_header_bytes;
-    peers.max_body_bytes = max_peer_body_bytes;
-    BOOST_LEAF_ASSIGN(peer_server_, http_server::create(*loop_, peers, *peer_));
+    pipelined_server_options clients;
+    clients.common.address = settings_.listen;
+    clients.common.max_body_bytes = max_client_body_bytes;
+    clients.common.idle_timeout = client_idle_timeout;
+    BOOST_LEAF_ASSIGN(client_server_, create_pipelined_server(*loop_, clients, *front_));
+    pipelined_server_options asked;
+    asked.common.address = settings_.ready;
+    BOOST_LEAF_ASSIGN(ready_server_, create_pipelined_server(*loop_, asked, *ready_));
+    pipelined_server_options peers;
+    peers.common.address = settings_.peer;
+    peers.common.max_body_bytes = max_peer_body_bytes;
+    BOOST_LEAF_ASSIGN(peer_server_, create_pipelined_server(*loop_, peers, *peer_));
     if (!settings_.metrics.empty())
     {
         BOOST_LEAF_ASSIGN(
--- a/net/event_loop.cpp
+++ b/net/event_loop.cpp
@@ -201,6 +201,14 @@
     return watch_handle(std::move(made));
 }
 
+watch_handle event_loop::on_writable(int fd, callback what)
+{
+    auto made = make_watcher<io_watcher>(parts_->raw, std::move(what));
+    ev_io_init(&made->raw, io_watcher::fire, fd, EV_WRITE);
+    ev_io_start(parts_->raw, &made->raw);
+    return watch_handle(std::move(made));
+}
+
 void event_loop::post(callback what)
 {
     parts_->posted.push_back(std::move(what));
--- a/net/event_loop.hpp
+++ b/net/event_loop.hpp
@@ -87,6 +87,9 @@
     // Calls whenever the descriptor is readable.
     watch_handle on_readable(int fd, callback what);
 
+    // Calls whenever bytes can be written to the descriptor.
+    watch_handle on_writable(int fd, callback what);
+
     // Calls once, right before the loop next waits for events, after the current
     // callback. For work that must not run inside its cause. Order of calls is kept.
     void post(callback what);
--- /dev/null
+++ b/net/pipelined_server.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+// An http_server that hands on the requests of one connection as they come, also while
+// earlier ones wait for their answers, and sends the answers in the order of the
+// requests. libmicrohttpd reads no further request of a connection before the last has
+// been answered.
+//
+// A connection holds at most `max_pipelined` requests; what comes behind them is read
+// later. An answer that closes the connection is the last that is sent on it: with
+// close_after_answers(), that of the last request that was handed on.
+
+#include "net/http_server.hpp"
+
+namespace camphorrock
+{
+
+struct pipelined_server_options
+{
+    http_server_options common;
+    std::size_t max_pipelined = 32;
+    seconds head_timeout = seconds(10); // from a request's first byte to its last
+};
+
+// Listens at once. Fails with error_code::io if the address cannot be bound. `loop` and
+// `handler` must outlive the server.
+result<std::unique_ptr<http_server>> create_pipelined_server(
+    event_loop& loop, pipelined_server_options options, http_handler& handler);
+
+} // namespace camphorrock
--- /dev/null
+++ b/net/request_parser.cpp
@@ -0,0 +1,208 @@
+#include "net/request_parser.hpp"
+
+#include "net/http_status.hpp"
+
+#include <strings.h>
+
+#include <utility>
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr int stop = 1; // a callback's answer that ends the parsing
+
+request_parser* self_of(http_parser* raw)
+{
+    return static_cast<request_parser*>(raw->data);
+}
+
+} // namespace
+
+request_parser::request_parser(request_bounds bounds)
+    : settings_(make_settings()), bounds_(bounds)
+{
+    http_parser_init(&raw_, HTTP_REQUEST);
+    raw_.data = this;
+}
+
+http_parser_settings request_parser::make_settings()
+{
+    http_parser_settings made;
+    http_parser_settings_init(&made);
+    made.on_message_begin = on_begin;
+    made.on_url = on_target;
+    made.on_header_field = on_header_name;
+    made.on_header_value = on_header_value;
+    made.on_headers_complete = on_headers_end;
+    made.on_body = on_body;
+    made.on_message_complete = on_end;
+    return made;
+}
+
+void request_parser::feed(std::string_view bytes, const request_callback& on_request)
+{
+    if (fault_ || bytes.empty())
+    {
+        return;
+    }
+    if (is_in_head_ && has_bare_line_feed(bytes))
+    {
+        refuse(http_status::bad_request, "a line ends without a carriage return");
+        return;
+    }
+    last_byte_ = bytes.back();
+    on_request_ = &on_request;
+    const std::size_t taken =
+        http_parser_execute(&raw_, &settings_, bytes.data(), bytes.size());
+    on_request_ = nullptr;
+    const bool is_faulty = raw_.upgrade != 0 || HTTP_PARSER_ERRNO(&raw_) != HPE_OK;
+    if (!fault_ && is_faulty && (taken < bytes.size() || raw_.upgrade != 0))
+    {
+        refuse(http_status::bad_request, "not a request");
+    }
+}
+
+// Within the head that the bytes begin in; a body may hold any bytes.
+bool request_parser::has_bare_line_feed(std::string_view bytes)
+{
+    const std::size_t end = bytes.find("\r\n\r\n");
+    const std::string_view head = bytes.substr(0, end);
+    char before = last_byte_;
+    for (char c : head)
+    {
+        if (c == '\n' && before != '\r')
+        {
+            return true;
+        }
+        before = c;
+    }
+    return false;
+}
+
+bool request_parser::take_continue()
+{
+    return std::exchange(wants_continue_, false);
+}
+
+int request_parser::refuse(int status, const char* text)
+{
+    fault_ = request_refusal{status, text};
+    return stop;
+}
+
+bool request_parser::take_header_bytes(std::size_t n)
+{
+    header_bytes_ += n;
+    return header_bytes_ <= bounds_.max_header_bytes;
+}
+
+int request_parser::on_begin(http_parser* raw)
+{
+    request_parser* self = self_of(raw);
+    self->current_ = {};
+    self->header_name_.clear();
+    self->header_value_.clear();
+    self->header_bytes_ = 0;
+    self->is_inside_ = true;
+    self->is_in_head_ = true;
+    self->is_value_last_ = false;
+    return 0;
+}
+
+int request_parser::on_target(http_parser* raw, const char* data, std::size_t n)
+{
+    request_parser* self = self_of(raw);
+    if (!self->take_header_bytes(n))
+    {
+        return self->refuse(http_status::headers_too_large, "the target is too long");
+    }
+    self->current_.request.target.append(data, n);
+    return 0;
+}
+
+int request_parser::on_header_name(http_parser* raw, const char* data, std::size_t n)
+{
+    request_parser* self = self_of(raw);
+    if (self->is_value_last_)
+    {
+        self->end_header();
+    }
+    if (!self->take_header_bytes(n))
+    {
+        return self->refuse(http_status::headers_too_large, "the headers are too large");
+    }
+    self->is_value_last_ = false;
+    self->header_name_.append(data, n);
+    return 0;
+}
+
+int request_parser::on_header_value(http_parser* raw, const char* data, std::size_t n)
+{
+    request_parser* self = self_of(raw);
+    if (!self->take_header_bytes(n))
+    {
+        return self->refuse(http_status::headers_too_large, "the headers are too large");
+    }
+    self->is_value_last_ = true;
+    self->header_value_.append(data, n);
+    return 0;
+}
+
+void request_parser::end_header()
+{
+    current_.request.headers.add(std::exchange(header_name_, {}),
+                                 std::exchange(header_value_, {}));
+    is_value_last_ = false;
+}
+
+int request_parser::on_headers_end(http_parser* raw)
+{
+    request_parser* self = self_of(raw);
+    if (!self->header_name_.empty())
+    {
+        self->end_header();
+    }
+    self->is_in_head_ = false;
+    http_request& request = self->current_.request;
+    request.method = http_method_str(static_cast<http_method>(raw->method));
+    const std::optional<request_refusal> why =
+        check_request(request.headers, self->header_bytes_, self->bounds_);
+    if (why)
+    {
+        self->fault_ = why;
+        return -1;
+    }
+    const bool has_body = raw->content_length != 0 || (raw->flags & F_CHUNKED) != 0;
+    const std::optional<std::string_view> expects = request.headers.find("Expect");
+    self->wants_continue_ =
+        has_body && expects &&
+        strncasecmp(expects->data(), "100-continue", expects->size()) == 0;
+    return 0;
+}
+
+int request_parser::on_body(http_parser* raw, const char* data, std::size_t n)
+{
+    request_parser* self = self_of(raw);
+    std::string& body = self->current_.request.body;
+    if (body.size() + n > self->bounds_.max_body_bytes)
+    {
+        return self->refuse(http_status::content_too_large, "the body is too large");
+    }
+    body.append(data, n);
+    return 0;
+}
+
+int request_parser::on_end(http_parser* raw)
+{
+    request_parser* self = self_of(raw);
+    self->is_inside_ = false;
+    self->is_in_head_ = true;
+    self->wants_continue_ = false;
+    self->current_.is_last = http_should_keep_alive(raw) == 0;
+    (*self->on_request_)(std::exchange(self->current_, {}));
+    return 0;
+}
+
+} // namespace camphorrock
