--- a/core/gateway/key_assigner.hpp
+++ b/core/gateway/key_assigner.hpp
@@ -58,8 +58,8 @@
     unsigned shares_per_server = 5;   // balance cuts no more
     duration join_every = seconds(1); // neighbouring shares of one owner become one
     duration first_wait = seconds(1); // for more servers, before the first assignment
-    unsigned max_moves = 6;           // for balance, of a service, at once
-    duration balance_every = milliseconds(600);
+    unsigned max_moves = 8;           // for balance, of a service, at once
+    duration balance_every = milliseconds(300);
     double imbalance = 1.3;    // load over the mean, from which a server gives keys
     double min_busy = 0.5;     // share of its capacity, from which a server gives keys
     double significance = 2.0; // standard deviations of a count by which it is above
--- a/core/gateway/key_assigner_plan.cpp
+++ b/core/gateway/key_assigner_plan.cpp
@@ -320,7 +320,7 @@
         [](const server_load& a, const server_load& b) { return a.ratio() < b.ratio(); });
     const double excess = most->load - mean * most->capacity;
     const double room = mean * least->capacity - least->load;
-    const double span = std::chrono::duration<double>(row.load.span()).count();
+    const double span = std::chrono::duration<double>(row.load.covered(now)).count();
     const bool is_busy = most->ratio() / span > options_.min_busy;
     const bool is_significant = excess > options_.significance * std::sqrt(most->load);
     const bool is_uneven =
--- a/core/gateway/key_load.cpp
+++ b/core/gateway/key_load.cpp
@@ -22,6 +22,15 @@
     }
 }
 
+duration key_load::covered(time_point now) const
+{
+    if (samples_.empty())
+    {
+        return options_.span;
+    }
+    return std::clamp(now - samples_.front().at, options_.least_covered, options_.span);
+}
+
 std::vector<unsigned> key_load::keys_in(shard_key_range range) const
 {
     std::vector<unsigned> keys;
--- a/core/gateway/key_load.hpp
+++ b/core/gateway/key_load.hpp
@@ -17,7 +17,8 @@
 
 struct key_load_options
 {
-    duration span = seconds(2);
+    duration span = milliseconds(1500);
+    duration least_covered = milliseconds(250);
     std::size_t max_samples = 8192; // the oldest go first
 };
 
@@ -31,10 +32,8 @@
     // Forgets what is older than the span.
     void expire(time_point now);
 
-    duration span() const
-    {
-        return options_.span;
-    }
+    // The time that the samples stand for: from the first on, at most the span.
+    duration covered(time_point now) const;
 
     std::size_t size() const
     {
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -115,6 +115,13 @@
     BOOST_LEAF_ASSIGN(control_http_, http_client::create(*loop_, control));
     BOOST_LEAF_ASSIGN(store_, make_store(*loop_, *control_http_, settings_.store));
 
+    store_->on_reach_changed(
+        [this](bool is_reached)
+        {
+            log_.events().write(is_reached ? event_id::store_regained
+                                           : event_id::store_lost,
+                                {{"store", settings_.store}});
+        });
     const std::uint64_t seed =
         settings_.seed != 0 ? settings_.seed : std::random_device()();
     state_ = std::make_unique<gateway_state>(settings_, seed);
--- a/store/store_client.hpp
+++ b/store/store_client.hpp
@@ -136,6 +136,10 @@
     {
         return std::nullopt;
     }
+
+    // Calls with false when the store is found to be out of reach, and with true when it
+    // answers again. Clients that do not watch for it never call.
+    virtual void on_reach_changed(std::function<void(bool)>) {}
 };
 
 struct store_client_options
