Gateways tell one another of their requests in flight

Cause: each of nine gateways saw a ninth of a server's load, so that it chose blindly and learnt the time of the work too long where requests queue. Datagrams of MessagePack, at most 20 a second to ten gateways each.

--- a/core/gateway/server_pool.cpp
+++ b/core/gateway/server_pool.cpp
@@ -215,15 +215,22 @@
     it.suspended_until = now + wait;
 }
 
-void server_pool::set_remote_load(const server_id& server,
-                                  unsigned requests,
-                                  time_point now)
+void server_pool::set_remote_loads(const remote_loads& loads, unsigned gateways)
 {
-    static_cast<void>(now);
-    auto it = rows_.find(server);
-    if (it != rows_.end())
+    for (auto& [id, it] : rows_)
+    {
+        it.remote = loads.requests_at(id, gateways);
+    }
+}
+
+void server_pool::add_in_flight(std::vector<server_requests>& to) const
+{
+    for (const auto& [id, it] : rows_)
     {
-        it->second.remote = requests;
+        if (it.own > 0)
+        {
+            to.push_back({tag_of(id), it.own});
+        }
     }
 }
 
--- a/core/gateway/server_pool.hpp
+++ b/core/gateway/server_pool.hpp
@@ -18,6 +18,7 @@
 // Memory: one row a server. O(servers) a choice.
 
 #include "core/base/names.hpp"
+#include "core/gateway/remote_loads.hpp"
 #include "core/gateway/server_directory.hpp"
 
 #include <cstddef>
@@ -89,8 +90,11 @@
     void
     ended(const server_id& server, attempt_end how, duration elapsed, time_point now);
 
-    // What the other gateways have in flight at the server.
-    void set_remote_load(const server_id& server, unsigned requests, time_point now);
+    // What the other gateways have in flight; `gateways` is their number with this one.
+    void set_remote_loads(const remote_loads& loads, unsigned gateways);
+
+    // Appends this gateway's requests at servers that have any.
+    void add_in_flight(std::vector<server_requests>& to) const;
 
     // Mean time of the work of the service's requests at its servers.
     duration mean_time() const;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -95,6 +95,7 @@
     peer_server_.reset();
     ready_server_.reset();
     front_.reset();
+    loads_.reset();
     keys_.reset();
     directory_.reset();
     store_.reset();
@@ -133,6 +134,7 @@
         assigner_role_parts{*loop_, *store_, *state_, *orders_, log_},
         *rpc_,
         rpc_methods_);
+    BOOST_LEAF_ASSIGN(loads_, load_agent::create(*loop_, *state_));
     relay_parts_ = std::make_unique<relay_parts>(
         relay_parts{*loop_,
                     *server_http_,
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -16,6 +16,7 @@
 #include "gateway/gateway_settings.hpp"
 #include "gateway/gateway_state.hpp"
 #include "gateway/key_agent.hpp"
+#include "gateway/load_agent.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_server.hpp"
 
@@ -77,6 +78,7 @@
     std::unique_ptr<rpc_client> rpc_;
     rpc_server rpc_methods_;
     std::unique_ptr<key_agent> keys_;
+    std::unique_ptr<load_agent> loads_;
     std::unique_ptr<relay_parts> relay_parts_;
     std::unique_ptr<front> front_;
     std::unique_ptr<ready_port> ready_;
--- a/gateway/gateway_state.cpp
+++ b/gateway/gateway_state.cpp
@@ -12,6 +12,7 @@
 constexpr double used_share = 0.85;
 
 constexpr unsigned forget_given_above = 100000;
+constexpr std::size_t assumed_gateways = 64; // until they are known
 
 } // namespace
 
@@ -46,7 +47,7 @@
             service_state{it, server_pool(settings_.zone), arrival_budget(budget)});
     }
     services_ = std::move(updated);
-    set_fleet_size(fleet_size_);
+    share_retries();
     servers_changed(now);
     return true;
 }
@@ -126,12 +127,36 @@
     return route.parts[best].service;
 }
 
-void gateway_state::set_fleet_size(unsigned n)
+void gateway_state::set_gateways(std::vector<endpoint> all)
+{
+    gateways_ = std::move(all);
+    share_retries();
+}
+
+void gateway_state::share_retries()
+{
+    const std::size_t n = gateways_.empty() ? assumed_gateways : gateways_.size();
+    for (auto& [name, it] : services_)
+    {
+        it.budget.set_extra(used_share * settings_.retry_extra / static_cast<double>(n));
+    }
+}
+
+std::vector<server_requests> gateway_state::requests_in_flight() const
+{
+    std::vector<server_requests> made;
+    for (const auto& [name, it] : services_)
+    {
+        it.pool.add_in_flight(made);
+    }
+    return made;
+}
+
+void gateway_state::set_remote_loads(const remote_loads& loads)
 {
-    fleet_size_ = std::max(n, 1U);
     for (auto& [name, it] : services_)
     {
-        it.budget.set_extra(used_share * settings_.retry_extra / fleet_size_);
+        it.pool.set_remote_loads(loads, static_cast<unsigned>(gateways_.size()));
     }
 }
 
--- a/gateway/gateway_state.hpp
+++ b/gateway/gateway_state.hpp
@@ -6,6 +6,7 @@
 #include "core/gateway/arrival_budget.hpp"
 #include "core/gateway/gateway_config.hpp"
 #include "core/gateway/key_assignment.hpp"
+#include "core/gateway/remote_loads.hpp"
 #include "core/gateway/route_table.hpp"
 #include "core/gateway/server_directory.hpp"
 #include "core/gateway/server_pool.hpp"
@@ -77,8 +78,19 @@
     // One of the route's services, so that each gets its weight's share of the requests.
     const service_name& choose_part(const gateway_route& route);
 
-    // Gateways of the fleet, this one included, for its part of what they share.
-    void set_fleet_size(unsigned n);
+    // The peer addresses of the fleet's gateways, this one included.
+    void set_gateways(std::vector<endpoint> all);
+
+    const std::vector<endpoint>& gateways() const
+    {
+        return gateways_;
+    }
+
+    // This gateway's requests at servers that have any.
+    std::vector<server_requests> requests_in_flight() const;
+
+    // Tells the pools what the other gateways have in flight.
+    void set_remote_loads(const remote_loads& loads);
 
     // Calls after each change of the configuration, the servers or the assignment.
     void on_change(std::function<void()> what)
@@ -98,6 +110,7 @@
 
 private:
     void changed();
+    void share_retries();
 
     const gateway_settings& settings_;
     gateway_config config_;
@@ -108,7 +121,7 @@
     std::map<std::string, std::vector<unsigned>> given_; // by route, then by part
     std::vector<std::function<void()>> listeners_;
     std::minstd_rand random_;
-    unsigned fleet_size_ = 64; // until it is known
+    std::vector<endpoint> gateways_; // empty until they are known
 };
 
 } // namespace camphorrock
--- a/gateway/key_agent.cpp
+++ b/gateway/key_agent.cpp
@@ -137,7 +137,7 @@
         return;
     }
     heard_ = parts_.loop.now();
-    parts_.state.set_fleet_size(static_cast<unsigned>(reply.gateways.size()));
+    parts_.state.set_gateways(reply.gateways);
     for (const key_assignment& it : reply.assignment)
     {
         adopt(it);
@@ -179,7 +179,7 @@
     {
         reply.gateways.push_back(peer);
     }
-    parts_.state.set_fleet_size(static_cast<unsigned>(reply.gateways.size()));
+    parts_.state.set_gateways(reply.gateways);
     const key_assignment& current = parts_.state.assignment();
     if (got.version < current.version)
     {
--- /dev/null
+++ b/gateway/load_agent.cpp
@@ -0,0 +1,85 @@
+#include "gateway/load_agent.hpp"
+
+#include "codec/load_report_codec.hpp"
+
+#include <algorithm>
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr duration send_period = milliseconds(50);
+constexpr duration repeat_period = milliseconds(400); // of an unchanged report
+constexpr std::size_t fan_out = 10;
+
+} // namespace
+
+result<std::unique_ptr<load_agent>> load_agent::create(event_loop& loop,
+                                                       gateway_state& state)
+{
+    std::unique_ptr<load_agent> made(new load_agent(loop, state));
+    load_agent* self = made.get();
+    BOOST_LEAF_ASSIGN(made->socket_,
+                      udp_socket::create(loop,
+                                         state.settings().peer,
+                                         [self](std::string_view datagram)
+                                         { self->received(datagram); }));
+    made->send_timer_ = loop.every(send_period, [self] { self->send(); });
+    return made;
+}
+
+load_agent::load_agent(event_loop& loop, gateway_state& state)
+    : loop_(loop), state_(state)
+{
+    last_.sender = (std::uint64_t{state.random()()} << 32) | state.random()();
+}
+
+std::vector<endpoint> load_agent::receivers() const
+{
+    std::vector<endpoint> all = state_.gateways();
+    std::sort(all.begin(), all.end());
+    const auto self = std::find(all.begin(), all.end(), state_.settings().peer);
+    std::vector<endpoint> chosen;
+    const auto at = static_cast<std::size_t>(self - all.begin());
+    for (std::size_t n = 1; n <= fan_out && n < all.size(); ++n)
+    {
+        const endpoint& to = all[(at + n) % all.size()];
+        if (to != state_.settings().peer)
+        {
+            chosen.push_back(to);
+        }
+    }
+    return chosen;
+}
+
+void load_agent::send()
+{
+    const time_point now = loop_.now();
+    remote_.expire(now);
+    state_.set_remote_loads(remote_);
+    std::vector<server_requests> servers = state_.requests_in_flight();
+    const bool is_due = servers != last_.servers || now - last_sent_ >= repeat_period;
+    if (!is_due)
+    {
+        return;
+    }
+    last_.servers = std::move(servers);
+    ++last_.number;
+    last_sent_ = now;
+    const std::string datagram = encode_load_report(last_);
+    for (const endpoint& to : receivers())
+    {
+        socket_->send(to, datagram);
+    }
+}
+
+void load_agent::received(std::string_view datagram)
+{
+    if (const std::optional<load_report> report = decode_load_report(datagram))
+    {
+        remote_.take(*report, loop_.now());
+    }
+}
+
+} // namespace camphorrock
