Requests go where they wait least, of all gateways' requests; hot keys get a fast server alone

Ruled out: too slow a reaction (the key was alone in its share 0.9 s after it became hot). The cost of a server is the wait for its slots by all gateways' requests, 0.3 of the work, and a crossing between data centres; a request that is expected later than 1.1 of its target is refused at once, with the excess in Retry-After. The server of a key that cannot be divided gives its other keys away, then the key goes to a server that is 1.25 times faster.

--- a/core/gateway/key_assigner.hpp
+++ b/core/gateway/key_assigner.hpp
@@ -204,6 +204,21 @@
                       std::vector<server_load>& loads,
                       double mean,
                       time_point now);
+    bool may_cut(const keyed_service& row, const std::vector<server_load>& loads) const;
+    bool is_movable(const held_share& it, const server_id& owner, time_point now) const;
+    bool give(keyed_service& row,
+              held_share& it,
+              server_load& from,
+              server_load& to,
+              time_point now);
+    held_share*
+    hottest_key(keyed_service& row, const server_load& of, double mean, time_point now);
+    bool relieve(keyed_service& row,
+                 held_share& hot,
+                 std::vector<server_load>& loads,
+                 server_load& most,
+                 server_load& least,
+                 time_point now);
     held_share*
     cut_piece(keyed_service& row, const server_id& server, double wanted, time_point now);
 
--- a/core/gateway/key_assigner_plan.cpp
+++ b/core/gateway/key_assigner_plan.cpp
@@ -19,6 +19,7 @@
 }
 
 constexpr double width_load = 0.1; // load of all keys by their number, beside the samples
+constexpr double faster = 1.25; // capacity of a server to which a hot key is worth moving
 constexpr double orphan_part = 0.5; // of a server's mean load: the largest piece to move
 constexpr double min_piece = 8;     // requests: no smaller piece is cut for its load
 
@@ -318,38 +319,119 @@
         loads.begin(),
         loads.end(),
         [](const server_load& a, const server_load& b) { return a.ratio() < b.ratio(); });
+    if (least->shares == 0 && may_cut(row, loads))
+    {
+        const double half = std::max(1.0, (most->load - least->load) / 2);
+        held_share* piece = cut_piece(row, most->server->entry.id, half, now);
+        return piece != nullptr && give(row, *piece, *most, *least, now);
+    }
     const double excess = most->load - mean * most->capacity;
-    const double room = mean * least->capacity - least->load;
     const double span = std::chrono::duration<double>(row.load.covered(now)).count();
-    const bool is_busy = most->ratio() / span > options_.min_busy;
-    const bool is_significant = excess > options_.significance * std::sqrt(most->load);
-    const bool is_uneven =
-        is_busy && is_significant && most->ratio() > options_.imbalance * mean;
-    const bool is_unused = least->shares == 0;
-    const std::size_t most_shares =
-        std::min(options_.max_shares, options_.shares_per_server * loads.size());
-    const bool may_cut = row.shares.size() < most_shares || is_unused;
-    if ((!is_uneven && !is_unused) || !may_cut)
+    const bool is_uneven = most->ratio() / span > options_.min_busy &&
+                           excess > options_.significance * std::sqrt(most->load) &&
+                           most->ratio() > options_.imbalance * mean;
+    if (!is_uneven || !may_cut(row, loads))
     {
         return false;
     }
-    const double wanted = std::max(1.0, std::min(std::max(excess, 1.0), room));
-    held_share* piece = cut_piece(row, most->server->entry.id, wanted, now);
+    if (held_share* hot = hottest_key(row, *most, mean, now))
+    {
+        return relieve(row, *hot, loads, *most, *least, now);
+    }
+    const double room = mean * least->capacity - least->load;
+    held_share* piece = cut_piece(
+        row, most->server->entry.id, std::max(1.0, std::min(excess, room)), now);
     if (piece == nullptr)
     {
         return false;
     }
     const double moved = load_of(row, *piece);
     const bool is_better = (least->load + moved) / least->capacity < most->ratio();
-    if (!is_better && !is_unused)
+    return is_better && give(row, *piece, *most, *least, now);
+}
+
+bool key_assigner::may_cut(const keyed_service& row,
+                           const std::vector<server_load>& loads) const
+{
+    const std::size_t most_shares =
+        std::min(options_.max_shares, options_.shares_per_server * loads.size());
+    return row.shares.size() < most_shares;
+}
+
+bool key_assigner::give(keyed_service& row,
+                        held_share& it,
+                        server_load& from,
+                        server_load& to,
+                        time_point now)
+{
+    const double moved = load_of(row, it);
+    move(it, *to.server, now);
+    to.load += moved;
+    ++to.shares;
+    from.load -= moved;
+    return true;
+}
+
+// One key that alone brings more than the server's share of all requests, cut out of its
+// share; it can not be divided. Null where there is none that may move.
+key_assigner::held_share* key_assigner::hottest_key(keyed_service& row,
+                                                    const server_load& of,
+                                                    double mean,
+                                                    time_point now)
+{
+    for (std::size_t n = 0; n < row.shares.size(); ++n)
     {
-        return false;
+        const held_share& it = row.shares[n];
+        if (!is_movable(it, of.server->entry.id, now))
+        {
+            continue;
+        }
+        const std::vector<unsigned> keys = row.load.keys_in(it.share.keys);
+        const auto wanted = static_cast<std::size_t>(mean * of.capacity);
+        const std::optional<shard_key_range> range = narrowest_range(keys, wanted);
+        if (range && range->width() == 1 && keys.size() > wanted)
+        {
+            return it.share.keys == *range ? &row.shares[n] : cut(row, n, *range);
+        }
     }
-    move(*piece, *least->server, now);
-    least->load += moved;
-    ++least->shares;
-    most->load -= moved;
-    return true;
+    return nullptr;
+}
+
+// The server of a hot key gives its other keys away, then the key goes to a faster
+// server.
+bool key_assigner::relieve(keyed_service& row,
+                           held_share& hot,
+                           std::vector<server_load>& loads,
+                           server_load& most,
+                           server_load& least,
+                           time_point now)
+{
+    const shard_key_range hot_keys = hot.share.keys;
+    const auto fastest = std::max_element(loads.begin(),
+                                          loads.end(),
+                                          [](const server_load& a, const server_load& b)
+                                          { return a.capacity < b.capacity; });
+    if (fastest->capacity > faster * most.capacity)
+    {
+        return give(row, hot, most, *fastest, now);
+    }
+    for (held_share& it : row.shares)
+    {
+        const bool is_other = is_movable(it, most.server->entry.id, now) &&
+                              it.share.keys != hot_keys && load_of(row, it) >= 1;
+        if (is_other)
+        {
+            return give(row, it, most, least, now);
+        }
+    }
+    return false;
+}
+
+bool key_assigner::is_movable(const held_share& it,
+                              const server_id& owner,
+                              time_point now) const
+{
+    return it.share.owner == owner && is_settled(it) && now - it.moved_at >= move_pause;
 }
 
 // The narrowest piece of the server's keys that carries about `wanted` requests.
@@ -363,10 +445,7 @@
     for (std::size_t n = 0; n < row.shares.size(); ++n)
     {
         const held_share& it = row.shares[n];
-        const bool may_move = it.share.owner == server && !it.target && !it.order &&
-                              !it.is_silent && !it.is_stale &&
-                              now - it.moved_at >= move_pause;
-        if (!may_move)
+        if (!is_movable(it, server, now))
         {
             continue;
         }
--- a/core/gateway/server_pool.cpp
+++ b/core/gateway/server_pool.cpp
@@ -29,6 +29,13 @@
     return duration(static_cast<duration::rep>(value));
 }
 
+// How many times the work of one request a new one waits, behind `load` others.
+double waiting_share(unsigned load, unsigned slots)
+{
+    const double n = std::max(1U, slots);
+    return std::max(0.0, load + 1.0 - n) / n;
+}
+
 bool contains(const std::vector<server_id>& list, const server_id& wanted)
 {
     return std::find(list.begin(), list.end(), wanted) != list.end();
@@ -97,26 +104,23 @@
     return !is_on_probation || it.own == 0;
 }
 
-double server_pool::expected_us(const row& it, time_point now) const
+double server_pool::work_us(const row& it, time_point now) const
 {
-    const double slots = std::max(1U, it.entry.slots);
-    double work = it.time_us;
-    if (now < it.warm_at)
-    {
-        work = std::max(work, options_.warm_up_factor * mean_us_);
-    }
-    unsigned load = it.own + it.remote;
-    if (now < it.full_until)
-    {
-        load = std::max(load, it.entry.slots + options_.queue_length);
-    }
-    const double ahead = std::max(0.0, static_cast<double>(load) + 1.0 - slots);
-    const double busy = std::min(1.0, static_cast<double>(load) / slots);
-    // Work that shares a server gets slower before its slots are full.
-    const double wait = ahead / slots * work;
-    const double remote =
-        it.entry.zone == here_ ? 0.0 : options_.remote_penalty * mean_us_;
-    return work + wait + remote + 0.1 * busy * work;
+    const bool is_cold = now < it.warm_at;
+    return is_cold ? std::max(it.time_us, options_.warm_up_factor * mean_us_)
+                   : it.time_us;
+}
+
+unsigned server_pool::load_of(const row& it, time_point now) const
+{
+    const unsigned load = it.own + it.remote;
+    const bool is_full = now < it.full_until;
+    return is_full ? std::max(load, it.entry.slots + options_.queue_length) : load;
+}
+
+double server_pool::wait_us(const row& it, time_point now) const
+{
+    return waiting_share(load_of(it, now), it.entry.slots) * work_us(it, now);
 }
 
 std::optional<server_choice> server_pool::choose(const server_wish& wish,
@@ -124,7 +128,7 @@
                                                  time_point now) const
 {
     const row* best = nullptr;
-    double best_us = 0;
+    double best_cost = 0;
     unsigned equals = 0;
     for (const auto& [id, it] : rows_)
     {
@@ -132,14 +136,16 @@
         {
             continue;
         }
-        const double expected = expected_us(it, now);
-        if (best == nullptr || expected < best_us)
+        const double remote = it.entry.zone == here_ ? 0 : options_.remote_penalty;
+        const double cost = wait_us(it, now) + options_.work_weight * work_us(it, now) +
+                            remote * mean_us_;
+        if (best == nullptr || cost < best_cost)
         {
             best = &it;
-            best_us = expected;
+            best_cost = cost;
             equals = 1;
         }
-        else if (expected == best_us && random() % ++equals == 0)
+        else if (cost == best_cost && random() % ++equals == 0)
         {
             best = &it;
         }
@@ -148,8 +154,11 @@
     {
         return std::nullopt;
     }
-    return server_choice{
-        best->entry.id, best->entry.life, best->entry.address, from_us(best_us)};
+    return server_choice{best->entry.id,
+                         best->entry.life,
+                         best->entry.address,
+                         from_us(wait_us(*best, now) + work_us(*best, now)),
+                         load_of(*best, now)};
 }
 
 void server_pool::started(const server_id& server)
@@ -161,27 +170,23 @@
     }
 }
 
-void server_pool::ended(const server_id& server,
+void server_pool::ended(const server_choice& to,
                         attempt_end how,
                         duration elapsed,
                         time_point now)
 {
-    auto found = rows_.find(server);
+    auto found = rows_.find(to.server);
     if (found == rows_.end())
     {
         return;
     }
     row& it = found->second;
-    const unsigned load = it.own + it.remote;
     it.own -= it.own > 0 ? 1 : 0;
     switch (how)
     {
     case attempt_end::answered:
         it.failures = 0;
-        learn_time(it,
-                   elapsed * std::max(1U, it.entry.slots) /
-                       std::max(load, std::max(1U, it.entry.slots)),
-                   now);
+        learn_time(it, elapsed, to.load);
         break;
     case attempt_end::shed:
         it.full_until = now + options_.full_for;
@@ -197,10 +202,9 @@
     }
 }
 
-void server_pool::learn_time(row& it, duration elapsed, time_point now)
+void server_pool::learn_time(row& it, duration elapsed, unsigned load)
 {
-    static_cast<void>(now);
-    const double sample = to_us(elapsed);
+    const double sample = to_us(elapsed) / (1.0 + waiting_share(load, it.entry.slots));
     it.time_us += options_.smoothing * (sample - it.time_us);
     const double mean_smoothing = options_.smoothing / std::max<double>(1, rows_.size());
     mean_us_ += mean_smoothing * (sample - mean_us_);
--- a/core/gateway/server_pool.hpp
+++ b/core/gateway/server_pool.hpp
@@ -9,8 +9,10 @@
 //     pool.ended(*to, attempt_end::answered, elapsed, now);
 //
 // The expected time of an answer is the time of the work there, and of the work that
-// waits before it for one of the server's slots. A server in another data centre counts
-// as slower by `remote_penalty` of the service's mean time. The least expected time wins.
+// waits before it for one of the server's slots. The choice weighs the wait in full and
+// the work by `work_weight`, so that slow servers with free slots are used; a server in
+// another data centre counts as if it made a request wait for `remote_penalty` of the
+// service's mean time. The least sum wins.
 //
 // A server whose attempts fail is suspended for a time that doubles with each further
 // failure, and returns on probation: one request at a time until one is answered.
@@ -49,8 +51,9 @@
 {
     double smoothing = 0.1; // weight of the newest time
     duration initial_time = milliseconds(100);
-    double remote_penalty = 0.3; // of the service's mean time
-    double warm_up_factor = 2.0; // a server that has just started is slower
+    double work_weight = 0.3;
+    double remote_penalty = 0.35; // of the service's mean time
+    double warm_up_factor = 2.0;  // a server that has just started is slower
     duration first_suspension = milliseconds(300);
     duration max_suspension = seconds(2);
     duration full_for = milliseconds(250); // a server that shed counts as full so long
@@ -70,6 +73,7 @@
     server_life life;
     endpoint address;
     duration expected{}; // until the answer
+    unsigned load = 0;   // requests that are there already, of all gateways
 };
 
 class server_pool
@@ -86,9 +90,9 @@
 
     void started(const server_id& server);
 
-    // `elapsed` since the attempt started.
+    // `elapsed` since the attempt started, for which choose() gave `to`.
     void
-    ended(const server_id& server, attempt_end how, duration elapsed, time_point now);
+    ended(const server_choice& to, attempt_end how, duration elapsed, time_point now);
 
     // What the other gateways have in flight; `gateways` is their number with this one.
     void set_remote_loads(const remote_loads& loads, unsigned gateways);
@@ -133,8 +137,10 @@
     };
 
     bool may_choose(const row& it, const server_wish& wish, time_point now) const;
-    double expected_us(const row& it, time_point now) const;
-    void learn_time(row& it, duration elapsed, time_point now);
+    unsigned load_of(const row& it, time_point now) const;
+    double work_us(const row& it, time_point now) const;
+    double wait_us(const row& it, time_point now) const;
+    void learn_time(row& it, duration elapsed, unsigned load);
     void suspend(row& it, time_point now);
 
     data_centre here_;
--- a/gateway/relay.cpp
+++ b/gateway/relay.cpp
@@ -17,6 +17,7 @@
     milliseconds(150); // before a refused owner is asked again
 constexpr duration max_owner_wait = milliseconds(700);
 constexpr unsigned max_refusals = 3;
+constexpr int aim_percent = 110; // of the target latency
 constexpr duration min_retry_after = milliseconds(80);
 constexpr int retry_after_spread = 120; // ms
 
@@ -115,6 +116,13 @@
     return true;
 }
 
+// An answer that is expected later than the target is worth little to the client, and its
+// wait at the server makes those behind it late too.
+duration relay::longest_expected() const
+{
+    return route_.target_latency * aim_percent / 100;
+}
+
 duration relay::left() const
 {
     return deadline_ - parts_.loop.now();
@@ -168,9 +176,10 @@
         answer_self(may_have_run_ ? own_reason::server_lost : own_reason::no_server);
         return;
     }
-    if (to->expected > left())
+    if (to->expected > std::min(left(), longest_expected()))
     {
-        answer_self(may_have_run_ ? own_reason::timed_out : own_reason::overloaded);
+        refused_for_ = to->expected;
+        answer_self(may_have_run_ ? own_reason::server_lost : own_reason::overloaded);
         return;
     }
     send_to(*to);
@@ -272,7 +281,7 @@
     const duration elapsed = parts_.loop.now() - sent_at_;
     if (service_state* service = parts_.state.find_service(service_))
     {
-        service->pool.ended(sent_to_.server, how, elapsed, parts_.loop.now());
+        service->pool.ended(sent_to_, how, elapsed, parts_.loop.now());
     }
     const bool is_foreign = how == attempt_end::lost && got.end == exchange_end::answered;
     if (is_foreign)
@@ -325,8 +334,8 @@
     const bool is_safe = route_.is_repeatable || !may_have_run_;
     const bool has_attempts =
         sendings_ < route_.max_attempts && refusals_ <= max_refusals;
-    const bool has_owner = !key_ || how != attempt_end::not_owner || key_;
-    if (!is_safe || !has_attempts || !has_owner || left() <= duration::zero())
+    const bool has_other = !key_ || how != attempt_end::shed; // the owner is the only one
+    if (!is_safe || !has_attempts || !has_other || left() <= duration::zero())
     {
         return false;
     }
@@ -426,7 +435,9 @@
 duration relay::retry_after() const
 {
     const int spread = static_cast<int>(parts_.state.random()() % retry_after_spread);
-    return min_retry_after + milliseconds(spread);
+    const duration excess =
+        std::max<duration>(refused_for_ - route_.target_latency / 2, duration::zero());
+    return min_retry_after + milliseconds(spread) + excess;
 }
 
 void relay::answer_self(own_reason why)
@@ -452,8 +463,7 @@
         if (service_state* service = parts_.state.find_service(service_))
         {
             const time_point now = parts_.loop.now();
-            service->pool.ended(
-                sent_to_.server, attempt_end::cancelled, now - sent_at_, now);
+            service->pool.ended(sent_to_, attempt_end::cancelled, now - sent_at_, now);
         }
     }
     deadline_timer_.reset();
--- a/gateway/relay.hpp
+++ b/gateway/relay.hpp
@@ -86,6 +86,7 @@
     void answer_self(own_reason why);
     own_reason reason_after(attempt_end how) const;
     duration left() const;
+    duration longest_expected() const;
     duration retry_after() const;
     void end();
 
@@ -105,8 +106,9 @@
     server_choice sent_to_;
     time_point sent_at_{};
     std::vector<server_id> tried_;
-    unsigned sendings_ = 0; // that reached a server, or may have
-    unsigned refusals_ = 0; // by servers that did not run it
+    unsigned sendings_ = 0;  // that reached a server, or may have
+    unsigned refusals_ = 0;  // by servers that did not run it
+    duration refused_for_{}; // what was expected, where that was too long
     bool may_have_run_ = false;
     bool is_waiting_ = false;
     bool is_ended_ = false;
