--- /dev/null
+++ b/core/gateway/testing/server_directory_test.cpp
@@ -0,0 +1,73 @@
+#include "core/gateway/server_directory.hpp"
+#include "testing/test_headers.hpp"
+
+using namespace camphorrock;
+
+namespace
+{
+
+server_entry entry(const char* id, std::uint64_t life = 1)
+{
+    server_entry made;
+    made.id = server_id(id);
+    made.life.started_ms = life;
+    made.service = service_name("valves");
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("the directory follows the entries of servers")
+{
+    const time_point start{seconds(100)};
+    server_directory directory;
+    directory.put(entry("a"), start);
+    directory.put(entry("b"), start);
+
+    SECTION("a server that is there can be used")
+    {
+        CHECK(directory.find(server_id("a"))->is_usable());
+        CHECK(directory.servers_of(service_name("valves")).size() == 2);
+        CHECK(directory.servers_of(service_name("other")).empty());
+    }
+    SECTION("an entry that goes counts as gone once its grace is over")
+    {
+        directory.remove(server_id("a"), milliseconds(1600), start);
+        const known_server* it = directory.find(server_id("a"));
+        REQUIRE(it != nullptr);
+        CHECK_FALSE(it->is_usable());
+        CHECK_FALSE(it->is_leaving(start + milliseconds(1599)));
+        CHECK(it->is_leaving(start + milliseconds(1600)));
+
+        AND_THEN("an entry that is back in time ends that")
+        {
+            directory.put(entry("a"), start + seconds(1));
+            CHECK(directory.find(server_id("a"))->is_usable());
+        }
+        AND_THEN("a second removal does not begin the grace anew")
+        {
+            directory.remove(server_id("a"), seconds(9), start + seconds(1));
+            CHECK(directory.find(server_id("a"))->is_leaving(start + seconds(2)));
+        }
+        AND_THEN("its row is forgotten later")
+        {
+            directory.expire(start + seconds(6));
+            CHECK(directory.find(server_id("a")) != nullptr);
+            directory.expire(start + seconds(7));
+            CHECK(directory.find(server_id("a")) == nullptr);
+        }
+    }
+    SECTION("a whole list removes what it does not name")
+    {
+        directory.replace({entry("b"), entry("c")}, duration::zero(), start);
+        CHECK(directory.find(server_id("a"))->is_leaving(start));
+        CHECK(directory.find(server_id("b"))->is_usable());
+        CHECK(directory.find(server_id("c"))->is_usable());
+    }
+    SECTION("an entry of an earlier life changes nothing")
+    {
+        directory.put(entry("a", 5), start);
+        directory.put(entry("a", 4), start);
+        CHECK(directory.find(server_id("a"))->entry.life.started_ms == 5);
+    }
+}
--- /dev/null
+++ b/core/gateway/testing/server_pool_test.cpp
@@ -0,0 +1,206 @@
+#include "core/gateway/server_pool.hpp"
+#include "testing/test_headers.hpp"
+
+#include <deque>
+
+using namespace camphorrock;
+
+namespace
+{
+
+const data_centre here("here");
+const data_centre there("there");
+
+struct pool_fixture
+{
+    pool_fixture() : pool(here) {}
+
+    void add(const char* id, const data_centre& zone)
+    {
+        known_server made;
+        made.entry.id = server_id(id);
+        made.entry.zone = zone;
+        made.entry.slots = 3;
+        made.seen = now;
+        servers.push_back(made);
+        update();
+    }
+
+    void update()
+    {
+        std::vector<const known_server*> list;
+        for (const known_server& it : servers)
+        {
+            list.push_back(&it);
+        }
+        pool.update(list, now);
+    }
+
+    std::optional<server_choice> choose(server_wish wish = {})
+    {
+        return pool.choose(wish, random, now);
+    }
+
+    // Chooses and keeps the request there.
+    std::string place()
+    {
+        const std::optional<server_choice> to = choose();
+        if (!to)
+        {
+            return "none";
+        }
+        pool.started(to->server);
+        return to->server.str();
+    }
+
+    void end(const char* id, attempt_end how, duration elapsed = milliseconds(100))
+    {
+        server_choice to;
+        to.server = server_id(id);
+        pool.ended(to, how, elapsed, now);
+    }
+
+    time_point now{seconds(100)};
+    std::deque<known_server> servers;
+    server_pool pool;
+    std::minstd_rand random{7};
+};
+
+} // namespace
+
+TEST_CASE("a pool uses its own data centre first, while there is room")
+{
+    pool_fixture fixture;
+    fixture.add("near", here);
+    fixture.add("far", there);
+
+    SECTION("free slots here are filled before those there")
+    {
+        CHECK(fixture.place() == "near");
+        CHECK(fixture.place() == "near");
+        CHECK(fixture.place() == "near");
+    }
+    SECTION("a request does not wait here for long while slots there are free")
+    {
+        unsigned far = 0;
+        for (int n = 0; n < 8; ++n)
+        {
+            far += fixture.place() == "far" ? 1 : 0;
+        }
+        CHECK(far >= 3);
+    }
+    SECTION("what other gateways have there counts")
+    {
+        remote_loads loads;
+        loads.take({1, 1, {{tag_of(server_id("near")), 12}}}, fixture.now);
+        fixture.pool.set_remote_loads(loads, 2);
+        CHECK(fixture.place() == "far");
+    }
+}
+
+TEST_CASE("a pool leaves servers alone that fail, and comes back")
+{
+    pool_fixture fixture;
+    fixture.add("a", here);
+    fixture.add("b", here);
+    fixture.end("a", attempt_end::unreachable);
+
+    SECTION("a server that was not reached gets nothing for a while")
+    {
+        for (int n = 0; n < 10; ++n)
+        {
+            CHECK(fixture.place() == "b");
+        }
+    }
+    SECTION("then it gets one request at a time, until one is answered")
+    {
+        fixture.now += milliseconds(301);
+        for (int n = 0; n < 12; ++n)
+        {
+            fixture.pool.started(server_id("b"));
+        }
+        CHECK(fixture.place() == "a");
+        CHECK(fixture.place() == "b");
+        fixture.end("a", attempt_end::answered);
+        CHECK(fixture.place() == "a");
+        CHECK(fixture.place() == "a");
+    }
+    SECTION("each failure doubles the time, up to a bound")
+    {
+        for (int n = 0; n < 10; ++n)
+        {
+            fixture.end("a", attempt_end::lost);
+        }
+        fixture.end("b", attempt_end::unreachable);
+        fixture.now += milliseconds(1999);
+        CHECK(fixture.choose()->server == server_id("b"));
+        fixture.now += milliseconds(1);
+        CHECK(fixture.pool.usable(fixture.now) == 2);
+    }
+    SECTION("all suspended: there is no choice")
+    {
+        fixture.end("b", attempt_end::unreachable);
+        CHECK_FALSE(fixture.choose());
+    }
+}
+
+TEST_CASE("a pool keeps to the owner of a key, also where that is suspended")
+{
+    pool_fixture fixture;
+    fixture.add("a", here);
+    fixture.add("b", here);
+    fixture.end("a", attempt_end::shed);
+    server_wish wish;
+    wish.owner = server_id("a");
+    CHECK(fixture.choose(wish)->server == server_id("a"));
+    wish.owner = server_id("unknown");
+    CHECK_FALSE(fixture.choose(wish));
+}
+
+TEST_CASE("a pool expects later answers where requests wait")
+{
+    pool_fixture fixture;
+    fixture.add("a", here);
+    const duration alone = fixture.choose()->expected;
+    for (int n = 0; n < 9; ++n)
+    {
+        fixture.place();
+    }
+    // Three slots, nine requests: a new one waits for the time of 7/3 of them.
+    CHECK(fixture.choose()->expected.count() ==
+          Approx(static_cast<double>(alone.count()) * (1 + 7.0 / 3)).epsilon(0.01));
+
+    SECTION("the time of the work is learnt without the wait")
+    {
+        const server_choice to = *fixture.choose();
+        for (int n = 0; n < 200; ++n)
+        {
+            fixture.pool.ended(to, attempt_end::answered, to.expected, fixture.now);
+        }
+        CHECK(fixture.pool.capacity(server_id("a")) ==
+              Approx(3e6 / static_cast<double>(alone.count())).epsilon(0.02));
+    }
+}
+
+TEST_CASE("a pool follows the directory")
+{
+    pool_fixture fixture;
+    fixture.add("a", here);
+    fixture.place();
+
+    SECTION("a server that drains gets nothing more, and its requests still end")
+    {
+        fixture.servers.front().entry.is_draining = true;
+        fixture.update();
+        CHECK_FALSE(fixture.choose());
+        CHECK(fixture.pool.in_flight(server_id("a")) == 1);
+        fixture.end("a", attempt_end::answered);
+        CHECK(fixture.pool.in_flight(server_id("a")) == 0);
+    }
+    SECTION("a new life under the id starts with nothing")
+    {
+        ++fixture.servers.front().entry.life.started_ms;
+        fixture.update();
+        CHECK(fixture.pool.in_flight(server_id("a")) == 0);
+    }
+}
--- a/fakes/platform/kv_engine.cpp
+++ b/fakes/platform/kv_engine.cpp
@@ -68,14 +68,14 @@
     return made;
 }
 
-std::uint64_t kv_engine::grant_lease(seconds time_to_live, time_point now)
+std::uint64_t kv_engine::grant_lease(duration time_to_live, time_point now)
 {
     const std::uint64_t id = ++last_lease_;
     leases_[id] = {time_to_live, now + time_to_live, {}};
     return id;
 }
 
-std::optional<seconds> kv_engine::keep_alive(std::uint64_t lease, time_point now)
+std::optional<duration> kv_engine::keep_alive(std::uint64_t lease, time_point now)
 {
     auto it = leases_.find(lease);
     if (it == leases_.end())
--- a/fakes/platform/kv_engine.hpp
+++ b/fakes/platform/kv_engine.hpp
@@ -49,10 +49,10 @@
     kv_transaction_result run(const kv_transaction& what);
 
     // Returns the id, which is not 0.
-    std::uint64_t grant_lease(seconds time_to_live, time_point now);
+    std::uint64_t grant_lease(duration time_to_live, time_point now);
 
     // Starts the lease's time anew and returns its length; none if it does not exist.
-    std::optional<seconds> keep_alive(std::uint64_t lease, time_point now);
+    std::optional<duration> keep_alive(std::uint64_t lease, time_point now);
 
     // Deletes the lease with its keys. False if it does not exist.
     bool revoke_lease(std::uint64_t lease);
@@ -82,7 +82,7 @@
 private:
     struct lease_state
     {
-        seconds time_to_live;
+        duration time_to_live;
         time_point ends;
         std::set<std::string> keys;
     };
--- a/fakes/platform/platform_service.cpp
+++ b/fakes/platform/platform_service.cpp
@@ -274,8 +274,9 @@
     {
         return bad_request();
     }
-    const std::optional<seconds> ttl = kv_.keep_alive(*id, loop_.now());
-    const auto ttl_s = static_cast<std::uint64_t>(ttl.value_or(seconds(0)).count());
+    const std::optional<duration> ttl = kv_.keep_alive(*id, loop_.now());
+    const auto ttl_s = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<seconds>(ttl.value_or(duration::zero())).count());
     Json::Value made(Json::objectValue);
     made["result"] = make_lease_answer(*id, ttl_s, kv_.revision());
     http_response answer = json_of(http_status::ok, made);
--- a/net/request_parser.cpp
+++ b/net/request_parser.cpp
@@ -108,6 +108,7 @@
     self->is_inside_ = true;
     self->is_in_head_ = true;
     self->is_value_last_ = false;
+    self->has_faulty_name_ = false;
     return 0;
 }
 
@@ -152,6 +153,8 @@
 
 void request_parser::end_header()
 {
+    has_faulty_name_ =
+        has_faulty_name_ || header_name_.find_first_of(" \t") != std::string::npos;
     current_.request.headers.add(std::exchange(header_name_, {}),
                                  std::exchange(header_value_, {}));
     is_value_last_ = false;
@@ -165,6 +168,11 @@
         self->end_header();
     }
     self->is_in_head_ = false;
+    if (self->has_faulty_name_)
+    {
+        self->refuse(http_status::bad_request, "a header's name holds a blank");
+        return -1;
+    }
     http_request& request = self->current_.request;
     request.method = http_method_str(static_cast<http_method>(raw->method));
     const std::optional<request_refusal> why =
--- a/net/request_parser.hpp
+++ b/net/request_parser.hpp
@@ -85,6 +85,7 @@
     bool is_inside_ = false;
     bool is_in_head_ = true;
     bool is_value_last_ = false; // the last header piece was of a value
+    bool has_faulty_name_ = false;
     bool wants_continue_ = false;
     char last_byte_ = 0;
     std::optional<request_refusal> fault_;
--- /dev/null
+++ b/net/testing/pipelined_server_test.cpp
@@ -0,0 +1,193 @@
+#include "net/pipelined_server.hpp"
+#include "net/testing/loop_fixture.hpp"
+#include "testing/test_headers.hpp"
+
+using namespace camphorrock;
+using namespace camphorrock::testing;
+
+namespace
+{
+
+// Holds each responder until the test answers.
+struct pipelined_fixture
+{
+    pipelined_fixture()
+        : loop(event_loop::create().value()),
+          handler(
+              [this](const http_request&, std::shared_ptr<http_responder> responder)
+              {
+                  const std::size_t n = held.size();
+                  responder->on_gone([this, n] { gone.push_back(n); });
+                  held.push_back(std::move(responder));
+              })
+    {
+        pipelined_server_options options;
+        options.common.address = endpoint("127.0.0.1:0");
+        options.max_pipelined = 3;
+        server = create_pipelined_server(*loop, options, handler).value();
+    }
+
+    void run_until(const std::function<bool()>& is_met)
+    {
+        testing::run_until(*loop, is_met);
+    }
+
+    void answer(std::size_t n, const std::string& body)
+    {
+        http_response made;
+        made.body = body;
+        held[n]->respond(std::move(made));
+    }
+
+    std::string read(raw_peer& peer, const std::string& mark)
+    {
+        std::string got;
+        run_until(
+            [&]
+            {
+                got += peer.read_some();
+                return peer.is_ended() || got.find(mark) != std::string::npos;
+            });
+        return got;
+    }
+
+    std::unique_ptr<event_loop> loop;
+    std::vector<std::shared_ptr<http_responder>> held;
+    std::vector<std::size_t> gone;
+    scripted_handler handler;
+    std::unique_ptr<http_server> server;
+};
+
+const std::string get = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("requests of a connection are handed on while earlier ones wait")
+{
+    pipelined_fixture it;
+    raw_peer peer(it.server->bound());
+    peer.send(get + get);
+    it.run_until([&] { return it.held.size() == 2; });
+
+    SECTION("and answered in their order")
+    {
+        it.answer(1, "second");
+        it.answer(0, "first");
+        const std::string got = it.read(peer, "second");
+        CHECK(got.find("first") < got.find("second"));
+    }
+    SECTION("no more than the bound at once")
+    {
+        peer.send(get + get + get);
+        it.run_until([&] { return it.held.size() >= 3; });
+        it.answer(0, "a");
+        it.answer(1, "b");
+        it.run_until([&] { return it.held.size() == 5; });
+        CHECK(it.server->in_flight() == 3);
+    }
+    SECTION("an answer that cannot be given whole ends the connection behind the others")
+    {
+        it.held[1]->abort();
+        it.answer(0, "first");
+        const std::string got = it.read(peer, "nothing");
+        CHECK(got.find("first") != std::string::npos);
+        CHECK(peer.is_ended());
+    }
+    SECTION("a client that leaves is told of, for each of its requests")
+    {
+        peer.close();
+        it.run_until([&] { return it.gone.size() == 2; });
+        CHECK(it.server->connections() == 0);
+        it.answer(0, "too late");
+    }
+}
+
+TEST_CASE("a refused request is answered and closes the connection")
+{
+    pipelined_fixture it;
+    raw_peer peer(it.server->bound());
+    peer.send("GET / HTTP/1.1\r\nHost: x\nOne: 1\r\n\r\n");
+    const std::string got = it.read(peer, "nothing");
+    CHECK(got.starts_with("HTTP/1.1 400"));
+    CHECK(got.find("Connection: close") != std::string::npos);
+    CHECK(it.held.empty());
+}
+
+TEST_CASE("a server that is to close closes behind the last request of a connection")
+{
+    pipelined_fixture it;
+    raw_peer peer(it.server->bound());
+    peer.send(get + get);
+    it.run_until([&] { return it.held.size() == 2; });
+    it.server->close_after_answers();
+    it.answer(0, "first");
+    it.answer(1, "second");
+    const std::string got = it.read(peer, "nothing");
+    CHECK(got.find("Connection: close") > got.find("first"));
+    CHECK(got.ends_with("second"));
+}
+
+TEST_CASE("closing idle connections spares those with requests")
+{
+    pipelined_fixture it;
+    raw_peer idle(it.server->bound());
+    raw_peer busy(it.server->bound());
+    busy.send(get);
+    it.run_until([&] { return it.held.size() == 1 && it.server->connections() == 2; });
+
+    SECTION("which are answered")
+    {
+        it.server->close_idle();
+        CHECK(it.server->connections() == 1);
+        it.answer(0, "done");
+        CHECK(it.read(busy, "done").ends_with("done"));
+    }
+    SECTION("and a request that crosses the closing is not handed on")
+    {
+        idle.send(get);
+        it.server->close_idle();
+        it.answer(0, "done");
+        it.read(busy, "done");
+        CHECK(it.held.size() == 1);
+    }
+}
+
+TEST_CASE("a body that its client announces is asked for")
+{
+    pipelined_fixture it;
+    raw_peer peer(it.server->bound());
+    peer.send("POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n"
+              "Content-Length: 2\r\n\r\n");
+    CHECK(it.read(peer, "\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+    peer.send("ab");
+    it.run_until([&] { return it.held.size() == 1; });
+    CHECK(it.handler.seen.front().body == "ab");
+}
+
+TEST_CASE("a streamed answer goes out in chunks")
+{
+    pipelined_fixture it;
+    raw_peer peer(it.server->bound());
+    peer.send(get);
+    it.run_until([&] { return it.held.size() == 1; });
+    it.held[0]->start_stream({});
+    it.held[0]->add_piece("one");
+    it.held[0]->add_piece("two");
+    it.held[0]->end_stream();
+    CHECK(it.read(peer, "0\r\n\r\n").find("3\r\none\r\n3\r\ntwo\r\n") !=
+          std::string::npos);
+}
+
+TEST_CASE("the answer to HEAD has the length and no body")
+{
+    pipelined_fixture it;
+    raw_peer peer(it.server->bound());
+    peer.send("HEAD / HTTP/1.1\r\nHost: x\r\n\r\n");
+    it.run_until([&] { return it.held.size() == 1; });
+    http_response made;
+    made.headers.add("Content-Length", "7");
+    it.held[0]->respond(made);
+    const std::string got = it.read(peer, "\r\n\r\n");
+    CHECK(got.find("Content-Length: 7\r\n") != std::string::npos);
+    CHECK(got.ends_with("\r\n\r\n"));
+}
--- /dev/null
+++ b/net/testing/request_parser_test.cpp
@@ -0,0 +1,176 @@
+#include "net/request_parser.hpp"
+#include "testing/test_headers.hpp"
+
+using namespace camphorrock;
+
+namespace
+{
+
+struct parser_fixture
+{
+    void feed(const std::string& bytes)
+    {
+        parser.feed(bytes,
+                    [this](parsed_request got) { seen.push_back(std::move(got)); });
+    }
+
+    int fault() const
+    {
+        return parser.fault() ? parser.fault()->status : 0;
+    }
+
+    request_parser parser{{256, 64}};
+    std::vector<parsed_request> seen;
+};
+
+const std::string get = "GET /a/b?c=d%20e HTTP/1.1\r\nHost: x\r\nOne: 1\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("requests are read as they were sent")
+{
+    parser_fixture it;
+
+    SECTION("whole, with target and headers unchanged")
+    {
+        it.feed(get);
+        REQUIRE(it.seen.size() == 1);
+        CHECK(it.seen[0].request.method == "GET");
+        CHECK(it.seen[0].request.target == "/a/b?c=d%20e");
+        CHECK(it.seen[0].request.headers.find("one") == "1");
+        CHECK_FALSE(it.seen[0].is_last);
+    }
+    SECTION("byte by byte")
+    {
+        for (char c : get + get)
+        {
+            it.feed(std::string(1, c));
+        }
+        CHECK(it.seen.size() == 2);
+    }
+    SECTION("several at once")
+    {
+        it.feed(get + get + get);
+        CHECK(it.seen.size() == 3);
+    }
+    SECTION("with a body of a length or in chunks")
+    {
+        it.feed("POST /p HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhel");
+        CHECK(it.parser.is_inside());
+        it.feed("lo");
+        it.feed("POST /p HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n");
+        REQUIRE(it.seen.size() == 2);
+        CHECK(it.seen[0].request.body == "hello");
+        CHECK(it.seen[1].request.body == "hello");
+    }
+    SECTION("the last says so")
+    {
+        it.feed("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        REQUIRE(it.seen.size() == 1);
+        CHECK(it.seen[0].is_last);
+    }
+    SECTION("one that waits for leave to send its body")
+    {
+        it.feed("POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n"
+                "Content-Length: 2\r\n\r\n");
+        CHECK(it.parser.take_continue());
+        CHECK_FALSE(it.parser.take_continue());
+    }
+}
+
+TEST_CASE("what two readers could understand differently is refused")
+{
+    parser_fixture it;
+    const std::string head = "POST / HTTP/1.1\r\nHost: x\r\n";
+
+    SECTION("two lengths")
+    {
+        it.feed(head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab");
+    }
+    SECTION("a length beside an encoding")
+    {
+        it.feed(head +
+                "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    }
+    SECTION("an encoding that is not known")
+    {
+        it.feed(head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n");
+    }
+    SECTION("a line that ends without a carriage return")
+    {
+        it.feed("GET / HTTP/1.1\r\nHost: x\nOne: 1\r\n\r\n");
+    }
+    SECTION("the same, between two reads")
+    {
+        it.feed("GET / HTTP/1.1\r\nHost: x");
+        it.feed("\nOne: 1\r\n\r\n");
+    }
+    SECTION("a blank in a header's name")
+    {
+        it.feed("GET / HTTP/1.1\r\nHost : x\r\n\r\n");
+    }
+    SECTION("a length that is no number")
+    {
+        it.feed(head + "Content-Length: +2\r\n\r\nab");
+    }
+    SECTION("bytes that are no request")
+    {
+        it.feed("\x16\x03\x01\x02");
+    }
+    CHECK(it.seen.empty());
+    CHECK(it.fault() >= 400);
+}
+
+TEST_CASE("a body may hold any bytes")
+{
+    parser_fixture it;
+    const std::string inner = "GET /in HTTP/1.1\n\n";
+    it.feed("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+            std::to_string(inner.size()) + "\r\n\r\n" + inner);
+    REQUIRE(it.seen.size() == 1);
+    CHECK(it.seen[0].request.body == inner);
+}
+
+TEST_CASE("what is too large is refused")
+{
+    parser_fixture it;
+
+    SECTION("headers")
+    {
+        it.feed("GET / HTTP/1.1\r\nHost: x\r\nLong: " + std::string(300, 'a'));
+        CHECK(it.fault() == 431);
+    }
+    SECTION("a target")
+    {
+        it.feed("GET /" + std::string(300, 'a'));
+        CHECK(it.fault() == 431);
+    }
+    SECTION("a stated length")
+    {
+        it.feed("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 65\r\n\r\n");
+        CHECK(it.fault() == 413);
+    }
+    SECTION("chunks")
+    {
+        it.feed("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" +
+                std::string(65, 'a'));
+        CHECK(it.fault() == 413);
+    }
+    CHECK(it.seen.empty());
+}
+
+TEST_CASE("no bytes break the parser")
+{
+    rc::prop("any bytes, in any pieces",
+             [](const std::vector<std::string>& pieces)
+             {
+                 parser_fixture it;
+                 it.feed("POST / HTTP/1.1\r\n");
+                 for (const std::string& piece : pieces)
+                 {
+                     it.feed(piece);
+                 }
+                 RC_ASSERT(it.seen.size() <= pieces.size() * 100);
+             });
+}
