One failed answer suspends no server; failing servers cost more; types have names of their own

Now two in a row suspend, a share of failures costs, and the server that is to return first is tried where all are suspended.

--- a/codec/load_report_codec.cpp
+++ b/codec/gateway_load_codec.cpp
@@ -1,4 +1,4 @@
-#include "codec/load_report_codec.hpp"
+#include "codec/gateway_load_codec.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -14,7 +14,7 @@
 
 } // namespace
 
-std::string encode_load_report(const load_report& report)
+std::string encode_gateway_load(const gateway_load& report)
 {
     nlohmann::json servers = nlohmann::json::array();
     for (const server_requests& it : report.servers)
@@ -29,7 +29,7 @@
     return bytes;
 }
 
-std::optional<load_report> decode_load_report(std::string_view bytes)
+std::optional<gateway_load> decode_gateway_load(std::string_view bytes)
 {
     if (bytes.size() > max_report_bytes)
     {
@@ -43,7 +43,7 @@
     {
         return std::nullopt;
     }
-    load_report made;
+    gateway_load made;
     made.sender = value[0].get<std::uint64_t>();
     made.number = value[1].get<std::uint64_t>();
     const nlohmann::json& servers = value[2];
--- a/codec/load_report_codec.hpp
+++ b/codec/gateway_load_codec.hpp
@@ -12,9 +12,9 @@
 namespace camphorrock
 {
 
-std::string encode_load_report(const load_report& report);
+std::string encode_gateway_load(const gateway_load& report);
 
-// None for bytes that encode_load_report does not produce.
-std::optional<load_report> decode_load_report(std::string_view bytes);
+// None for bytes that encode_gateway_load does not produce.
+std::optional<gateway_load> decode_gateway_load(std::string_view bytes);
 
 } // namespace camphorrock
--- a/core/gateway/route_table.cpp
+++ b/core/gateway/gateway_routes.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/route_table.hpp"
+#include "core/gateway/gateway_routes.hpp"
 
 #include <algorithm>
 #include <cctype>
@@ -16,7 +16,7 @@
     return made;
 }
 
-route_table::route_table(const gateway_config& config) : routes_(config.routes)
+gateway_routes::gateway_routes(const gateway_config& config) : routes_(config.routes)
 {
     for (std::size_t n = 0; n < routes_.size(); ++n)
     {
@@ -31,7 +31,8 @@
     }
 }
 
-const gateway_route* route_table::find(std::string_view host, std::string_view path) const
+const gateway_route* gateway_routes::find(std::string_view host,
+                                          std::string_view path) const
 {
     auto it = hosts_.find(normalized_host(host));
     if (it == hosts_.end())
@@ -55,8 +56,8 @@
     return nullptr;
 }
 
-const gateway_route* route_table::find_prefix(const std::vector<prefix_row>& rows,
-                                              std::string_view prefix) const
+const gateway_route* gateway_routes::find_prefix(const std::vector<prefix_row>& rows,
+                                                 std::string_view prefix) const
 {
     auto it = std::lower_bound(rows.begin(),
                                rows.end(),
--- a/core/gateway/route_table.hpp
+++ b/core/gateway/gateway_routes.hpp
@@ -3,7 +3,7 @@
 // Finds the route of a request: among the routes of its host, the one whose prefix is the
 // longest that begins the path.
 //
-//     route_table table(config);
+//     gateway_routes table(config);
 //     if (const gateway_route* it = table.find("shop.example", "/leny950/2f")) ...
 //
 // Memory: one row a route. A look-up costs O(slashes in the path x log routes of the
@@ -19,13 +19,13 @@
 namespace camphorrock
 {
 
-class route_table
+class gateway_routes
 {
 public:
-    route_table() = default;
+    gateway_routes() = default;
 
     // Copies what it needs.
-    explicit route_table(const gateway_config& config);
+    explicit gateway_routes(const gateway_config& config);
 
     // `host` as the client sent it, in any case and with or without a port; `path`
     // without its query. Null where no route matches. Valid as long as the table.
--- a/core/gateway/key_assigner.hpp
+++ b/core/gateway/key_assigner.hpp
@@ -71,7 +71,7 @@
     const server_directory* servers = nullptr;
     std::vector<service_name> keyed_services;
     // The requests that a server can work off in a second.
-    std::function<double(const service_name&, const server_entry&)> capacity;
+    std::function<double(const service_name&, const listed_server&)> capacity;
 };
 
 class key_assigner
--- a/core/gateway/key_assignment.hpp
+++ b/core/gateway/key_assignment.hpp
@@ -11,7 +11,7 @@
 
 #include "core/base/epoch.hpp"
 #include "core/base/names.hpp"
-#include "core/gateway/server_entry.hpp"
+#include "core/gateway/listed_server.hpp"
 
 #include <compare>
 #include <cstdint>
--- a/core/gateway/server_entry.hpp
+++ b/core/gateway/listed_server.hpp
@@ -19,7 +19,7 @@
     auto operator<=>(const server_life&) const = default;
 };
 
-struct server_entry
+struct listed_server
 {
     server_id id;
     server_life life;
@@ -30,7 +30,7 @@
     bool is_draining = false; // it takes no new work
     duration warm_up_left{};  // how much longer it is slow after its start
 
-    bool operator==(const server_entry&) const = default;
+    bool operator==(const listed_server&) const = default;
 };
 
 } // namespace camphorrock
--- a/core/gateway/remote_loads.cpp
+++ b/core/gateway/remote_loads.cpp
@@ -21,7 +21,7 @@
     }
 }
 
-bool remote_loads::take(const load_report& report, time_point now)
+bool remote_loads::take(const gateway_load& report, time_point now)
 {
     sender_row& row = senders_[report.sender];
     if (report.number <= row.number)
--- a/core/gateway/remote_loads.hpp
+++ b/core/gateway/remote_loads.hpp
@@ -37,13 +37,13 @@
 };
 
 // One gateway's requests in flight; servers without any are left out.
-struct load_report
+struct gateway_load
 {
     std::uint64_t sender = 0; // drawn at the sender's start
     std::uint64_t number = 0; // rises with each report
     std::vector<server_requests> servers;
 
-    bool operator==(const load_report&) const = default;
+    bool operator==(const gateway_load&) const = default;
 };
 
 class remote_loads
@@ -52,7 +52,7 @@
     explicit remote_loads(duration lifetime = milliseconds(1000)) : lifetime_(lifetime) {}
 
     // False for a report that is not newer than the sender's last.
-    bool take(const load_report& report, time_point now);
+    bool take(const gateway_load& report, time_point now);
 
     // Forgets reports that are too old.
     void expire(time_point now);
--- a/core/gateway/server_directory.cpp
+++ b/core/gateway/server_directory.cpp
@@ -5,7 +5,7 @@
 namespace camphorrock
 {
 
-void server_directory::put(const server_entry& entry, time_point now)
+void server_directory::put(const listed_server& entry, time_point now)
 {
     known_server& it = servers_[entry.id];
     // An older life's entry may arrive after that of a newer one.
@@ -26,12 +26,12 @@
     }
 }
 
-void server_directory::replace(const std::vector<server_entry>& entries,
+void server_directory::replace(const std::vector<listed_server>& entries,
                                duration grace,
                                time_point now)
 {
     std::set<server_id> present;
-    for (const server_entry& it : entries)
+    for (const listed_server& it : entries)
     {
         present.insert(it.id);
         put(it, now);
--- a/core/gateway/server_directory.hpp
+++ b/core/gateway/server_directory.hpp
@@ -13,7 +13,7 @@
 //
 // Memory: one row a server, and those of servers that are gone until expire().
 
-#include "core/gateway/server_entry.hpp"
+#include "core/gateway/listed_server.hpp"
 
 #include <cstddef>
 #include <map>
@@ -25,7 +25,7 @@
 
 struct known_server
 {
-    server_entry entry;
+    listed_server entry;
     time_point seen{};       // when the entry last came
     bool is_missing = false; // its entry is not there
     time_point gone_at{};    // from then on, a missing server counts as gone
@@ -53,13 +53,13 @@
     {
     }
 
-    void put(const server_entry& entry, time_point now);
+    void put(const listed_server& entry, time_point now);
     // The entry is gone, and the server counts as gone unless it returns within `grace`.
     void remove(const server_id& id, duration grace, time_point now);
 
     // The directory is exactly `entries`: others are removed.
     void
-    replace(const std::vector<server_entry>& entries, duration grace, time_point now);
+    replace(const std::vector<listed_server>& entries, duration grace, time_point now);
 
     // Forgets the servers that have been gone for long enough.
     void expire(time_point now);
--- a/core/gateway/server_pool.cpp
+++ b/core/gateway/server_pool.cpp
@@ -3,6 +3,7 @@
 #include "core/base/enum_names.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace camphorrock
 {
@@ -90,18 +91,19 @@
     static_cast<void>(now);
 }
 
-bool server_pool::may_choose(const row& it, const server_wish& wish, time_point now) const
+bool server_pool::fits(const row& it, const server_wish& wish) const
 {
-    if (wish.owner)
-    {
-        return it.entry.id == *wish.owner && !contains(wish.tried, it.entry.id);
-    }
-    if (!it.is_usable || contains(wish.tried, it.entry.id) || now < it.suspended_until)
+    if (contains(wish.tried, it.entry.id))
     {
         return false;
     }
-    const bool is_on_probation = it.failures > 0;
-    return !is_on_probation || it.own == 0;
+    return wish.owner ? it.entry.id == *wish.owner : it.is_usable;
+}
+
+bool server_pool::is_suspended(const row& it, time_point now) const
+{
+    const bool is_on_probation = it.suspended_until != time_point{} && it.failures > 0;
+    return now < it.suspended_until || (is_on_probation && it.own > 0);
 }
 
 double server_pool::work_us(const row& it, time_point now) const
@@ -123,6 +125,14 @@
     return waiting_share(load_of(it, now), it.entry.slots) * work_us(it, now);
 }
 
+double server_pool::cost_us(const row& it, time_point now) const
+{
+    const double remote = it.entry.zone == here_ ? 0 : options_.remote_penalty;
+    const double failure = options_.failure_penalty * failure_share(it, now);
+    return wait_us(it, now) + options_.work_weight * work_us(it, now) +
+           (remote + failure) * mean_us_;
+}
+
 std::optional<server_choice> server_pool::choose(const server_wish& wish,
                                                  std::minstd_rand& random,
                                                  time_point now) const
@@ -130,15 +140,21 @@
     const row* best = nullptr;
     double best_cost = 0;
     unsigned equals = 0;
+    const row* first_back = nullptr; // of the suspended ones
     for (const auto& [id, it] : rows_)
     {
-        if (!may_choose(it, wish, now))
+        if (!fits(it, wish))
+        {
+            continue;
+        }
+        if (!wish.owner && is_suspended(it, now))
         {
+            const bool is_first =
+                first_back == nullptr || it.suspended_until < first_back->suspended_until;
+            first_back = is_first ? &it : first_back;
             continue;
         }
-        const double remote = it.entry.zone == here_ ? 0 : options_.remote_penalty;
-        const double cost = wait_us(it, now) + options_.work_weight * work_us(it, now) +
-                            remote * mean_us_;
+        const double cost = cost_us(it, now);
         if (best == nullptr || cost < best_cost)
         {
             best = &it;
@@ -150,15 +166,17 @@
             best = &it;
         }
     }
-    if (best == nullptr)
-    {
-        return std::nullopt;
-    }
-    return server_choice{best->entry.id,
-                         best->entry.life,
-                         best->entry.address,
-                         from_us(wait_us(*best, now) + work_us(*best, now)),
-                         load_of(*best, now)};
+    best = best != nullptr ? best : first_back;
+    return best != nullptr ? std::optional(make_choice(*best, now)) : std::nullopt;
+}
+
+server_choice server_pool::make_choice(const row& it, time_point now) const
+{
+    return {it.entry.id,
+            it.entry.life,
+            it.entry.address,
+            from_us(wait_us(it, now) + work_us(it, now)),
+            load_of(it, now)};
 }
 
 void server_pool::started(const server_id& server)
@@ -186,15 +204,19 @@
     {
     case attempt_end::answered:
         it.failures = 0;
+        it.suspended_until = {};
+        note_failure(it, 0, now);
         learn_time(it, elapsed, to.load);
         break;
     case attempt_end::shed:
         it.full_until = now + options_.full_for;
         break;
-    case attempt_end::server_error:
     case attempt_end::unreachable:
+        failed(it, true, now);
+        break;
+    case attempt_end::server_error:
     case attempt_end::lost:
-        suspend(it, now);
+        failed(it, false, now);
         break;
     case attempt_end::not_owner:
     case attempt_end::cancelled:
@@ -210,15 +232,34 @@
     mean_us_ += mean_smoothing * (sample - mean_us_);
 }
 
-void server_pool::suspend(row& it, time_point now)
+void server_pool::failed(row& it, bool is_unreachable, time_point now)
 {
     ++it.failures;
-    const unsigned doublings = std::min(it.failures - 1, 8U);
+    note_failure(it, 1, now);
+    const unsigned least = is_unreachable ? 1 : options_.failures_to_suspend;
+    if (it.failures < least)
+    {
+        return;
+    }
+    const unsigned doublings = std::min(it.failures - least, 8U);
     const duration wait = std::min<duration>(
         options_.first_suspension * (1U << doublings), options_.max_suspension);
     it.suspended_until = now + wait;
 }
 
+double server_pool::failure_share(const row& it, time_point now) const
+{
+    const double age = to_us(now - it.failure_noted) / to_us(options_.failure_memory);
+    return it.failure_share * std::exp(-age);
+}
+
+void server_pool::note_failure(row& it, double failure, time_point now)
+{
+    const double share = failure_share(it, now);
+    it.failure_share = share + options_.smoothing * (failure - share);
+    it.failure_noted = now;
+}
+
 void server_pool::set_remote_loads(const remote_loads& loads, unsigned gateways)
 {
     for (auto& [id, it] : rows_)
--- a/core/gateway/server_pool.hpp
+++ b/core/gateway/server_pool.hpp
@@ -14,8 +14,11 @@
 // another data centre counts as if it made a request wait for `remote_penalty` of the
 // service's mean time. The least sum wins.
 //
-// A server whose attempts fail is suspended for a time that doubles with each further
-// failure, and returns on probation: one request at a time until one is answered.
+// A server that is not reached, or fails `failures_to_suspend` attempts in a row, is
+// suspended for a time that doubles with each further failure, and returns on probation:
+// one request at a time until one is answered. Where all are suspended, the one that is
+// to return first is tried. A server that fails a part of its attempts costs more the
+// larger that part is, so that it is used when the others are busy.
 //
 // Memory: one row a server. O(servers) a choice.
 
@@ -54,6 +57,9 @@
     double work_weight = 0.3;
     double remote_penalty = 0.35; // of the service's mean time
     double warm_up_factor = 2.0;  // a server that has just started is slower
+    unsigned failures_to_suspend = 2;
+    double failure_penalty = 3.0;         // of the mean time, where all attempts fail
+    duration failure_memory = seconds(3); // in which a share of failures fades to a third
     duration first_suspension = milliseconds(300);
     duration max_suspension = seconds(2);
     duration full_for = milliseconds(250); // a server that shed counts as full so long
@@ -124,24 +130,31 @@
 private:
     struct row
     {
-        server_entry entry;
+        listed_server entry;
         bool is_usable = false;  // listed as ready
         bool is_missing = false; // last resort
         unsigned own = 0;
         unsigned remote = 0;
-        double time_us = 0; // smoothed time of its work
-        unsigned failures = 0;
+        double time_us = 0;       // smoothed time of its work
+        unsigned failures = 0;    // in a row
+        double failure_share = 0; // smoothed, when it was last noted
+        time_point failure_noted{};
         time_point suspended_until{};
         time_point full_until{};
         time_point warm_at{};
     };
 
-    bool may_choose(const row& it, const server_wish& wish, time_point now) const;
+    bool fits(const row& it, const server_wish& wish) const;
+    bool is_suspended(const row& it, time_point now) const;
     unsigned load_of(const row& it, time_point now) const;
     double work_us(const row& it, time_point now) const;
     double wait_us(const row& it, time_point now) const;
     void learn_time(row& it, duration elapsed, unsigned load);
-    void suspend(row& it, time_point now);
+    void failed(row& it, bool is_unreachable, time_point now);
+    double failure_share(const row& it, time_point now) const;
+    void note_failure(row& it, double failure, time_point now);
+    double cost_us(const row& it, time_point now) const;
+    server_choice make_choice(const row& it, time_point now) const;
 
     data_centre here_;
     server_pool_options options_;
--- a/core/gateway/testing/owner_world.cpp
+++ b/core/gateway/testing/owner_world.cpp
@@ -165,7 +165,7 @@
     assigner& it = assigners_[n];
     if (is_store_reached(it))
     {
-        std::vector<server_entry> listed;
+        std::vector<listed_server> listed;
         for (const server& at : servers_)
         {
             if (at.is_listed)
@@ -199,7 +199,7 @@
     assigner_view view;
     view.servers = &it.servers;
     view.keyed_services = {service};
-    view.capacity = [](const service_name&, const server_entry&)
+    view.capacity = [](const service_name&, const listed_server&)
     {
         return 2.0;
     };
--- a/core/gateway/testing/owner_world.hpp
+++ b/core/gateway/testing/owner_world.hpp
@@ -63,7 +63,7 @@
 
     struct server
     {
-        server_entry entry;
+        listed_server entry;
         bool is_up = true;
         bool is_listed = true;
         time_point listed_until{};
--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -316,7 +316,7 @@
     assigner_view view;
     view.servers = &parts_.state.servers();
     view.keyed_services = parts_.state.keyed_services();
-    view.capacity = [this](const service_name& service, const server_entry& server)
+    view.capacity = [this](const service_name& service, const listed_server& server)
     {
         const service_state* it = parts_.state.find_service(service);
         return it == nullptr ? 1.0 : it->pool.capacity(server.id);
--- a/gateway/directory_agent.cpp
+++ b/gateway/directory_agent.cpp
@@ -55,9 +55,9 @@
     return may_have_lapsed ? lapse_grace : duration::zero();
 }
 
-std::optional<server_entry> directory_agent::read_server(const store_entry& entry)
+std::optional<listed_server> directory_agent::read_server(const store_entry& entry)
 {
-    return value_or_handle([&]() -> result<std::optional<server_entry>>
+    return value_or_handle([&]() -> result<std::optional<listed_server>>
                            { return codec_.read_server(entry.key, entry.value); },
                            [&](const error& ec)
                            {
@@ -65,16 +65,16 @@
                                                    {{"key", entry.key},
                                                     {"text", ec.text},
                                                     {"revision", entry.revision.value}});
-                               return std::optional<server_entry>();
+                               return std::optional<listed_server>();
                            });
 }
 
 void directory_agent::servers_read(const std::vector<store_entry>& entries)
 {
-    std::vector<server_entry> servers;
+    std::vector<listed_server> servers;
     for (const store_entry& it : entries)
     {
-        if (std::optional<server_entry> server = read_server(it))
+        if (std::optional<listed_server> server = read_server(it))
         {
             servers.push_back(std::move(*server));
         }
@@ -101,7 +101,7 @@
 
 void directory_agent::put_server(const store_entry& entry)
 {
-    const std::optional<server_entry> server = read_server(entry);
+    const std::optional<listed_server> server = read_server(entry);
     if (!server)
     {
         return;
--- a/gateway/directory_agent.hpp
+++ b/gateway/directory_agent.hpp
@@ -35,7 +35,7 @@
     void put_server(const store_entry& entry);
     void remove_server(const std::string& key);
     void take_config(const store_entry& entry);
-    std::optional<server_entry> read_server(const store_entry& entry);
+    std::optional<listed_server> read_server(const store_entry& entry);
     duration grace() const;
 
     event_loop& loop_;
--- a/gateway/front.cpp
+++ b/gateway/front.cpp
@@ -20,11 +20,11 @@
 
 void front::handle(http_request request, std::shared_ptr<http_responder> responder)
 {
-    auto ended = [this](const std::shared_ptr<relay>& it)
+    auto ended = [this](const std::shared_ptr<request_relay>& it)
     {
         relays_.erase(it);
     };
-    auto made = std::make_shared<relay>(
+    auto made = std::make_shared<request_relay>(
         parts_, std::move(request), std::move(responder), std::move(ended));
     relays_.insert(made);
     made->start();
@@ -33,8 +33,8 @@
 void front::wake_all()
 {
     is_wake_posted_ = false;
-    const std::vector<std::shared_ptr<relay>> all(relays_.begin(), relays_.end());
-    for (const std::shared_ptr<relay>& it : all)
+    const std::vector<std::shared_ptr<request_relay>> all(relays_.begin(), relays_.end());
+    for (const std::shared_ptr<request_relay>& it : all)
     {
         it->wake();
     }
--- a/gateway/front.hpp
+++ b/gateway/front.hpp
@@ -2,7 +2,7 @@
 
 // Takes the requests of clients, and keeps the relay of each until it has ended.
 
-#include "gateway/relay.hpp"
+#include "gateway/request_relay.hpp"
 #include "net/http_server.hpp"
 
 #include <cstddef>
@@ -28,7 +28,7 @@
     void wake_all();
 
     relay_parts& parts_;
-    std::unordered_set<std::shared_ptr<relay>> relays_;
+    std::unordered_set<std::shared_ptr<request_relay>> relays_;
     bool is_wake_posted_ = false;
 };
 
--- a/gateway/gateway_codec.hpp
+++ b/gateway/gateway_codec.hpp
@@ -7,7 +7,7 @@
 #include "core/base/result.hpp"
 #include "core/gateway/gateway_config.hpp"
 #include "core/gateway/key_orders.hpp"
-#include "core/gateway/server_entry.hpp"
+#include "core/gateway/listed_server.hpp"
 #include "gateway/wire_names.hpp"
 #include "net/http_message.hpp"
 
@@ -35,8 +35,8 @@
     virtual const std::string& server_prefix() const = 0;
 
     // `key` is the whole key. Fails with invalid_argument.
-    virtual result<server_entry> read_server(const std::string& key,
-                                             std::string_view text) const = 0;
+    virtual result<listed_server> read_server(const std::string& key,
+                                              std::string_view text) const = 0;
 
     // The id of the server whose entry has that key.
     virtual server_id server_of(const std::string& key) const = 0;
--- a/gateway/gateway_state.cpp
+++ b/gateway/gateway_state.cpp
@@ -28,7 +28,7 @@
         return false;
     }
     config_ = config;
-    routes_ = route_table(config_);
+    routes_ = gateway_routes(config_);
     given_.clear();
     std::map<service_name, service_state> updated;
     for (const gateway_service& it : config_.services)
--- a/gateway/gateway_state.hpp
+++ b/gateway/gateway_state.hpp
@@ -5,9 +5,9 @@
 
 #include "core/gateway/arrival_budget.hpp"
 #include "core/gateway/gateway_config.hpp"
+#include "core/gateway/gateway_routes.hpp"
 #include "core/gateway/key_assignment.hpp"
 #include "core/gateway/remote_loads.hpp"
-#include "core/gateway/route_table.hpp"
 #include "core/gateway/server_directory.hpp"
 #include "core/gateway/server_pool.hpp"
 #include "gateway/gateway_settings.hpp"
@@ -49,7 +49,7 @@
         return config_;
     }
 
-    const route_table& routes() const
+    const gateway_routes& routes() const
     {
         return routes_;
     }
@@ -114,7 +114,7 @@
 
     const gateway_settings& settings_;
     gateway_config config_;
-    route_table routes_;
+    gateway_routes routes_;
     server_directory servers_;
     key_assignment assignment_;
     std::map<service_name, service_state> services_;
--- a/gateway/load_agent.cpp
+++ b/gateway/load_agent.cpp
@@ -1,6 +1,6 @@
 #include "gateway/load_agent.hpp"
 
-#include "codec/load_report_codec.hpp"
+#include "codec/gateway_load_codec.hpp"
 
 #include <algorithm>
 
@@ -67,7 +67,7 @@
     last_.servers = std::move(servers);
     ++last_.number;
     last_sent_ = now;
-    const std::string datagram = encode_load_report(last_);
+    const std::string datagram = encode_gateway_load(last_);
     for (const endpoint& to : receivers())
     {
         socket_->send(to, datagram);
@@ -76,7 +76,7 @@
 
 void load_agent::received(std::string_view datagram)
 {
-    if (const std::optional<load_report> report = decode_load_report(datagram))
+    if (const std::optional<gateway_load> report = decode_gateway_load(datagram))
     {
         remote_.take(*report, loop_.now());
     }
--- a/gateway/load_agent.hpp
+++ b/gateway/load_agent.hpp
@@ -38,7 +38,7 @@
     gateway_state& state_;
     std::unique_ptr<udp_socket> socket_;
     remote_loads remote_;
-    load_report last_;
+    gateway_load last_;
     time_point last_sent_{};
     timer_handle send_timer_;
 };
--- a/gateway/relay.cpp
+++ b/gateway/request_relay.cpp
@@ -1,4 +1,4 @@
-#include "gateway/relay.hpp"
+#include "gateway/request_relay.hpp"
 
 #include "core/base/number_text.hpp"
 #include "net/http_status.hpp"
@@ -33,22 +33,22 @@
 
 } // namespace
 
-relay::relay(relay_parts& parts,
-             http_request request,
-             std::shared_ptr<http_responder> responder,
-             ended_callback on_ended)
+request_relay::request_relay(relay_parts& parts,
+                             http_request request,
+                             std::shared_ptr<http_responder> responder,
+                             ended_callback on_ended)
     : parts_(parts), request_(std::move(request)), responder_(std::move(responder)),
       on_ended_(std::move(on_ended)), arrived_(parts.loop.now())
 {
 }
 
-void relay::start()
+void request_relay::start()
 {
-    const std::weak_ptr<relay> weak = weak_from_this();
+    const std::weak_ptr<request_relay> weak = weak_from_this();
     responder_->on_gone(
         [weak]
         {
-            if (const std::shared_ptr<relay> self = weak.lock())
+            if (const std::shared_ptr<request_relay> self = weak.lock())
             {
                 self->on_client_gone();
             }
@@ -69,7 +69,7 @@
 }
 
 // False where the request was answered already.
-bool relay::read_request()
+bool request_relay::read_request()
 {
     const wire_names& names = parts_.codec.names();
     request_id_ = std::string(request_.headers.find(names.request_id).value_or(""));
@@ -118,17 +118,17 @@
 
 // An answer that is expected later than the target is worth little to the client, and its
 // wait at the server makes those behind it late too.
-duration relay::longest_expected() const
+duration request_relay::longest_expected() const
 {
     return route_.target_latency * aim_percent / 100;
 }
 
-duration relay::left() const
+duration request_relay::left() const
 {
     return deadline_ - parts_.loop.now();
 }
 
-relay::key_owner relay::find_owner() const
+request_relay::key_owner request_relay::find_owner() const
 {
     const key_share* share = parts_.state.assignment().find(service_, *key_);
     if (share == nullptr)
@@ -142,7 +142,7 @@
     return {share->owner, true};
 }
 
-void relay::try_send()
+void request_relay::try_send()
 {
     const time_point now = parts_.loop.now();
     service_state* service = parts_.state.find_service(service_);
@@ -185,7 +185,7 @@
     send_to(*to);
 }
 
-void relay::send_to(const server_choice& to)
+void request_relay::send_to(const server_choice& to)
 {
     service_state* service = parts_.state.find_service(service_);
     const time_point now = parts_.loop.now();
@@ -205,7 +205,7 @@
     options.timeout = left();
     options.connect_timeout = std::min(connect_timeout, left());
     options.is_end_by_close_whole = true;
-    const std::weak_ptr<relay> weak = weak_from_this();
+    const std::weak_ptr<request_relay> weak = weak_from_this();
     exchange_ = parts_.http.send(to.address,
                                  make_upstream_request(to, left()),
                                  options,
@@ -218,7 +218,8 @@
                                  });
 }
 
-http_request relay::make_upstream_request(const server_choice& to, duration left) const
+http_request request_relay::make_upstream_request(const server_choice& to,
+                                                  duration left) const
 {
     const wire_names& names = parts_.codec.names();
     http_request made = request_;
@@ -229,7 +230,7 @@
     return made;
 }
 
-attempt_end relay::classify(const exchange_result& got) const
+attempt_end request_relay::classify(const exchange_result& got) const
 {
     if (is_nothing_sent(got.end))
     {
@@ -263,7 +264,7 @@
 }
 
 // A success must be signed, and its body must be as the server made it.
-bool relay::is_sound(const http_response& answer) const
+bool request_relay::is_sound(const http_response& answer) const
 {
     const wire_names& names = parts_.codec.names();
     if (answer.headers.find("Content-Encoding"))
@@ -274,7 +275,7 @@
                                           answer.headers.find(names.request_id));
 }
 
-void relay::on_end(const exchange_result& got)
+void request_relay::on_end(const exchange_result& got)
 {
     exchange_.reset();
     const attempt_end how = classify(got);
@@ -296,7 +297,7 @@
     after_failure(how, got);
 }
 
-void relay::after_failure(attempt_end how, const exchange_result& got)
+void request_relay::after_failure(attempt_end how, const exchange_result& got)
 {
     const bool is_run_possible =
         how == attempt_end::lost || how == attempt_end::server_error;
@@ -329,7 +330,7 @@
     answer_self(reason_after(how));
 }
 
-bool relay::may_send_again(attempt_end how)
+bool request_relay::may_send_again(attempt_end how)
 {
     const bool is_safe = route_.is_repeatable || !may_have_run_;
     const bool has_attempts =
@@ -347,7 +348,7 @@
     return service != nullptr && service->budget.try_repeat(parts_.loop.now());
 }
 
-own_reason relay::reason_after(attempt_end how) const
+own_reason request_relay::reason_after(attempt_end how) const
 {
     if (may_have_run_)
     {
@@ -365,7 +366,7 @@
 }
 
 // Waits for an owner of the key: until wake() finds one, or it takes too long.
-void relay::wait()
+void request_relay::wait()
 {
     const time_point now = parts_.loop.now();
     const time_point limit = std::min(arrived_ + max_owner_wait, deadline_);
@@ -375,7 +376,7 @@
         return;
     }
     is_waiting_ = true;
-    const std::weak_ptr<relay> weak = weak_from_this();
+    const std::weak_ptr<request_relay> weak = weak_from_this();
     pause_ = parts_.loop.after(std::min<duration>(owner_pause, limit - now),
                                [weak]
                                {
@@ -386,7 +387,7 @@
                                });
 }
 
-void relay::wake()
+void request_relay::wake()
 {
     if (is_waiting_ && !is_ended_)
     {
@@ -400,7 +401,7 @@
     }
 }
 
-void relay::on_deadline()
+void request_relay::on_deadline()
 {
     if (is_ended_)
     {
@@ -411,7 +412,7 @@
                                          : own_reason::waited_too_long);
 }
 
-void relay::on_client_gone()
+void request_relay::on_client_gone()
 {
     if (is_ended_)
     {
@@ -422,7 +423,7 @@
     end();
 }
 
-void relay::pass_on(http_response answer)
+void request_relay::pass_on(http_response answer)
 {
     answer.headers.remove_connection_headers();
     parts_.log.answered({request_id_, route_.name, service_},
@@ -432,7 +433,7 @@
     end();
 }
 
-duration relay::retry_after() const
+duration request_relay::retry_after() const
 {
     const int spread = static_cast<int>(parts_.state.random()() % retry_after_spread);
     const duration excess =
@@ -440,7 +441,7 @@
     return min_retry_after + milliseconds(spread) + excess;
 }
 
-void relay::answer_self(own_reason why)
+void request_relay::answer_self(own_reason why)
 {
     parts_.log.answered_self({request_id_, route_.name, service_},
                              why,
@@ -452,7 +453,7 @@
     end();
 }
 
-void relay::end()
+void request_relay::end()
 {
     is_ended_ = true;
     is_waiting_ = false;
--- a/gateway/relay.hpp
+++ b/gateway/request_relay.hpp
@@ -10,7 +10,7 @@
 //   - a sending that is given up closes its connection, so that the server stops;
 //   - nothing waits for a time that has been found to be out of reach.
 
-#include "core/gateway/route_table.hpp"
+#include "core/gateway/gateway_routes.hpp"
 #include "gateway/gateway_codec.hpp"
 #include "gateway/gateway_log.hpp"
 #include "gateway/gateway_state.hpp"
@@ -40,15 +40,15 @@
     std::function<void(const service_name&, shard_key)> on_key_refused;
 };
 
-class relay : public std::enable_shared_from_this<relay>
+class request_relay : public std::enable_shared_from_this<request_relay>
 {
 public:
-    using ended_callback = std::function<void(const std::shared_ptr<relay>&)>;
+    using ended_callback = std::function<void(const std::shared_ptr<request_relay>&)>;
 
-    relay(relay_parts& parts,
-          http_request request,
-          std::shared_ptr<http_responder> responder,
-          ended_callback on_ended);
+    request_relay(relay_parts& parts,
+                  http_request request,
+                  std::shared_ptr<http_responder> responder,
+                  ended_callback on_ended);
 
     // Begins; may end at once.
     void start();
