The log speaks of every decision on a request; camphorrock-ctl request tells its story

Each sending and answer has a line of its own, at the severity that is left out first; an answer of the gateway's own names what it was decided by. camphorrock-ctl request ID FILE... puts a request's lines in order, with what its gateway last knew of the servers it met and of the store, and names the cause.

--- a/app/events.hpp
+++ b/app/events.hpp
@@ -37,6 +37,8 @@
     request_refused = 206,
     journal_unreadable = 207,
     journal_released = 208,
+    request_sent = 219,
+    request_answered = 220,
     request_sent_again = 221,
     attempt_failed = 222,
     request_answered_here = 223,
--- a/app/json_event_log.cpp
+++ b/app/json_event_log.cpp
@@ -17,7 +17,22 @@
 namespace
 {
 
-constexpr double reserved_part = 0.25; // of the burst, for warnings and errors
+// Of the burst, what lines of a severity leave to those above it.
+double reserved_part(severity level)
+{
+    switch (level)
+    {
+    case severity::debug:
+        return 0.5;
+    case severity::info:
+        return 0.25;
+    case severity::warning:
+    case severity::error:
+        break;
+    }
+    return 0;
+}
+
 constexpr std::size_t max_value_bytes = 256;
 
 void append_json_text(std::string& out, std::string_view text)
@@ -171,8 +186,7 @@
         saved_ += (now - last_) * options_.lines_per_second;
         saved_ = std::min(saved_, options_.burst);
         last_ = now;
-        const double kept =
-            level >= severity::warning ? 0 : reserved_part * options_.burst;
+        const double kept = reserved_part(level) * options_.burst;
         if (saved_ < kept + 1)
         {
             return false;
--- a/ctl/command.hpp
+++ b/ctl/command.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <ostream>
 #include <string>
+#include <vector>
 
 namespace camphorrock
 {
@@ -32,6 +33,12 @@
 int show_config(const command_context& context);
 int patch_config(const command_context& context, const patch_order& order);
 int show_status(const command_context& context);
+
+// Prints what log files tell of a request, and its cause. "-" is standard input.
+int explain_request(const command_context& context,
+                    const std::string& request,
+                    const std::vector<std::string>& files);
+
 int explain_key(const command_context& context,
                 const std::string& service,
                 const std::string& key);
--- a/ctl/ctl_main.cpp
+++ b/ctl/ctl_main.cpp
@@ -18,6 +18,8 @@
     std::string service;
     std::string key;
     std::string server;
+    std::string request;
+    std::vector<std::string> logs;
 };
 
 operator_client make_client(const arguments& given)
@@ -36,6 +38,7 @@
     CLI::App* patch = nullptr;
     CLI::App* status = nullptr;
     CLI::App* explain = nullptr;
+    CLI::App* request = nullptr;
     CLI::App* move = nullptr;
     CLI::App* drain = nullptr;
 };
@@ -48,8 +51,7 @@
     app.add_option(
            "--assigner", given.assigners, "peer address of an assigner; may be repeated")
         ->envname("CAMPHORROCK_ASSIGNERS")
-        ->delimiter(',')
-        ->required();
+        ->delimiter(',');
     app.add_flag("--json", given.is_json, "print JSON");
     commands made;
     CLI::App* config = app.add_subcommand("config", "the fleet's configuration");
@@ -70,6 +72,14 @@
     made.explain = app.add_subcommand("explain", "print who owns a key, and why");
     made.explain->add_option("service", given.service)->required();
     made.explain->add_option("key", given.key)->required();
+    made.request = app.add_subcommand(
+        "request",
+        "print what gateways' logs tell of a request and why it ended so, as in\n"
+        "  camphorrock-ctl request 9c41d07be2a35f68 gateway-*.log");
+    made.request->add_option("id", given.request)->required();
+    made.request
+        ->add_option("log", given.logs, "files of JSON lines; - for standard input")
+        ->required();
     made.move = app.add_subcommand("move", "give one key to another server");
     made.move->add_option("service", given.service)->required();
     made.move->add_option("key", given.key)->required();
@@ -81,8 +91,17 @@
 
 int run(const commands& made, const arguments& given)
 {
+    if (given.assigners.empty() && !made.request->parsed())
+    {
+        std::cerr << "--assigner is required\n";
+        return exit_bad_usage;
+    }
     operator_client client = make_client(given);
     command_context context{client, std::cout, std::cerr, given.is_json};
+    if (made.request->parsed())
+    {
+        return explain_request(context, given.request, given.logs);
+    }
     if (made.show->parsed())
     {
         return show_config(context);
--- a/gateway/gateway_log.cpp
+++ b/gateway/gateway_log.cpp
@@ -27,15 +27,16 @@
                        unsigned attempt)
 {
     metrics_.get_counter(sendings_metric, {{"service", what.service.str()}}).add();
-    if (attempt > 1)
-    {
-        events_.write(event_id::request_sent_again,
-                      {{"request", what.id},
-                       {"route", what.route},
-                       {"server", to.server},
-                       {"attempt", attempt},
-                       {"expected_us", to.expected}});
-    }
+    const event_id id =
+        attempt > 1 ? event_id::request_sent_again : event_id::request_sent;
+    events_.write(id,
+                  {{"request", what.id},
+                   {"route", what.route},
+                   {"service", what.service},
+                   {"server", to.server},
+                   {"attempt", attempt},
+                   {"load", to.load},
+                   {"expected_us", to.expected}});
 }
 
 void gateway_log::attempt_failed(const request_line& what,
@@ -63,13 +64,13 @@
     metrics_.get_counter(answers_metric, {{"service", what.service.str()}}).add();
     metrics_.get_histogram(latency_metric, {{"service", what.service.str()}})
         .record(elapsed);
-    static_cast<void>(status);
+    events_.write(event_id::request_answered,
+                  {{"request", what.id}, {"status", status}, {"elapsed_us", elapsed}});
 }
 
 void gateway_log::answered_self(const request_line& what,
                                 own_reason why,
-                                unsigned sendings,
-                                duration elapsed)
+                                const own_answer_inputs& by)
 {
     metrics_.get_counter(own_metric, {{"reason", std::string(name_of(why))}}).add();
     events_.write(event_id::request_answered_here,
@@ -77,8 +78,16 @@
                    {"route", what.route},
                    {"service", what.service},
                    {"reason", name_of(why)},
-                   {"sendings", sendings},
-                   {"elapsed_us", elapsed}});
+                   {"not_run", is_not_run(why)},
+                   {"sendings", by.sendings},
+                   {"server", by.last_server},
+                   {"elapsed_us", by.elapsed},
+                   {"left_us", by.left},
+                   {"expected_us", by.expected},
+                   {"config", by.config.value},
+                   {"keys_term", by.keys.term},
+                   {"keys_change", by.keys.change},
+                   {"key", by.key ? std::to_string(by.key->value) : std::string()}});
 }
 
 void gateway_log::order_ended(const key_order& order, const order_result& got)
--- a/gateway/gateway_log.hpp
+++ b/gateway/gateway_log.hpp
@@ -4,10 +4,12 @@
 
 #include "app/event_log.hpp"
 #include "app/metrics_registry.hpp"
+#include "core/config/config_version.hpp"
 #include "core/gateway/key_orders.hpp"
 #include "core/gateway/server_pool.hpp"
 #include "gateway/own_answer.hpp"
 
+#include <optional>
 #include <string>
 
 namespace camphorrock
@@ -21,6 +23,19 @@
     const service_name& service;
 };
 
+// What an answer of the gateway's own was decided by.
+struct own_answer_inputs
+{
+    unsigned sendings = 0;   // to servers, before it
+    server_id last_server;   // of these
+    duration elapsed{};      // since the request came
+    duration left{};         // of its time
+    duration expected{};     // until a server's answer, where that was too long
+    config_version config;   // in force
+    assignment_version keys; // of the owners of keys
+    std::optional<shard_key> key;
+};
+
 class gateway_log
 {
 public:
@@ -42,10 +57,8 @@
                         duration elapsed,
                         bool is_sent_again);
     void answered(const request_line& what, int status, duration elapsed);
-    void answered_self(const request_line& what,
-                       own_reason why,
-                       unsigned sendings,
-                       duration elapsed);
+    void
+    answered_self(const request_line& what, own_reason why, const own_answer_inputs& by);
     void order_ended(const key_order& order, const order_result& got);
     void client_gone(const request_line& what, duration elapsed);
 
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -443,10 +443,16 @@
 
 void request_relay::answer_self(own_reason why)
 {
-    parts_.log.answered_self({request_id_, route_.name, service_},
-                             why,
-                             static_cast<unsigned>(tried_.size()),
-                             parts_.loop.now() - arrived_);
+    own_answer_inputs by;
+    by.sendings = static_cast<unsigned>(tried_.size());
+    by.last_server = sent_to_.server;
+    by.elapsed = parts_.loop.now() - arrived_;
+    by.left = left();
+    by.expected = refused_for_;
+    by.config = parts_.state.config().version;
+    by.keys = parts_.state.assignment().version;
+    by.key = key_;
+    parts_.log.answered_self({request_id_, route_.name, service_}, why, by);
     http_response answer = make_own_answer(why, retry_after());
     answer.headers.add(parts_.codec.names().request_id, request_id_);
     responder_->respond(std::move(answer));
