A started gateway reads at once who owns which keys

Cause: after a power loss of all, gateways knew no owners until a new assigner was elected, up to 1.5 s, though servers still held their keys.

--- a/gateway/key_agent.cpp
+++ b/gateway/key_agent.cpp
@@ -32,6 +32,8 @@
                [this](const Json::Value& params) { return take_update(params); });
     report_timer_ = parts_.loop.every(report_period, [this] { report(); });
     read_timer_ = parts_.loop.every(record_period, [this] { read_record(); });
+    // Servers may still hold what an earlier process of the fleet has granted.
+    fetch_record();
 }
 
 key_requests& key_agent::requests_of(const service_name& service)
@@ -256,10 +258,14 @@
 void key_agent::read_record()
 {
     const bool is_heard = parts_.loop.now() - heard_ < assigner_silence;
-    if (is_heard || role_.is_holder() || parts_.state.keyed_services().empty())
+    if (!is_heard && !role_.is_holder() && !parts_.state.keyed_services().empty())
     {
-        return;
+        fetch_record();
     }
+}
+
+void key_agent::fetch_record()
+{
     parts_.store.get(
         record_key,
         [this, alive = std::weak_ptr<const bool>(alive_)](const store_read& got)
--- a/gateway/key_agent.hpp
+++ b/gateway/key_agent.hpp
@@ -51,6 +51,7 @@
     void publish(const key_assignment& assignment);
     void send_update(const endpoint& to);
     void read_record();
+    void fetch_record();
     void adopt(const key_assignment& assignment);
     key_requests& requests_of(const service_name& service);
 
