--- a/app/json_event_log.hpp
+++ b/app/json_event_log.hpp
@@ -5,10 +5,10 @@
 //     {"t":"2026-12-04T01:00:00.123456Z","level":"info","program":"gateway","event":102,
 //      "name":"program_ready","address":"127.0.0.1:8080"}
 //
-// Its volume is bounded: `lines_per_second`, with `burst` lines saved up. Lines beyond it,
-// and lines that standard output does not take at once, are left out and counted; the next
-// line that is written is preceded by event lines_left_out with their number. Lines of
-// severity debug leave half of the burst to the others, those of info a quarter.
+// Its volume is bounded: `lines_per_second`, with `burst` lines saved up. Lines beyond
+// it, and lines that standard output does not take at once, are left out and counted; the
+// next line that is written is preceded by event lines_left_out with their number. Lines
+// of severity debug leave half of the burst to the others, those of info a quarter.
 
 #include "app/event_log.hpp"
 #include "core/base/result.hpp"
--- a/codec/gateway_load_codec.cpp
+++ b/codec/gateway_load_codec.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-constexpr std::size_t max_report_bytes = 64 * 1024;
+constexpr std::size_t max_report_bytes = std::size_t{64} * 1024;
 
 } // namespace
 
--- a/ctl/request_story.cpp
+++ b/ctl/request_story.cpp
@@ -52,7 +52,7 @@
 {
     if (last.name == "request_answered_here")
     {
-        const std::string reason = text_of(last.fields, "reason");
+        std::string reason = text_of(last.fields, "reason");
         const bool is_not_run = last.fields["not_run"].asBool();
         for (const reason_text& it : reasons)
         {
@@ -100,6 +100,7 @@
         }
     }
     std::vector<log_line> made;
+    made.reserve(last.size());
     for (const auto& [key, it] : last)
     {
         made.push_back(*it);
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -170,14 +170,31 @@
     peers.common.address = settings_.peer;
     peers.common.max_body_bytes = max_peer_body_bytes;
     BOOST_LEAF_ASSIGN(peer_server_, create_pipelined_server(*loop_, peers, *peer_));
-    if (!settings_.metrics.empty())
+    open_metrics();
+    return {};
+}
+
+// A gateway serves without its metrics where their address is taken.
+void gateway::open_metrics()
+{
+    if (settings_.metrics.empty())
     {
-        BOOST_LEAF_ASSIGN(
-            admin_,
-            admin_server::create(
-                *loop_, settings_.metrics, metrics_, [this] { return is_ready(); }));
+        return;
     }
-    return {};
+    value_or_handle(
+        [&]() -> result<void>
+        {
+            BOOST_LEAF_ASSIGN(
+                admin_,
+                admin_server::create(
+                    *loop_, settings_.metrics, metrics_, [this] { return is_ready(); }));
+            return {};
+        },
+        [&](const error& ec)
+        {
+            log_.events().write(event_id::listen_failed,
+                                {{"address", settings_.metrics}, {"text", ec.text}});
+        });
 }
 
 int gateway::run()
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -61,6 +61,7 @@
             event_log& events);
     result<void> open(const store_factory& make_store);
     result<void> open_ports();
+    void open_metrics();
     void stop();
     void check_stopped();
 
@@ -91,7 +92,6 @@
     timer_handle stop_check_;
     time_point stop_by_{};
     bool is_stopping_ = false;
-    bool was_ready_ = false;
 };
 
 } // namespace camphorrock
--- a/net/pipelined_connection.cpp
+++ b/net/pipelined_connection.cpp
@@ -38,7 +38,7 @@
         const std::shared_ptr<pipelined_connection> it = connection_.lock();
         if (it && !slot_->is_decided)
         {
-            it->answer(*slot_, std::move(answer));
+            it->answer(*slot_, answer);
         }
         slot_->is_decided = true;
         drop_on_gone();
@@ -49,7 +49,7 @@
         const std::shared_ptr<pipelined_connection> it = connection_.lock();
         if (it && !slot_->is_decided)
         {
-            it->begin_stream(*slot_, std::move(head));
+            it->begin_stream(*slot_, head);
         }
         slot_->is_decided = true;
     }
@@ -217,10 +217,10 @@
     made.status = why.status;
     made.headers.add("Content-Type", "text/plain");
     made.body = why.text + "\n";
-    answer(*place, std::move(made));
+    answer(*place, made);
 }
 
-void pipelined_connection::answer(slot& it, http_response with)
+void pipelined_connection::answer(slot& it, const http_response& with)
 {
     const bool is_newest = !slots_.empty() && slots_.back().get() == &it;
     if (owner_.is_closing() && is_newest && !parser_.is_inside())
@@ -233,7 +233,7 @@
     flush_soon();
 }
 
-void pipelined_connection::begin_stream(slot& it, http_response with)
+void pipelined_connection::begin_stream(slot& it, const http_response& with)
 {
     append_stream_head(it.bytes, with, it.is_last);
     it.is_chunked = true;
--- a/net/pipelined_connection.hpp
+++ b/net/pipelined_connection.hpp
@@ -85,8 +85,8 @@
     void read_some();
     void take_request(parsed_request got);
     void refuse(const request_refusal& why);
-    void answer(slot& it, http_response with);
-    void begin_stream(slot& it, http_response with);
+    void answer(slot& it, const http_response& with);
+    void begin_stream(slot& it, const http_response& with);
     void flush();
     void flush_soon();
     bool send_bytes(std::string& bytes);
@@ -99,9 +99,8 @@
     pipelined_owner& owner_;
     request_parser parser_;
     std::deque<std::shared_ptr<slot>> slots_;
-    std::string urgent_;      // interim answers
-    bool is_reading_ = true;  // false behind the last request
-    bool is_closing_ = false; // an answer that was begun closes the connection
+    std::string urgent_;     // interim answers
+    bool is_reading_ = true; // false behind the last request
     bool is_flush_posted_ = false;
     time_point last_active_{};
     time_point request_began_{};
--- a/net/udp_socket.cpp
+++ b/net/udp_socket.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr std::size_t max_datagram_bytes = 64 * 1024;
+constexpr std::size_t max_datagram_bytes = std::size_t{64} * 1024;
 constexpr int datagrams_at_once = 64; // before other events get their turn
 
 } // namespace
--- a/store/store_client.hpp
+++ b/store/store_client.hpp
@@ -139,7 +139,7 @@
 
     // Calls with false when the store is found to be out of reach, and with true when it
     // answers again. Clients that do not watch for it never call.
-    virtual void on_reach_changed(std::function<void(bool)>) {}
+    virtual void on_reach_changed(const std::function<void(bool)>&) {}
 };
 
 struct store_client_options
