Orders name the server they are for; an owner out of reach is refused at once

Orders now name their server; one that is not there answers 421, which ends the old owner's hold at once. Requests for a key whose owner is out of reach waited up to 0.7 s; they are refused at once, and others wait 0.35 s at most. Ruled out: the election.

--- a/core/gateway/key_assigner.cpp
+++ b/core/gateway/key_assigner.cpp
@@ -244,6 +244,12 @@
         it->is_stale = is_grant;
         it->held_until = it->held_before;
         break;
+    case order_end::other_server:
+        it->is_silent = true;
+        it->held_until = now;
+        it->unsure_until = now;
+        it->renew_at = now + silent_pause;
+        break;
     case order_end::not_sent:
         it->is_silent = true;
         it->held_until = it->held_before;
--- a/core/gateway/key_assigner.hpp
+++ b/core/gateway/key_assigner.hpp
@@ -16,7 +16,9 @@
 //     every grant that it did not answer has run out, or
 //   - after every grant that may have reached it has run out: counted from the end of the
 //     order that carried it, by a clock that may run `drift` slow, or
-//   - when the server says that it has started anew, since then it holds nothing.
+//   - when the server says that it has started anew, or another one has its address,
+//   since
+//     then it holds nothing.
 // The new owner is in the store's record, written by compare-and-swap, before it gets a
 // grant. Epochs come from a range that the record reserves, so no two assigners use the
 // same one. Orders are sent only until `authority_ttl` after the last renewal of the
@@ -193,6 +195,8 @@
                     const assigner_view& view,
                     std::vector<server_load>& loads,
                     time_point now);
+    static server_load* successor_of(const held_share& it,
+                                     std::vector<server_load>& loads);
     void check_target(keyed_service& row,
                       held_share& it,
                       const assigner_view& view,
--- a/core/gateway/key_assigner_plan.cpp
+++ b/core/gateway/key_assigner_plan.cpp
@@ -207,16 +207,32 @@
         move(it, *owner, now);
         return;
     }
-    server_load& to = *std::min_element(loads.begin(),
-                                        loads.end(),
-                                        [](const server_load& a, const server_load& b)
-                                        { return a.ratio() < b.ratio(); });
-    if (to.server->entry.id == it.share.owner)
+    server_load* to = successor_of(it, loads);
+    if (to == nullptr)
     {
         return;
     }
-    to.load += load_of(row, it);
-    move(it, *to.server, now);
+    to->load += load_of(row, it);
+    move(it, *to->server, now);
+}
+
+// The least loaded of the other servers, of those that answer where there are some.
+key_assigner::server_load* key_assigner::successor_of(const held_share& it,
+                                                      std::vector<server_load>& loads)
+{
+    server_load* best = nullptr;
+    for (server_load& load : loads)
+    {
+        if (load.server->entry.id == it.share.owner)
+        {
+            continue;
+        }
+        const bool is_better =
+            best == nullptr || (best->is_silent && !load.is_silent) ||
+            (best->is_silent == load.is_silent && load.ratio() < best->ratio());
+        best = is_better ? &load : best;
+    }
+    return best;
 }
 
 // A target that has gone meanwhile is chosen anew, by the next plan.
--- a/core/gateway/key_orders.hpp
+++ b/core/gateway/key_orders.hpp
@@ -42,10 +42,11 @@
 
 enum class order_end
 {
-    accepted,  // `handover` of a release is what the server gave
-    stale,     // the server has seen a higher epoch on one of the keys
-    not_sent,  // it cannot have arrived
-    no_answer, // it may have arrived, until its connection was closed
+    accepted,     // `handover` of a release is what the server gave
+    stale,        // the server has seen a higher epoch on one of the keys
+    other_server, // another server has the address: the one that was meant has ended
+    not_sent,     // it cannot have arrived
+    no_answer,    // it may have arrived, until its connection was closed
 };
 
 // "grant", "release".
--- a/core/gateway/server_pool.cpp
+++ b/core/gateway/server_pool.cpp
@@ -235,6 +235,7 @@
 void server_pool::failed(row& it, bool is_unreachable, time_point now)
 {
     ++it.failures;
+    it.is_unreached = is_unreachable;
     note_failure(it, 1, now);
     const unsigned least = is_unreachable ? 1 : options_.failures_to_suspend;
     if (it.failures < least)
@@ -284,6 +285,13 @@
     return from_us(mean_us_);
 }
 
+bool server_pool::is_out_of_reach(const server_id& server, time_point now) const
+{
+    auto it = rows_.find(server);
+    return it != rows_.end() && it->second.is_unreached &&
+           now < it->second.suspended_until;
+}
+
 double server_pool::capacity(const server_id& server) const
 {
     auto it = rows_.find(server);
--- a/core/gateway/server_pool.hpp
+++ b/core/gateway/server_pool.hpp
@@ -109,6 +109,9 @@
     // Mean time of the work of the service's requests at its servers.
     duration mean_time() const;
 
+    // The last attempt did not reach the server, and it is not time to try again.
+    bool is_out_of_reach(const server_id& server, time_point now) const;
+
     // The requests that the server can work off in a second, as far as known.
     double capacity(const server_id& server) const;
 
@@ -135,9 +138,10 @@
         bool is_missing = false; // last resort
         unsigned own = 0;
         unsigned remote = 0;
-        double time_us = 0;       // smoothed time of its work
-        unsigned failures = 0;    // in a row
-        double failure_share = 0; // smoothed, when it was last noted
+        double time_us = 0;        // smoothed time of its work
+        bool is_unreached = false; // the last failure was that it was not reached
+        unsigned failures = 0;     // in a row
+        double failure_share = 0;  // smoothed, when it was last noted
         time_point failure_noted{};
         time_point suspended_until{};
         time_point full_until{};
--- a/core/gateway/testing/key_assigner_test.cpp
+++ b/core/gateway/testing/key_assigner_test.cpp
@@ -182,6 +182,17 @@
         CHECK(fixture.now - since < seconds(4));
         CHECK(fixture.owner(0) != lost);
     }
+    SECTION("at once where another server has its address")
+    {
+        fixture.answer = [&](const key_order& it)
+        {
+            const bool is_lost = it.server.str() == lost;
+            return order_result{is_lost ? order_end::other_server : order_end::accepted,
+                                ""};
+        };
+        fixture.run(seconds(1));
+        CHECK(fixture.owner(0) != lost);
+    }
     SECTION("at once where the server has started anew, with a higher epoch")
     {
         const epoch before = fixture.records.back().find(valves, shard_key{0})->at;
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -14,8 +14,8 @@
 constexpr duration client_margin = milliseconds(10); // the answer's way to the client
 constexpr duration connect_timeout = milliseconds(250);
 constexpr duration owner_pause =
-    milliseconds(150); // before a refused owner is asked again
-constexpr duration max_owner_wait = milliseconds(700);
+    milliseconds(100); // before a refused owner is asked again
+constexpr duration max_owner_wait = milliseconds(350);
 constexpr unsigned max_refusals = 3;
 constexpr int aim_percent = 110; // of the target latency
 constexpr duration min_retry_after = milliseconds(80);
@@ -161,6 +161,12 @@
             wait();
             return;
         }
+        if (service->pool.is_out_of_reach(*found.owner, now))
+        {
+            answer_self(may_have_run_ ? own_reason::server_lost
+                                      : own_reason::unreachable);
+            return;
+        }
         wish.owner = found.owner;
         wish.tried.clear();
     }
