--- a/core/gateway/testing/server_pool_test.cpp
+++ b/core/gateway/testing/server_pool_test.cpp
@@ -240,3 +240,21 @@
         CHECK(fixture.place() == "grey");
     }
 }
+
+TEST_CASE("a pool gives a server that has just started less until it is warm")
+{
+    pool_fixture fixture;
+    fixture.add("warm", here);
+    fixture.add("cold", here);
+    fixture.servers.back().entry.warm_up_left = seconds(3);
+    fixture.update();
+    unsigned cold = 0;
+    for (int n = 0; n < 12; ++n)
+    {
+        cold += fixture.place() == "cold" ? 1 : 0;
+    }
+    CHECK(cold >= 2);
+    CHECK(cold < 6);
+    fixture.now += seconds(3);
+    CHECK(fixture.place() == "cold");
+}
--- a/store/etcd_watch.cpp
+++ b/store/etcd_watch.cpp
@@ -27,7 +27,7 @@
       backoff_(caller_->options().watch_retry,
                max_retry_factor * caller_->options().watch_retry,
                seed),
-      known_(from.known.begin(), from.known.end())
+      known_(from.known)
 {
 }
 
@@ -220,19 +220,15 @@
         return;
     }
     std::vector<store_entry> changes;
-    std::unordered_set<std::string> gone = known_;
     for (const store_entry& it : read->entries)
     {
-        gone.erase(it.key);
         if (it.revision > last_)
         {
             changes.push_back(it);
         }
     }
-    for (const std::string& key : gone)
-    {
-        changes.push_back({key, "", {}});
-    }
+    const std::vector<store_entry> gone = known_.missing_from(read->entries);
+    changes.insert(changes.end(), gone.begin(), gone.end());
     is_gap_ = false;
     last_ = std::max(last_, read->at);
     open();
@@ -244,17 +240,7 @@
 
 void etcd_watch::deliver(std::vector<store_entry> changes)
 {
-    for (const store_entry& it : changes)
-    {
-        if (it.revision.value == 0)
-        {
-            known_.erase(it.key);
-        }
-        else
-        {
-            known_.insert(it.key);
-        }
-    }
+    known_.note(changes);
     changed_(std::move(changes));
 }
 
--- a/store/etcd_watch.hpp
+++ b/store/etcd_watch.hpp
@@ -11,12 +11,12 @@
 #include "store/etcd_caller.hpp"
 #include "store/etcd_json.hpp"
 #include "store/store_client.hpp"
+#include "store/watched_keys.hpp"
 
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_set>
 #include <vector>
 
 namespace camphorrock
@@ -58,8 +58,8 @@
     store_revision last_; // the highest that was delivered
     store_client::watch_callback changed_;
     backoff backoff_;
-    std::unordered_set<std::string> known_; // keys delivered and not deleted since
-    std::string unread_;                    // the start of a line
+    watched_keys known_;
+    std::string unread_; // the start of a line
     std::optional<exchange_id> exchange_;
     bool is_started_ = false; // the store has acknowledged this connection's watch
     bool is_gap_ = false;     // revisions since last_ are lost
