An assignment is published when it is written; the retry extra is parted by the largest fleet seen

Cause 1: the count of changes did not rise when a record had been written, so gateways learnt of a new owner with the next change only, often much later; requests for moved keys waited and were refused as no_owner. Ruled out: lost updates between gateways (none in the logs). Also: a key whose move takes over 0.5 s is refused at once; waits for an owner end after a third of the request's time.

--- a/core/gateway/key_assigner.cpp
+++ b/core/gateway/key_assigner.cpp
@@ -399,6 +399,7 @@
     {
         adopt(row, *writing_->find_service(row.name), now);
     }
+    changed();
     writing_.reset();
 }
 
--- a/core/gateway/testing/key_assigner_test.cpp
+++ b/core/gateway/testing/key_assigner_test.cpp
@@ -65,14 +65,26 @@
                     held[it.server] = now + it.hold;
                 }
             }
+            publish();
             if (const auto next = assigner.next_record(now))
             {
                 records.push_back(*next);
+                publish();
                 assigner.record_written(now);
             }
         }
     }
 
+    // As a program does: once for each change that it is told of.
+    void publish()
+    {
+        if (assigner.changes() != published_changes)
+        {
+            published_changes = assigner.changes();
+            last_published = assigner.published();
+        }
+    }
+
     // The server that the assigner names for a key; empty where it is moving.
     std::string owner(unsigned key) const
     {
@@ -96,6 +108,8 @@
     std::deque<key_order> orders;
     std::vector<key_assignment> records;
     std::map<server_id, time_point> held;
+    std::uint64_t published_changes = 0;
+    key_assignment last_published;
 };
 
 unsigned grants_to(const assigner_fixture& fixture, const char* server)
@@ -124,6 +138,16 @@
         REQUIRE_FALSE(fixture.records.empty());
         CHECK(fixture.records.front().services.front().shares.empty());
     }
+    THEN("what is published changes when the record was written")
+    {
+        const std::uint64_t before = fixture.assigner.changes();
+        listed_server leaving = fixture.directory.find(server_id("s0"))->entry;
+        leaving.is_draining = true;
+        fixture.directory.put(leaving, fixture.now);
+        fixture.run(milliseconds(400));
+        REQUIRE(fixture.assigner.changes() > before);
+        CHECK(fixture.last_published == fixture.assigner.published());
+    }
     THEN("grants are renewed well before they run out")
     {
         const auto n = grants_to(fixture, "s0");
--- a/gateway/gateway_state.cpp
+++ b/gateway/gateway_state.cpp
@@ -12,6 +12,9 @@
 constexpr double used_share = 0.85;
 
 constexpr unsigned forget_given_above = 100000;
+// The work that a server ends before it gives keys up seldom takes longer.
+constexpr duration longest_move = milliseconds(500);
+
 constexpr std::size_t assumed_gateways = 64; // until they are known
 
 } // namespace
@@ -61,17 +64,49 @@
     changed();
 }
 
-bool gateway_state::set_assignment(const key_assignment& assignment)
+bool gateway_state::set_assignment(const key_assignment& assignment, time_point now)
 {
     if (assignment.version <= assignment_.version)
     {
         return false;
     }
     assignment_ = assignment;
+    note_moves(now);
     changed();
     return true;
 }
 
+void gateway_state::note_moves(time_point now)
+{
+    std::map<moving_share, time_point> moves;
+    for (const service_shares& row : assignment_.services)
+    {
+        for (const key_share& it : row.shares)
+        {
+            if (it.is_moving)
+            {
+                const moving_share key{row.service, it.keys.first, it.at};
+                const auto old = moves_.find(key);
+                moves[key] = old != moves_.end() ? old->second : now;
+            }
+        }
+    }
+    moves_ = std::move(moves);
+}
+
+bool gateway_state::is_move_stuck(const service_name& service,
+                                  shard_key key,
+                                  time_point now) const
+{
+    const key_share* share = assignment_.find(service, key);
+    if (share == nullptr)
+    {
+        return true;
+    }
+    const auto since = moves_.find({service, share->keys.first, share->at});
+    return since != moves_.end() && now - since->second > longest_move;
+}
+
 service_state* gateway_state::find_service(const service_name& name)
 {
     auto it = services_.find(name);
@@ -130,12 +165,13 @@
 void gateway_state::set_gateways(std::vector<endpoint> all)
 {
     gateways_ = std::move(all);
+    largest_fleet_ = std::max(largest_fleet_, gateways_.size());
     share_retries();
 }
 
 void gateway_state::share_retries()
 {
-    const std::size_t n = gateways_.empty() ? assumed_gateways : gateways_.size();
+    const std::size_t n = largest_fleet_ == 0 ? assumed_gateways : largest_fleet_;
     for (auto& [name, it] : services_)
     {
         it.budget.set_extra(used_share * settings_.retry_extra / static_cast<double>(n));
--- a/gateway/gateway_state.hpp
+++ b/gateway/gateway_state.hpp
@@ -63,7 +63,11 @@
     void servers_changed(time_point now);
 
     // Takes an assignment, unless it is older than the present one.
-    bool set_assignment(const key_assignment& assignment);
+    bool set_assignment(const key_assignment& assignment, time_point now);
+
+    // True where the key has been moving for longer than a sound move takes, or has no
+    // share at all.
+    bool is_move_stuck(const service_name& service, shard_key key, time_point now) const;
 
     const key_assignment& assignment() const
     {
@@ -111,17 +115,32 @@
 private:
     void changed();
     void share_retries();
+    void note_moves(time_point now);
+
+    // A share that moves, by where it begins and what it was granted with.
+    struct moving_share
+    {
+        service_name service;
+        unsigned first = 0;
+        epoch at;
+
+        auto operator<=>(const moving_share&) const = default;
+    };
 
     const gateway_settings& settings_;
     gateway_config config_;
     gateway_routes routes_;
     server_directory servers_;
     key_assignment assignment_;
+    std::map<moving_share, time_point> moves_; // since when
     std::map<service_name, service_state> services_;
     std::map<std::string, std::vector<unsigned>> given_; // by route, then by part
     std::vector<std::function<void()>> listeners_;
     std::minstd_rand random_;
     std::vector<endpoint> gateways_; // empty until they are known
+    // Those that are cut off go on with their part, so a smaller fleet gives no larger
+    // one.
+    std::size_t largest_fleet_ = 0;
 };
 
 } // namespace camphorrock
--- a/gateway/key_agent.cpp
+++ b/gateway/key_agent.cpp
@@ -199,7 +199,7 @@
 
 void key_agent::adopt(const key_assignment& assignment)
 {
-    if (parts_.state.set_assignment(assignment))
+    if (parts_.state.set_assignment(assignment, parts_.loop.now()))
     {
         parts_.log.events().write(event_id::assignment_in_force,
                                   {{"term", assignment.version.term},
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -16,6 +16,7 @@
 constexpr duration owner_pause =
     milliseconds(100); // before a refused owner is asked again
 constexpr duration max_owner_wait = milliseconds(350);
+constexpr int wait_part = 3; // of a request's time: the longest wait for an owner
 constexpr unsigned max_refusals = 3;
 constexpr int aim_percent = 110; // of the target latency
 constexpr duration min_retry_after = milliseconds(80);
@@ -371,12 +372,20 @@
     }
 }
 
+// A key that moves is served again within the time of the work that its old owner ends.
+duration request_relay::longest_wait() const
+{
+    const duration part = (deadline_ - arrived_) / wait_part;
+    return std::min<duration>(part, max_owner_wait);
+}
+
 // Waits for an owner of the key: until wake() finds one, or it takes too long.
 void request_relay::wait()
 {
     const time_point now = parts_.loop.now();
-    const time_point limit = std::min(arrived_ + max_owner_wait, deadline_);
-    if (now >= limit)
+    const time_point limit = arrived_ + longest_wait();
+    const bool is_stuck = parts_.state.is_move_stuck(service_, *key_, now);
+    if (now >= limit || is_stuck)
     {
         answer_self(may_have_run_ ? own_reason::server_lost : own_reason::no_owner);
         return;
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -87,6 +87,7 @@
     own_reason reason_after(attempt_end how) const;
     duration left() const;
     duration longest_expected() const;
+    duration longest_wait() const;
     duration retry_after() const;
     void end();
 
--- /dev/null
+++ b/gateway/testing/gateway_state_test.cpp
@@ -0,0 +1,93 @@
+#include "gateway/gateway_state.hpp"
+#include "testing/test_headers.hpp"
+
+using namespace camphorrock;
+
+namespace
+{
+
+gateway_config config(std::uint64_t version)
+{
+    gateway_config made;
+    made.version.value = version;
+    gateway_route route;
+    route.name = "r";
+    route.host = "h";
+    route.prefix = "/";
+    route.parts = {{service_name("a"), 90}, {service_name("b"), 10}};
+    made.routes = {route};
+    made.services = {{service_name("a"), true, 10, {}},
+                     {service_name("b"), false, 10, {}}};
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("the configuration in force only rises")
+{
+    const gateway_settings settings;
+    gateway_state state(settings, 1);
+    CHECK_FALSE(state.has_config());
+    CHECK(state.set_config(config(5), {}));
+    CHECK_FALSE(state.set_config(config(5), {}));
+    CHECK_FALSE(state.set_config(config(4), {}));
+    CHECK(state.config().version.value == 5);
+    CHECK(state.keyed_services() == std::vector<service_name>{service_name("a")});
+    CHECK(state.find_service(service_name("c")) == nullptr);
+}
+
+TEST_CASE("each part of a route gets its weight's share, in any span")
+{
+    const gateway_settings settings;
+    gateway_state state(settings, 1);
+    state.set_config(config(1), {});
+    const gateway_route& route = state.config().routes.front();
+    unsigned second = 0;
+    for (int n = 1; n <= 400; ++n)
+    {
+        second += state.choose_part(route) == service_name("b") ? 1 : 0;
+        CHECK(std::abs(second - n * 0.1) <= 1.0);
+    }
+}
+
+TEST_CASE("gateways share the fixed extra of repeated sendings")
+{
+    gateway_settings settings;
+    settings.retry_share = 0;
+    settings.retry_extra = 20;
+    gateway_state state(settings, 1);
+    state.set_config(config(1), {});
+    state.set_gateways(std::vector<endpoint>(4, endpoint("x")));
+    // Two are cut off from the assigner, and go on with their part.
+    state.set_gateways(std::vector<endpoint>(2, endpoint("x")));
+    unsigned n = 0;
+    while (state.find_service(service_name("a"))->budget.try_repeat(time_point{}))
+    {
+        ++n;
+    }
+    CHECK(n == 4); // a fourth of 0.85 of 20
+}
+
+TEST_CASE("an assignment in force only rises")
+{
+    const gateway_settings settings;
+    gateway_state state(settings, 1);
+    key_assignment made;
+    made.version = {2, 5};
+    CHECK(state.set_assignment(made, {}));
+    made.version = {1, 9};
+    CHECK_FALSE(state.set_assignment(made, {}));
+    made.version = {3, 1};
+    CHECK(state.set_assignment(made, {}));
+}
+
+TEST_CASE("listeners are told of each change")
+{
+    const gateway_settings settings;
+    gateway_state state(settings, 1);
+    int calls = 0;
+    state.on_change([&] { ++calls; });
+    state.set_config(config(1), {});
+    state.servers_changed({});
+    CHECK(calls == 2);
+}
--- a/store/etcd_watch.cpp
+++ b/store/etcd_watch.cpp
@@ -19,7 +19,7 @@
 
 etcd_watch::etcd_watch(std::shared_ptr<etcd_caller> caller,
                        std::string prefix,
-                       watch_start from,
+                       const watch_start& from,
                        store_client::watch_callback changed,
                        std::uint64_t seed)
     : caller_(std::move(caller)), prefix_(std::move(prefix)), last_(from.after),
--- a/store/etcd_watch.hpp
+++ b/store/etcd_watch.hpp
@@ -27,7 +27,7 @@
 public:
     etcd_watch(std::shared_ptr<etcd_caller> caller,
                std::string prefix,
-               watch_start from,
+               const watch_start& from,
                store_client::watch_callback changed,
                std::uint64_t seed);
 
