One copy of the check of a server's life and of the record's key; an unused sum is gone

Read over the whole change: is_same_life stood in both files of the assigner, the record's key in two of the gateway's, and server_pool::occupied was called by nobody.

--- a/core/gateway/key_assigner.cpp
+++ b/core/gateway/key_assigner.cpp
@@ -14,11 +14,6 @@
 constexpr duration silent_pause = milliseconds(250);  // before a silent server is tried
 constexpr std::uint64_t epochs_to_spare = 100;        // below it, a record is written
 
-bool is_same_life(const known_server* server, const server_life& life)
-{
-    return server != nullptr && server->entry.life == life;
-}
-
 } // namespace
 
 key_assigner::key_assigner(key_assigner_options options,
--- a/core/gateway/key_assigner_plan.cpp
+++ b/core/gateway/key_assigner_plan.cpp
@@ -13,11 +13,6 @@
 
 constexpr duration silent_after = seconds(2); // without an accepted order
 constexpr duration move_pause = seconds(1);   // before a share moves again
-bool is_same_life(const known_server* server, const server_life& life)
-{
-    return server != nullptr && server->entry.life == life;
-}
-
 constexpr double width_load = 0.1; // load of all keys by their number, beside the samples
 constexpr double faster = 1.25; // capacity of a server to which a hot key is worth moving
 constexpr double orphan_part = 0.5; // of a server's mean load: the largest piece to move
--- a/core/gateway/server_directory.hpp
+++ b/core/gateway/server_directory.hpp
@@ -41,6 +41,12 @@
     }
 };
 
+// True for a server that is known and still in that life.
+inline bool is_same_life(const known_server* server, const server_life& life)
+{
+    return server != nullptr && server->entry.life == life;
+}
+
 struct server_directory_options
 {
     duration keep_gone = seconds(5); // rows of servers that are gone
--- a/core/gateway/server_pool.cpp
+++ b/core/gateway/server_pool.cpp
@@ -319,18 +319,4 @@
         { return it.second.is_usable && now >= it.second.suspended_until; }));
 }
 
-server_pool::occupancy server_pool::occupied(time_point now) const
-{
-    occupancy sum;
-    for (const auto& [id, it] : rows_)
-    {
-        if (it.is_usable && now >= it.suspended_until)
-        {
-            sum.requests += it.own + it.remote;
-            sum.slots += it.entry.slots;
-        }
-    }
-    return sum;
-}
-
 } // namespace camphorrock
--- a/core/gateway/server_pool.hpp
+++ b/core/gateway/server_pool.hpp
@@ -121,15 +121,6 @@
     // Servers that may be chosen for any request. O(servers).
     std::size_t usable(time_point now) const;
 
-    // Requests in flight and slots of the usable servers, of all gateways as far as
-    // known.
-    struct occupancy
-    {
-        unsigned requests = 0;
-        unsigned slots = 0;
-    };
-    occupancy occupied(time_point now) const;
-
 private:
     struct row
     {
--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -10,7 +10,6 @@
 {
 
 const std::string holder_key = "camphorrock/assigner";
-const std::string record_key = "camphorrock/keys";
 
 constexpr duration renew_period = milliseconds(400);
 constexpr duration tick_period = milliseconds(50);
@@ -205,7 +204,7 @@
     on_holder_();
     renew_timer_ = parts_.loop.every(renew_period, [this] { renew(); });
     parts_.store.get(
-        record_key,
+        keys_record_key,
         [this, alive = std::weak_ptr<const bool>(alive_)](const store_read& got)
         {
             if (!alive.expired())
@@ -352,7 +351,7 @@
         return;
     }
     parts_.store.compare_and_swap(
-        record_key,
+        keys_record_key,
         record_revision_,
         key_assignment_text(*written_),
         store_lease{},
@@ -394,7 +393,7 @@
 void assigner_role::read_back_record()
 {
     parts_.store.get(
-        record_key,
+        keys_record_key,
         [this, alive = std::weak_ptr<const bool>(alive_)](const store_read& got)
         {
             if (alive.expired() || !assigner_)
@@ -431,7 +430,7 @@
             // It may still be carried out. Writing the same text again decides it: one of
             // the two takes effect, and both say the same.
             parts_.store.compare_and_swap(
-                record_key,
+                keys_record_key,
                 record_revision_,
                 text,
                 store_lease{},
--- a/gateway/assigner_role.hpp
+++ b/gateway/assigner_role.hpp
@@ -24,6 +24,9 @@
 namespace camphorrock
 {
 
+// The key of the record in the store that says who owns which keys.
+constexpr const char* keys_record_key = "camphorrock/keys";
+
 struct assigner_role_parts
 {
     event_loop& loop;
--- a/gateway/key_agent.cpp
+++ b/gateway/key_agent.cpp
@@ -9,8 +9,6 @@
 namespace
 {
 
-const std::string record_key = "camphorrock/keys";
-
 constexpr duration report_period = milliseconds(300);
 constexpr duration report_timeout = milliseconds(500);
 constexpr duration update_timeout = milliseconds(300);
@@ -267,7 +265,7 @@
 void key_agent::fetch_record()
 {
     parts_.store.get(
-        record_key,
+        keys_record_key,
         [this, alive = std::weak_ptr<const bool>(alive_)](const store_read& got)
         {
             const bool is_there =
