--- a/ctl/command.cpp
+++ b/ctl/command.cpp
@@ -2,6 +2,7 @@
 
 #include "app/command_line.hpp"
 #include "codec/json_text.hpp"
+#include "ctl/fleet_status.hpp"
 #include "ctl/yaml_json.hpp"
 #include "net/http_status.hpp"
 
@@ -165,6 +166,25 @@
     return status_of(answer.status);
 }
 
+// The status of the fleet by all assigners that told theirs; the first refusal where
+// none did.
+operator_answer merge_answers(const std::vector<operator_answer>& answers)
+{
+    std::vector<Json::Value> bodies;
+    for (const operator_answer& it : answers)
+    {
+        if (it.status == http_status::ok)
+        {
+            bodies.push_back(it.body);
+        }
+    }
+    if (bodies.empty())
+    {
+        return answers.front();
+    }
+    return {http_status::ok, merge_status(bodies)};
+}
+
 void print_status(std::ostream& out, const Json::Value& body)
 {
     out << "configuration version " << body["config_version"].asUInt64() << ", seen by "
@@ -270,10 +290,9 @@
                [&]() -> result<int>
                {
                    http_request request = make_request("GET", "/operator/status");
-                   BOOST_LEAF_AUTO(
-                       answer, context.assigners.ask(request, http_status::unavailable));
+                   BOOST_LEAF_AUTO(answers, context.assigners.ask_all(request));
                    return finish(context,
-                                 answer,
+                                 merge_answers(answers),
                                  [&](const Json::Value& body)
                                  { print_status(context.out, body); });
                });
--- a/ctl/operator_client.cpp
+++ b/ctl/operator_client.cpp
@@ -8,6 +8,21 @@
 
 namespace camphorrock
 {
+namespace
+{
+
+// Adds what went wrong with one assigner to the list of faults.
+void add_fault(std::string& faults, const endpoint& assigner, const error& ec)
+{
+    faults += (faults.empty() ? "" : "; ") + assigner.str() + ": " + ec.text;
+}
+
+result<void> none_answered(const std::string& faults)
+{
+    return fail(error_code::unavailable, "no assigner answered: " + faults);
+}
+
+} // namespace
 
 result<operator_answer> operator_client::ask(const http_request& request,
                                              int elsewhere) const
@@ -22,8 +37,7 @@
                 BOOST_LEAF_ASSIGN(last, ask_one(it, request));
                 return {};
             },
-            [&](const error& ec)
-            { faults += (faults.empty() ? "" : "; ") + it.str() + ": " + ec.text; });
+            [&](const error& ec) { add_fault(faults, it, ec); });
         if (last && last->status != elsewhere)
         {
             break;
@@ -31,11 +45,34 @@
     }
     if (!last)
     {
-        return fail(error_code::unavailable, "no assigner answered: " + faults);
+        BOOST_LEAF_CHECK(none_answered(faults));
     }
     return *last;
 }
 
+result<std::vector<operator_answer>>
+operator_client::ask_all(const http_request& request) const
+{
+    std::vector<operator_answer> answers;
+    std::string faults;
+    for (const endpoint& it : options_.assigners)
+    {
+        value_or_handle(
+            [&]() -> result<void>
+            {
+                BOOST_LEAF_AUTO(answer, ask_one(it, request));
+                answers.push_back(std::move(answer));
+                return {};
+            },
+            [&](const error& ec) { add_fault(faults, it, ec); });
+    }
+    if (answers.empty())
+    {
+        BOOST_LEAF_CHECK(none_answered(faults));
+    }
+    return answers;
+}
+
 result<operator_answer> operator_client::ask_one(const endpoint& assigner,
                                                  const http_request& request) const
 {
--- a/ctl/operator_client.hpp
+++ b/ctl/operator_client.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
-// Asks the assigners on an operator's behalf: each in turn until one answers. Blocks
-// until then.
+// Asks the assigners on an operator's behalf, in turn. Blocks until they have answered.
 
 #include "core/base/names.hpp"
 #include "core/base/result.hpp"
@@ -41,6 +40,10 @@
     // answers.
     result<operator_answer> ask(const http_request& request, int elsewhere) const;
 
+    // What each assigner answers, in the order of the options; those that do not answer
+    // are left out. Fails with unavailable where none answers.
+    result<std::vector<operator_answer>> ask_all(const http_request& request) const;
+
 private:
     result<operator_answer> ask_one(const endpoint& assigner,
                                     const http_request& request) const;
