--- /dev/null
+++ b/fakes/site/site_main.cpp
@@ -0,0 +1,225 @@
+// camphorrock-fake-site: a stand-in for the users' platform as a gateway meets it: its
+// store, and servers of two services that are listed there.
+
+#include "app/admin_server.hpp"
+#include "app/command_line.hpp"
+#include "app/endpoint_text.hpp"
+#include "app/program.hpp"
+#include "app/query.hpp"
+#include "codec/json_text.hpp"
+#include "fakes/site/site_server.hpp"
+#include "fakes/site/site_store.hpp"
+#include "net/http_status.hpp"
+#include "net/pipelined_server.hpp"
+
+#include <json/value.h>
+
+#include <csignal>
+#include <map>
+
+using namespace camphorrock;
+
+namespace
+{
+
+constexpr double max_count = 1000;
+constexpr const char* services[] = {"shelf", "diary"};
+constexpr const char* keyed_service = "diary";
+constexpr int slots = 3;
+
+struct site_arguments
+{
+    std::string listen = "127.0.0.1:0";
+    std::string admin = "127.0.0.1:0";
+    std::int64_t servers = 3;
+    double work_ms = 20;
+};
+
+// One server with its port. Destroying the port is its crash.
+struct listed_process
+{
+    std::string service;
+    std::unique_ptr<fakes::site_server> server;
+    std::unique_ptr<http_server> port;
+};
+
+Json::Value route_of(const std::string& prefix, const std::string& kind, const char* to)
+{
+    Json::Value made;
+    made["host"] = "camphorrock.example";
+    made["prefix"] = prefix;
+    made["kind"] = kind;
+    made["timeout"] = "2s";
+    made["target_latency"] = "500ms";
+    made["max_attempts"] = 2;
+    made["service"] = to;
+    return made;
+}
+
+std::string config_text()
+{
+    Json::Value made;
+    made["version"] = 1;
+    made["routes"]["look"] = route_of("/look/", "safe", "shelf");
+    made["routes"]["reserve"] = route_of("/reserve/", "unsafe", "shelf");
+    made["routes"]["visit"] = route_of("/visit/", "unsafe", "diary");
+    for (const char* it : services)
+    {
+        made["services"][it]["sharded"] = std::string(it) == keyed_service;
+    }
+    return write_json(made);
+}
+
+class site
+{
+public:
+    site(event_loop& loop, const site_arguments& args)
+        : loop_(loop), work_(milliseconds(static_cast<int>(args.work_ms))),
+          store_(loop, {})
+    {
+        store_.put("op/config", config_text());
+    }
+
+    fakes::site_store& store()
+    {
+        return store_;
+    }
+
+    result<void> add_server(const std::string& id, const std::string& service)
+    {
+        fakes::site_server_options options;
+        options.id = id;
+        options.is_keyed = service == keyed_service;
+        options.slots = slots;
+        options.work = work_;
+        listed_process made;
+        made.service = service;
+        made.server = std::make_unique<fakes::site_server>(loop_, options);
+        pipelined_server_options port;
+        port.common.address = endpoint("127.0.0.1:0");
+        BOOST_LEAF_ASSIGN(made.port,
+                          create_pipelined_server(loop_, port, *made.server));
+        list(id, made);
+        processes_[id] = std::move(made);
+        return {};
+    }
+
+    // POST /crash?server=ID: the server ends, and its entry goes.
+    http_response crash(const http_request& request)
+    {
+        const auto id = query_value(request.target, "server");
+        auto it = processes_.find(std::string(id.value_or("")));
+        if (it == processes_.end())
+        {
+            return text_answer(http_status::not_found, "no such server\n");
+        }
+        it->second.port.reset();
+        store_.erase("servers/" + it->first);
+        return text_answer(http_status::ok, "ok\n");
+    }
+
+    // POST /store?mode=serving or silent.
+    http_response set_store(const http_request& request)
+    {
+        const bool is_silent = query_value(request.target, "mode") == "silent";
+        store_.set_mode(is_silent ? fakes::site_store_mode::silent
+                                  : fakes::site_store_mode::serving);
+        return text_answer(http_status::ok, "ok\n");
+    }
+
+    // GET /runs: how many requests ran, and how many of them more than once though they
+    // may not be repeated.
+    http_response count_runs() const
+    {
+        std::map<std::string, unsigned> runs;
+        unsigned twice = 0;
+        for (const auto& [id, it] : processes_)
+        {
+            for (const fakes::site_run& run : it.server->runs())
+            {
+                const bool is_repeatable = run.target.starts_with("/look/");
+                twice += ++runs[run.request_id] == 2 && !is_repeatable ? 1 : 0;
+            }
+        }
+        return text_answer(http_status::ok,
+                           "requests=" + std::to_string(runs.size()) +
+                               " twice=" + std::to_string(twice) + "\n");
+    }
+
+private:
+    void list(const std::string& id, const listed_process& it)
+    {
+        Json::Value entry;
+        entry["service"] = it.service;
+        entry["address"] = it.port->bound().str();
+        entry["zone"] = "z";
+        entry["slots"] = slots;
+        entry["state"] = "ready";
+        entry["born"] = 1;
+        store_.put("servers/" + id, write_json(entry));
+    }
+
+    event_loop& loop_;
+    duration work_;
+    fakes::site_store store_;
+    std::map<std::string, listed_process> processes_;
+};
+
+result<int> serve(const site_arguments& args)
+{
+    BOOST_LEAF_AUTO(loop, event_loop::create());
+    site all(*loop, args);
+    for (std::int64_t n = 1; n <= args.servers; ++n)
+    {
+        for (const char* it : services)
+        {
+            BOOST_LEAF_CHECK(all.add_server(it + std::to_string(n), it));
+        }
+    }
+    pipelined_server_options port;
+    port.common.address = endpoint(args.listen);
+    BOOST_LEAF_AUTO(store_port, create_pipelined_server(*loop, port, all.store()));
+    metrics_registry metrics;
+    BOOST_LEAF_AUTO(admin,
+                    admin_server::create(
+                        *loop, endpoint(args.admin), metrics, [] { return true; }));
+    admin->add(
+        "POST", "/crash", [&](const http_request& request) { return all.crash(request); });
+    admin->add("POST",
+               "/store",
+               [&](const http_request& request) { return all.set_store(request); });
+    admin->add("GET", "/runs", [&](const http_request&) { return all.count_runs(); });
+    watch_handle on_term = loop->on_signal(SIGTERM, [&] { loop->stop(); });
+    watch_handle on_int = loop->on_signal(SIGINT, [&] { loop->stop(); });
+    print_listening(store_port->bound());
+    loop->run();
+    return exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    command_line line("camphorrock-fake-site",
+                      "A stand-in for the platform that gateways run on: its store, and "
+                      "servers of the services shelf and diary (divided by key).");
+    site_arguments args;
+    line.add_option("--listen", args.listen, "address of the store");
+    line.add_option("--admin", args.admin, "address for /crash, /store and /runs");
+    line.add_option("--servers", args.servers, "servers of each service");
+    line.require_range("--servers", 1, max_count);
+    line.add_option("--work-ms", args.work_ms, "time of each request's work");
+    line.require_range("--work-ms", 0, max_count);
+    if (std::optional<int> status = line.parse(argc, argv))
+    {
+        return *status;
+    }
+    if (!is_endpoint_text(args.listen) || !is_endpoint_text(args.admin))
+    {
+        std::fprintf(stderr, "--listen and --admin must be IP:port\n");
+        return exit_bad_usage;
+    }
+    std::unique_ptr<event_log> log =
+        event_log::to_stderr(line.program(), line.log_level());
+    return run_to_status(*log, [&] { return serve(args); });
+}
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -110,6 +110,7 @@
     to_servers.max_connections_per_endpoint = connections_per_server;
     to_servers.silent_limit = server_silence;
     to_servers.resets_on_close = true;
+    to_servers.shares_pool = true;
     BOOST_LEAF_ASSIGN(server_http_, http_client::create(*loop_, to_servers));
     http_client_options control = to_servers;
     control.silent_limit = store_silence;
--- a/net/connection_count.hpp
+++ b/net/connection_count.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <limits>
+#include <set>
 
 namespace camphorrock
 {
@@ -23,6 +24,8 @@
 {
     std::size_t open = 0;
     connection_limit limit;
+    std::set<int> sockets;   // of the open ones
+    std::size_t running = 0; // exchanges in the pool that endpoints share
 };
 
 } // namespace camphorrock
--- a/net/curl_exchange.cpp
+++ b/net/curl_exchange.cpp
@@ -255,6 +255,11 @@
     return std::exchange(pieces_, {});
 }
 
+void curl_exchange::forbid_reuse()
+{
+    curl_easy_setopt(easy_.get(), CURLOPT_FORBID_REUSE, 1L);
+}
+
 curl_easy curl_exchange::release()
 {
     curl_easy_reset(easy_.get());
@@ -292,7 +297,7 @@
 }
 
 // Called by libcurl each time it is about to send the request.
-int curl_exchange::on_request(void* self, char*, char*, int, int)
+int curl_exchange::on_request(void* self, char*, char*, int, int local_port)
 {
     auto* it = static_cast<curl_exchange*>(self);
     if (it->is_requested_ && it->has_sent())
@@ -303,6 +308,7 @@
     curl_easy_getinfo(it->easy(), CURLINFO_NUM_CONNECTS, &connects);
     it->is_requested_ = true;
     it->is_reused_ = connects == 0;
+    it->local_port_ = local_port;
     return CURL_PREREQFUNC_OK;
 }
 
@@ -311,7 +317,7 @@
 curl_socket_t
 curl_exchange::on_open_socket(void* self, curlsocktype, curl_sockaddr* address)
 {
-    const auto* it = static_cast<curl_exchange*>(self);
+    auto* it = static_cast<curl_exchange*>(self);
     connection_count& count = *it->connections_;
     const bool is_second = it->is_requested_ && it->has_sent();
     if (is_second || count.open >= count.limit.open)
@@ -323,6 +329,8 @@
     if (fd >= 0)
     {
         ++count.open;
+        count.sockets.insert(fd);
+        it->opened_socket_ = fd;
         set_socket_options(fd, *it->client_);
     }
     return fd;
@@ -331,7 +339,9 @@
 // Called by libcurl for each connection that it closes, also after the exchange.
 int curl_exchange::on_close_socket(void* count, curl_socket_t fd)
 {
-    --static_cast<connection_count*>(count)->open;
+    auto* it = static_cast<connection_count*>(count);
+    --it->open;
+    it->sockets.erase(fd);
     return ::close(fd);
 }
 
--- a/net/curl_exchange.hpp
+++ b/net/curl_exchange.hpp
@@ -84,6 +84,21 @@
     bool has_sent() const;
     bool is_refused(CURLcode code) const;
 
+    // The local port of the connection that the request went out on; 0 before.
+    int local_port() const
+    {
+        return local_port_;
+    }
+
+    // The connection that was last opened for the exchange; -1 where none was.
+    int opened_socket() const
+    {
+        return opened_socket_;
+    }
+
+    // Closes the connection at the end of the exchange.
+    void forbid_reuse();
+
     // The end that libcurl reported, with the answer.
     exchange_result finish(CURLcode code);
 
@@ -101,7 +116,7 @@
     on_header(const char* data, std::size_t size, std::size_t n, void* self);
     static std::size_t
     on_body(const char* data, std::size_t size, std::size_t n, void* self);
-    static int on_request(void* self, char*, char*, int, int);
+    static int on_request(void* self, char*, char*, int, int local_port);
     static curl_socket_t on_open_socket(void* self, curlsocktype, curl_sockaddr* address);
     static int on_close_socket(void* count, curl_socket_t fd);
 
@@ -126,6 +141,8 @@
     bool has_headers_ = false;  // of the final answer
     bool is_requested_ = false; // libcurl has been about to send
     bool is_reused_ = false;
+    int local_port_ = 0;
+    int opened_socket_ = -1;
 };
 
 } // namespace camphorrock
--- a/net/curl_pool.cpp
+++ b/net/curl_pool.cpp
@@ -8,6 +8,7 @@
 {
 
 constexpr double ms_per_second = 1000.0;
+constexpr long max_shared_connections = 100000; // idle ones are closed by their age
 
 } // namespace
 
@@ -54,6 +55,17 @@
         new curl_pool(loop, multi, std::move(count), owner));
 }
 
+result<std::shared_ptr<curl_pool>> curl_pool::create_shared(event_loop& loop,
+                                                            long connections_per_endpoint,
+                                                            curl_pool_owner& owner)
+{
+    BOOST_LEAF_AUTO(made, create(loop, nullptr, owner));
+    curl_multi_setopt(made->multi_, CURLMOPT_MAXCONNECTS, max_shared_connections);
+    curl_multi_setopt(
+        made->multi_, CURLMOPT_MAX_HOST_CONNECTIONS, connections_per_endpoint);
+    return made;
+}
+
 curl_pool::curl_pool(event_loop& loop,
                      CURLM* multi,
                      std::shared_ptr<connection_count> count,
@@ -61,7 +73,10 @@
     : loop_(loop), multi_(multi), count_(std::move(count)), owner_(owner),
       last_used_(loop.now())
 {
-    limit_changed();
+    if (count_)
+    {
+        limit_changed();
+    }
     curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &curl_pool::on_socket);
     curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
     curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &curl_pool::on_timer);
--- a/net/curl_pool.hpp
+++ b/net/curl_pool.hpp
@@ -1,10 +1,8 @@
 #pragma once
 
-// The connections to one endpoint: a libcurl multi handle whose sockets and timer are
-// watched by the loop.
-//
-// One multi handle per endpoint, so that all connections of one endpoint can be closed
-// together and an endpoint's limit binds it alone.
+// A libcurl multi handle whose sockets and timer are watched by the loop: either the
+// connections to one endpoint, which can be closed together and have a limit of their
+// own, or those to all endpoints that need neither. Each multi handle takes some 30 kB.
 
 #include "core/base/result.hpp"
 #include "net/event_loop.hpp"
@@ -41,6 +39,11 @@
            std::shared_ptr<connection_count> count,
            curl_pool_owner& owner);
 
+    // For all endpoints, each with at most so many connections.
+    static result<std::shared_ptr<curl_pool>> create_shared(event_loop& loop,
+                                                            long connections_per_endpoint,
+                                                            curl_pool_owner& owner);
+
     curl_pool(const curl_pool&) = delete;
     curl_pool& operator=(const curl_pool&) = delete;
 
@@ -53,14 +56,7 @@
     // Ends the part of libcurl. The connection of an unfinished exchange is closed.
     void remove(CURL* easy);
 
-    // The connections to the endpoint, also of other pools. It is shared since libcurl
-    // closes connections until the pool's end.
-    connection_count& connections()
-    {
-        return *count_;
-    }
-
-    // Follows a change of the limit.
+    // Follows a change of the endpoint's limit.
     void limit_changed();
 
     // Exchanges added and not removed.
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -5,7 +5,13 @@
 #include "net/curl_pool.hpp"
 #include "net/socket_address.hpp"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <deque>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -29,13 +35,35 @@
 struct client_exchange
 {
     curl_exchange curl;
-    std::shared_ptr<curl_pool> pool;
+    endpoint to;
+    std::shared_ptr<connection_count> count; // of the endpoint
+    std::shared_ptr<curl_pool> pool;         // null until it is started
     http_client::callback done;
     curl_exchange::piece_callback on_piece;
     time_point started{};
     timer_handle time_limit;
 };
 
+int local_port_of(int fd)
+{
+    sockaddr_storage address{};
+    socklen_t size = sizeof address;
+    if (getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0)
+    {
+        return 0;
+    }
+    return address.ss_family == AF_INET6
+               ? ntohs(reinterpret_cast<const sockaddr_in6&>(address).sin6_port)
+               : ntohs(reinterpret_cast<const sockaddr_in&>(address).sin_port);
+}
+
+// True where the exchange goes out, or is about to, on the connection.
+bool uses_socket(const curl_exchange& it, int fd)
+{
+    const bool is_out = it.local_port() != 0;
+    return is_out ? it.local_port() == local_port_of(fd) : it.opened_socket() == fd;
+}
+
 bool is_ip_endpoint(const endpoint& to)
 {
     return value_or_handle(
@@ -47,6 +75,9 @@
         [](const error&) { return false; });
 }
 
+// Endpoints have pools of their own. Where the options say so they share one, but for
+// those whose connections were dropped, until these have been idle. In the shared pool no
+// more exchanges run to an endpoint than it may have connections; others wait here.
 class curl_client : public http_client, public curl_pool_owner
 {
 public:
@@ -60,7 +91,10 @@
     {
         for (auto& [number, it] : exchanges_)
         {
-            it->pool->remove(it->curl.easy());
+            if (it->pool)
+            {
+                it->pool->remove(it->curl.easy());
+            }
         }
     }
 
@@ -91,7 +125,11 @@
     void drop_connections(const endpoint& to) override
     {
         // Exchanges hold the pool that they run in, so it closes with the last of them.
-        pools_.erase(to);
+        const bool had_pool = pools_.erase(to) > 0;
+        if (!had_pool)
+        {
+            leave_shared_pool(to);
+        }
     }
 
     void limit_connections(const endpoint& to,
@@ -105,15 +143,15 @@
         {
             limits_.erase(to);
         }
+        const std::shared_ptr<connection_count> count = count_of(to);
         auto it = pools_.find(to);
-        if (it == pools_.end() || it->second->connections().limit == limit_of(to))
+        if (it == pools_.end())
         {
+            leave_shared_pool(to);
             return;
         }
-        connection_count& count = it->second->connections();
-        count.limit = limit_of(to);
         it->second->limit_changed();
-        if (count.open > count.limit.pooled)
+        if (count->open > count->limit.pooled)
         {
             drop_connections(to);
         }
@@ -148,15 +186,16 @@
                       callback done)
     {
         const exchange_id id{++last_id_};
-        std::shared_ptr<curl_pool> pool = is_sendable(request) ? pool_of(to) : nullptr;
-        if (!pool)
+        if (!is_sendable(request) || !is_ip_endpoint(to))
         {
             refuse(id, std::move(done));
             return id;
         }
         auto made = std::unique_ptr<client_exchange>(
             new client_exchange{{id, take_handle(), std::move(request), options},
-                                pool,
+                                to,
+                                count_of(to),
+                                nullptr,
                                 std::move(done),
                                 std::move(on_piece),
                                 loop_.now(),
@@ -169,20 +208,97 @@
                 with_pieces_.push_back(id);
             };
         }
-        made->curl.set_up(to, options_.max_idle, pool->connections(), std::move(stored));
+        made->curl.set_up(to, options_.max_idle, *made->count, std::move(stored));
         made->curl.set_connection(options_);
         curl_easy_setopt(
             made->curl.easy(), CURLOPT_PRIVATE, reinterpret_cast<void*>(id.value));
-        if (!pool->add(made->curl.easy()))
-        {
-            refuse(id, std::move(made->done));
-            return id;
-        }
         made->time_limit = loop_.after(options.timeout, [this, id] { time_out(id); });
+        client_exchange& it = *made;
         exchanges_.emplace(id.value, std::move(made));
+        start_or_wait(id, it);
         return id;
     }
 
+    void start_or_wait(exchange_id id, client_exchange& it)
+    {
+        const bool is_full =
+            !has_own_pool(it.to) && it.count->running >= it.count->limit.pooled;
+        if (is_full)
+        {
+            waiting_[it.to].push_back(id);
+            return;
+        }
+        std::shared_ptr<curl_pool> pool = pool_of(it.to, it.count);
+        if (pool == nullptr || !pool->add(it.curl.easy()))
+        {
+            callback done = std::move(it.done);
+            take(id);
+            refuse(id, std::move(done));
+            return;
+        }
+        it.pool = std::move(pool);
+        it.count->running += it.pool == shared_ ? 1 : 0;
+    }
+
+    // After an exchange of the endpoint has ended.
+    void start_waiting(const endpoint& to)
+    {
+        auto queue = waiting_.find(to);
+        while (queue != waiting_.end() && !queue->second.empty())
+        {
+            const exchange_id id = queue->second.front();
+            queue->second.pop_front();
+            auto it = exchanges_.find(id.value);
+            if (it != exchanges_.end())
+            {
+                start_or_wait(id, *it->second);
+                return;
+            }
+        }
+        if (queue != waiting_.end())
+        {
+            waiting_.erase(queue);
+        }
+    }
+
+    bool has_own_pool(const endpoint& to) const
+    {
+        return !options_.shares_pool || apart_.contains(to) || limits_.contains(to);
+    }
+
+    // The endpoint's next exchanges go to a pool of its own. Its idle connections in the
+    // shared one are shut down, which libcurl notices before it would use them.
+    void leave_shared_pool(const endpoint& to)
+    {
+        auto found = counts_.find(to);
+        const bool is_shared = options_.shares_pool && found != counts_.end();
+        if (!is_shared || found->second->open == 0)
+        {
+            return;
+        }
+        apart_.insert(to);
+        std::vector<const curl_exchange*> running;
+        for (auto& [number, it] : exchanges_)
+        {
+            if (it->to == to && it->pool)
+            {
+                it->curl.forbid_reuse();
+                running.push_back(&it->curl);
+            }
+        }
+        for (int fd : found->second->sockets)
+        {
+            const bool is_used = std::any_of(running.begin(),
+                                             running.end(),
+                                             [&](const curl_exchange* it)
+                                             { return uses_socket(*it, fd); });
+            if (!is_used)
+            {
+                ::shutdown(fd, SHUT_RDWR);
+            }
+        }
+    }
+
     connection_limit limit_of(const endpoint& to) const
     {
         auto it = limits_.find(to);
@@ -193,39 +309,43 @@
         return {static_cast<std::size_t>(options_.max_connections_per_endpoint)};
     }
 
-    // Shared with dropped pools of the endpoint, as long as there is one.
+    // Connections refer to it until they are closed.
     std::shared_ptr<connection_count> count_of(const endpoint& to)
     {
-        std::shared_ptr<connection_count> count = counts_[to].lock();
+        std::shared_ptr<connection_count>& count = counts_[to];
         if (!count)
         {
             count = std::make_shared<connection_count>();
-            counts_[to] = count;
         }
         count->limit = limit_of(to);
         return count;
     }
 
-    // None for an address that is not "IP:port".
-    std::shared_ptr<curl_pool> pool_of(const endpoint& to)
+    // None where memory runs out.
+    std::shared_ptr<curl_pool> pool_of(const endpoint& to,
+                                       const std::shared_ptr<connection_count>& count)
     {
-        auto it = pools_.find(to);
-        if (it != pools_.end())
+        auto none = [](const error&)
         {
-            return it->second;
-        }
-        if (!is_ip_endpoint(to))
+            return std::shared_ptr<curl_pool>();
+        };
+        if (!has_own_pool(to))
         {
-            return nullptr;
+            if (!shared_)
+            {
+                const long limit = options_.max_connections_per_endpoint;
+                shared_ = value_or_handle(
+                    [&] { return curl_pool::create_shared(loop_, limit, *this); }, none);
+            }
+            return shared_;
         }
-        std::shared_ptr<curl_pool> made =
-            value_or_handle([&] { return curl_pool::create(loop_, count_of(to), *this); },
-                            [](const error&) { return std::shared_ptr<curl_pool>(); });
-        if (made)
+        std::shared_ptr<curl_pool>& own = pools_[to];
+        if (!own)
         {
-            pools_.emplace(to, made);
+            own = value_or_handle([&] { return curl_pool::create(loop_, count, *this); },
+                                  none);
         }
-        return made;
+        return own;
     }
 
     // Ends an exchange that could not start, though not inside send().
@@ -252,8 +372,13 @@
         }
         std::unique_ptr<client_exchange> taken = std::move(it->second);
         exchanges_.erase(it);
-        taken->pool->remove(taken->curl.easy());
+        if (taken->pool)
+        {
+            taken->pool->remove(taken->curl.easy());
+        }
+        taken->count->running -= taken->pool && taken->pool == shared_ ? 1 : 0;
         keep_handle(taken->curl.release());
+        start_waiting(taken->to);
         return taken;
     }
 
@@ -320,16 +445,27 @@
                           return it.second->active() == 0 &&
                                  it.second->last_used() < limit;
                       });
-        std::erase_if(counts_, [](const auto& it) { return it.second.expired(); });
+        std::erase_if(apart_,
+                      [&](const endpoint& it)
+                      { return !pools_.contains(it) && counts_[it]->open == 0; });
+        std::erase_if(counts_,
+                      [&](const auto& it)
+                      {
+                          return it.second.use_count() == 1 && it.second->open == 0 &&
+                                 !apart_.contains(it.first);
+                      });
     }
 
     event_loop& loop_;
     http_client_options options_;
     std::uint64_t last_id_ = 0;
     std::unordered_map<endpoint, connection_limit> limits_;
-    std::unordered_map<endpoint, std::weak_ptr<connection_count>> counts_;
+    std::unordered_map<endpoint, std::shared_ptr<connection_count>> counts_;
+    std::unordered_set<endpoint> apart_; // dropped, so with pools of their own
+    std::shared_ptr<curl_pool> shared_;
     std::unordered_map<endpoint, std::shared_ptr<curl_pool>> pools_;
     std::unordered_map<std::uint64_t, std::unique_ptr<client_exchange>> exchanges_;
+    std::unordered_map<endpoint, std::deque<exchange_id>> waiting_;
     std::unordered_map<std::uint64_t, timer_handle> refused_;
     std::vector<exchange_id> with_pieces_;
     std::vector<curl_easy> spare_handles_;
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -89,6 +89,10 @@
     // Connections are reset when they are closed, so that what was not sent yet does not
     // arrive later.
     bool resets_on_close = false;
+    // Endpoints share what libcurl needs for each of them, some 30 kB, until they are
+    // dropped. Not for clients that call limit_connections(): idle connections of a
+    // shared pool are closed late.
+    bool shares_pool = false;
 };
 
 class http_client
--- a/net/testing/http_client_test.cpp
+++ b/net/testing/http_client_test.cpp
@@ -274,7 +274,8 @@
                 [&](const http_request& it, std::shared_ptr<http_responder> responder)
                 { open.emplace_back(it.target, std::move(responder)); },
                 {},
-                {.max_connections_per_endpoint = 4});
+                {.max_connections_per_endpoint = 4,
+                 .shares_pool = *rc::gen::arbitrary<bool>()});
             std::map<std::string, exchange_id> waiting;
             for (int i = 0; i < 30; ++i)
             {
@@ -334,7 +335,8 @@
 
 TEST_CASE("a pool that has gone silent can be dropped")
 {
-    client_fixture net;
+    const bool shares_pool = GENERATE(false, true);
+    client_fixture net({.shares_pool = shares_pool});
     net.start({"GET", "/first", {}, ""});
     std::unique_ptr<raw_peer> idle = net.accept();
     net.start({"GET", "/second", {}, ""});
@@ -398,3 +400,53 @@
         CHECK(net.ended.empty());
     }
 }
+
+TEST_CASE("endpoints share a pool, and one that is full holds up no other")
+{
+    client_fixture net({.max_connections_per_endpoint = 1, .shares_pool = true});
+    raw_listener other;
+    auto ask_other = [&]
+    {
+        net.client->send(other.bound(),
+                         {"GET", "/other", {}, ""},
+                         {},
+                         [&](exchange_result it) { net.ended.push_back(std::move(it)); });
+        std::unique_ptr<raw_peer> made;
+        net.run_until([&] { return (made = other.accept()) != nullptr; });
+        return made;
+    };
+    net.start({"GET", "/first", {}, ""});
+    std::unique_ptr<raw_peer> first = net.accept();
+    net.start({"GET", "/second", {}, ""});
+    std::unique_ptr<raw_peer> elsewhere = ask_other();
+    elsewhere->send(whole_answer);
+    CHECK(net.wait().end == exchange_end::answered);
+
+    SECTION("what waits goes out on the connection once it is free")
+    {
+        first->send(whole_answer);
+        CHECK(net.wait().end == exchange_end::answered);
+        CHECK(net.read(*first, "/second HTTP/1.1\r\n").find("/second") !=
+              std::string::npos);
+        first->send(whole_answer);
+        CHECK(net.wait().reused);
+    }
+    SECTION("what waits goes out at once where the connection is lost")
+    {
+        first->close();
+        CHECK(net.wait().end == exchange_end::cut);
+        CHECK(net.read(*net.accept(), "\r\n\r\n").find("/second") != std::string::npos);
+    }
+    SECTION("an endpoint that is dropped leaves the others their connections")
+    {
+        net.client->drop_connections(net.listener.bound());
+        net.client->send(other.bound(),
+                         {"GET", "/again", {}, ""},
+                         {},
+                         [&](exchange_result it) { net.ended.push_back(std::move(it)); });
+        CHECK(net.read(*elsewhere, "/again HTTP/1.1\r\n").find("/again") !=
+              std::string::npos);
+        elsewhere->send(whole_answer);
+        CHECK(net.wait().reused);
+    }
+}
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -188,6 +188,14 @@
     "$BIN/camphorrock-ctl" --assigner "$(assigner_peer 1)" --assigner "$(assigner_peer 2)" "$@"
 }
 
+# The number of an assigner that holds a shard.
+holder() {
+    local status
+    status=$(ctl --json status 2>/dev/null)
+    grep -q '"held_here":true' <<<"$status" || return 1
+    sed 's/.*"held_here":true[^}]*"seen_by":"a\([0-9]\)".*/\1/' <<<"$status"
+}
+
 # Declares the two services.
 configure_fleet() {
     local n service
