An exception of a library keeps its text where it ends a program

Its last line: program_failed "unknown error". Only an exception ends so: LEAF hands it to the handler without arguments. The finding stays open.

--- a/core/base/result.hpp
+++ b/core/base/result.hpp
@@ -12,6 +12,7 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/leaf/result.hpp>
 
+#include <exception>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -48,13 +49,17 @@
 }
 
 // Runs `attempt`, which returns a result<T>, and returns its value, or calls
-// `on_error(const error&)` and returns what that returns.
+// `on_error(const error&)` and returns what that returns. An exception of a library ends
+// as an error of code io with its text.
 template<class Attempt, class OnError>
 auto value_or_handle(Attempt&& attempt, OnError&& on_error)
 {
     return boost::leaf::try_handle_all(
         std::forward<Attempt>(attempt),
         [&](const error& ec) { return on_error(ec); },
+        [&](const std::exception& ec) {
+            return on_error(error{error_code::io, ec.what()});
+        },
         [&] {
             return on_error(error{error_code::io, "unknown error"});
         });
