--- a/fakes/site/site_main.cpp
+++ b/fakes/site/site_main.cpp
@@ -97,8 +97,7 @@
         made.server = std::make_unique<fakes::site_server>(loop_, options);
         pipelined_server_options port;
         port.common.address = endpoint("127.0.0.1:0");
-        BOOST_LEAF_ASSIGN(made.port,
-                          create_pipelined_server(loop_, port, *made.server));
+        BOOST_LEAF_ASSIGN(made.port, create_pipelined_server(loop_, port, *made.server));
         list(id, made);
         processes_[id] = std::move(made);
         return {};
@@ -180,11 +179,12 @@
     port.common.address = endpoint(args.listen);
     BOOST_LEAF_AUTO(store_port, create_pipelined_server(*loop, port, all.store()));
     metrics_registry metrics;
-    BOOST_LEAF_AUTO(admin,
-                    admin_server::create(
-                        *loop, endpoint(args.admin), metrics, [] { return true; }));
-    admin->add(
-        "POST", "/crash", [&](const http_request& request) { return all.crash(request); });
+    BOOST_LEAF_AUTO(
+        admin,
+        admin_server::create(*loop, endpoint(args.admin), metrics, [] { return true; }));
+    admin->add("POST",
+               "/crash",
+               [&](const http_request& request) { return all.crash(request); });
     admin->add("POST",
                "/store",
                [&](const http_request& request) { return all.set_store(request); });
