A connection whose opening timed out is forgotten: its number may be a client's by then

The log shows client_gone, though the client had not left. Cause: libcurl closes a socket whose connecting times out without its close callback. The number stayed in the endpoint's list of sockets, the next client's connection got it, and drop_connections() shut that down. The same made the count of open connections rise for good, which limit_connections() goes by. Now a socket is in the list only once a request went out on it, and one that never got so far is forgotten with its exchange. Test: "a connection that could not be opened leaves nothing behind", with a listener that takes no more; its first section failed before. Ruled out: a client that left, check_time() (no connection was idle or slow), a second close by the gateway itself.

--- a/net/connection_count.hpp
+++ b/net/connection_count.hpp
@@ -22,9 +22,16 @@
 
 struct connection_count
 {
-    std::size_t open = 0;
+    std::size_t open() const
+    {
+        return connecting.size() + sockets.size();
+    }
+
     connection_limit limit;
-    std::set<int> sockets;   // of the open ones
+    // A connection is in the first set until a request goes out on it. libcurl may close
+    // it before without telling, so the numbers there may stand for something else.
+    std::set<int> connecting;
+    std::set<int> sockets;
     std::size_t running = 0; // exchanges in the pool that endpoints share
 };
 
--- a/net/curl_exchange.cpp
+++ b/net/curl_exchange.cpp
@@ -262,6 +262,8 @@
 
 curl_easy curl_exchange::release()
 {
+    // A connection on which nothing went out ends with the exchange.
+    connections_->connecting.erase(opened_socket_);
     curl_easy_reset(easy_.get());
     return std::move(easy_);
 }
@@ -309,9 +311,19 @@
     it->is_requested_ = true;
     it->is_reused_ = connects == 0;
     it->local_port_ = local_port;
+    it->note_connected();
     return CURL_PREREQFUNC_OK;
 }
 
+// The connection that was opened for the exchange, if any, now carries it.
+void curl_exchange::note_connected()
+{
+    if (connections_->connecting.erase(opened_socket_) > 0)
+    {
+        connections_->sockets.insert(opened_socket_);
+    }
+}
+
 // Called by libcurl for each connection that it is about to open; saves the one to a
 // second sending.
 curl_socket_t
@@ -320,7 +332,7 @@
     auto* it = static_cast<curl_exchange*>(self);
     connection_count& count = *it->connections_;
     const bool is_second = it->is_requested_ && it->has_sent();
-    if (is_second || count.open >= count.limit.open)
+    if (is_second || count.open() >= count.limit.open)
     {
         return CURL_SOCKET_BAD;
     }
@@ -328,8 +340,7 @@
         socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
     if (fd >= 0)
     {
-        ++count.open;
-        count.sockets.insert(fd);
+        count.connecting.insert(fd);
         it->opened_socket_ = fd;
         set_socket_options(fd, *it->client_);
     }
@@ -340,7 +351,7 @@
 int curl_exchange::on_close_socket(void* count, curl_socket_t fd)
 {
     auto* it = static_cast<connection_count*>(count);
-    --it->open;
+    it->connecting.erase(fd);
     it->sockets.erase(fd);
     return ::close(fd);
 }
--- a/net/curl_exchange.hpp
+++ b/net/curl_exchange.hpp
@@ -108,7 +108,7 @@
     // The part of a streamed body that arrived since the last call.
     std::string take_pieces();
 
-    // Gives the easy handle back for another exchange.
+    // Gives the easy handle back for another exchange, once libcurl has let go of it.
     curl_easy release();
 
 private:
@@ -120,6 +120,7 @@
     static curl_socket_t on_open_socket(void* self, curlsocktype, curl_sockaddr* address);
     static int on_close_socket(void* count, curl_socket_t fd);
 
+    void note_connected();
     void set_method();
     void set_headers(const endpoint& to);
     bool take_bytes(std::size_t n);
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -151,7 +151,7 @@
             return;
         }
         it->second->limit_changed();
-        if (count->open > count->limit.pooled)
+        if (count->open() > count->limit.pooled)
         {
             drop_connections(to);
         }
@@ -272,7 +272,7 @@
     {
         auto found = counts_.find(to);
         const bool is_shared = options_.shares_pool && found != counts_.end();
-        if (!is_shared || found->second->open == 0)
+        if (!is_shared || found->second->open() == 0)
         {
             return;
         }
@@ -447,11 +447,11 @@
                       });
         std::erase_if(apart_,
                       [&](const endpoint& it)
-                      { return !pools_.contains(it) && counts_[it]->open == 0; });
+                      { return !pools_.contains(it) && counts_[it]->open() == 0; });
         std::erase_if(counts_,
                       [&](const auto& it)
                       {
-                          return it.second.use_count() == 1 && it.second->open == 0 &&
+                          return it.second.use_count() == 1 && it.second->open() == 0 &&
                                  !apart_.contains(it.first);
                       });
     }
--- a/net/testing/http_client_test.cpp
+++ b/net/testing/http_client_test.cpp
@@ -2,6 +2,10 @@
 #include "net/testing/raw_listener.hpp"
 #include "testing/test_headers.hpp"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace camphorrock;
 using camphorrock::testing::loop_fixture;
 using camphorrock::testing::raw_listener;
@@ -450,3 +454,87 @@
         CHECK(net.wait().reused);
     }
 }
+
+namespace
+{
+
+// Listens, and takes no more connections: opening one hangs.
+struct full_listener
+{
+    full_listener() : fd(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        auto* raw = reinterpret_cast<sockaddr*>(&address);
+        REQUIRE(bind(fd, raw, size) == 0);
+        REQUIRE(listen(fd, 0) == 0);
+        REQUIRE(getsockname(fd, raw, &size) == 0);
+        bound = endpoint("127.0.0.1:" + std::to_string(ntohs(address.sin_port)));
+        for (int& it : waiting)
+        {
+            it = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+            static_cast<void>(connect(it, raw, size));
+        }
+    }
+
+    ~full_listener()
+    {
+        ::close(fd);
+        for (int it : waiting)
+        {
+            ::close(it);
+        }
+    }
+
+    int fd;
+    int waiting[4];
+    endpoint bound;
+};
+
+} // namespace
+
+TEST_CASE("a connection that could not be opened leaves nothing behind")
+{
+    const bool shares_pool = GENERATE(false, true);
+    client_fixture net({.shares_pool = shares_pool});
+    const full_listener full;
+    const endpoint nobody = GENERATE(true, false) ? full.bound : endpoint("127.0.0.1:1");
+    auto ask_nobody = [&]
+    {
+        exchange_options options;
+        options.connect_timeout = milliseconds(20);
+        net.client->send(nobody,
+                         {"GET", "/", {}, ""},
+                         options,
+                         [&](exchange_result it) { net.ended.push_back(std::move(it)); });
+    };
+    ask_nobody();
+    ask_nobody();
+    CHECK(net.wait().end == exchange_end::not_connected);
+    CHECK(net.wait().end == exchange_end::not_connected);
+
+    SECTION(
+        "what is opened next under its number stays open when the endpoint is dropped")
+    {
+        int pair[2] = {-1, -1};
+        REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, pair) == 0);
+        net.client->drop_connections(nobody);
+        CHECK(send(pair[0], "x", 1, MSG_NOSIGNAL) == 1);
+        CHECK(send(pair[1], "x", 1, MSG_NOSIGNAL) == 1);
+        ::close(pair[0]);
+        ::close(pair[1]);
+    }
+    SECTION("it does not count against the endpoint's limit")
+    {
+        net.client->limit_connections(nobody, connection_limit{2, 2});
+        for (int n = 0; n < 4; ++n)
+        {
+            ask_nobody();
+            const exchange_result got = net.wait();
+            CHECK(got.is_refused == (nobody != full.bound));
+            CHECK((got.is_refused || got.time_taken > milliseconds(10)));
+        }
+    }
+}
