A fleet that shrinks to one group has all servers near again

Found in reading the change over: where a fleet of more than 16 gateways shrank to 16 or fewer, the pools kept the near servers of the last division, since the division was applied to large fleets only. Half or more of the servers then counted as another group's. The special case is gone: the near servers of an undivided fleet are all. The new test failed before (4 of 8 used). The list of a service's servers is made once for an update, not twice.

--- a/gateway/gateway_state.cpp
+++ b/gateway/gateway_state.cpp
@@ -71,9 +71,10 @@
 
 void gateway_state::update_pool(service_state& it, time_point now)
 {
+    const std::vector<const known_server*> servers = servers_.servers_of(it.config.name);
     it.pool.set_serves_leaving(serves_leaving());
-    it.pool.update(servers_.servers_of(it.config.name), now);
-    set_near(it);
+    it.pool.update(servers, now);
+    set_near(it, servers);
 }
 
 duration gateway_state::serves_leaving() const
@@ -83,11 +84,12 @@
 }
 
 // A key has one owner, whatever group it is near to.
-void gateway_state::set_near(service_state& it)
+void gateway_state::set_near(service_state& it,
+                             const std::vector<const known_server*>& servers)
 {
-    if (!it.config.is_keyed && !groups_.is_undivided())
+    if (!it.config.is_keyed)
     {
-        it.pool.set_near(groups_.near_servers(servers_.servers_of(it.config.name)));
+        it.pool.set_near(groups_.near_servers(servers));
     }
 }
 
@@ -200,7 +202,7 @@
     groups_ = gateway_groups::create(gateways_, self());
     for (auto& [name, it] : services_)
     {
-        set_near(it);
+        set_near(it, servers_.servers_of(name));
     }
     largest_fleet_ = std::max(largest_fleet_, gateways_.size());
     share_retries();
--- a/gateway/gateway_state.hpp
+++ b/gateway/gateway_state.hpp
@@ -132,7 +132,7 @@
     void changed();
     void share_retries();
     void update_pool(service_state& it, time_point now);
-    void set_near(service_state& it);
+    void set_near(service_state& it, const std::vector<const known_server*>& servers);
     duration serves_leaving() const;
     void note_moves(time_point now);
 
--- a/gateway/testing/gateway_state_test.cpp
+++ b/gateway/testing/gateway_state_test.cpp
@@ -1,6 +1,8 @@
 #include "gateway/gateway_state.hpp"
 #include "testing/test_headers.hpp"
 
+#include <set>
+
 using namespace camphorrock;
 
 namespace
@@ -103,3 +105,45 @@
     state.servers_changed({});
     CHECK(calls == 2);
 }
+
+TEST_CASE("a fleet that shrinks to one group: all servers are near again")
+{
+    gateway_settings settings;
+    settings.zone = data_centre("z");
+    settings.peer = fleet_of(1).front().peer;
+    gateway_state state(settings, 1);
+    state.set_config(config(1), {});
+    for (int n = 0; n < 8; ++n)
+    {
+        listed_server made;
+        made.id = server_id("s" + std::to_string(n));
+        made.service = service_name("b");
+        made.zone = settings.zone;
+        made.slots = 3;
+        state.servers().put(made, {});
+    }
+    state.servers_changed({});
+    // Servers that an idle pool chooses among.
+    auto servers_used = [&]
+    {
+        const server_pool& pool = state.find_service(service_name("b"))->pool;
+        std::set<server_id> used;
+        for (int n = 0; n < 200; ++n)
+        {
+            used.insert(pool.choose({}, state.random(), {})->server);
+        }
+        return used.size();
+    };
+
+    SECTION("a large one keeps to its group's servers")
+    {
+        state.set_gateways(fleet_of(20));
+        CHECK(servers_used() == 4);
+    }
+    SECTION("after it has shrunk, free servers of all are used")
+    {
+        state.set_gateways(fleet_of(20));
+        state.set_gateways(fleet_of(2));
+        CHECK(servers_used() == 8);
+    }
+}
