--- a/core/gateway/server_pool.cpp
+++ b/core/gateway/server_pool.cpp
@@ -1,5 +1,6 @@
 #include "core/gateway/server_pool.hpp"
 
+#include "core/base/backoff.hpp"
 #include "core/base/enum_names.hpp"
 
 #include <algorithm>
@@ -248,10 +249,9 @@
     ++it.refusals;
     if (it.refusals >= options_.refusals_to_doubt)
     {
-        const unsigned doublings = std::min(it.refusals - options_.refusals_to_doubt, 8U);
-        it.doubted_until =
-            now + std::min<duration>(options_.first_doubt * (1U << doublings),
-                                     options_.max_doubt);
+        it.doubted_until = now + doubled_pause(options_.first_doubt,
+                                               it.refusals - options_.refusals_to_doubt,
+                                               options_.max_doubt);
     }
 }
 
@@ -273,10 +273,9 @@
     {
         return;
     }
-    const unsigned doublings = std::min(it.failures - least, 8U);
-    const duration wait = std::min<duration>(
-        options_.first_suspension * (1U << doublings), options_.max_suspension);
-    it.suspended_until = now + wait;
+    it.suspended_until = now + doubled_pause(options_.first_suspension,
+                                             it.failures - least,
+                                             options_.max_suspension);
 }
 
 double server_pool::failure_share(const row& it, time_point now) const
