Gateways log a late event loop, and the age of a request when it is sent

Cause: the log could not tell whether a request was read late or sent late, and no line said that the loop was late. Added the event loop_late, a histogram of the lateness, and elapsed_us in request_sent. Tests: net, app and platform pass.

--- a/app/events.cpp
+++ b/app/events.cpp
@@ -48,6 +48,11 @@
               severity::warning,
               "A route, a service or a limit of the configuration could not be read; the "
               "others are in force."},
+    event_row{event_id::loop_late,
+              "loop_late",
+              severity::warning,
+              "The event loop ran its timers late; what arrived meanwhile is read only "
+              "now."},
     event_row{event_id::record_adopted,
               "record_adopted",
               severity::info,
--- a/app/events.hpp
+++ b/app/events.hpp
@@ -29,6 +29,7 @@
     config_unreadable = 107,
     program_failed = 108,
     config_part_unreadable = 109,
+    loop_late = 110,
 
     record_adopted = 201,
     record_unreadable = 202,
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -165,6 +165,8 @@
                       &load_agent_->reservations()});
     client_handler_ = std::make_unique<client_handler>(*relay_context_);
     BOOST_LEAF_CHECK(open_ports());
+    loop_monitor_ = std::make_unique<loop_monitor>(
+        *loop_, [this](duration lateness) { log_.loop_late(lateness); });
     signal_handles_.push_back(loop_->on_signal(SIGTERM, [this] { stop(); }));
     signal_handles_.push_back(loop_->on_signal(SIGINT, [this] { stop(); }));
     return {};
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -19,6 +19,7 @@
 #include "gateway/load_agent.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_server.hpp"
+#include "net/loop_monitor.hpp"
 
 #include <functional>
 #include <memory>
@@ -93,6 +94,7 @@
     std::unique_ptr<http_server> peer_server_;
     std::unique_ptr<http_server> client_server_;
     std::unique_ptr<admin_server> admin_;
+    std::unique_ptr<loop_monitor> loop_monitor_;
     std::vector<watch_handle> signal_handles_;
     timer_handle stop_check_timer_;
     timer_handle watch_sources_timer_; // empty: none is due
--- a/gateway/gateway_log.cpp
+++ b/gateway/gateway_log.cpp
@@ -21,6 +21,8 @@
 const metric_name config_faults_metric{
     "camphorrock_gateway_config_faults_total",
     "Parts of configurations that could not be read, by kind."};
+const metric_name loop_late_metric{"camphorrock_gateway_loop_late_seconds",
+                                   "By how much the event loop ran its timers late."};
 const metric_name latency_metric{"camphorrock_gateway_answer_seconds",
                                  "From a request's arrival to its server's answer."};
 
@@ -28,7 +30,8 @@
 
 void gateway_log::attempt_started(const request_fields& request,
                                   const server_choice& to,
-                                  unsigned attempt)
+                                  unsigned attempt,
+                                  duration elapsed)
 {
     metrics_.get_counter(attempts_metric, {{"service", request.service.str()}}).add();
     const event_id id =
@@ -39,6 +42,7 @@
                    {"service", request.service},
                    {"server", to.server},
                    {"attempt", attempt},
+                   {"elapsed_us", elapsed},
                    {"load", to.load},
                    {"expected_us", to.expected_latency}});
 }
@@ -136,6 +140,12 @@
     }
 }
 
+void gateway_log::loop_late(duration lateness)
+{
+    metrics_.get_histogram(loop_late_metric).record(lateness);
+    events_.write(event_id::loop_late, {{"late_us", lateness}});
+}
+
 void gateway_log::client_disconnected(const request_fields& request, duration elapsed)
 {
     metrics_.get_counter(clients_gone_metric).add();
--- a/gateway/gateway_log.hpp
+++ b/gateway/gateway_log.hpp
@@ -53,10 +53,12 @@
         return events_;
     }
 
-    // A request was sent to a server; `attempt` counts from 1.
+    // A request is to be sent to a server; `attempt` counts from 1, `elapsed` from when
+    // the request was read.
     void attempt_started(const request_fields& request,
                          const server_choice& to,
-                         unsigned attempt);
+                         unsigned attempt,
+                         duration elapsed);
     // An attempt ended as `how`, which is not attempt_end::answered. `is_sent_again` is
     // true if the gateway tries to send the request again.
     void attempt_failed(const request_fields& request,
@@ -74,6 +76,8 @@
     void config_in_force(const gateway_config& config, std::uint64_t revision);
     // Counts every order; logs releases, and grants that were not accepted.
     void order_ended(const key_order& order, const order_result& got);
+    // The event loop ran a timer later than planned, by `lateness`.
+    void loop_late(duration lateness);
     // The client disconnected before it received an answer.
     void client_disconnected(const request_fields& request, duration elapsed);
 
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -273,8 +273,10 @@
     {
         service->budget.record_first_attempt(now);
     }
-    context_.log.attempt_started(
-        {request_id_, route_.name, service_}, to, static_cast<unsigned>(tried_.size()));
+    context_.log.attempt_started({request_id_, route_.name, service_},
+                                 to,
+                                 static_cast<unsigned>(tried_.size()),
+                                 now - arrived_);
     exchange_options options;
     options.timeout = time_left();
     options.connect_timeout = std::min(connect_timeout, time_left());
