--- a/net/testing/http_client_test.cpp
+++ b/net/testing/http_client_test.cpp
@@ -3,6 +3,8 @@
 #include "net/testing/raw_listener.hpp"
 #include "testing/test_headers.hpp"
 
+#include <thread>
+
 using namespace camphorrock;
 using camphorrock::testing::loop_fixture;
 using camphorrock::testing::raw_listener;
@@ -106,6 +108,23 @@
     }
 }
 
+// Guards against a late loop that sends what its caller has given up, or whose permission
+// has ended: the timer that ends the exchange is due, but has not run yet (GONE).
+TEST_CASE("an exchange whose time is over when the loop gets to it is not sent")
+{
+    client_fixture net;
+    net.start({"GET", "/first", {}, ""});
+    const std::unique_ptr<raw_peer> peer = net.accept();
+    net.read(*peer, "\r\n\r\n");
+    peer->send(whole_answer);
+    REQUIRE(net.wait().end == exchange_end::answered);
+
+    net.start({"GET", "/second", {}, ""}, within(milliseconds(20)));
+    std::this_thread::sleep_for(milliseconds(40));
+    CHECK(net.wait().end == exchange_end::timed_out_before_send);
+    CHECK(peer->read_some().empty());
+}
+
 TEST_CASE("an incomplete answer is never reported as answered")
 {
     client_fixture net;
--- a/net/testing/pipelined_server_test.cpp
+++ b/net/testing/pipelined_server_test.cpp
@@ -102,6 +102,31 @@
     }
 }
 
+// Guards against work that goes on for a client that has left, while its connection is
+// not read because too many of its requests are unanswered (GONE).
+TEST_CASE("the close of a connection that is not read is noticed")
+{
+    pipelined_fixture it;
+    raw_peer peer(it.server->bound());
+    peer.send(get + get + get);
+    it.run_until([&] { return it.held.size() == 3; });
+    bool is_over = false;
+    const timer_handle limit = it.loop->after(seconds(2), [&] { is_over = true; });
+
+    SECTION("with nothing unread")
+    {
+        peer.close();
+    }
+    SECTION("behind requests that are not read")
+    {
+        peer.send(get + get);
+        peer.close();
+    }
+    it.run_until([&] { return is_over || it.disconnected.size() == 3; });
+    CHECK(it.disconnected.size() == 3);
+    CHECK(it.held.size() == 3);
+}
+
 TEST_CASE("a refused request is answered and closes the connection")
 {
     pipelined_fixture it;
