Nothing is sent for a client that has left, nor after its time, however late the loop is

Cause: a late loop acts on what it knew before. The close of a client, or the timer that ends an attempt, was already due when the gateway read the request or libcurl sent it, and was handled an iteration later. A connection that is not read, because too many of its requests are unanswered, learned of a close only with the next answer. Class: the condition of an act that cannot be taken back is checked when it is decided, not when it is done. Change: the HTTP client asks just before it sends: is the exchange's time over, is it still wanted (exchange_end::withdrawn)? A relay's attempt is wanted while its client is connected, by the operating system's word (http_responder::is_disconnected), and is not begun for a client that has left. Unread connections are watched for the close. client_gone says noticed_late. A deadline that passes before the send no longer counts against the server.

--- a/fakes/testing/fake_server_test.cpp
+++ b/fakes/testing/fake_server_test.cpp
@@ -28,6 +28,11 @@
         disconnect = std::move(fn);
     }
 
+    bool is_disconnected() const override
+    {
+        return false;
+    }
+
     bool is_not_run() const
     {
         return answer && answer->headers.find("Camphorrock-Outcome") == "not-run";
--- a/gateway/gateway_log.cpp
+++ b/gateway/gateway_log.cpp
@@ -146,12 +146,19 @@
     events_.write(event_id::loop_late, {{"late_us", lateness}});
 }
 
-void gateway_log::client_disconnected(const request_fields& request, duration elapsed)
+void gateway_log::client_disconnected(const request_fields& request,
+                                      duration elapsed,
+                                      bool is_noticed_late)
 {
-    metrics_.get_counter(clients_gone_metric).add();
-    events_.write(
-        event_id::client_gone,
-        {{"request", request.id}, {"route", request.route}, {"elapsed_us", elapsed}});
+    metrics_
+        .get_counter(clients_gone_metric,
+                     {{"noticed_late", is_noticed_late ? "true" : "false"}})
+        .add();
+    events_.write(event_id::client_gone,
+                  {{"request", request.id},
+                   {"route", request.route},
+                   {"elapsed_us", elapsed},
+                   {"noticed_late", is_noticed_late}});
 }
 
 } // namespace camphorrock
--- a/gateway/gateway_log.hpp
+++ b/gateway/gateway_log.hpp
@@ -78,8 +78,11 @@
     void order_ended(const key_order& order, const order_result& got);
     // The event loop ran a timer later than planned, by `lateness`.
     void loop_late(duration lateness);
-    // The client disconnected before it received an answer.
-    void client_disconnected(const request_fields& request, duration elapsed);
+    // The client disconnected before it received an answer. `is_noticed_late`: a check
+    // before an attempt found it before the loop handled the close.
+    void client_disconnected(const request_fields& request,
+                             duration elapsed,
+                             bool is_noticed_late);
 
 private:
     event_log& events_;
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -51,13 +51,18 @@
         {
             if (const std::shared_ptr<request_relay> self = weak.lock())
             {
-                self->on_client_disconnected();
+                self->on_client_left(false);
             }
         });
     if (!read_request())
     {
         return;
     }
+    if (responder_->is_disconnected())
+    {
+        on_client_left(true);
+        return;
+    }
     deadline_timer_ = context_.loop.at(deadline_,
                                        [weak]
                                        {
@@ -281,6 +286,10 @@
     options.timeout = time_left();
     options.connect_timeout = std::min(connect_timeout, time_left());
     options.allows_close_delimited = true;
+    options.is_wanted = [responder = responder_]
+    {
+        return !responder->is_disconnected();
+    };
     const std::weak_ptr<request_relay> weak = weak_from_this();
     exchange_ = context_.http.send(to.address,
                                    make_upstream_request(to, time_left()),
@@ -308,6 +317,11 @@
 
 attempt_end request_relay::classify(const exchange_result& got) const
 {
+    if (got.end == exchange_end::withdrawn ||
+        got.end == exchange_end::timed_out_before_send)
+    {
+        return attempt_end::cancelled;
+    }
     if (is_unsent(got.end))
     {
         return attempt_end::unreachable;
@@ -363,6 +377,16 @@
     {
         service->pool.attempt_ended(sent_to_, how, elapsed, context_.loop.now());
     }
+    if (got.end == exchange_end::withdrawn)
+    {
+        on_client_left(true);
+        return;
+    }
+    if (got.end == exchange_end::timed_out_before_send)
+    {
+        on_deadline();
+        return;
+    }
     const bool is_invalid_answer =
         how == attempt_end::lost && got.end == exchange_end::answered;
     if (is_invalid_answer)
@@ -508,14 +532,15 @@
                                  : local_answer_reason::waited_too_long);
 }
 
-void request_relay::on_client_disconnected()
+void request_relay::on_client_left(bool is_noticed_late)
 {
     if (is_ended_)
     {
         return;
     }
     context_.log.client_disconnected({request_id_, route_.name, service_},
-                                     context_.loop.now() - arrived_);
+                                     context_.loop.now() - arrived_,
+                                     is_noticed_late);
     finish();
 }
 
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -8,6 +8,8 @@
 //   - a request that is not repeatable is sent again only if it is certain that no server
 //     ran it: nothing was sent, or the server said that it did not run the request;
 //   - the answer says "not run" only if no attempt can have run the request;
+//   - nothing is sent for a client that has left, also if the loop is late to handle
+//   that;
 //   - a cancelled attempt closes its connection, so that the server stops working on it;
 //   - a request does not wait if the expected answer or the next owner of its key is
 //     already known to come too late.
@@ -99,7 +101,7 @@
     void wait_for_owner();
     void on_deadline();
     bool cancel_attempt();
-    void on_client_disconnected();
+    void on_client_left(bool is_noticed_late);
     void forward_answer(http_response answer);
     void answer_locally(local_answer_reason reason);
     local_answer_reason reason_after(attempt_end how) const;
--- a/net/curl_exchange.cpp
+++ b/net/curl_exchange.cpp
@@ -105,7 +105,8 @@
                              curl_easy easy,
                              http_request request,
                              exchange_options options)
-    : id_(id), easy_(std::move(easy)), request_(std::move(request)), options_(options)
+    : id_(id), easy_(std::move(easy)), request_(std::move(request)),
+      options_(std::move(options))
 {
 }
 
@@ -156,6 +157,11 @@
     }
 }
 
+void curl_exchange::set_send_check(std::function<bool()> is_in_time)
+{
+    is_in_time_ = std::move(is_in_time);
+}
+
 void curl_exchange::set_method()
 {
     CURL* easy = easy_.get();
@@ -220,7 +226,11 @@
 {
     exchange_result made;
     made.is_connection_reused = is_reused_;
-    if (is_too_large_)
+    if (not_sent_because_)
+    {
+        made.end = *not_sent_because_;
+    }
+    else if (is_too_large_)
     {
         made.end = exchange_end::too_large;
     }
@@ -304,8 +314,22 @@
     return size * n;
 }
 
+// The end of an exchange whose request must not be sent any more.
+std::optional<exchange_end> curl_exchange::reason_not_to_send() const
+{
+    if (!is_in_time_())
+    {
+        return exchange_end::timed_out_before_send;
+    }
+    if (options_.is_wanted && !options_.is_wanted())
+    {
+        return exchange_end::withdrawn;
+    }
+    return std::nullopt;
+}
+
 // Called by libcurl each time it is about to send the request. Aborts a second attempt if
-// bytes of the first have been sent.
+// bytes of the first have been sent, and a first one that came too late.
 int curl_exchange::on_request(void* self, char*, char*, int, int local_port)
 {
     auto* it = static_cast<curl_exchange*>(self);
@@ -313,6 +337,11 @@
     {
         return CURL_PREREQFUNC_ABORT;
     }
+    it->not_sent_because_ = it->reason_not_to_send();
+    if (it->not_sent_because_)
+    {
+        return CURL_PREREQFUNC_ABORT;
+    }
     long connects = 0;
     curl_easy_getinfo(it->easy(), CURLINFO_NUM_CONNECTS, &connects);
     it->is_send_attempted_ = true;
--- a/net/curl_exchange.hpp
+++ b/net/curl_exchange.hpp
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -71,6 +72,10 @@
     // and reset on close. `client` must outlive the exchange.
     void set_connection_options(const http_client_options& client);
 
+    // `is_in_time` is asked just before the request is sent. If it returns false, the
+    // exchange ends as timed_out_before_send.
+    void set_send_check(std::function<bool()> is_in_time);
+
     exchange_id id() const
     {
         return id_;
@@ -124,6 +129,7 @@
     static curl_socket_t on_open_socket(void* self, curlsocktype, curl_sockaddr* address);
     static int on_close_socket(void* connections, curl_socket_t fd);
 
+    std::optional<exchange_end> reason_not_to_send() const;
     void record_connected();
     void set_method();
     void set_headers(const endpoint& to);
@@ -139,6 +145,8 @@
     endpoint_connections* connections_ = nullptr;
     const http_client_options* client_ = nullptr;
     std::function<void()> on_stored_piece_;
+    std::function<bool()> is_in_time_;
+    std::optional<exchange_end> not_sent_because_; // empty unless on_request() refused
     std::string pieces_;
     http_response answer_;
     std::size_t head_bytes_ = 0;
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -20,10 +20,11 @@
 namespace
 {
 
-constexpr enum_names<exchange_end, 6> exchange_end_names{{{
+constexpr enum_names<exchange_end, 7> exchange_end_names{{{
     {exchange_end::answered, "answered"},
     {exchange_end::not_connected, "not_connected"},
     {exchange_end::timed_out_before_send, "timed_out_before_send"},
+    {exchange_end::withdrawn, "withdrawn"},
     {exchange_end::timed_out, "timed_out"},
     {exchange_end::connection_lost, "cut"},
     {exchange_end::too_large, "too_large"},
@@ -216,6 +217,8 @@
         made->curl.set_options(
             to, options_.max_idle, *made->connections, std::move(stored));
         made->curl.set_connection_options(options_);
+        made->curl.set_send_check([this, deadline = made->started + options.timeout]
+                                  { return loop_.now() < deadline; });
         curl_easy_setopt(
             made->curl.easy(), CURLOPT_PRIVATE, reinterpret_cast<void*>(id.value));
         made->time_limit = loop_.after(options.timeout, [this, id] { time_out(id); });
@@ -494,7 +497,8 @@
 bool is_unsent(exchange_end value)
 {
     return value == exchange_end::not_connected ||
-           value == exchange_end::timed_out_before_send;
+           value == exchange_end::timed_out_before_send ||
+           value == exchange_end::withdrawn;
 }
 
 result<std::unique_ptr<http_client>> http_client::create(event_loop& loop,
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -7,7 +7,8 @@
 //
 // Each exchange ends in exactly one callback, unless it is cancelled first. A cancelled
 // or timed-out exchange closes its connection, so a late answer is never taken for that
-// to another request. The callback is never called within send().
+// to another request. Nothing is sent after an exchange's timeout, however late the loop
+// is. The callback is never called within send().
 
 #include "core/base/names.hpp"
 #include "core/base/result.hpp"
@@ -26,13 +27,14 @@
 namespace camphorrock
 {
 
-// How an exchange ended. `not_connected` and `timed_out_before_send` prove that no byte
-// of the request was sent.
+// How an exchange ended. `not_connected`, `timed_out_before_send` and `withdrawn` prove
+// that no byte of the request was sent.
 enum class exchange_end
 {
     answered,              // the whole answer has arrived
     not_connected,         // no connection could be opened: nothing was sent
     timed_out_before_send, // the time ran out before any byte was sent
+    withdrawn,             // exchange_options::is_wanted returned false
     timed_out,             // the time ran out after bytes were sent
     connection_lost,       // the connection broke after bytes were sent, or in the answer
     too_large,             // the answer exceeded max_answer_bytes or max_head_bytes
@@ -71,6 +73,9 @@
     // Accepts an answer without a length as whole if the other side closed the connection
     // in order. Otherwise it counts as connection_lost, since it may be truncated.
     bool allows_close_delimited = false;
+    // Asked just before the request is sent, since the loop may be late: a reason not to
+    // send it may have arrived that the loop has not handled yet. Empty: always wanted.
+    std::function<bool()> is_wanted{};
 };
 
 // Identifies an exchange until its callback; never reused.
--- a/net/http_server.hpp
+++ b/net/http_server.hpp
@@ -49,6 +49,11 @@
     // it is answered or its stream has ended. Called at most once, on the loop; destroyed
     // without a call once there is an answer.
     virtual void on_disconnect(std::function<void()> fn) = 0;
+
+    // True if the caller has disconnected or closed its sending side, also if the loop
+    // has not handled that yet. To be asked before work that should not be done for a
+    // caller that has left. Costs one system call.
+    virtual bool is_disconnected() const = 0;
 };
 
 class http_handler
--- a/net/mhd_exchange.cpp
+++ b/net/mhd_exchange.cpp
@@ -1,5 +1,7 @@
 #include "net/mhd_exchange.hpp"
 
+#include "net/peer_closed.hpp"
+
 #include <microhttpd.h>
 
 #include <utility>
@@ -56,6 +58,11 @@
         exchange_->set_on_disconnect(std::move(fn));
     }
 
+    bool is_disconnected() const override
+    {
+        return exchange_->is_disconnected();
+    }
+
 private:
     std::shared_ptr<mhd_exchange> exchange_;
 };
@@ -169,6 +176,17 @@
     }
 }
 
+bool mhd_exchange::is_disconnected() const
+{
+    if (raw == nullptr || is_hung_up)
+    {
+        return true;
+    }
+    const MHD_ConnectionInfo* info =
+        MHD_get_connection_info(raw, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return has_peer_closed(info->connect_fd);
+}
+
 void mhd_exchange::report_disconnect()
 {
     const std::function<void()> fn = std::exchange(on_disconnect, nullptr);
--- a/net/mhd_exchange.hpp
+++ b/net/mhd_exchange.hpp
@@ -87,6 +87,9 @@
     // Sets the callback for a caller that disconnects; posts it if that happened already.
     void set_on_disconnect(std::function<void()> fn);
 
+    // See http_responder.
+    bool is_disconnected() const;
+
     // Calls on_disconnect if the exchange is still open; at most once.
     void report_disconnect();
 };
--- a/net/pipelined_connection.cpp
+++ b/net/pipelined_connection.cpp
@@ -1,6 +1,7 @@
 #include "net/pipelined_connection.hpp"
 
 #include "net/answer_text.hpp"
+#include "net/peer_closed.hpp"
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -106,6 +107,12 @@
         }
     }
 
+    bool is_disconnected() const override
+    {
+        const std::shared_ptr<pipelined_connection> it = connection_.lock();
+        return !it || it->fd_ < 0 || has_peer_closed(it->fd_);
+    }
+
 private:
     // Destroyed at the end of the scope: its captures may hold the responder itself.
     void drop_on_disconnect()
@@ -147,6 +154,7 @@
     if (!is_wanted)
     {
         read_watch_.reset();
+        notice_close_unread();
     }
     else if (!read_watch_)
     {
@@ -154,6 +162,33 @@
     }
 }
 
+// Without reading, so that a close is noticed behind requests that wait for earlier ones.
+void pipelined_connection::notice_close_unread()
+{
+    if (fd_ < 0)
+    {
+        return;
+    }
+    if (has_peer_closed(fd_))
+    {
+        disconnect();
+        return;
+    }
+    if (!is_hangup_watched_)
+    {
+        is_hangup_watched_ = true;
+        owner_.watch_hangup(*this, fd_);
+    }
+}
+
+void pipelined_connection::on_hangup()
+{
+    if (!read_watch_)
+    {
+        disconnect();
+    }
+}
+
 void pipelined_connection::read_some()
 {
     const std::shared_ptr<pipelined_connection> alive = shared_from_this();
--- a/net/pipelined_connection.hpp
+++ b/net/pipelined_connection.hpp
@@ -31,6 +31,10 @@
     // True if the server closes its connections after their answers.
     virtual bool is_draining() const = 0;
 
+    // The connection has stopped reading for the first time. From now on the owner calls
+    // on_hangup() once the client closes its sending side.
+    virtual void watch_hangup(pipelined_connection& it, int fd) = 0;
+
     // Called once, when the connection has closed. The connection holds a reference to
     // itself during the call.
     virtual void on_connection_closed(pipelined_connection& it) = 0;
@@ -57,6 +61,11 @@
         return pending_answers_.size();
     }
 
+    // The client has closed its sending side: closes the connection and calls the
+    // on_disconnect callbacks. While the connection is read, the end of what was sent
+    // does that.
+    void on_hangup();
+
     // Closes the connection if it has no request. Bytes that arrive at the same time are
     // not read.
     void close_if_idle();
@@ -85,6 +94,7 @@
     };
 
     void update_read_watch();
+    void notice_close_unread();
     void read_some();
     void on_request(parsed_request got);
     void refuse(const request_refusal& why);
@@ -105,6 +115,7 @@
     std::string interim_bytes_;    // bytes of interim answers (1xx)
     bool accepts_requests_ = true; // false after the last request of the connection
     bool is_flush_scheduled_ = false;
+    bool is_hangup_watched_ = false;
     time_point last_active_{};
     time_point request_started_{};
     watch_handle read_watch_;
--- a/net/pipelined_server.cpp
+++ b/net/pipelined_server.cpp
@@ -1,5 +1,6 @@
 #include "net/pipelined_server.hpp"
 
+#include "net/hangup_watch.hpp"
 #include "net/pipelined_connection.hpp"
 #include "net/tcp_acceptor.hpp"
 
@@ -8,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cstdint>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -40,6 +42,9 @@
 
     result<void> start()
     {
+        BOOST_LEAF_ASSIGN(
+            hangup_watch_,
+            hangup_watch::create(loop_, [this](std::uint64_t id) { on_hangup(id); }));
         BOOST_LEAF_ASSIGN(acceptor_,
                           tcp_acceptor::create(loop_,
                                                options_.common.address,
@@ -97,12 +102,30 @@
         return closes_after_answers_ || acceptor_->is_stopped();
     }
 
+    void watch_hangup(pipelined_connection& it, int fd) override
+    {
+        const std::uint64_t id = ++last_hangup_id_;
+        hangup_watched_.emplace(id, it.weak_from_this());
+        hangup_watch_->add(fd, id);
+    }
+
     void on_connection_closed(pipelined_connection& it) override
     {
         connections_.erase(&it);
     }
 
 private:
+    void on_hangup(std::uint64_t id)
+    {
+        const auto found = hangup_watched_.extract(id);
+        const std::shared_ptr<pipelined_connection> it =
+            found.empty() ? nullptr : found.mapped().lock();
+        if (it)
+        {
+            it->on_hangup();
+        }
+    }
+
     void add(int fd)
     {
         if (connections_.size() >= options_.common.max_connections)
@@ -124,6 +147,8 @@
         {
             it->close_if_timed_out(now);
         }
+        std::erase_if(hangup_watched_,
+                      [](const auto& it) { return it.second.expired(); });
     }
 
     // Returns a copy, since connections may close while the caller iterates.
@@ -142,6 +167,11 @@
     http_handler& handler_;
     std::unordered_map<const pipelined_connection*, std::shared_ptr<pipelined_connection>>
         connections_;
+    std::unique_ptr<hangup_watch> hangup_watch_;
+    // Connections that have stopped reading at least once, by their id in the watch.
+    std::unordered_map<std::uint64_t, std::weak_ptr<pipelined_connection>>
+        hangup_watched_;
+    std::uint64_t last_hangup_id_ = 0;
     std::unique_ptr<tcp_acceptor> acceptor_;
     timer_handle sweep_;
     bool closes_after_answers_ = false;
--- a/net/testing/http_client_test.cpp
+++ b/net/testing/http_client_test.cpp
@@ -125,6 +125,44 @@
     CHECK(peer->read_some().empty());
 }
 
+TEST_CASE("an exchange that is no longer wanted when it would be sent is withdrawn")
+{
+    client_fixture net;
+    bool is_wanted = true;
+    exchange_options options;
+    options.is_wanted = [&]
+    {
+        return is_wanted;
+    };
+
+    SECTION("on a new connection")
+    {
+        net.start({"GET", "/", {}, ""}, options);
+        is_wanted = false;
+        CHECK(net.wait().end == exchange_end::withdrawn);
+    }
+    SECTION("after it waited for the connection of another one")
+    {
+        client_fixture one({.max_connections_per_endpoint = 1});
+        one.start({"GET", "/first", {}, ""});
+        const std::unique_ptr<raw_peer> peer = one.accept();
+        one.read(*peer, "\r\n\r\n");
+        one.start({"GET", "/second", {}, ""}, options);
+        is_wanted = false;
+        peer->send(whole_answer);
+        CHECK(one.wait().end == exchange_end::answered);
+        CHECK(one.wait().end == exchange_end::withdrawn);
+        CHECK(peer->read_some().empty());
+    }
+    SECTION("one that is still wanted is sent")
+    {
+        net.start({"GET", "/", {}, ""}, options);
+        const std::unique_ptr<raw_peer> peer = net.accept();
+        peer->send(whole_answer);
+        CHECK(net.wait().end == exchange_end::answered);
+    }
+}
+
 TEST_CASE("an incomplete answer is never reported as answered")
 {
     client_fixture net;
