Routers send nothing under an authority that has ended, nor for a caller that has left

Change: the permit and the caller are asked again just before the send (exchange_options::is_wanted); a request that is withdrawn is refused as no_authority, which is true: nothing was sent. The forwarder asks for the caller alone. Evidence: server_dispatcher_test 'a request whose reason to be sent ends before it is sent is withdrawn' fails in both sections without the change in server_dispatcher.cpp and passes with it.

--- a/router/forwarder.cpp
+++ b/router/forwarder.cpp
@@ -39,6 +39,10 @@
     bool needs_fresh_connection = is_retry || !request->id.empty();
     options.connection =
         needs_fresh_connection ? connection_choice::fresh : connection_choice::pooled;
+    options.is_wanted = [request]
+    {
+        return request->is_wanted();
+    };
     exchange_id id =
         context_.http.send(to.peer,
                            make_request(*request),
@@ -66,6 +70,11 @@
         request->forward_answer(std::move(got.answer));
         return;
     }
+    if (got.end == exchange_end::withdrawn)
+    {
+        request->abort(); // the caller has left
+        return;
+    }
     route new_route =
         context_.routes.find(shard_of(request->target.service), request->target.hash);
     bool has_other_peer =
--- a/router/live_request.hpp
+++ b/router/live_request.hpp
@@ -79,6 +79,12 @@
     // The caller has disconnected. Ends the request and calls on_caller_disconnect.
     void on_caller_disconnected();
 
+    // False if sending the request, which is repeatable, would be of no use any more.
+    bool is_wanted() const
+    {
+        return !id.empty() || !has_caller_left || !has_caller_left();
+    }
+
     bool is_ended() const
     {
         return on_end_ == nullptr;
@@ -97,6 +103,9 @@
     time_point deadline;
     bool is_forwarded = false;                  // received from another router
     std::function<void()> on_caller_disconnect; // called once; may be empty
+    // True if the caller has disconnected, also if the loop has not handled that yet; may
+    // be empty.
+    std::function<bool()> has_caller_left;
 
 private:
     void finish(const request_summary& summary, http_response* answer);
--- a/router/request_handler.cpp
+++ b/router/request_handler.cpp
@@ -60,6 +60,10 @@
     };
     auto request = std::make_shared<live_request>(end, context_.random);
     *self = request.get();
+    request->has_caller_left = [responder]
+    {
+        return responder->is_disconnected();
+    };
     responder->on_disconnect(
         [weak = std::weak_ptr<live_request>(request)]
         {
--- a/router/server_dispatcher.cpp
+++ b/router/server_dispatcher.cpp
@@ -41,6 +41,10 @@
     {
         return answer_kind::timed_out;
     }
+    if (got.end == exchange_end::withdrawn)
+    {
+        return answer_kind::good; // says nothing about the server
+    }
     if (got.end != exchange_end::answered)
     {
         return answer_kind::failed;
@@ -60,6 +64,10 @@
 
 dispatch_result to_dispatch_result(exchange_result got)
 {
+    if (got.end == exchange_end::withdrawn)
+    {
+        return not_run(refusal::no_authority);
+    }
     if (is_unsent(got.end))
     {
         return not_run(refusal::server_unreachable);
@@ -249,6 +257,10 @@
     exchange_options options;
     options.timeout = it.request->deadline - context_.loop.now();
     options.connection = choice;
+    options.is_wanted = [this, request = it.request, since = permit.since]
+    {
+        return request->is_wanted() && is_permitted(*request, since);
+    };
     it.address = permit.address;
     it.sent_at = context_.loop.now();
     it.exchange = context_.http.send(permit.address,
@@ -258,6 +270,14 @@
                                      { on_exchange_ended(id, std::move(got)); });
 }
 
+// True if the request may still be sent under the permit that it got.
+bool server_dispatcher::is_permitted(const live_request& request, epoch since) const
+{
+    const std::optional<request_permit> permit =
+        authority_.permit(request.target.hash, context_.loop.now());
+    return permit && permit->server == server_ && permit->since == since;
+}
+
 void server_dispatcher::on_exchange_ended(ticket id, exchange_result got)
 {
     bool is_end_known = got.end == exchange_end::answered || is_unsent(got.end);
--- a/router/server_dispatcher.hpp
+++ b/router/server_dispatcher.hpp
@@ -115,6 +115,7 @@
               pending_request& it,
               const request_permit& permit,
               connection_choice choice);
+    bool is_permitted(const live_request& request, epoch since) const;
     void refuse_unsent();
     void on_exchange_ended(ticket id, exchange_result got);
     void complete(ticket id, dispatch_result got);
--- a/router/testing/server_dispatcher_test.cpp
+++ b/router/testing/server_dispatcher_test.cpp
@@ -1,5 +1,8 @@
+#include "net/testing/raw_listener.hpp"
 #include "router/server_dispatcher.hpp"
+#include "router/testing/accept_request.hpp"
 #include "router/testing/context_fixture.hpp"
+#include "router/testing/granted_authority.hpp"
 #include "testing/test_headers.hpp"
 
 using namespace camphorrock;
@@ -40,3 +43,41 @@
         CHECK_FALSE(is_called);
     }
 }
+
+// Guards against a late loop that sends what it decided to send before: under an
+// authority that has ended, or for a caller that has left (docs/incidents/gone.md).
+TEST_CASE("a request whose reason to be sent ends before it is sent is withdrawn")
+{
+    context_fixture fixture;
+    raw_listener listener;
+    granted_authority granted(listener.bound(), true, fixture.loop->now());
+    partition_load load({});
+    request_end end;
+    std::unique_ptr<server_dispatcher> dispatcher =
+        server_dispatcher::create(fixture.context, granted.authority, load, owner, 3)
+            .value();
+    bool has_caller_left = false;
+    live_request_ptr request = fixture.make_request(asked_hash, seconds(5), end);
+    request->has_caller_left = [&]
+    {
+        return has_caller_left;
+    };
+    std::optional<dispatch_result> got;
+    dispatcher->submit(request, [&](dispatch_result it) { got = std::move(it); });
+    REQUIRE(dispatcher->in_flight() == 1);
+
+    SECTION("its partition moves to another server")
+    {
+        granted.start_move(fixture.loop->now());
+        fixture.run_until([&] { return got.has_value(); });
+        CHECK(got->end == dispatch_end::not_run);
+        CHECK(got->why.why == refusal::no_authority);
+    }
+    SECTION("its caller leaves")
+    {
+        has_caller_left = true;
+        fixture.run_until([&] { return got.has_value(); });
+        CHECK(got->end == dispatch_end::not_run);
+    }
+    CHECK(dispatcher->in_flight() == 0);
+}
