--- a/core/gateway/key_orders.hpp
+++ b/core/gateway/key_orders.hpp
@@ -59,6 +59,7 @@
 {
     order_end end = order_end::not_sent;
     std::string handover;
+    int status = 0; // HTTP status of the server's answer; 0 without an answer
 };
 
 } // namespace camphorrock
--- a/gateway/gateway_log.cpp
+++ b/gateway/gateway_log.cpp
@@ -132,6 +132,7 @@
         events_.write(event_id::order_ended,
                       {{"kind", name_of(order.kind)},
                        {"end", name_of(got.end)},
+                       {"status", got.status},
                        {"service", order.service},
                        {"server", order.server},
                        {"first", order.keys.first},
