An owner that refuses a key gets the request once more at most, counted against all budgets

What callers saw: nothing directly; the budget of bookingsvc was broken by requests of diarysvc. Cause: the addresses of owners of keys were taken over by servers of another service. A request that such a server answered 421 was sent there up to four times, 0.1 s apart, and each time was counted against the budget of its own service alone. Change: a request is sent again when its key has a new owner or a higher epoch; to an owner that refused it under the same epoch once more at most, as its grant may be on its way, and only if the budget of every service has room, since any of them may have the address now. The retry is claimed when it is sent, not when it begins to wait. A higher epoch of the same owner now ends the wait; before, only another owner did.

--- a/core/gateway/sliding_retry_budget.cpp
+++ b/core/gateway/sliding_retry_budget.cpp
@@ -20,9 +20,9 @@
     ++slice_at(now).first_attempts;
 }
 
-bool sliding_retry_budget::try_spend_retry(time_point now)
+bool sliding_retry_budget::allows_retry(time_point now)
 {
-    slice& current = slice_at(now);
+    const slice& current = slice_at(now);
     unsigned first_attempts = 0;
     unsigned retries = 0;
     for (const slice& it : slices_)
@@ -32,11 +32,16 @@
         first_attempts += is_inside ? it.first_attempts : 0;
         retries += is_inside ? it.retries : 0;
     }
-    if (retries + 1 > options_.ratio * first_attempts + options_.slack)
+    return retries + 1 <= options_.ratio * first_attempts + options_.slack;
+}
+
+bool sliding_retry_budget::try_spend_retry(time_point now)
+{
+    if (!allows_retry(now))
     {
         return false;
     }
-    ++current.retries;
+    ++slice_at(now).retries;
     return true;
 }
 
--- a/core/gateway/sliding_retry_budget.hpp
+++ b/core/gateway/sliding_retry_budget.hpp
@@ -8,7 +8,7 @@
 //     if (budget.try_spend_retry(now)) ... // send the retry
 //
 // The window is counted in `slice_count` slices, so attempts leave it up to one slice
-// early. Memory: two counts per slice. try_spend_retry() costs O(slice_count).
+// early. Memory: two counts per slice. Asking for a retry costs O(slice_count).
 
 #include "core/base/time.hpp"
 
@@ -41,6 +41,9 @@
 
     void record_first_attempt(time_point now);
 
+    // True if the window allows one more retry.
+    bool allows_retry(time_point now);
+
     // Takes one retry from the budget. Returns false if the window allows no more.
     bool try_spend_retry(time_point now);
 
--- a/gateway/gateway_state.cpp
+++ b/gateway/gateway_state.cpp
@@ -146,6 +146,23 @@
     return it == services_.end() ? nullptr : &it->second;
 }
 
+bool gateway_state::try_spend_retry_at_all(time_point now)
+{
+    const bool is_allowed =
+        std::all_of(services_.begin(),
+                    services_.end(),
+                    [&](auto& it) { return it.second.budget.allows_retry(now); });
+    if (!is_allowed)
+    {
+        return false;
+    }
+    for (auto& [name, it] : services_)
+    {
+        it.budget.try_spend_retry(now);
+    }
+    return true;
+}
+
 std::vector<service_name> gateway_state::keyed_services() const
 {
     std::vector<service_name> names;
--- a/gateway/gateway_state.hpp
+++ b/gateway/gateway_state.hpp
@@ -84,6 +84,10 @@
     // until the next change of the configuration.
     service_state* find_service(const service_name& name);
 
+    // Takes one retry from the budget of every service, or none if some budget allows no
+    // more: for a retry at an address that may belong to any service by now.
+    bool try_spend_retry_at_all(time_point now);
+
     std::vector<service_name> keyed_services() const;
 
     // Chooses the service for one request, so that each service of the route gets
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -16,7 +16,8 @@
 constexpr duration owner_retry_delay =
     milliseconds(100); // before an owner that refused the key is tried again
 constexpr duration max_owner_wait = milliseconds(350);
-constexpr int owner_wait_divisor = 3; // of the request's total time
+constexpr int owner_wait_divisor = 3;         // of the request's total time
+constexpr unsigned max_refusals_to_retry = 1; // by one owner under one epoch
 constexpr unsigned max_attempts_not_run = 3;
 constexpr int max_latency_percent = 110; // of the target latency
 constexpr duration min_retry_after = milliseconds(80);
@@ -140,18 +141,39 @@
     return deadline_ - context_.loop.now();
 }
 
-request_relay::key_owner request_relay::find_owner() const
+// Empty while the key moves or is not assigned.
+std::optional<request_relay::key_owner> request_relay::find_owner() const
 {
     const assigned_key_range* range = context_.state.assignment().find(service_, *key_);
-    if (range == nullptr)
+    if (range == nullptr || range->is_moving)
     {
-        return {};
+        return std::nullopt;
     }
-    if (range->is_moving)
+    return key_owner{range->owner, range->grant_epoch};
+}
+
+// Claims the retry that an attempt after a refusal is. An owner that refused the key gets
+// the request once more, as its grant may be on its way. Its address may belong to a
+// server of another service by now, so that attempt counts against every budget.
+bool request_relay::may_send_to_owner(const key_owner& owner)
+{
+    if (!refusal_)
+    {
+        return true;
+    }
+    const time_point now = context_.loop.now();
+    if (refusal_->by == owner)
     {
-        return {std::nullopt, true};
+        return context_.state.try_spend_retry_at_all(now);
     }
-    return {range->owner, true};
+    service_state* service = context_.state.find_service(service_);
+    return service != nullptr && service->budget.try_spend_retry(now);
+}
+
+void request_relay::note_refusal()
+{
+    const bool is_repeated = refusal_ && refusal_->by == sent_to_owner_;
+    refusal_ = owner_refusal{sent_to_owner_, is_repeated ? refusal_->count + 1 : 1};
 }
 
 void request_relay::try_send()
@@ -167,24 +189,27 @@
     criteria.excluded = tried_;
     if (key_)
     {
-        const key_owner found = find_owner();
-        if (!found.owner)
+        const std::optional<key_owner> found = find_owner();
+        const bool is_refused_again = found && refusal_ && refusal_->by == *found &&
+                                      refusal_->count > max_refusals_to_retry;
+        if (!found || is_refused_again)
         {
             wait_for_owner();
             return;
         }
-        if (service->pool.is_server_unreachable(*found.owner, now))
+        if (service->pool.is_server_unreachable(found->server, now))
         {
             answer_locally(may_have_run_ ? local_answer_reason::server_lost
                                          : local_answer_reason::unreachable);
             return;
         }
-        if (!is_reserved_at(*found.owner))
+        if (!is_reserved_at(found->server))
         {
-            reserve_at(*found.owner);
+            reserve_at(found->server);
             return;
         }
-        criteria.owner = found.owner;
+        criteria.owner = found->server;
+        sent_to_owner_ = *found;
         criteria.owner_load = reservation_->other_requests;
         criteria.excluded.clear();
     }
@@ -208,6 +233,12 @@
                                      : local_answer_reason::overloaded);
         return;
     }
+    if (key_ && !may_send_to_owner(sent_to_owner_))
+    {
+        answer_locally(may_have_run_ ? local_answer_reason::server_lost
+                                     : local_answer_reason::no_owner);
+        return;
+    }
     send_to(*to);
 }
 
@@ -408,7 +439,9 @@
     may_have_run_ = may_have_run_ || may_have_run;
     possible_runs_ += may_have_run ? 1 : 0;
     attempts_not_run_ += may_have_run ? 0 : 1;
-    const bool is_sent_again = claim_retry(how);
+    // A key that was refused waits first; what is then sent is claimed at that time.
+    const bool is_sent_again =
+        how == attempt_end::not_owner ? may_retry(how) : claim_retry(how);
     context_.log.attempt_failed({request_id_, route_.name, service_},
                                 sent_to_,
                                 how,
@@ -417,7 +450,7 @@
     if (is_sent_again && how == attempt_end::not_owner)
     {
         context_.on_key_refused(service_, *key_);
-        is_waiting_for_owner_ = true;
+        note_refusal();
         wait_for_owner();
         return;
     }
@@ -434,16 +467,22 @@
     answer_locally(reason_after(how));
 }
 
-// True if the request may be sent again. Unless nothing was sent in the last attempt, the
-// retry is counted against the retry budget of the service.
-bool request_relay::claim_retry(attempt_end how)
+// True if the request may be sent again, if a retry budget allows it.
+bool request_relay::may_retry(attempt_end how) const
 {
     const bool is_safe = route_.is_repeatable || !may_have_run_;
     const bool has_attempts =
         possible_runs_ < route_.max_attempts && attempts_not_run_ <= max_attempts_not_run;
     // Only its owner can run a request for a key.
     const bool has_other_server = !key_ || how != attempt_end::shed;
-    if (!is_safe || !has_attempts || !has_other_server || time_left() <= duration::zero())
+    return is_safe && has_attempts && has_other_server && time_left() > duration::zero();
+}
+
+// True if the request may be sent again. Unless nothing was sent in the last attempt, the
+// retry is counted against the retry budget of the service.
+bool request_relay::claim_retry(attempt_end how)
+{
+    if (!may_retry(how))
     {
         return false;
     }
@@ -511,9 +550,8 @@
 {
     if (is_waiting_for_owner_ && !is_ended_)
     {
-        const key_owner found = find_owner();
-        const bool is_new =
-            found.owner && (tried_.empty() || *found.owner != tried_.back());
+        const std::optional<key_owner> found = find_owner();
+        const bool is_new = found && !(refusal_ && refusal_->by == *found);
         if (is_new)
         {
             try_send();
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -72,8 +72,17 @@
 private:
     struct key_owner
     {
-        std::optional<server_id> owner; // none while the key moves or is not assigned
-        bool is_assigned = false;       // the assignment has the key, also while it moves
+        server_id server;
+        epoch grant_epoch;
+
+        bool operator==(const key_owner&) const = default;
+    };
+
+    // An owner that refused the key, and how often it did so under that epoch.
+    struct owner_refusal
+    {
+        key_owner by;
+        unsigned count = 0;
     };
 
     // A reservation at the owner of the key, and its result.
@@ -90,13 +99,16 @@
     bool is_reserved_at(const server_id& owner) const;
     void reserve_at(const server_id& owner);
     void release_reservation();
-    key_owner find_owner() const;
+    std::optional<key_owner> find_owner() const;
+    bool may_send_to_owner(const key_owner& owner);
+    void note_refusal();
     void send_to(const server_choice& to);
     http_request make_upstream_request(const server_choice& to, duration time_left) const;
     void on_exchange_end(const exchange_result& got);
     attempt_end classify(const exchange_result& got) const;
     bool is_valid_answer(const http_response& answer) const;
     void on_attempt_failed(attempt_end how, const exchange_result& got);
+    bool may_retry(attempt_end how) const;
     bool claim_retry(attempt_end how);
     void wait_for_owner();
     void on_deadline();
@@ -128,6 +140,8 @@
     server_choice sent_to_;                        // of the last attempt
     time_point sent_at_{};                         // of the last attempt
     std::vector<server_id> tried_;                 // one for each attempt, in order
+    key_owner sent_to_owner_;                      // of the last attempt with a key
+    std::optional<owner_refusal> refusal_;         // the last one, if any
     unsigned possible_runs_ = 0;    // attempts that may have run the request
     unsigned attempts_not_run_ = 0; // failed attempts that did not run the request
     // The expected latency that was too long; zero if none was.
