A 421 to a request without a key suspends the server: another one has its address

Cause: the answer was read as the refusal of a key. The request was reported as refused for a key that it does not have (an empty optional was read), waited for an owner, and the server stayed in use. Change: attempt_end::other_server; the pool suspends the server as an unreachable one, and the request goes to another at once, within its retry budget.

--- a/core/gateway/server_pool.cpp
+++ b/core/gateway/server_pool.cpp
@@ -11,11 +11,12 @@
 namespace
 {
 
-constexpr enum_names<attempt_end, 7> names{{{
+constexpr enum_names<attempt_end, 8> names{{{
     {attempt_end::answered, "answered"},
     {attempt_end::server_error, "server_error"},
     {attempt_end::shed, "shed"},
     {attempt_end::not_owner, "not_owner"},
+    {attempt_end::other_server, "other_server"},
     {attempt_end::unreachable, "unreachable"},
     {attempt_end::lost, "lost"},
     {attempt_end::cancelled, "cancelled"},
@@ -241,6 +242,7 @@
     case attempt_end::shed:
         it.full_until = now + options_.full_duration;
         break;
+    case attempt_end::other_server:
     case attempt_end::unreachable:
         note_failed_attempt(it, true, now);
         break;
--- a/core/gateway/server_pool.hpp
+++ b/core/gateway/server_pool.hpp
@@ -23,10 +23,11 @@
 //   - `failure_penalty` of the mean time, multiplied by the server's failure rate, so
 //     that a server that fails some of its attempts is used when the others are busy.
 //
-// A server that is unreachable, or fails `failures_to_suspend` consecutive attempts, is
-// suspended for a time that doubles with each further failure. It then returns on
-// probation: it gets one request at a time until one is answered. If all servers are
-// suspended, the one whose suspension ends first is chosen.
+// A server that is unreachable or has lost its address to another one, or fails
+// `failures_to_suspend` consecutive attempts, is suspended for a time that doubles with
+// each further failure. It then returns on probation: it gets one request at a time until
+// one is answered. If all servers are suspended, the one whose suspension ends first is
+// chosen.
 //
 // A key owner that refuses `refusals_to_suspect` consecutive requests is suspected of
 // being another server at the same address. It gets one request at a time, after pauses
@@ -56,9 +57,10 @@
     shed,         // the server had no room and did not run the request
     not_owner, // the server does not own the key, or is another server than intended; it
                // did not run the request
-    unreachable, // nothing was sent
-    lost,        // sent, but no complete answer was received
-    cancelled,   // cancelled by this gateway; no evidence about the server
+    other_server, // another server has the address; it did not run the request
+    unreachable,  // nothing was sent
+    lost,         // sent, but no complete answer was received
+    cancelled,    // cancelled by this gateway; no evidence about the server
 };
 
 // Returns the name, as in "server_error".
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -372,7 +372,7 @@
     const bool is_not_run = got.answer.headers.find(names.not_run).has_value();
     if (got.answer.status == http_status::misdirected)
     {
-        return attempt_end::not_owner;
+        return key_ ? attempt_end::not_owner : attempt_end::other_server;
     }
     if (is_not_run)
     {
