A grant that a server rejects is no grant that may be in force; keys that nobody serves are published so

What callers saw: requests for the keys of servers whose addresses had gone to another service were sent there by all gateways for seconds, and refused. Cause: such a server answers a grant 400. Change: 400 is order_end::rejected: the order had no effect, earlier grants run out as they would. A range whose owner rejects grants and refuses requests is published as moving, so gateways refuse at once. Either alone is not enough: a server may reject an order and still hold an earlier grant. Every refusal is reported, also of a request that isn't sent again. Evidence: key_assigner_test 'after its last grant must have expired, if its address rejects orders' fails with 400 read as no answer; the simulation of owners rejects 1% of grants.

--- a/core/gateway/key_assigner.cpp
+++ b/core/gateway/key_assigner.cpp
@@ -103,8 +103,14 @@
 {
     for (range_state& it : service_row(service).key_ranges)
     {
-        const bool is_due = it.range.keys.contains(key) && !it.target &&
-                            now - it.last_accepted_at > regrant_pause;
+        if (!it.range.keys.contains(key))
+        {
+            continue;
+        }
+        const bool was_disowned = it.is_disowned();
+        it.is_refused = true;
+        note_disowned(it, was_disowned);
+        const bool is_due = !it.target && now - it.last_accepted_at > regrant_pause;
         if (is_due)
         {
             it.next_order_at = std::min(it.next_order_at, now);
@@ -112,6 +118,16 @@
     }
 }
 
+// Counts a change if the range's owner has become, or is no longer, one that serves
+// nobody.
+void key_assigner::note_disowned(const range_state& it, bool was_disowned)
+{
+    if (it.is_disowned() != was_disowned)
+    {
+        count_change();
+    }
+}
+
 // The time for which a grant of `hold_time` may be in force by a slow clock, plus the
 // margin.
 duration key_assigner::worst_case_hold_time(duration hold_time) const
@@ -274,10 +290,13 @@
     }
     it->order.reset();
     const bool is_grant = sent.order.kind == order_kind::grant;
+    const bool was_disowned = it->is_disowned();
     switch (got.end)
     {
     case order_end::accepted:
         it->is_unresponsive = false;
+        it->is_rejecting = false;
+        it->is_refused = false;
         it->last_accepted_at = now;
         if (is_grant)
         {
@@ -293,6 +312,7 @@
         break;
     case order_end::stale:
         it->is_unresponsive = false;
+        it->is_rejecting = false;
         it->last_accepted_at = now;
         it->needs_higher_epoch = is_grant;
         it->latest_grant_end = it->previous_grant_end;
@@ -303,8 +323,10 @@
         it->unanswered_grant_end = now;
         it->next_order_at = now + unresponsive_retry_pause;
         break;
+    case order_end::rejected:
     case order_end::not_sent:
         it->is_unresponsive = true;
+        it->is_rejecting = got.end == order_end::rejected;
         it->latest_grant_end = it->previous_grant_end;
         it->next_order_at = now + unresponsive_retry_pause;
         break;
@@ -315,6 +337,7 @@
             is_grant ? it->latest_grant_end : it->unanswered_grant_end;
         break;
     }
+    note_disowned(*it, was_disowned);
 }
 
 // True if the next record may name the target as the owner, or give the owner's grant a
@@ -506,6 +529,8 @@
     it.is_released = false;
     it.needs_higher_epoch = false;
     it.is_unresponsive = false;
+    it.is_rejecting = false;
+    it.is_refused = false;
     it.order.reset();
     it.next_order_at = now;
     it.moved_at = now;
@@ -549,8 +574,9 @@
                 continue;
             }
             service.key_ranges.push_back(it.range);
-            service.key_ranges.back().is_moving =
+            const bool is_released_soon =
                 it.target && it.release_epoch && !it.is_unresponsive;
+            service.key_ranges.back().is_moving = is_released_soon || it.is_disowned();
         }
     }
     return made;
--- a/core/gateway/key_assigner.hpp
+++ b/core/gateway/key_assigner.hpp
@@ -110,7 +110,8 @@
     // Counts a request for a key that reached any gateway.
     void add_load(const service_name& service, shard_key key, time_point now);
 
-    // A server refused a key that it should own: the next tick repeats its grant.
+    // A server refused a key that it should own: the next tick repeats its grant. If it
+    // rejects grants, too, its range is published as moving.
     void not_owned(const service_name& service, shard_key key, time_point now);
 
     // Plans, and returns the orders that are due. Returns none without authority.
@@ -143,6 +144,8 @@
         time_point next_order_at{};
         time_point last_accepted_at{};
         bool is_unresponsive = false;    // the last order failed or was not answered
+        bool is_rejecting = false;       // the owner rejected the last order
+        bool is_refused = false;         // a key of it, since the last accepted order
         bool needs_higher_epoch = false; // the owner refused the grant's epoch as stale
         bool is_release_sent = false;    // since the move started
         bool is_released = false;        // the owner acknowledged the release
@@ -155,6 +158,13 @@
         server_incarnation target_incarnation;
         std::optional<epoch> release_epoch;
         time_point moved_at{};
+
+        // Nobody serves the range: what has the owner's address neither carries out
+        // orders nor takes requests for the keys.
+        bool is_disowned() const
+        {
+            return is_rejecting && is_refused;
+        }
     };
 
     struct keyed_service
@@ -191,6 +201,7 @@
 
     // Adds the service if it is new.
     keyed_service& service_row(const service_name& name);
+    void note_disowned(const range_state& it, bool was_disowned);
     range_state* range_of_order(const sent_order& sent);
     bool may_move(time_point now) const;
     void cancel_unsent_moves(keyed_service& row);
--- a/core/gateway/key_orders.cpp
+++ b/core/gateway/key_orders.cpp
@@ -12,10 +12,11 @@
     {order_kind::release, "release"},
 }}};
 
-constexpr enum_names<order_end, 5> ends{{{
+constexpr enum_names<order_end, 6> ends{{{
     {order_end::accepted, "accepted"},
     {order_end::stale, "stale"},
     {order_end::other_server, "other_server"},
+    {order_end::rejected, "rejected"},
     {order_end::not_sent, "not_sent"},
     {order_end::no_answer, "no_answer"},
 }}};
--- a/core/gateway/key_orders.hpp
+++ b/core/gateway/key_orders.hpp
@@ -45,6 +45,7 @@
     accepted,     // for a release, `handover` is the state that the server returned
     stale,        // the server has seen a higher epoch for one of the keys
     other_server, // another server has the address: the intended one has ended
+    rejected,     // the server does not carry out such an order, and did not this one
     not_sent,     // the order cannot have arrived
     no_answer,    // the order may have arrived before its connection was closed
 };
--- a/core/gateway/testing/key_assigner_test.cpp
+++ b/core/gateway/testing/key_assigner_test.cpp
@@ -315,6 +315,42 @@
         fixture.run(seconds(1));
         CHECK(fixture.owner(0) != lost);
     }
+    // Guards against grants to an address that a server of another service has taken
+    // over: each was taken for one that may be in force, so the keys never moved.
+    SECTION("after its last grant must have expired, if its address rejects orders")
+    {
+        fixture.answer = [&](const key_order& it)
+        {
+            const bool is_lost = it.server.str() == lost;
+            return order_result{is_lost ? order_end::rejected : order_end::accepted, ""};
+        };
+        fixture.run(milliseconds(600));
+        CHECK(fixture.owner(0) == lost);
+        fixture.assigner.not_owned(valves, shard_key{0}, fixture.now);
+        CHECK(fixture.owner(0).empty());
+        while (fixture.owner(0).empty() && fixture.now < lost_at + seconds(10))
+        {
+            fixture.run(milliseconds(10));
+        }
+        CHECK(fixture.owner(0) != lost);
+        CHECK(fixture.now > fixture.held_until[server_id(lost)]);
+        CHECK(fixture.now - lost_at < seconds(4));
+    }
+    SECTION("an owner that rejected one order and accepts the next one keeps its keys")
+    {
+        unsigned rejected = 0;
+        fixture.answer = [&](const key_order& it)
+        {
+            const bool is_rejected = it.server.str() == lost && rejected == 0;
+            rejected += is_rejected ? 1 : 0;
+            return order_result{is_rejected ? order_end::rejected : order_end::accepted,
+                                ""};
+        };
+        fixture.assigner.not_owned(valves, shard_key{0}, fixture.now);
+        fixture.run(seconds(1));
+        CHECK(rejected == 1);
+        CHECK(fixture.owner(0) == lost);
+    }
     SECTION("stay with a new incarnation of the server, with a higher epoch")
     {
         const epoch before =
--- a/core/gateway/testing/owner_simulation.cpp
+++ b/core/gateway/testing/owner_simulation.cpp
@@ -358,6 +358,10 @@
         return {order_end::no_answer, {}};
     }
     const bool is_grant = order.kind == order_kind::grant;
+    if (is_grant && chance(options_.rejected_fraction))
+    {
+        return {order_end::rejected, {}};
+    }
     for (const held_range& it : to.accepted_epochs)
     {
         if (overlap(it.keys, order.keys) && it.at > order.at)
--- a/core/gateway/testing/owner_simulation.hpp
+++ b/core/gateway/testing/owner_simulation.hpp
@@ -23,9 +23,10 @@
 {
     unsigned servers = 4;
     unsigned assigners = 3;
-    double drift = 0.02;           // fraction by which the servers' clocks run slow
-    double late_fraction = 0.1;    // of orders, carried out late and not answered
-    double fault_fraction = 0.002; // of steps that begin a fault
+    double drift = 0.02;             // fraction by which the servers' clocks run slow
+    double late_fraction = 0.1;      // of orders, carried out late and not answered
+    double rejected_fraction = 0.01; // of grants, rejected without effect
+    double fault_fraction = 0.002;   // of steps that begin a fault
     key_assigner_options assigner;
 };
 
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -447,10 +447,13 @@
                                 how,
                                 context_.loop.now() - sent_at_,
                                 is_sent_again);
-    if (is_sent_again && how == attempt_end::not_owner)
+    if (how == attempt_end::not_owner)
     {
         context_.on_key_refused(service_, *key_);
         note_refusal();
+    }
+    if (is_sent_again && how == attempt_end::not_owner)
+    {
         wait_for_owner();
         return;
     }
