Servers that announce in their answers that they leave; pauses that servers ask for

Gateways don't tell each other: each may only be held to what it was told, and the assigner hears it from the next renewal of a grant. - A server that turns a request away with 503 and Retry-After gets nothing from this gateway until then, also nothing that was chosen before and is not sent yet; afterwards one request tests it. Others of the service take over; a request for a key waits if the pause ends soon, else it is refused at once (reason paused) with a Retry-After that includes the pause. Events 233 and 234, two counters.

--- a/app/events.cpp
+++ b/app/events.cpp
@@ -149,6 +149,17 @@
               "settings_reloaded",
               severity::info,
               "The gateway reloaded its settings."},
+    event_row{event_id::server_leaving,
+              "server_leaving",
+              severity::info,
+              "An answer of a server announced that it leaves; it gets no new requests "
+              "from here."},
+    event_row{
+        event_id::server_paused,
+        "server_paused",
+        severity::info,
+        "A server that had no room asked for a pause; it gets no requests from here "
+        "until its end."},
     event_row{event_id::elected,
               "elected",
               severity::info,
--- a/app/events.hpp
+++ b/app/events.hpp
@@ -53,6 +53,8 @@
     store_regained = 230,
     lines_left_out = 231,
     settings_reloaded = 232,
+    server_leaving = 233,
+    server_paused = 234,
 
     elected = 301,
     lease_lost = 302,
--- a/core/gateway/key_orders.hpp
+++ b/core/gateway/key_orders.hpp
@@ -60,7 +60,8 @@
 {
     order_end end = order_end::not_sent;
     std::string handover;
-    int status = 0; // HTTP status of the server's answer; 0 without an answer
+    bool is_leaving = false; // the answer announces that the server leaves
+    int status = 0;          // HTTP status of the server's answer; 0 without an answer
 };
 
 } // namespace camphorrock
--- a/core/gateway/server_directory.cpp
+++ b/core/gateway/server_directory.cpp
@@ -13,10 +13,26 @@
     {
         return;
     }
-    const bool was_draining =
-        it.entry.is_draining && it.entry.incarnation == entry.incarnation;
+    const bool is_same = it.entry.incarnation == entry.incarnation;
+    const bool was_draining = it.entry.is_draining && is_same;
     const time_point draining_since = was_draining ? it.draining_since : now;
-    it = known_server{entry, now, false, {}, draining_since};
+    const auto announced = is_same ? it.announced_leaving_at : std::nullopt;
+    it = known_server{entry, now, false, {}, draining_since, announced};
+}
+
+bool server_directory::announce_leaving(const server_id& id,
+                                        const server_incarnation& incarnation,
+                                        time_point now)
+{
+    auto it = servers_.find(id);
+    const bool is_news = it != servers_.end() &&
+                         it->second.entry.incarnation == incarnation &&
+                         !it->second.announced_leaving_at;
+    if (is_news)
+    {
+        it->second.announced_leaving_at = now;
+    }
+    return is_news;
 }
 
 void server_directory::remove(const server_id& id, duration grace, time_point now)
@@ -51,9 +67,12 @@
 void server_directory::expire(time_point now)
 {
     std::erase_if(servers_,
-                  [&](const auto& it) {
-                      return it.second.is_missing &&
-                             now - it.second.gone_at >= options_.gone_retention;
+                  [&](const auto& it)
+                  {
+                      const duration retention = it.second.announced_leaving_at
+                                                     ? options_.announced_retention
+                                                     : options_.gone_retention;
+                      return it.second.is_missing && now - it.second.gone_at >= retention;
                   });
 }
 
--- a/core/gateway/server_directory.hpp
+++ b/core/gateway/server_directory.hpp
@@ -4,6 +4,7 @@
 //
 //     directory.put(entry, now);         // the entry was written or renewed
 //     directory.remove(id, grace, now);  // the entry was removed
+//     directory.announce_leaving(id, incarnation, now);  // the server's answers say so
 //     for (const known_server* it : directory.servers_of(service)) ...
 //
 // A removed entry may only have lapsed while the store was unavailable. Its server then
@@ -12,10 +13,14 @@
 // counts as gone. Its row is kept for `gone_retention` longer, so that the server can be
 // ordered to release its keys.
 //
+// A server that has announced in an answer that it leaves does so whatever its entry
+// says, until an entry of a new incarnation arrives.
+//
 // Memory: one row per server, including servers that are gone until expire() drops them.
 
 #include "core/gateway/listed_server.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -31,28 +36,36 @@
     bool is_missing = false;        // the entry is not in the store
     time_point gone_at{};           // when the server counts as gone; valid if is_missing
     time_point draining_since{};    // when draining was first seen; valid if is_draining
+    // When the first answer arrived that announces that the server leaves, if any did.
+    std::optional<time_point> announced_leaving_at;
 
     // True if the server takes new requests.
     bool is_usable() const
     {
-        return !entry.is_draining && !is_missing;
+        return !entry.is_draining && !is_missing && !announced_leaving_at;
     }
 
-    // When the server began to drain, or when it counts as gone, which may lie in the
+    // When the server began to leave, or when it counts as gone, which may lie in the
     // future. Empty if neither applies.
     std::optional<time_point> leaving_since() const
     {
+        std::optional<time_point> since = announced_leaving_at;
         if (entry.is_draining)
         {
-            return draining_since;
+            since = std::min(since.value_or(draining_since), draining_since);
+        }
+        if (is_missing)
+        {
+            since = std::min(since.value_or(gone_at), gone_at);
         }
-        return is_missing ? std::optional(gone_at) : std::nullopt;
+        return since;
     }
 
-    // True if the server drains or is gone.
+    // True if the server leaves or is gone.
     bool is_leaving(time_point now) const
     {
-        return entry.is_draining || (is_missing && now >= gone_at);
+        return entry.is_draining || announced_leaving_at ||
+               (is_missing && now >= gone_at);
     }
 };
 
@@ -66,6 +79,8 @@
 struct server_directory_options
 {
     duration gone_retention = seconds(5); // how long rows of gone servers are kept
+    // The same for servers that announced it: their entries may come back without them.
+    duration announced_retention = seconds(600);
 };
 
 class server_directory
@@ -83,11 +98,17 @@
     // `grace`. Further calls have no effect until then.
     void remove(const server_id& id, duration grace, time_point now);
 
+    // An answer of that incarnation announced that the server leaves. Returns false if
+    // that was known already, or if the server is not known or is another incarnation.
+    bool announce_leaving(const server_id& id,
+                          const server_incarnation& incarnation,
+                          time_point now);
+
     // The store has exactly these entries: puts each of them and removes all others.
     void
     replace(const std::vector<listed_server>& entries, duration grace, time_point now);
 
-    // Drops the rows of servers that have been gone for `gone_retention`.
+    // Drops the rows of servers that have been gone for their retention time.
     void expire(time_point now);
 
     // Returns null if the server is not known.
--- a/core/gateway/server_pool.cpp
+++ b/core/gateway/server_pool.cpp
@@ -99,6 +99,20 @@
 bool server_pool::is_eligible(const row& it,
                               const server_criteria& criteria,
                               time_point now) const
+{
+    return is_allowed(it, criteria, now) && !is_paused(it, now);
+}
+
+// After its end, a pause goes on in effect while one request tests the server.
+bool server_pool::is_paused(const row& it, time_point now)
+{
+    return now < it.paused_until || (!it.is_pause_tested && it.own_requests > 0);
+}
+
+// True if the server may be chosen when it is not paused.
+bool server_pool::is_allowed(const row& it,
+                             const server_criteria& criteria,
+                             time_point now) const
 {
     if (contains(criteria.excluded, it.entry.id))
     {
@@ -157,6 +171,38 @@
            (remote_zone + out_of_group + failure) * mean_service_us_;
 }
 
+void server_pool::pause(const server_id& server, duration span, time_point now)
+{
+    auto it = rows_.find(server);
+    if (it != rows_.end())
+    {
+        it->second.paused_until = std::max(it->second.paused_until, now + span);
+        it->second.is_pause_tested = false;
+    }
+}
+
+bool server_pool::is_paused(const server_id& server, time_point now) const
+{
+    auto it = rows_.find(server);
+    return it != rows_.end() && now < it->second.paused_until;
+}
+
+std::optional<duration> server_pool::pause_left(const server_criteria& criteria,
+                                                time_point now) const
+{
+    std::optional<duration> least;
+    for (const auto& [id, it] : rows_)
+    {
+        if (is_allowed(it, criteria, now) && is_paused(it, now))
+        {
+            const duration left =
+                std::max<duration>(it.paused_until - now, duration::zero());
+            least = std::min(least.value_or(left), left);
+        }
+    }
+    return least;
+}
+
 std::optional<server_choice> server_pool::choose(const server_criteria& criteria,
                                                  std::minstd_rand& random,
                                                  time_point now) const
@@ -231,6 +277,9 @@
     const bool accepted_key = how == attempt_end::answered || how == attempt_end::shed ||
                               how == attempt_end::server_error;
     it.refusals = accepted_key ? 0 : it.refusals;
+    const bool has_answered =
+        how == attempt_end::answered || how == attempt_end::server_error;
+    it.is_pause_tested = it.is_pause_tested || (has_answered && now >= it.paused_until);
     switch (how)
     {
     case attempt_end::answered:
--- a/core/gateway/server_pool.hpp
+++ b/core/gateway/server_pool.hpp
@@ -33,6 +33,10 @@
 // being another server at the same address. It gets one request at a time, after pauses
 // that double, until it accepts one.
 //
+// A server that asked for a pause when it shed a request gets none until the end of the
+// pause, and then one at a time until it answers one, so that requests do not return all
+// at once.
+//
 // Memory: one row per server. A choice costs O(servers).
 
 #include "core/base/names.hpp"
@@ -133,6 +137,17 @@
                        duration elapsed,
                        time_point now);
 
+    // The server shed a request and asked for no more of them for `span`.
+    void pause(const server_id& server, duration span, time_point now);
+
+    // True if the server's pause has not ended.
+    bool is_paused(const server_id& server, time_point now) const;
+
+    // How long until the first of the servers that may be chosen but for their pauses
+    // gets requests again. Empty if there is none that is paused.
+    std::optional<duration> pause_left(const server_criteria& criteria,
+                                       time_point now) const;
+
     // Sets the option of that name.
     void set_leaving_owner_limit(duration span)
     {
@@ -187,6 +202,8 @@
         unsigned refusals = 0; // consecutive refusals of keys that it should own
         time_point suspected_until{};
         time_point full_until{};
+        time_point paused_until{};
+        bool is_pause_tested = true; // it answered a request after its last pause
         time_point warm_up_end{};
     };
 
@@ -195,6 +212,8 @@
     unsigned mean_in_group_load() const;
     bool
     is_eligible(const row& it, const server_criteria& criteria, time_point now) const;
+    bool is_allowed(const row& it, const server_criteria& criteria, time_point now) const;
+    static bool is_paused(const row& it, time_point now);
     bool is_suspended(const row& it, time_point now) const;
     bool is_suspected(const row& it, time_point now) const;
     void note_key_refusal(row& it, time_point now);
--- a/core/gateway/testing/server_directory_test.cpp
+++ b/core/gateway/testing/server_directory_test.cpp
@@ -71,3 +71,43 @@
         CHECK(directory.find(server_id("a"))->entry.incarnation.started_ms == 5);
     }
 }
+
+// Guards against requests to a server that has announced that it leaves (DRAIN), because
+// its entry in the store does not say so or cannot be read.
+TEST_CASE("a server that announces in an answer that it leaves is not used any more")
+{
+    const time_point start{seconds(100)};
+    const server_id a("a");
+    server_directory directory;
+    directory.put(entry("a"), start);
+    REQUIRE(directory.announce_leaving(a, {1}, start));
+    CHECK_FALSE(directory.announce_leaving(a, {1}, start + seconds(1)));
+
+    SECTION("whatever its entry says later")
+    {
+        directory.put(entry("a"), start + seconds(1));
+        CHECK_FALSE(directory.find(a)->is_usable());
+        CHECK(directory.find(a)->is_leaving(start + seconds(1)));
+        CHECK(directory.find(a)->leaving_since() == start);
+    }
+    SECTION("also if its entry was removed and comes back")
+    {
+        directory.remove(a, duration::zero(), start + seconds(1));
+        directory.expire(start + seconds(60));
+        directory.put(entry("a"), start + seconds(61));
+        CHECK_FALSE(directory.find(a)->is_usable());
+    }
+    SECTION("until a new incarnation of it is listed")
+    {
+        directory.put(entry("a", 2), start + seconds(1));
+        CHECK(directory.find(a)->is_usable());
+        CHECK_FALSE(directory.announce_leaving(a, {1}, start + seconds(2)));
+        CHECK(directory.find(a)->is_usable());
+    }
+    SECTION("its row is dropped in the end")
+    {
+        directory.remove(a, duration::zero(), start);
+        directory.expire(start + seconds(600));
+        CHECK(directory.find(a) == nullptr);
+    }
+}
--- a/core/gateway/testing/server_pool_test.cpp
+++ b/core/gateway/testing/server_pool_test.cpp
@@ -378,3 +378,53 @@
         CHECK(sent <= 40);
     }
 }
+
+// Guards against requests to a server that asked for none for a while (BUDGET).
+TEST_CASE("a server that asked for a pause gets nothing until its end")
+{
+    pool_fixture fixture;
+    fixture.add("asks", here);
+    fixture.add("other", there);
+    fixture.pool.pause(server_id("asks"), milliseconds(1500), fixture.now);
+    const server_criteria owned{{}, server_id("asks"), {}};
+
+    SECTION("other servers of the service take over")
+    {
+        for (int n = 0; n < 20; ++n)
+        {
+            CHECK(fixture.place() == "other");
+        }
+        CHECK_FALSE(fixture.pool.pause_left({{server_id("asks")}, {}, {}}, fixture.now));
+    }
+    SECTION("not even requests for its keys, and how long it lasts is known")
+    {
+        CHECK_FALSE(fixture.choose(owned));
+        CHECK(fixture.pool.pause_left(owned, fixture.now) == milliseconds(1500));
+        fixture.now += milliseconds(1499);
+        CHECK_FALSE(fixture.choose(owned));
+        fixture.now += milliseconds(1);
+        CHECK(fixture.choose(owned));
+        CHECK_FALSE(fixture.pool.pause_left(owned, fixture.now));
+    }
+    SECTION("a shorter pause does not end a longer one")
+    {
+        fixture.pool.pause(server_id("asks"), milliseconds(100), fixture.now);
+        fixture.now += milliseconds(200);
+        CHECK(fixture.pool.is_paused(server_id("asks"), fixture.now));
+    }
+    SECTION("after its end, one request tests it before others follow")
+    {
+        fixture.now += milliseconds(1500);
+        CHECK(fixture.place() == "asks");
+        CHECK_FALSE(fixture.choose(owned));
+        CHECK(fixture.place() == "other");
+        fixture.end("asks", attempt_end::answered);
+        CHECK(fixture.choose(owned));
+    }
+    SECTION("the earliest end counts where all servers are paused")
+    {
+        fixture.pool.pause(server_id("other"), milliseconds(400), fixture.now);
+        CHECK_FALSE(fixture.choose());
+        CHECK(fixture.pool.pause_left({}, fixture.now) == milliseconds(400));
+    }
+}
--- a/fakes/site/site_server.cpp
+++ b/fakes/site/site_server.cpp
@@ -37,9 +37,19 @@
     made.headers.add("Request-Id", header_value(request, "Request-Id"));
     made.headers.add("Not-Executed", "1");
     made.headers.add("Instance-Id", options_.id);
+    announce(made);
     return made;
 }
 
+// Every answer of a server that leaves says so.
+void site_server::announce(http_response& answer) const
+{
+    if (faults_.is_leaving)
+    {
+        answer.headers.add("Server-Leaving", "1");
+    }
+}
+
 bool site_server::holds(shard_key key) const
 {
     return std::any_of(granted_.begin(),
@@ -72,6 +82,14 @@
         responder->respond(make_refusal(request, http_status::misdirected));
         return;
     }
+    if (!faults_.asks_pause.empty())
+    {
+        http_response refusal = make_refusal(request, http_status::unavailable);
+        refusal.headers.add("Retry-After", faults_.asks_pause);
+        ++pauses_asked_;
+        responder->respond(std::move(refusal));
+        return;
+    }
     if (faults_.is_unresponsive)
     {
         unanswered_responders_.push_back(std::move(responder));
@@ -134,6 +152,7 @@
     {
         made.headers.add("Content-Encoding", "gzip");
     }
+    announce(made);
     made.body = options_.id + " ran " + it.request.method + " " + it.request.target +
                 " with " + it.request.body;
     it.responder->respond(std::move(made));
@@ -173,7 +192,9 @@
             [this, request, arrived_at] { apply_order(request, arrived_at); }));
         return;
     }
-    responder->respond(apply_order(request, arrived_at));
+    http_response answer = apply_order(request, arrived_at);
+    announce(answer);
+    responder->respond(std::move(answer));
 }
 
 http_response site_server::apply_order(const http_request& request, time_point arrived_at)
--- a/fakes/site/site_server.hpp
+++ b/fakes/site/site_server.hpp
@@ -36,6 +36,8 @@
     bool is_unresponsive = false; // accepts requests and neither runs nor answers them
     bool omits_signature = false; // sends no Response-Signature
     bool echoes_other_request_id = false;
+    bool is_leaving = false;            // all answers say that the server leaves
+    std::string asks_pause;             // if set, requests get 503 with this Retry-After
     bool sets_content_encoding = false; // sends a Content-Encoding
     duration order_delay{}; // if not 0, orders get no answer and take effect after it
 };
@@ -72,6 +74,12 @@
         return cancelled_;
     }
 
+    // The number of requests that were turned away because of faults().asks_pause.
+    unsigned pauses_asked() const
+    {
+        return pauses_asked_;
+    }
+
     // Returns true if a grant of the key is in force.
     bool holds(shard_key key) const;
 
@@ -103,6 +111,7 @@
     void on_caller_disconnected(slot_ticket ticket);
     // Returns an answer that reports that the request was not run.
     http_response make_refusal(const http_request& request, int status) const;
+    void announce(http_response& answer) const;
 
     event_loop& loop_;
     site_server_options options_;
@@ -116,6 +125,7 @@
     // Kept so that their connections stay open.
     std::vector<std::shared_ptr<http_responder>> unanswered_responders_;
     std::vector<timer_handle> delayed_order_timers_;
+    unsigned pauses_asked_ = 0;
     unsigned cancelled_ = 0;
 };
 
--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -182,6 +182,7 @@
                                  if (!alive.expired() && assigner_)
                                  {
                                      context_.log.order_ended(order, got);
+                                     note_leaving(order, got);
                                      assigner_->order_ended(
                                          order.id, got, context_.loop.now());
                                      post_tick();
@@ -192,6 +193,20 @@
     publish_changes();
 }
 
+// A server that leaves must hand its keys over, also if its entry does not say so yet.
+void assigner_role::note_leaving(const key_order& order, const order_result& got)
+{
+    const known_server* server = context_.state.servers().find(order.server);
+    const bool is_news =
+        got.is_leaving && got.end != order_end::other_server && server != nullptr &&
+        context_.state.announce_leaving(
+            order.server, server->entry.incarnation, context_.loop.now());
+    if (is_news)
+    {
+        context_.log.server_leaving(order.server, name_of(order.kind));
+    }
+}
+
 void assigner_role::write_record()
 {
     if (record_in_flight_)
--- a/gateway/assigner_role.hpp
+++ b/gateway/assigner_role.hpp
@@ -100,6 +100,7 @@
     void on_renewal(const store_lease_grant& got, time_point sent);
     void tick();
     void post_tick();
+    void note_leaving(const key_order& order, const order_result& got);
     void write_record();
     void on_record_write(const store_write& got);
     void read_back_record();
--- a/gateway/gateway_log.cpp
+++ b/gateway/gateway_log.cpp
@@ -21,6 +21,11 @@
 const metric_name config_faults_metric{
     "camphorrock_gateway_config_faults_total",
     "Parts of configurations that could not be read, by kind."};
+const metric_name servers_leaving_metric{
+    "camphorrock_gateway_servers_leaving_total",
+    "Servers whose answers announced that they leave."};
+const metric_name servers_paused_metric{"camphorrock_gateway_server_pauses_total",
+                                        "Pauses that servers without room asked for."};
 const metric_name loop_late_metric{"camphorrock_gateway_loop_late_seconds",
                                    "By how much the event loop ran its timers late."};
 const metric_name latency_metric{"camphorrock_gateway_answer_seconds",
@@ -141,6 +146,21 @@
     }
 }
 
+void gateway_log::server_leaving(const server_id& server, std::string_view source)
+{
+    metrics_.get_counter(servers_leaving_metric).add();
+    events_.write(event_id::server_leaving, {{"server", server}, {"source", source}});
+}
+
+void gateway_log::server_paused(const server_id& server,
+                                const std::string& asked,
+                                duration span)
+{
+    metrics_.get_counter(servers_paused_metric).add();
+    events_.write(event_id::server_paused,
+                  {{"server", server}, {"asked", asked}, {"pause_us", span}});
+}
+
 void gateway_log::loop_late(duration lateness)
 {
     metrics_.get_histogram(loop_late_metric).record(lateness);
--- a/gateway/gateway_log.hpp
+++ b/gateway/gateway_log.hpp
@@ -76,6 +76,12 @@
     void config_in_force(const gateway_config& config, std::uint64_t revision);
     // Counts every order; logs releases, and grants that were not accepted.
     void order_ended(const key_order& order, const order_result& got);
+    // An answer of the server announced that it leaves. `source` names what was answered:
+    // a request's id, or the kind of an order.
+    void server_leaving(const server_id& server, std::string_view source);
+    // The server asked for a pause of `asked`, as its header says; `span` is what it
+    // gets.
+    void server_paused(const server_id& server, const std::string& asked, duration span);
     // The event loop ran a timer later than planned, by `lateness`.
     void loop_late(duration lateness);
     // The client disconnected before it received an answer. `is_noticed_late`: a check
--- a/gateway/gateway_state.cpp
+++ b/gateway/gateway_state.cpp
@@ -70,6 +70,18 @@
     notify(listeners_);
 }
 
+bool gateway_state::announce_leaving(const server_id& id,
+                                     const server_incarnation& incarnation,
+                                     time_point now)
+{
+    if (!servers_.announce_leaving(id, incarnation, now))
+    {
+        return false;
+    }
+    servers_changed(now);
+    return true;
+}
+
 void gateway_state::update_pool(service_state& it, time_point now)
 {
     const std::vector<const known_server*> servers = servers_.servers_of(it.config.name);
--- a/gateway/gateway_state.hpp
+++ b/gateway/gateway_state.hpp
@@ -67,6 +67,12 @@
     // calls the listeners.
     void servers_changed(time_point now);
 
+    // An answer of the server announced that it leaves. Updates the pools and calls the
+    // listeners. Returns false, without effect, if that was known already.
+    bool announce_leaving(const server_id& id,
+                          const server_incarnation& incarnation,
+                          time_point now);
+
     // Puts `assignment` in force. Returns false, without effect, unless its version is
     // higher than the current one.
     bool set_assignment(const key_assignment& assignment, time_point now);
--- a/gateway/local_answer.cpp
+++ b/gateway/local_answer.cpp
@@ -13,7 +13,7 @@
 constexpr int bad_gateway = 502;
 constexpr int gateway_timeout = 504;
 
-constexpr enum_names<local_answer_reason, 13> names{{{
+constexpr enum_names<local_answer_reason, 14> names{{{
     {local_answer_reason::no_route, "no_route"},
     {local_answer_reason::no_config, "no_config"},
     {local_answer_reason::route_unreadable, "route_unreadable"},
@@ -21,6 +21,7 @@
     {local_answer_reason::no_server, "no_server"},
     {local_answer_reason::no_owner, "no_owner"},
     {local_answer_reason::overloaded, "overloaded"},
+    {local_answer_reason::paused, "paused"},
     {local_answer_reason::shed, "shed"},
     {local_answer_reason::unreachable, "unreachable"},
     {local_answer_reason::waited_too_long, "waited_too_long"},
@@ -47,6 +48,7 @@
     case local_answer_reason::no_server:
     case local_answer_reason::no_owner:
     case local_answer_reason::overloaded:
+    case local_answer_reason::paused:
     case local_answer_reason::shed:
     case local_answer_reason::unreachable:
     case local_answer_reason::waited_too_long:
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request_relay.hpp"
 
 #include "core/base/number_text.hpp"
+#include "gateway/retry_after.hpp"
 #include "net/http_status.hpp"
 
 #include <algorithm>
@@ -217,13 +218,7 @@
         service->pool.choose(criteria, context_.state.random(), now);
     if (!to)
     {
-        if (key_)
-        {
-            wait_for_owner();
-            return;
-        }
-        answer_locally(may_have_run_ ? local_answer_reason::server_lost
-                                     : local_answer_reason::no_server);
+        on_no_choice(criteria);
         return;
     }
     if (to->expected_latency > std::min(time_left(), max_expected_latency()))
@@ -317,11 +312,12 @@
     options.timeout = time_left();
     options.connect_timeout = std::min(connect_timeout, time_left());
     options.allows_close_delimited = true;
-    options.is_wanted = [responder = responder_]
+    const std::weak_ptr<request_relay> weak = weak_from_this();
+    options.is_wanted = [weak]
     {
-        return !responder->is_disconnected();
+        const std::shared_ptr<request_relay> self = weak.lock();
+        return self && !self->responder_->is_disconnected() && !self->is_server_paused();
     };
-    const std::weak_ptr<request_relay> weak = weak_from_this();
     exchange_ = context_.http.send(to.address,
                                    make_upstream_request(to, time_left()),
                                    options,
@@ -410,7 +406,7 @@
     }
     if (got.end == exchange_end::withdrawn)
     {
-        on_client_left(true);
+        on_withdrawn();
         return;
     }
     if (got.end == exchange_end::timed_out_before_send)
@@ -424,6 +420,10 @@
     {
         context_.http.drop_connections(sent_to_.address);
     }
+    if (is_from_intended_server(how))
+    {
+        note_server_state(got.answer);
+    }
     if (how == attempt_end::answered)
     {
         forward_answer(got.answer);
@@ -432,6 +432,88 @@
     on_attempt_failed(how, got);
 }
 
+bool request_relay::is_server_paused() const
+{
+    const service_state* service = context_.state.find_service(service_);
+    return service != nullptr &&
+           service->pool.is_paused(sent_to_.server, context_.loop.now());
+}
+
+// Nothing was sent: the client has left, or the server asked for a pause meanwhile.
+void request_relay::on_withdrawn()
+{
+    if (responder_->is_disconnected())
+    {
+        on_client_left(true);
+        return;
+    }
+    tried_.pop_back();
+    try_send();
+}
+
+// A 421 may come from another server at the same address.
+bool request_relay::is_from_intended_server(attempt_end how)
+{
+    return how == attempt_end::answered || how == attempt_end::server_error ||
+           how == attempt_end::shed;
+}
+
+// Notes what the answer says of its server besides the request.
+void request_relay::note_server_state(const http_response& answer)
+{
+    const bool is_leaving =
+        answer.headers.find(context_.codec.names().leaving).has_value();
+    const bool is_news =
+        is_leaving && context_.state.announce_leaving(
+                          sent_to_.server, sent_to_.incarnation, context_.loop.now());
+    if (is_news)
+    {
+        context_.log.server_leaving(sent_to_.server, request_id_);
+    }
+    const auto asked = answer.headers.find(context_.codec.names().retry_after);
+    if (asked && answer.status == http_status::unavailable)
+    {
+        pause_server(std::string(*asked));
+    }
+}
+
+void request_relay::pause_server(const std::string& asked)
+{
+    const duration span = parse_retry_after(asked);
+    context_.log.server_paused(sent_to_.server, asked, span);
+    service_state* service = context_.state.find_service(service_);
+    if (service == nullptr || span == duration::zero())
+    {
+        return;
+    }
+    service->pool.pause(sent_to_.server, span, context_.loop.now());
+    pause_left_ = key_ ? span : duration::zero(); // no other server has the key
+}
+
+// No server may be chosen now. A pause of the key's owner is waited for if it ends soon.
+void request_relay::on_no_choice(const server_criteria& criteria)
+{
+    const time_point now = context_.loop.now();
+    const service_state* service = context_.state.find_service(service_);
+    const std::optional<duration> pause = service->pool.pause_left(criteria, now);
+    const bool is_too_long =
+        pause && (!key_ || now + *pause >= arrived_ + owner_wait_limit());
+    if (is_too_long)
+    {
+        pause_left_ = *pause;
+        answer_locally(may_have_run_ ? local_answer_reason::server_lost
+                                     : local_answer_reason::paused);
+        return;
+    }
+    if (key_)
+    {
+        wait_for_owner();
+        return;
+    }
+    answer_locally(may_have_run_ ? local_answer_reason::server_lost
+                                 : local_answer_reason::no_server);
+}
+
 void request_relay::on_attempt_failed(attempt_end how, const exchange_result& got)
 {
     const bool may_have_run =
@@ -601,7 +683,7 @@
         static_cast<int>(context_.state.random()() % retry_after_spread_ms);
     const duration excess = std::max<duration>(
         rejected_estimate_ - route_.target_latency / 2, duration::zero());
-    return min_retry_after + milliseconds(spread) + excess;
+    return min_retry_after + milliseconds(spread) + excess + pause_left_;
 }
 
 void request_relay::answer_locally(local_answer_reason reason)
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -107,6 +107,12 @@
     void on_exchange_end(const exchange_result& got);
     attempt_end classify(const exchange_result& got) const;
     bool is_valid_answer(const http_response& answer) const;
+    static bool is_from_intended_server(attempt_end how);
+    void note_server_state(const http_response& answer);
+    void pause_server(const std::string& asked);
+    bool is_server_paused() const;
+    void on_withdrawn();
+    void on_no_choice(const server_criteria& criteria);
     void on_attempt_failed(attempt_end how, const exchange_result& got);
     bool may_retry(attempt_end how) const;
     bool claim_retry(attempt_end how);
@@ -146,6 +152,7 @@
     unsigned attempts_not_run_ = 0; // failed attempts that did not run the request
     // The expected latency that was too long; zero if none was.
     duration rejected_estimate_{};
+    duration pause_left_{}; // of the servers that may run the request; zero: none paused
     bool may_have_run_ = false;
     bool is_waiting_for_owner_ = false;
     bool is_ended_ = false;
--- a/gateway/wire_names.hpp
+++ b/gateway/wire_names.hpp
@@ -17,6 +17,8 @@
     std::string signature;       // a server's signature of its answer
     std::string not_run;         // present if the server did not run the request
     std::string shard_key;       // the key of a request to a keyed service
+    std::string retry_after;     // how long a server wants no more requests, in seconds
+    std::string leaving;         // present in the answers of a server that leaves
 };
 
 } // namespace camphorrock
