Key assigners keep one owner a key when the store comes back from a copy

A restored store has lost the latest records and leases, and gives their revisions out again. A successor that starts from the copy would renew grants of owners that have given their keys up, and give out epochs again. Change: epochs and terms carry the era of the store in their high bits, so those of an era are above all earlier ones, whatever is known of them. Weighed: a successor that adopts what gateways remember (it cannot know that it is the latest), and no renewals at all until the wait is over (all keys unserved for 12 s). Found by the simulation, which now restores its store at any step: a record without ranges older than the first grants; an assigner that itself had started from a copy and went on; both fixed.

--- a/core/gateway/key_assigner.cpp
+++ b/core/gateway/key_assigner.cpp
@@ -22,10 +22,14 @@
 key_assigner::key_assigner(key_assigner_options options,
                            const key_assignment& record,
                            instance_id self,
-                           time_point now)
-    : options_(options), self_(std::move(self)), version_{record.version.term + 1,
-                                                          record.version.change + 1},
-      next_epoch_{std::max<std::uint64_t>(record.epoch_limit.value, 1)},
+                           time_point now,
+                           store_era era)
+    : options_(options),
+      self_(std::move(self)), version_{std::max(record.version.term + 1,
+                                                first_number_of(era)),
+                                       record.version.change + 1},
+      next_epoch_{
+          std::max<std::uint64_t>({record.epoch_limit.value, first_number_of(era), 1})},
       epoch_limit_{next_epoch_.value + options.epoch_block},
       predecessor_grants_end_(now + options.authority_ttl +
                               worst_case_hold_time(options.long_hold_time))
@@ -44,6 +48,76 @@
             row.key_ranges.push_back(std::move(made));
         }
     }
+    // A record without ranges may be older than the first grants.
+    const bool is_older =
+        record.epoch_limit.value > 0 && era_of_number(record.epoch_limit.value) < era;
+    if (is_older)
+    {
+        begin_uncertainty(now);
+    }
+}
+
+// The store has come back from a copy. Assigners of the earlier era may have had
+// authority until now, and their last orders may be under way.
+void key_assigner::begin_uncertainty(time_point now)
+{
+    confirms_from_ = now + options_.authority_ttl + options_.order_timeout;
+    earlier_grants_end_ = confirms_from_ + worst_case_hold_time(options_.long_hold_time);
+    for (keyed_service& row : services_)
+    {
+        for (range_state& it : row.key_ranges)
+        {
+            it.is_owner_certain = false;
+        }
+    }
+}
+
+void key_assigner::begin_era(store_era era, time_point now)
+{
+    next_epoch_.value = std::max(next_epoch_.value, first_number_of(era));
+    epoch_limit_.value = next_epoch_.value + options_.epoch_block;
+    version_.term = std::max(version_.term + 1, first_number_of(era));
+    pending_record_.reset();
+    // An assigner that has written no record may itself have started from a copy.
+    goes_on_ = goes_on_ || !is_first_record_pending_;
+    is_first_record_pending_ = true;
+    begin_uncertainty(now);
+    count_change();
+}
+
+// The owner has accepted the grant that this assigner knows of.
+void key_assigner::confirm_owner(range_state& it, const sent_order& sent)
+{
+    it.is_owner_certain = it.is_owner_certain || sent.sent_at > confirms_from_;
+}
+
+bool key_assigner::is_first_record_allowed(time_point now) const
+{
+    if (now >= earlier_grants_end_)
+    {
+        return true;
+    }
+    if (!goes_on_)
+    {
+        return false;
+    }
+    for (const keyed_service& row : services_)
+    {
+        for (const range_state& it : row.key_ranges)
+        {
+            if (!it.is_owner_certain)
+            {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+// Renewing the same grant to the same owner is safe at any time.
+bool key_assigner::may_renew_before_record(const range_state& it) const
+{
+    return goes_on_ && !it.target && !it.needs_higher_epoch && !it.range.owner.empty();
 }
 
 void key_assigner::lease_renewed(time_point sent)
@@ -203,7 +277,8 @@
                                  std::vector<key_order>& orders)
 {
     const known_server* owner = view.servers->find(it.range.owner);
-    const bool is_due = !it.order && now >= it.next_order_at && !is_first_record_pending_;
+    const bool is_allowed = !is_first_record_pending_ || may_renew_before_record(it);
+    const bool is_due = is_allowed && !it.order && now >= it.next_order_at;
     if (!is_due || !is_same_incarnation(owner, it.range.incarnation))
     {
         return;
@@ -258,7 +333,7 @@
             now + made.timeout + worst_case_hold_time(made.hold_time);
         it.latest_grant_end = std::max(it.latest_grant_end, latest);
     }
-    orders_[made.id] = {row.name, made};
+    orders_[made.id] = {row.name, made, now};
     return made;
 }
 
@@ -300,6 +375,7 @@
         it->last_accepted_at = now;
         if (is_grant)
         {
+            confirm_owner(*it, sent);
             it->handover.clear();
             it->latest_grant_end = std::max(
                 it->previous_grant_end, now + worst_case_hold_time(sent.order.hold_time));
@@ -375,8 +451,11 @@
 
 bool key_assigner::is_record_due(time_point now) const
 {
-    if (is_first_record_pending_ ||
-        next_epoch_.value + min_spare_epochs >= epoch_limit_.value)
+    if (is_first_record_pending_)
+    {
+        return is_first_record_allowed(now);
+    }
+    if (next_epoch_.value + min_spare_epochs >= epoch_limit_.value)
     {
         return true;
     }
@@ -476,15 +555,28 @@
         return;
     }
     is_first_record_pending_ = false;
+    goes_on_ = false;
     epoch_limit_ = pending_record_->epoch_limit;
     for (keyed_service& row : services_)
     {
         adopt(row, *pending_record_->find_service(row.name), now);
+        settle_uncertain(row);
     }
     count_change();
     pending_record_.reset();
 }
 
+// The grants of the earlier era have expired. An epoch that was given out there may not
+// be above all with which the keys were held.
+void key_assigner::settle_uncertain(keyed_service& row)
+{
+    for (range_state& it : row.key_ranges)
+    {
+        it.needs_higher_epoch = it.needs_higher_epoch || !it.is_owner_certain;
+        it.is_owner_certain = true;
+    }
+}
+
 void key_assigner::adopt(keyed_service& row,
                          const service_key_ranges& written,
                          time_point now)
--- a/core/gateway/key_assigner.hpp
+++ b/core/gateway/key_assigner.hpp
@@ -26,12 +26,22 @@
 // holds a grant from the predecessor until the predecessor's last possible grant has
 // expired. Renewing the same grant to the same owner is always safe.
 //
+// If the store comes back from a copy (see store_era), its record may be older than
+// grants that are in force. The first record of the new era is written only when no such
+// grant can contradict it, and nothing moves before. An assigner that starts from the
+// copy waits until every grant of the earlier era has expired. One that had authority all
+// the while goes on (begin_era): it renews its grants, and knows a range's owner for
+// certain once that accepts a renewal after all other assigners of the earlier era have
+// lost their authority; had one of them moved the range, the owner would refuse. The
+// epochs of an era are above all those of earlier ones.
+//
 // Memory: one row a key range, at most `max_ranges` a service; the samples of key_load.
 
 #include "core/gateway/key_assignment.hpp"
 #include "core/gateway/key_load.hpp"
 #include "core/gateway/key_orders.hpp"
 #include "core/gateway/server_directory.hpp"
+#include "core/gateway/store_era.hpp"
 
 #include <cstddef>
 #include <functional>
@@ -92,11 +102,17 @@
 class key_assigner
 {
 public:
-    // `record` is the content of the store, or an empty record.
+    // `record` is the content of the store, or an empty record; `era` is that of the
+    // store when it was read.
     key_assigner(key_assigner_options options,
                  const key_assignment& record,
                  instance_id self,
-                 time_point now);
+                 time_point now,
+                 store_era era = {});
+
+    // The store has come back from a copy, and this assigner was elected again while it
+    // had authority, before any record was written in that era.
+    void begin_era(store_era era, time_point now);
 
     // The lease was renewed by a call that was sent at `sent`.
     void lease_renewed(time_point sent);
@@ -158,6 +174,8 @@
         server_incarnation target_incarnation;
         std::optional<epoch> release_epoch;
         time_point moved_at{};
+        // False after the store came back from a copy, until the owner is certain.
+        bool is_owner_certain = true;
 
         // Nobody serves the range: what has the owner's address neither carries out
         // orders nor takes requests for the keys.
@@ -197,6 +215,7 @@
     {
         service_name service;
         key_order order;
+        time_point sent_at{};
     };
 
     // Adds the service if it is new.
@@ -281,6 +300,11 @@
     duration current_hold_time(time_point now) const;
     duration worst_case_hold_time(duration hold_time) const;
     epoch allocate_epoch();
+    void begin_uncertainty(time_point now);
+    static void settle_uncertain(keyed_service& row);
+    void confirm_owner(range_state& it, const sent_order& sent);
+    bool is_first_record_allowed(time_point now) const;
+    bool may_renew_before_record(const range_state& it) const;
     void count_change()
     {
         ++version_.change;
@@ -297,6 +321,11 @@
     std::optional<time_point> last_renewal_sent_at_;
     unsigned failed_renewals_ = 0; // since the last one that succeeded
     time_point predecessor_grants_end_{};
+    bool goes_on_ = false; // begin_era() was called, and no record was written since
+    // When every grant of an earlier era of the store has expired.
+    time_point earlier_grants_end_{};
+    // A renewal that is accepted makes its owner certain if it was sent after this time.
+    time_point confirms_from_{};
     bool is_first_record_pending_ = true;
     std::optional<key_assignment> pending_record_;
 };
--- a/core/gateway/testing/owner_fuzz_test.cpp
+++ b/core/gateway/testing/owner_fuzz_test.cpp
@@ -57,3 +57,31 @@
         }
     }
 }
+
+// Guards against two owners of a key, and against epochs given out twice, after the store
+// has lost the latest records and leases.
+TEST_CASE("no two servers hold a key when the store comes back from a copy")
+{
+    owner_simulation_options options;
+    options.restore_fraction = 0.0006;
+    for (std::uint64_t n = 0; n < 10; ++n)
+    {
+        const std::uint64_t seed = first_seed() + 100 + n;
+        DYNAMIC_SECTION("seed " << seed)
+        {
+            owner_simulation simulation(options, seed);
+            run(simulation, 2 * steps_per_seed());
+            CHECK(simulation.grants() > 100);
+            CHECK(simulation.restores() > 0);
+
+            // The simulated lease is lost now and then, and each election begins the wait
+            // for earlier grants anew.
+            AND_THEN("all keys are held again after all faults have ended")
+            {
+                simulation.end_faults();
+                run(simulation, 6000);
+                CHECK(simulation.held_keys() == last_shard_key + 1);
+            }
+        }
+    }
+}
--- a/core/gateway/testing/owner_simulation.cpp
+++ b/core/gateway/testing/owner_simulation.cpp
@@ -122,6 +122,66 @@
     }
 }
 
+void owner_simulation::keep_copy()
+{
+    constexpr duration max_age = seconds(8);
+    copies_.push_back({now_, record_, record_revision_, lease_holder_, lease_until_});
+    if (now_ - copies_.front().at > max_age)
+    {
+        copies_.erase(copies_.begin());
+    }
+}
+
+// Brings back an older state. The revisions since then are given out again, and a lease
+// runs anew.
+void owner_simulation::restore_store()
+{
+    const store_content& copy = copies_[random_() % copies_.size()];
+    record_ = copy.record;
+    record_revision_ = copy.record_revision;
+    lease_holder_ = copy.lease_holder;
+    lease_until_ = now_ + options_.assigner.authority_ttl;
+    ++era_.value;
+    ++restores_;
+    copies_.clear();
+    keep_copy();
+}
+
+// True if the assigner knows all grants that may be in force: no other one was elected
+// since its last renewal, and none has written a record in this era.
+bool owner_simulation::may_go_on(const assigner& it) const
+{
+    return it.role && it.role->has_authority(now_) &&
+           era_of_number(record_.epoch_limit.value) < era_;
+}
+
+// An assigner that learns of a new era asks for the lease again; if it is no longer the
+// one that knows all grants, it starts anew from the record.
+void owner_simulation::notice_era(std::size_t n)
+{
+    assigner& it = assigners_[n];
+    if (it.era == era_ || !is_store_reachable(it) || !chance(0.1))
+    {
+        return;
+    }
+    it.era = era_;
+    if (!it.role)
+    {
+        return;
+    }
+    const bool is_elected = !lease_holder_ || lease_holder_ == n;
+    if (!is_elected || !may_go_on(it))
+    {
+        it.role.reset();
+        return;
+    }
+    lease_holder_ = n;
+    lease_until_ = now_ + options_.assigner.authority_ttl;
+    it.record_revision = record_revision_;
+    it.role->begin_era(era_, now_);
+    it.role->lease_renewed(now_);
+}
+
 bool owner_simulation::is_store_reachable(const assigner& it) const
 {
     return now_ >= store_unavailable_until_ && now_ >= it.store_unreachable_until;
@@ -134,6 +194,11 @@
     {
         begin_fault();
     }
+    keep_copy();
+    if (!has_ended_faults_ && chance(options_.restore_fraction))
+    {
+        restore_store();
+    }
     std::vector<event> due;
     std::erase_if(events_,
                   [&](const event& it)
@@ -167,6 +232,7 @@
 void owner_simulation::run_assigner(std::size_t n)
 {
     assigner& it = assigners_[n];
+    notice_era(n);
     if (is_store_reachable(it))
     {
         std::vector<listed_server> listed;
@@ -226,7 +292,8 @@
     lease_until_ = now_ + options_.assigner.authority_ttl;
     it.record_revision = record_revision_;
     it.role = std::make_unique<key_assigner>(
-        options_.assigner, record_, instance_id(it.name), now_);
+        options_.assigner, record_, instance_id(it.name), now_, era_);
+    it.era = era_;
     it.role->lease_renewed(now_);
 }
 
@@ -238,8 +305,8 @@
              [this, n, sent_at, role]
              {
                  assigner& it = assigners_[n];
-                 if (!is_store_reachable(it) || lease_holder_ != n ||
-                     it.role.get() != role)
+                 const bool is_current = it.era == era_ && it.role.get() == role;
+                 if (!is_store_reachable(it) || lease_holder_ != n || !is_current)
                  {
                      return;
                  }
@@ -258,36 +325,42 @@
     }
     const std::uint64_t expected_revision = it.record_revision;
     const key_assigner* role = it.role.get();
+    const store_era sent_in = it.era;
     const bool is_request_lost = !is_store_reachable(it);
-    schedule(random_duration(milliseconds(0), milliseconds(60)),
-             [this, n, expected_revision, role, wanted = *wanted, is_request_lost]
-             {
-                 assigner& writer = assigners_[n];
-                 const bool is_same_role = writer.role.get() == role;
-                 if (is_request_lost)
-                 {
-                     if (is_same_role)
-                     {
-                         writer.role->record_not_written();
-                     }
-                     return;
-                 }
-                 if (expected_revision != record_revision_)
-                 {
-                     if (is_same_role)
-                     {
-                         writer.role.reset();
-                     }
-                     return;
-                 }
-                 record_ = wanted;
-                 ++record_revision_;
-                 if (is_same_role)
-                 {
-                     writer.record_revision = record_revision_;
-                     writer.role->record_written(now_);
-                 }
-             });
+    schedule(
+        random_duration(milliseconds(0), milliseconds(60)),
+        [this, n, expected_revision, role, sent_in, wanted = *wanted, is_request_lost]
+        {
+            assigner& writer = assigners_[n];
+            const bool is_same_role = writer.role.get() == role && writer.era == sent_in;
+            if (is_request_lost)
+            {
+                if (is_same_role)
+                {
+                    writer.role->record_not_written();
+                }
+                return;
+            }
+            if (sent_in != era_)
+            {
+                return; // each era has a record of its own
+            }
+            if (expected_revision != record_revision_)
+            {
+                if (is_same_role)
+                {
+                    writer.role.reset();
+                }
+                return;
+            }
+            record_ = wanted;
+            ++record_revision_;
+            if (is_same_role)
+            {
+                writer.record_revision = record_revision_;
+                writer.role->record_written(now_);
+            }
+        });
 }
 
 void owner_simulation::send_order(std::size_t n, const key_order& order)
--- a/core/gateway/testing/owner_simulation.hpp
+++ b/core/gateway/testing/owner_simulation.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
 // A simulation of key assigners in their environment: servers that carry out grants and
-// releases, a store with a record and a lease, and a network that delays, reorders and
+// releases, a store with a record and a lease, which at times comes back from a copy that
+// is some seconds old, and a network that delays, reorders and
 // loses messages. After each step it checks that no two servers hold the same key, and
 // that a key's epoch rises with each change of its owner. Slow.
 
@@ -25,6 +26,7 @@
     unsigned assigners = 3;
     double drift = 0.02;             // fraction by which the servers' clocks run slow
     double late_fraction = 0.1;      // of orders, carried out late and not answered
+    double restore_fraction = 0;     // of steps in which the store comes back from a copy
     double rejected_fraction = 0.01; // of grants, rejected without effect
     double fault_fraction = 0.002;   // of steps that begin a fault
     key_assigner_options assigner;
@@ -47,6 +49,11 @@
         return grants_;
     }
 
+    unsigned restores() const
+    {
+        return restores_;
+    }
+
     unsigned moves() const
     {
         return moves_;
@@ -80,6 +87,7 @@
         std::string name;
         std::unique_ptr<key_assigner> role;
         std::uint64_t record_revision = 0;
+        store_era era; // that the assigner knows of
         time_point lease_sent{};
         time_point frozen_until{};
         time_point store_unreachable_until{};
@@ -87,6 +95,16 @@
         server_directory servers;
     };
 
+    // What the store holds.
+    struct store_content
+    {
+        time_point at{};
+        key_assignment record;
+        std::uint64_t record_revision = 0;
+        std::optional<std::size_t> lease_holder;
+        time_point lease_until{};
+    };
+
     // An action that is due at a later time.
     struct event
     {
@@ -99,6 +117,10 @@
     duration random_duration(duration from, duration to);
     bool chance(double probability);
     void begin_fault();
+    void keep_copy();
+    void restore_store();
+    void notice_era(std::size_t n);
+    bool may_go_on(const assigner& it) const;
     void run_assigner(std::size_t n);
     void try_acquire_lease(std::size_t n);
     void renew_lease(std::size_t n);
@@ -118,7 +140,10 @@
     std::uint64_t last_event_ = 0;
 
     key_assignment record_;
-    std::uint64_t record_revision_ = 0;
+    std::uint64_t record_revision_ = 0; // given out again after a restore
+    store_era era_{1};
+    std::vector<store_content> copies_; // of the last seconds, the oldest first
+    unsigned restores_ = 0;
     std::optional<std::size_t> lease_holder_;
     std::uint64_t lease_epoch_ = 0;
     time_point lease_until_{};
