Revisions of the store carry its era; watches read again when it comes back from a copy

Cause: store_reader, platform_watch, watch_history and watch_relay compared bare revisions, which a restored store gives out again for other content. An answer of another era than was known when the call was sent counts as none: a write may be lost, a lease be another's.

--- a/fakes/site/site_store.cpp
+++ b/fakes/site/site_store.cpp
@@ -6,6 +6,7 @@
 #include "net/http_status.hpp"
 #include "store/base64.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace camphorrock::fakes
@@ -122,6 +123,29 @@
     polls_.clear();
 }
 
+void site_store::keep_copy()
+{
+    copy_ = kv_;
+    era_ = std::max<std::uint64_t>(era_, 1);
+}
+
+void site_store::restore()
+{
+    kv_ = *copy_;
+    kv_.renew_all_leases(loop_.now());
+    ++era_;
+    polls_.clear();
+}
+
+void site_store::respond(http_responder& to, http_response answer) const
+{
+    if (era_ > 0)
+    {
+        answer.headers.add("Store-Era", std::to_string(era_));
+    }
+    to.respond(std::move(answer));
+}
+
 void site_store::revoke_all_leases()
 {
     for (std::uint64_t it : std::exchange(leases_, {}))
@@ -139,10 +163,10 @@
         unanswered_responders_.push_back(std::move(responder));
         return;
     case site_store_mode::busy:
-        responder->respond(make_status_response(http_status::unavailable));
+        respond(*responder, make_status_response(http_status::unavailable));
         return;
     case site_store_mode::rejects:
-        responder->respond(make_status_response(http_status::too_many_requests));
+        respond(*responder, make_status_response(http_status::too_many_requests));
         return;
     case site_store_mode::resets:
         responder->abort();
@@ -172,7 +196,7 @@
         start_poll(request, std::move(responder));
         return;
     }
-    responder->respond(execute(request));
+    respond(*responder, execute(request));
 }
 
 http_response site_store::execute(const http_request& request)
@@ -335,9 +359,10 @@
         parse_number<std::uint64_t>(query_text(request, "after")).value_or(0);
     const auto wait = parse_number<unsigned>(query_text(request, "wait_ms"));
     made.deadline = loop_.now() + milliseconds(wait.value_or(0));
-    if (made.after_revision < compact_revision_)
+    const bool is_unknown = made.after_revision > kv_.revision();
+    if (made.after_revision < compact_revision_ || is_unknown)
     {
-        responder->respond(make_status_response(http_status::gone));
+        respond(*responder, make_status_response(http_status::gone));
         return;
     }
     made.responder = std::move(responder);
@@ -351,7 +376,7 @@
         kv_.events_since(it.after_revision + 1, prefix_range(it.prefix));
     if (!events)
     {
-        it.responder->respond(make_status_response(http_status::gone));
+        respond(*it.responder, make_status_response(http_status::gone));
         return true;
     }
     if (events->empty() && loop_.now() < it.deadline)
@@ -373,7 +398,7 @@
         body["events"].append(row);
     }
     body["store_revision"] = Json::UInt64(kv_.revision());
-    it.responder->respond(json_response(http_status::ok, body));
+    respond(*it.responder, json_response(http_status::ok, body));
     return true;
 }
 
--- a/fakes/site/site_store.hpp
+++ b/fakes/site/site_store.hpp
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace camphorrock::fakes
@@ -63,6 +64,12 @@
     // 410, and the connections of pending polls are aborted.
     void compact();
 
+    // Keeps a copy of the store. restore() brings the store back from it: what was
+    // written since is gone, leases too, its revisions are given out again, and the era
+    // rises.
+    void keep_copy();
+    void restore();
+
     // Ends all leases and deletes their keys.
     void revoke_all_leases();
 
@@ -96,7 +103,11 @@
 
     event_loop& loop_;
     site_store_options options_;
+    void respond(http_responder& to, http_response answer) const;
+
     kv_engine kv_;
+    std::optional<kv_engine> copy_;
+    std::uint64_t era_ = 0; // 0: answers carry none
     site_store_mode mode_ = site_store_mode::serving;
     std::uint64_t compact_revision_ = 0; // polls from an earlier revision get 410
     std::list<poll> polls_;
--- a/store/store_client.hpp
+++ b/store/store_client.hpp
@@ -14,6 +14,7 @@
 #include "core/base/result.hpp"
 #include "core/base/store_end.hpp"
 #include "core/base/time.hpp"
+#include "core/gateway/store_era.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
@@ -174,6 +175,17 @@
         return nullptr;
     }
 
+    // The latest era of the store in which it has answered; 0 if it has none. An answer
+    // of another era than was known when the call was sent counts as none.
+    virtual store_era era() const
+    {
+        return {};
+    }
+
+    // Adds a listener, which is called when the store has come back from a copy: what it
+    // acknowledged lately may be gone. Watches read their prefixes again by themselves.
+    virtual void on_era_changed(std::function<void()>) {}
+
     // Sets a callback that is called with false when the store becomes unreachable, and
     // with true when it answers again. Clients that do not detect this never call it.
     virtual void on_reachability_changed(const std::function<void(bool)>&) {}
