--- a/app/events.cpp
+++ b/app/events.cpp
@@ -160,6 +160,11 @@
         severity::info,
         "A server that had no room asked for a pause; it gets no requests from here "
         "until its end."},
+    event_row{event_id::store_restored,
+              "store_restored",
+              severity::warning,
+              "The store has come back from a copy: what it acknowledged lately may be "
+              "gone."},
     event_row{event_id::elected,
               "elected",
               severity::info,
--- a/app/events.hpp
+++ b/app/events.hpp
@@ -55,6 +55,7 @@
     settings_reloaded = 232,
     server_leaving = 233,
     server_paused = 234,
+    store_restored = 235,
 
     elected = 301,
     lease_lost = 302,
--- a/core/gateway/server_directory.cpp
+++ b/core/gateway/server_directory.cpp
@@ -18,6 +18,8 @@
     const time_point draining_since = was_draining ? it.draining_since : now;
     const auto announced = is_same ? it.announced_leaving_at : std::nullopt;
     it = known_server{entry, now, false, {}, draining_since, announced};
+    // A copy of the store may hold the entry from before.
+    it.entry.is_draining = entry.is_draining || was_draining;
 }
 
 bool server_directory::announce_leaving(const server_id& id,
--- a/core/gateway/server_directory.hpp
+++ b/core/gateway/server_directory.hpp
@@ -13,8 +13,8 @@
 // counts as gone. Its row is kept for `gone_retention` longer, so that the server can be
 // ordered to release its keys.
 //
-// A server that has announced in an answer that it leaves does so whatever its entry
-// says, until an entry of a new incarnation arrives.
+// A server that drains, or has announced in an answer that it leaves, does so whatever
+// its entry says later, until an entry of a new incarnation arrives.
 //
 // Memory: one row per server, including servers that are gone until expire() drops them.
 
--- a/core/gateway/testing/owner_fuzz_test.cpp
+++ b/core/gateway/testing/owner_fuzz_test.cpp
@@ -85,3 +85,14 @@
         }
     }
 }
+
+// Guards against an assigner that started from a copy of the store and, after the next
+// restore, goes on as if it knew all grants: this seed showed it.
+TEST_CASE("an assigner that started from a copy does not go on after the next restore")
+{
+    owner_simulation_options options;
+    options.restore_fraction = 0.0006;
+    owner_simulation simulation(options, 2105);
+    run(simulation, 20000);
+    CHECK(simulation.restores() > 1);
+}
--- a/fakes/site/site_store.cpp
+++ b/fakes/site/site_store.cpp
@@ -6,7 +6,6 @@
 #include "net/http_status.hpp"
 #include "store/base64.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace camphorrock::fakes
@@ -72,7 +71,7 @@
 } // namespace
 
 site_store::site_store(event_loop& loop, site_store_options options)
-    : loop_(loop), options_(options), kv_(options.kv)
+    : loop_(loop), options_(options), kv_(options.kv), era_(options.era)
 {
     tick_timer_ = loop_.every(tick_period,
                               [this]
@@ -126,7 +125,6 @@
 void site_store::keep_copy()
 {
     copy_ = kv_;
-    era_ = std::max<std::uint64_t>(era_, 1);
 }
 
 void site_store::restore()
--- a/fakes/site/site_store.hpp
+++ b/fakes/site/site_store.hpp
@@ -39,6 +39,7 @@
 {
     std::size_t page_items = 500; // maximum number of items in a page of a range
     duration write_delay = milliseconds(300);
+    std::uint64_t era = 0; // sent with all answers; 0: none is sent
     kv_engine_options kv;
 };
 
@@ -107,7 +108,7 @@
 
     kv_engine kv_;
     std::optional<kv_engine> copy_;
-    std::uint64_t era_ = 0; // 0: answers carry none
+    std::uint64_t era_ = 0;
     site_store_mode mode_ = site_store_mode::serving;
     std::uint64_t compact_revision_ = 0; // polls from an earlier revision get 410
     std::list<poll> polls_;
--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -20,6 +20,20 @@
 // By the first check, the other gateways have reported to the new assigner.
 constexpr duration hand_over_check_period = seconds(2);
 
+// The record of the latest era; null if there is none.
+const store_entry* latest_record(const std::vector<store_entry>& all)
+{
+    const store_entry* latest = nullptr;
+    for (const store_entry& it : all)
+    {
+        const bool is_later =
+            latest == nullptr || it.key.size() > latest->key.size() ||
+            (it.key.size() == latest->key.size() && it.key > latest->key);
+        latest = is_later ? &it : latest;
+    }
+    return latest;
+}
+
 key_assigner_options options_of(const gateway_settings& settings)
 {
     key_assigner_options options;
@@ -29,6 +43,12 @@
 
 } // namespace
 
+std::string record_key_of(store_era era)
+{
+    return era.value == 0 ? keys_record_key
+                          : keys_record_key + ("." + std::to_string(era.value));
+}
+
 assigner_role::assigner_role(assigner_role_context context,
                              std::function<void(const key_assignment&)> on_published,
                              std::function<void()> on_holder)
@@ -43,6 +63,7 @@
         store_freshness::may_be_stale,
         [this](const std::vector<store_entry>& all) { on_holder_read(all); },
         [this](const std::vector<store_entry>& changes) { on_holder_changed(changes); });
+    context_.store.on_era_changed([this] { on_era_changed(); });
     // A change of the servers or the configuration may need new orders.
     context_.state.on_change([this] { post_tick(); });
 }
@@ -60,38 +81,67 @@
         retry_timer_ = context_.loop.after(retry_pause, [this] { on_elected(); });
         return;
     }
-    if (got.entries.empty())
+    const store_entry* latest = latest_record(got.entries);
+    if (latest == nullptr)
     {
         start_assigner({}, {});
         return;
     }
     const std::optional<key_assignment> record = value_or_handle(
         [&]() -> result<std::optional<key_assignment>>
-        { return parse_key_assignment(got.entries.front().value); },
+        { return parse_key_assignment(latest->value); },
         [&](const error& ec)
         {
             context_.log.events().write(event_id::record_unreadable, {{"text", ec.text}});
             return std::optional<key_assignment>();
         });
-    if (record)
+    if (!record)
     {
-        start_assigner(*record, got.entries.front().revision);
+        return;
     }
+    const bool is_of_this_era = latest->key == record_key_of(context_.store.era());
+    older_record_ = is_of_this_era ? std::nullopt : std::optional(*latest);
+    start_assigner(*record, is_of_this_era ? latest->revision : store_revision{});
+}
+
+// True if this gateway knows all grants that may be in force: it has had authority all
+// the while, and no assigner has written a record in this era.
+bool assigner_role::may_go_on(const key_assignment& record) const
+{
+    return assigner_ != nullptr && !has_revoked_lease_ &&
+           assigner_->has_authority(context_.loop.now()) &&
+           era_of_number(record.epoch_limit.value) < context_.store.era();
 }
 
 void assigner_role::start_assigner(const key_assignment& record, store_revision at)
 {
     const gateway_settings& settings = context_.state.settings();
     const time_point now = context_.loop.now();
+    const store_era era = context_.store.era();
+    const bool goes_on = may_go_on(record);
     record_revision_ = at;
-    published_changes_ = 0;
     record_in_flight_.reset();
-    assigner_ =
-        std::make_unique<key_assigner>(options_of(settings), record, settings.id, now);
+    if (goes_on)
+    {
+        assigner_->begin_era(era, now);
+    }
+    else
+    {
+        // A record of an earlier era may be older than what this gateway has heard.
+        const key_assignment& known = context_.state.assignment();
+        const bool is_outdated = era_of_number(record.epoch_limit.value) < era &&
+                                 known.version > record.version;
+        published_changes_ = 0;
+        assigner_ = std::make_unique<key_assigner>(
+            options_of(settings), is_outdated ? known : record, settings.id, now, era);
+    }
     assigner_->lease_renewed(lease_call_sent_at_);
-    context_.log.events().write(
-        event_id::keys_elected,
-        {{"term", record.version.term + 1}, {"record_revision", at.value}});
+    has_revoked_lease_ = false;
+    context_.log.events().write(event_id::keys_elected,
+                                {{"term", record.version.term + 1},
+                                 {"record_revision", at.value},
+                                 {"era", era.value},
+                                 {"goes_on", goes_on}});
     tick_timer_ = context_.loop.every(tick_period, [this] { tick(); });
     hand_over_timer_ =
         context_.loop.every(hand_over_check_period, [this] { hand_over_to_stronger(); });
@@ -209,7 +259,7 @@
 
 void assigner_role::write_record()
 {
-    if (record_in_flight_)
+    if (record_in_flight_ || is_reclaiming_)
     {
         return;
     }
@@ -219,7 +269,7 @@
         return;
     }
     context_.store.compare_and_swap(
-        keys_record_key,
+        record_key_of(context_.store.era()),
         record_revision_,
         key_assignment_text(*record_in_flight_),
         store_lease{},
@@ -234,6 +284,10 @@
 
 void assigner_role::on_record_write(const store_write& got)
 {
+    if (!record_in_flight_)
+    {
+        return; // the store has come back from a copy since the write was sent
+    }
     switch (got.end)
     {
     case store_end::done:
@@ -244,6 +298,7 @@
                                      {"revision", got.revision.value}});
         record_in_flight_.reset();
         assigner_->record_written(context_.loop.now());
+        delete_older_record();
         post_tick();
         return;
     case store_end::conflict:
@@ -257,14 +312,24 @@
     }
 }
 
+void assigner_role::delete_older_record()
+{
+    if (older_record_)
+    {
+        context_.store.compare_and_delete(
+            older_record_->key, older_record_->revision, [](const store_write&) {});
+        older_record_.reset();
+    }
+}
+
 // The write may have taken effect, or may still do so: the text of the record shows it.
 void assigner_role::read_back_record()
 {
     context_.store.get(
-        keys_record_key,
+        record_key_of(context_.store.era()),
         [this, alive = std::weak_ptr<const bool>(alive_)](const store_read& got)
         {
-            if (alive.expired() || !assigner_)
+            if (alive.expired() || !assigner_ || !record_in_flight_)
             {
                 return;
             }
@@ -273,7 +338,7 @@
                 retry_timer_ = context_.loop.after(retry_pause,
                                                    [this]
                                                    {
-                                                       if (assigner_)
+                                                       if (assigner_ && record_in_flight_)
                                                        {
                                                            read_back_record();
                                                        }
@@ -298,7 +363,7 @@
             // The write may still take effect. Writing the same text again settles it:
             // only one of the two writes can succeed, and both have the same text.
             context_.store.compare_and_swap(
-                keys_record_key,
+                record_key_of(context_.store.era()),
                 record_revision_,
                 text,
                 store_lease{},
@@ -336,6 +401,7 @@
     renewal_retry_timer_.reset();
     tick_timer_.reset();
     hand_over_timer_.reset();
+    is_reclaiming_ = false;
     if (assigner_)
     {
         context_.log.events().write(event_id::keys_resigned, {{"reason", reason}});
@@ -364,7 +430,7 @@
 void assigner_role::shut_down()
 {
     is_shut_down_ = true;
-    if (is_elected_)
+    if (is_elected_ || is_reclaiming_)
     {
         is_elected_ = false;
         resign("the program is stopping");
--- a/gateway/assigner_role.hpp
+++ b/gateway/assigner_role.hpp
@@ -11,6 +11,10 @@
 // The holder resigns when the holder key is no longer its own, or when another gateway
 // has written the record. A gateway that knows of one with at least twice its processor
 // time campaigns later; if it holds the role, it hands the role over.
+//
+// When the store comes back from a copy, the holder's lease may be gone. The holder asks
+// for the role again at once, before the others campaign, and goes on with what it knows
+// if it had authority all the while; see key_assigner::begin_era().
 
 #include "core/gateway/key_assigner.hpp"
 #include "gateway/gateway_log.hpp"
@@ -27,8 +31,13 @@
 namespace camphorrock
 {
 
-// The store key of the record of the assignment.
+// The store key of the record of the assignment, and the prefix of those of later eras.
 constexpr const char* keys_record_key = "camphorrock/keys";
+
+// Each era of the store has a record of its own, so that a write that was sent in an
+// earlier one cannot replace it: revisions are given out again.
+std::string record_key_of(store_era era);
+
 // The store key that names the holder of the role, with the holder's lease.
 constexpr const char* holder_key = "camphorrock/assigner";
 
@@ -92,6 +101,13 @@
     void on_holder_write(const store_write& got);
     void read_back_holder();
     void abandon_campaign();
+
+    void on_era_changed();
+    void reclaim();
+    void retry_reclaim();
+    void on_reclaim_lease(const store_lease_grant& got);
+    void on_reclaim_holder(const store_read& got);
+    bool may_go_on(const key_assignment& record) const;
     void on_elected();
     void on_record(const store_read& got);
     void start_assigner(const key_assignment& record, store_revision at);
@@ -104,6 +120,7 @@
     void write_record();
     void on_record_write(const store_write& got);
     void read_back_record();
+    void delete_older_record();
     void publish_changes();
     void resign(const char* reason);
 
@@ -115,6 +132,10 @@
     bool is_elected_ = false; // this gateway wrote the holder key, as far as known
     bool is_shut_down_ = false;
     bool is_campaigning_ = false;
+    // The store has come back from a copy; this gateway held the role and asks for it.
+    bool is_reclaiming_ = false;
+    bool has_revoked_lease_ = false; // another gateway may have been elected since
+    std::optional<time_point> era_changed_at_;
     store_lease lease_;
     // When the call that granted or last renewed the lease was sent.
     time_point lease_call_sent_at_{};
@@ -122,6 +143,8 @@
 
     std::unique_ptr<key_assigner> assigner_;
     store_revision record_revision_;
+    // The record of an earlier era, to be deleted once there is one of the present era.
+    std::optional<store_entry> older_record_;
     // The record that is being written; empty if no write is in flight.
     std::optional<key_assignment> record_in_flight_;
     std::uint64_t published_changes_ = 0; // key_assigner::changes() when last published
--- a/gateway/directory_agent.cpp
+++ b/gateway/directory_agent.cpp
@@ -1,5 +1,7 @@
 #include "gateway/directory_agent.hpp"
 
+#include <utility>
+
 namespace camphorrock
 {
 namespace
@@ -11,6 +13,11 @@
 // A running server registers a lapsed entry again within this time.
 constexpr duration lapse_grace = milliseconds(1600);
 constexpr duration expiry_period = seconds(1);
+// After the store came back from a copy: running servers that the copy lacks have written
+// themselves again, and the copy has been read.
+constexpr duration restored_removal_delay = milliseconds(2500);
+// The store has removed the copy's entries of servers that no longer run.
+constexpr duration restored_return_delay = seconds(6);
 
 } // namespace
 
@@ -41,6 +48,7 @@
         store_freshness::linearizable,
         [this](const std::vector<store_entry>& all) { on_servers_read(all); },
         [this](const std::vector<store_entry>& changes) { on_servers_changed(changes); });
+    store_.on_era_changed([this] { on_store_restored(); });
     expiry_timer_ = loop_.every(expiry_period,
                                 [this]
                                 {
@@ -61,6 +69,46 @@
     return may_have_lapsed ? lapse_grace : duration::zero();
 }
 
+void directory_agent::on_store_restored()
+{
+    restored_at_ = loop_.now();
+    log_.events().write(event_id::store_restored, {{"era", store_.era().value}});
+    removals_timer_ =
+        loop_.after(restored_removal_delay, [this] { apply_deferred_removals(); });
+    returns_timer_ =
+        loop_.after(restored_return_delay, [this] { apply_deferred_returns(); });
+}
+
+bool directory_agent::is_just_restored() const
+{
+    return restored_at_ && loop_.now() - *restored_at_ < restored_removal_delay;
+}
+
+bool directory_agent::is_known_gone(const listed_server& server) const
+{
+    const known_server* known = state_.servers().find(server.id);
+    return known != nullptr && known->is_missing && known->is_leaving(loop_.now()) &&
+           known->entry.incarnation == server.incarnation;
+}
+
+void directory_agent::apply_deferred_removals()
+{
+    for (const std::string& key : std::exchange(deferred_removals_, {}))
+    {
+        remove_server(key);
+    }
+    state_.servers_changed(loop_.now());
+}
+
+void directory_agent::apply_deferred_returns()
+{
+    for (const auto& [key, entry] : std::exchange(deferred_returns_, {}))
+    {
+        put_server(entry);
+    }
+    state_.servers_changed(loop_.now());
+}
+
 std::optional<listed_server> directory_agent::read_server(const store_entry& entry)
 {
     return value_or_handle([&]() -> result<std::optional<listed_server>>
@@ -112,6 +160,12 @@
     {
         return;
     }
+    deferred_removals_.erase(entry.key);
+    if (is_just_restored() && is_known_gone(*server))
+    {
+        deferred_returns_[entry.key] = entry;
+        return;
+    }
     const known_server* old = state_.servers().find(server->id);
     const bool is_new = old == nullptr || old->is_missing ||
                         old->entry.incarnation != server->incarnation ||
@@ -132,6 +186,12 @@
 
 void directory_agent::remove_server(const std::string& key)
 {
+    deferred_returns_.erase(key);
+    if (is_just_restored())
+    {
+        deferred_removals_.insert(key);
+        return;
+    }
     const server_id id = codec_.server_id_of(key);
     state_.servers().remove(id, removal_grace(), loop_.now());
     log_.events().write(event_id::server_gone,
--- a/gateway/gateway_state.hpp
+++ b/gateway/gateway_state.hpp
@@ -179,7 +179,7 @@
     const gateway_settings& settings_;
     gateway_config config_;
     gateway_routes routes_;
-    server_directory servers_;
+    server_directory servers_{server_directory_options{.gone_retention = seconds(20)}};
     key_assignment assignment_;
     std::map<moving_range, time_point> move_starts_; // when each move was first seen
     std::map<service_name, service_state> services_;
--- a/gateway/key_agent.cpp
+++ b/gateway/key_agent.cpp
@@ -382,7 +382,7 @@
 {
     // Only a newer assignment is adopted, so a stale record does no harm.
     context_.store.get_stale(
-        keys_record_key,
+        record_key_of(context_.store.era()),
         [this, alive = std::weak_ptr<const bool>(alive_)](const store_read& got)
         {
             const bool is_present =
