--- /dev/null
+++ b/gateway/request_relay_owner.cpp
@@ -0,0 +1,155 @@
+// The part of request_relay that finds the owner of a request's key and waits for it.
+
+#include "gateway/request_relay.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr duration owner_retry_delay =
+    milliseconds(100); // before an owner that refused the key is tried again
+constexpr duration max_owner_wait = milliseconds(350);
+constexpr int owner_wait_divisor = 3; // of the request's total time
+
+} // namespace
+
+// Empty while the key moves or is not assigned.
+std::optional<request_relay::key_owner> request_relay::find_owner() const
+{
+    const assigned_key_range* range = context_.state.assignment().find(service_, *key_);
+    if (range == nullptr || range->is_moving)
+    {
+        return std::nullopt;
+    }
+    return key_owner{range->owner, range->grant_epoch};
+}
+
+// Claims the retry that an attempt after a refusal is. An owner that refused the key gets
+// the request once more, as its grant may be on its way. Its address may belong to a
+// server of another service by now, so that attempt counts against every budget.
+bool request_relay::may_send_to_owner(const key_owner& owner)
+{
+    if (!refusal_)
+    {
+        return true;
+    }
+    const time_point now = context_.loop.now();
+    if (refusal_->by == owner)
+    {
+        return context_.state.try_spend_retry_at_all(now);
+    }
+    service_state* service = context_.state.find_service(service_);
+    return service != nullptr && service->budget.try_spend_retry(now);
+}
+
+void request_relay::note_refusal()
+{
+    const bool is_repeated = refusal_ && refusal_->by == sent_to_owner_;
+    refusal_ = owner_refusal{sent_to_owner_, is_repeated ? refusal_->count + 1 : 1};
+}
+
+bool request_relay::is_reserved_at(const server_id& owner) const
+{
+    return reservation_ && reservation_->owner == owner && reservation_->is_answered;
+}
+
+// Goes on with try_send() once it is known how many requests the owner has.
+void request_relay::reserve_at(const server_id& owner)
+{
+    if (reservation_ && reservation_->owner == owner)
+    {
+        return; // the reply is still to come
+    }
+    release_reservation();
+    reservation_ = owner_reservation{owner, {}, false, {}};
+    const std::weak_ptr<request_relay> weak = weak_from_this();
+    auto on_reply = [weak](std::optional<unsigned> other_requests)
+    {
+        const std::shared_ptr<request_relay> self = weak.lock();
+        if (self != nullptr && self->reservation_)
+        {
+            self->reservation_->is_answered = true;
+            self->reservation_->other_requests = other_requests;
+            self->context_.loop.post(
+                [weak]
+                {
+                    const auto again = weak.lock();
+                    if (again != nullptr && !again->is_ended_ && !again->exchange_)
+                    {
+                        again->try_send();
+                    }
+                });
+        }
+    };
+    if (context_.reservations != nullptr)
+    {
+        reservation_->held = context_.reservations->reserve(owner, std::move(on_reply));
+    }
+    if (!reservation_->held)
+    {
+        reservation_->is_answered = true;
+        try_send();
+    }
+}
+
+void request_relay::release_reservation()
+{
+    if (reservation_ && reservation_->held)
+    {
+        context_.reservations->release(*reservation_->held);
+    }
+    reservation_.reset();
+}
+
+// A key that moves is normally served again within this time: its old owner only has to
+// finish its work on the key.
+duration request_relay::owner_wait_limit() const
+{
+    const duration part = (deadline_ - arrived_) / owner_wait_divisor;
+    return std::min<duration>(part, max_owner_wait);
+}
+
+// Waits until on_state_changed() finds a new owner of the key. Tries again after
+// owner_retry_delay, and answers the request when the wait takes too long.
+void request_relay::wait_for_owner()
+{
+    const time_point now = context_.loop.now();
+    const time_point limit = arrived_ + owner_wait_limit();
+    const bool is_stuck = context_.state.is_move_stuck(service_, *key_, now);
+    if (now >= limit || is_stuck)
+    {
+        answer_locally(may_have_run_ ? local_answer_reason::server_lost
+                                     : local_answer_reason::no_owner);
+        return;
+    }
+    is_waiting_for_owner_ = true;
+    const std::weak_ptr<request_relay> weak = weak_from_this();
+    owner_retry_timer_ =
+        context_.loop.after(std::min<duration>(owner_retry_delay, limit - now),
+                            [weak]
+                            {
+                                if (const auto self = weak.lock())
+                                {
+                                    self->try_send();
+                                }
+                            });
+}
+
+void request_relay::on_state_changed()
+{
+    if (is_waiting_for_owner_ && !is_ended_)
+    {
+        const std::optional<key_owner> found = find_owner();
+        const bool is_new = found && !(refusal_ && refusal_->by == *found);
+        if (is_new)
+        {
+            try_send();
+        }
+    }
+}
+
+} // namespace camphorrock
--- /dev/null
+++ b/gateway/request_relay_server.cpp
@@ -0,0 +1,93 @@
+// The part of request_relay for what servers say of themselves: that they leave, or want
+// a pause.
+
+#include "gateway/request_relay.hpp"
+#include "gateway/retry_after.hpp"
+#include "net/http_status.hpp"
+
+namespace camphorrock
+{
+
+bool request_relay::is_server_paused() const
+{
+    const service_state* service = context_.state.find_service(service_);
+    return service != nullptr &&
+           service->pool.is_paused(sent_to_.server, context_.loop.now());
+}
+
+// Nothing was sent: the client has left, or the server asked for a pause meanwhile.
+void request_relay::on_withdrawn()
+{
+    if (responder_->is_disconnected())
+    {
+        on_client_left(true);
+        return;
+    }
+    tried_.pop_back();
+    try_send();
+}
+
+// A 421 may come from another server at the same address.
+bool request_relay::is_from_intended_server(attempt_end how)
+{
+    return how == attempt_end::answered || how == attempt_end::server_error ||
+           how == attempt_end::shed;
+}
+
+// Notes what the answer says of its server besides the request.
+void request_relay::note_server_state(const http_response& answer)
+{
+    const bool is_leaving =
+        answer.headers.find(context_.codec.names().leaving).has_value();
+    const bool is_news =
+        is_leaving && context_.state.announce_leaving(
+                          sent_to_.server, sent_to_.incarnation, context_.loop.now());
+    if (is_news)
+    {
+        context_.log.server_leaving(sent_to_.server, request_id_);
+    }
+    const auto asked = answer.headers.find(context_.codec.names().retry_after);
+    if (asked && answer.status == http_status::unavailable)
+    {
+        pause_server(std::string(*asked));
+    }
+}
+
+void request_relay::pause_server(const std::string& asked)
+{
+    const duration span = parse_retry_after(asked);
+    context_.log.server_paused(sent_to_.server, asked, span);
+    service_state* service = context_.state.find_service(service_);
+    if (service == nullptr || span == duration::zero())
+    {
+        return;
+    }
+    service->pool.pause(sent_to_.server, span, context_.loop.now());
+    pause_left_ = key_ ? span : duration::zero(); // no other server has the key
+}
+
+// No server may be chosen now. A pause of the key's owner is waited for if it ends soon.
+void request_relay::on_no_choice(const server_criteria& criteria)
+{
+    const time_point now = context_.loop.now();
+    const service_state* service = context_.state.find_service(service_);
+    const std::optional<duration> pause = service->pool.pause_left(criteria, now);
+    const bool is_too_long =
+        pause && (!key_ || now + *pause >= arrived_ + owner_wait_limit());
+    if (is_too_long)
+    {
+        pause_left_ = *pause;
+        answer_locally(may_have_run_ ? local_answer_reason::server_lost
+                                     : local_answer_reason::paused);
+        return;
+    }
+    if (key_)
+    {
+        wait_for_owner();
+        return;
+    }
+    answer_locally(may_have_run_ ? local_answer_reason::server_lost
+                                 : local_answer_reason::no_server);
+}
+
+} // namespace camphorrock
--- a/store/store_client.hpp
+++ b/store/store_client.hpp
@@ -184,7 +184,7 @@
 
     // Adds a listener, which is called when the store has come back from a copy: what it
     // acknowledged lately may be gone. Watches read their prefixes again by themselves.
-    virtual void on_era_changed(std::function<void()>) {}
+    virtual void on_era_changed(const std::function<void()>&) {}
 
     // Sets a callback that is called with false when the store becomes unreachable, and
     // with true when it answers again. Clients that do not detect this never call it.
