Reclaims end with their era; a refusal says how long all servers of a service are paused

Read in the diff: a second restore during a reclaim made the holder resign, and two attempts could run at once; the attempts have a number now. A request whose only server had just asked for a pause was answered no_server with a Retry-After of 0.1 s (relay_test failed): the servers that were tried count too, if none of the service is free.

--- a/core/gateway/key_assigner.hpp
+++ b/core/gateway/key_assigner.hpp
@@ -159,9 +159,10 @@
         time_point latest_grant_end{}; // a grant to the owner may be in force until then
         time_point next_order_at{};
         time_point last_accepted_at{};
-        bool is_unresponsive = false;    // the last order failed or was not answered
-        bool is_rejecting = false;       // the owner rejected the last order
-        bool is_refused = false;         // a key of it, since the last accepted order
+        bool is_unresponsive = false; // the last order failed or was not answered
+        bool is_rejecting = false;    // the owner rejected the last order
+        bool is_refused =
+            false; // a request for a key of it, since the last accepted order
         bool needs_higher_epoch = false; // the owner refused the grant's epoch as stale
         bool is_release_sent = false;    // since the move started
         bool is_released = false;        // the owner acknowledged the release
--- a/core/gateway/server_pool.cpp
+++ b/core/gateway/server_pool.cpp
@@ -193,12 +193,16 @@
     std::optional<duration> least;
     for (const auto& [id, it] : rows_)
     {
-        if (is_allowed(it, criteria, now) && is_paused(it, now))
+        if (!is_allowed(it, criteria, now))
         {
-            const duration left =
-                std::max<duration>(it.paused_until - now, duration::zero());
-            least = std::min(least.value_or(left), left);
+            continue;
+        }
+        if (!is_paused(it, now))
+        {
+            return std::nullopt;
         }
+        const duration left = std::max<duration>(it.paused_until - now, duration::zero());
+        least = std::min(least.value_or(left), left);
     }
     return least;
 }
--- a/core/gateway/server_pool.hpp
+++ b/core/gateway/server_pool.hpp
@@ -143,8 +143,8 @@
     // True if the server's pause has not ended.
     bool is_paused(const server_id& server, time_point now) const;
 
-    // How long until the first of the servers that may be chosen but for their pauses
-    // gets requests again. Empty if there is none that is paused.
+    // If all servers that may be chosen are paused: how long until the first of them gets
+    // requests again.
     std::optional<duration> pause_left(const server_criteria& criteria,
                                        time_point now) const;
 
--- a/gateway/assigner_role.hpp
+++ b/gateway/assigner_role.hpp
@@ -105,6 +105,11 @@
     void on_era_changed();
     void reclaim();
     void retry_reclaim();
+    // False for the callbacks of an attempt that another era of the store has ended.
+    bool is_current_reclaim(unsigned round) const
+    {
+        return is_reclaiming_ && round == reclaim_round_;
+    }
     void on_reclaim_lease(const store_lease_grant& got);
     void on_reclaim_holder(const store_read& got);
     bool may_go_on(const key_assignment& record) const;
@@ -134,6 +139,7 @@
     bool is_campaigning_ = false;
     // The store has come back from a copy; this gateway held the role and asks for it.
     bool is_reclaiming_ = false;
+    unsigned reclaim_round_ = 0;     // counts the attempts
     bool has_revoked_lease_ = false; // another gateway may have been elected since
     std::optional<time_point> era_changed_at_;
     store_lease lease_;
--- a/gateway/assigner_role_reclaim.cpp
+++ b/gateway/assigner_role_reclaim.cpp
@@ -17,7 +17,7 @@
 void assigner_role::on_era_changed()
 {
     era_changed_at_ = context_.loop.now();
-    const bool was_holder = is_elected_;
+    const bool was_holder = is_elected_ || is_reclaiming_;
     is_elected_ = false;
     record_in_flight_.reset();
     renew_timer_.reset();
@@ -45,15 +45,16 @@
         return;
     }
     lease_call_sent_at_ = context_.loop.now();
-    context_.store.grant_lease(
-        key_assigner_options().authority_ttl,
-        [this, alive = std::weak_ptr<const bool>(alive_)](const store_lease_grant& got)
-        {
-            if (!alive.expired() && is_reclaiming_)
-            {
-                on_reclaim_lease(got);
-            }
-        });
+    const unsigned round = ++reclaim_round_;
+    context_.store.grant_lease(key_assigner_options().authority_ttl,
+                               [this, round, alive = std::weak_ptr<const bool>(alive_)](
+                                   const store_lease_grant& got)
+                               {
+                                   if (!alive.expired() && is_current_reclaim(round))
+                                   {
+                                       on_reclaim_lease(got);
+                                   }
+                               });
 }
 
 void assigner_role::retry_reclaim()
@@ -69,15 +70,16 @@
         return;
     }
     lease_ = got.lease;
-    context_.store.get(
-        holder_key,
-        [this, alive = std::weak_ptr<const bool>(alive_)](const store_read& got)
-        {
-            if (!alive.expired() && is_reclaiming_)
-            {
-                on_reclaim_holder(got);
-            }
-        });
+    context_.store.get(holder_key,
+                       [this,
+                        round = reclaim_round_,
+                        alive = std::weak_ptr<const bool>(alive_)](const store_read& got)
+                       {
+                           if (!alive.expired() && is_current_reclaim(round))
+                           {
+                               on_reclaim_holder(got);
+                           }
+                       });
 }
 
 // Replaces this gateway's own holder key, which the copy may have, with one of the new
@@ -102,9 +104,10 @@
         is_absent ? store_revision{} : got.entries.front().revision,
         own,
         lease_,
-        [this, alive = std::weak_ptr<const bool>(alive_)](const store_write& written)
+        [this, round = reclaim_round_, alive = std::weak_ptr<const bool>(alive_)](
+            const store_write& written)
         {
-            if (alive.expired() || !is_reclaiming_)
+            if (alive.expired() || !is_current_reclaim(round))
             {
                 return;
             }
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -178,7 +178,7 @@
         service->pool.choose(criteria, context_.state.random(), now);
     if (!to)
     {
-        on_no_choice(criteria);
+        on_no_choice(criteria.owner);
         return;
     }
     if (to->expected_latency > std::min(time_left(), max_expected_latency()))
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -112,7 +112,7 @@
     void pause_server(const std::string& asked);
     bool is_server_paused() const;
     void on_withdrawn();
-    void on_no_choice(const server_criteria& criteria);
+    void on_no_choice(const std::optional<server_id>& owner);
     void on_attempt_failed(attempt_end how, const exchange_result& got);
     bool may_retry(attempt_end how) const;
     bool claim_retry(attempt_end how);
--- a/gateway/request_relay_server.cpp
+++ b/gateway/request_relay_server.cpp
@@ -67,11 +67,12 @@
 }
 
 // No server may be chosen now. A pause of the key's owner is waited for if it ends soon.
-void request_relay::on_no_choice(const server_criteria& criteria)
+void request_relay::on_no_choice(const std::optional<server_id>& owner)
 {
     const time_point now = context_.loop.now();
     const service_state* service = context_.state.find_service(service_);
-    const std::optional<duration> pause = service->pool.pause_left(criteria, now);
+    const server_criteria any{{}, owner, {}}; // also servers that were tried
+    const std::optional<duration> pause = service->pool.pause_left(any, now);
     const bool is_too_long =
         pause && (!key_ || now + *pause >= arrived_ + owner_wait_limit());
     if (is_too_long)
