What a gateway has heard counts as of an earlier era of the store, like the record

Read in the diff: an assigner that goes on publishes before its first record of the era, and its assignment carries the era. A successor that started from that would have taken it for a record of the era and moved keys at once, while earlier grants may be in force. Not reproduced by a test: the simulation starts assigners from the record alone.

--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -113,6 +113,22 @@
            era_of_number(record.epoch_limit.value) < context_.store.era();
 }
 
+// A record of an earlier era may be older than what this gateway has heard. That need not
+// be the latest either, and counts as of the record's era.
+key_assignment assigner_role::latest_known(const key_assignment& record) const
+{
+    const key_assignment& heard = context_.state.assignment();
+    const bool is_of_earlier_era =
+        era_of_number(record.epoch_limit.value) < context_.store.era();
+    if (!is_of_earlier_era || heard.version <= record.version)
+    {
+        return record;
+    }
+    key_assignment latest = heard;
+    latest.epoch_limit = std::max(record.epoch_limit, epoch{1});
+    return latest;
+}
+
 void assigner_role::start_assigner(const key_assignment& record, store_revision at)
 {
     const gateway_settings& settings = context_.state.settings();
@@ -127,21 +143,18 @@
     }
     else
     {
-        // A record of an earlier era may be older than what this gateway has heard.
-        const key_assignment& known = context_.state.assignment();
-        const bool is_outdated = era_of_number(record.epoch_limit.value) < era &&
-                                 known.version > record.version;
         published_changes_ = 0;
         assigner_ = std::make_unique<key_assigner>(
-            options_of(settings), is_outdated ? known : record, settings.id, now, era);
+            options_of(settings), latest_known(record), settings.id, now, era);
     }
     assigner_->lease_renewed(lease_call_sent_at_);
     has_revoked_lease_ = false;
-    context_.log.events().write(event_id::keys_elected,
-                                {{"term", record.version.term + 1},
-                                 {"record_revision", at.value},
-                                 {"era", era.value},
-                                 {"goes_on", goes_on}});
+    context_.log.events().write(
+        event_id::keys_elected,
+        {{"term", std::max(record.version.term + 1, first_number_of(era))},
+         {"record_revision", at.value},
+         {"era", era.value},
+         {"goes_on", goes_on}});
     tick_timer_ = context_.loop.every(tick_period, [this] { tick(); });
     hand_over_timer_ =
         context_.loop.every(hand_over_check_period, [this] { hand_over_to_stronger(); });
--- a/gateway/assigner_role.hpp
+++ b/gateway/assigner_role.hpp
@@ -113,6 +113,7 @@
     void on_reclaim_lease(const store_lease_grant& got);
     void on_reclaim_holder(const store_read& got);
     bool may_go_on(const key_assignment& record) const;
+    key_assignment latest_known(const key_assignment& record) const;
     void on_elected();
     void on_record(const store_read& got);
     void start_assigner(const key_assignment& record, store_revision at);
