Gateways log the limits that servers name, and count what they send to such servers

Events 236 to 238, a counter by server and kind (request, grant, release), and the table of limits that they read. Nothing is decided by it yet. The fake server names a limit and keeps the times of all arrivals.

--- a/app/events.cpp
+++ b/app/events.cpp
@@ -165,6 +165,21 @@
               severity::warning,
               "The store has come back from a copy: what it acknowledged lately may be "
               "gone."},
+    event_row{
+        event_id::server_limited,
+        "server_limited",
+        severity::info,
+        "A server named a limit of the requests that it takes from all gateways, or "
+        "changed it."},
+    event_row{event_id::server_limit_ended,
+              "server_limit_ended",
+              severity::info,
+              "The answers of a server name no limit any more."},
+    event_row{event_id::server_limit_unreadable,
+              "server_limit_unreadable",
+              severity::warning,
+              "An answer of a server named a limit that could not be read; it changes "
+              "nothing."},
     event_row{event_id::elected,
               "elected",
               severity::info,
--- a/app/events.hpp
+++ b/app/events.hpp
@@ -56,6 +56,9 @@
     server_leaving = 233,
     server_paused = 234,
     store_restored = 235,
+    server_limited = 236,
+    server_limit_ended = 237,
+    server_limit_unreadable = 238,
 
     elected = 301,
     lease_lost = 302,
--- a/fakes/site/site_server.cpp
+++ b/fakes/site/site_server.cpp
@@ -41,13 +41,17 @@
     return made;
 }
 
-// Every answer of a server that leaves says so.
+// Every answer of a server that leaves or has a limit says so.
 void site_server::announce(http_response& answer) const
 {
     if (faults_.is_leaving)
     {
         answer.headers.add("Server-Leaving", "1");
     }
+    if (!faults_.names_limit.empty())
+    {
+        answer.headers.add("Server-Limit", faults_.names_limit);
+    }
 }
 
 bool site_server::holds(shard_key key) const
@@ -60,6 +64,7 @@
 
 void site_server::handle(http_request request, std::shared_ptr<http_responder> responder)
 {
+    arrivals_.push_back(loop_.now());
     const bool is_order = request.target == "/camphorrock/grant" ||
                           request.target == "/camphorrock/release";
     if (is_order)
--- a/fakes/site/site_server.hpp
+++ b/fakes/site/site_server.hpp
@@ -36,8 +36,9 @@
     bool is_unresponsive = false; // accepts requests and neither runs nor answers them
     bool omits_signature = false; // sends no Response-Signature
     bool echoes_other_request_id = false;
-    bool is_leaving = false;            // all answers say that the server leaves
-    std::string asks_pause;             // if set, requests get 503 with this Retry-After
+    bool is_leaving = false; // all answers say that the server leaves
+    std::string asks_pause;  // if set, requests get 503 with this Retry-After
+    std::string names_limit; // if set, all answers name this limit of requests a second
     bool sets_content_encoding = false; // sends a Content-Encoding
     duration order_delay{}; // if not 0, orders get no answer and take effect after it
 };
@@ -80,6 +81,12 @@
         return pauses_asked_;
     }
 
+    // The times at which requests and orders arrived.
+    const std::vector<time_point>& arrivals() const
+    {
+        return arrivals_;
+    }
+
     // Returns true if a grant of the key is in force.
     bool holds(shard_key key) const;
 
@@ -125,6 +132,7 @@
     // Kept so that their connections stay open.
     std::vector<std::shared_ptr<http_responder>> unanswered_responders_;
     std::vector<timer_handle> delayed_order_timers_;
+    std::vector<time_point> arrivals_;
     unsigned pauses_asked_ = 0;
     unsigned cancelled_ = 0;
 };
--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -238,6 +238,7 @@
     };
     for (const key_order& order : assigner_->tick(view, context_.loop.now()))
     {
+        count_limited(order);
         context_.orders.send(order,
                              [this, order, alive = std::weak_ptr<const bool>(alive_)](
                                  const order_result& got)
@@ -246,6 +247,7 @@
                                  {
                                      context_.log.order_ended(order, got);
                                      note_leaving(order, got);
+                                     note_limit(order, got);
                                      assigner_->order_ended(
                                          order.id, got, context_.loop.now());
                                      post_tick();
@@ -270,6 +272,35 @@
     }
 }
 
+// The answer to an order may leave a limit out that the server still has, so that ends
+// none.
+void assigner_role::note_limit(const key_order& order, const order_result& got)
+{
+    const known_server* server = context_.state.servers().find(order.server);
+    const bool says_limit = got.limit.is_present && got.end != order_end::other_server;
+    if (!says_limit || server == nullptr)
+    {
+        return;
+    }
+    const limit_change change = context_.state.limits().observe(
+        order.server, server->entry.incarnation, got.limit, context_.loop.now());
+    context_.log.server_limit_changed(
+        order.server, change, got.limit.rate.value_or(0), name_of(order.kind));
+}
+
+void assigner_role::count_limited(const key_order& order)
+{
+    const known_server* server = context_.state.servers().find(order.server);
+    const bool is_limited =
+        server != nullptr && context_.state.limits().rate_of(order.server,
+                                                             server->entry.incarnation,
+                                                             context_.loop.now());
+    if (is_limited)
+    {
+        context_.log.sent_to_limited(order.server, name_of(order.kind));
+    }
+}
+
 void assigner_role::write_record()
 {
     if (record_in_flight_ || is_reclaiming_)
--- a/gateway/assigner_role.hpp
+++ b/gateway/assigner_role.hpp
@@ -123,6 +123,8 @@
     void tick();
     void post_tick();
     void note_leaving(const key_order& order, const order_result& got);
+    void note_limit(const key_order& order, const order_result& got);
+    void count_limited(const key_order& order);
     void write_record();
     void on_record_write(const store_write& got);
     void read_back_record();
--- a/gateway/gateway_log.cpp
+++ b/gateway/gateway_log.cpp
@@ -26,6 +26,9 @@
     "Servers whose answers announced that they leave."};
 const metric_name servers_paused_metric{"camphorrock_gateway_server_pauses_total",
                                         "Pauses that servers without room asked for."};
+const metric_name limited_sends_metric{
+    "camphorrock_gateway_limited_sends_total",
+    "What was sent to servers while they had a limit, by server and kind."};
 const metric_name loop_late_metric{"camphorrock_gateway_loop_late_seconds",
                                    "By how much the event loop ran its timers late."};
 const metric_name latency_metric{"camphorrock_gateway_answer_seconds",
@@ -161,6 +164,39 @@
                   {{"server", server}, {"asked", asked}, {"pause_us", span}});
 }
 
+void gateway_log::server_limit_changed(const server_id& server,
+                                       limit_change change,
+                                       double rate,
+                                       std::string_view source)
+{
+    switch (change)
+    {
+    case limit_change::none:
+        break;
+    case limit_change::named:
+    case limit_change::changed:
+        events_.write(event_id::server_limited,
+                      {{"server", server}, {"rate", rate}, {"source", source}});
+        break;
+    case limit_change::ended:
+        events_.write(event_id::server_limit_ended,
+                      {{"server", server}, {"source", source}});
+        break;
+    case limit_change::unreadable:
+        events_.write(event_id::server_limit_unreadable,
+                      {{"server", server}, {"source", source}});
+        break;
+    }
+}
+
+void gateway_log::sent_to_limited(const server_id& server, std::string_view kind)
+{
+    metrics_
+        .get_counter(limited_sends_metric,
+                     {{"server", server.str()}, {"kind", std::string(kind)}})
+        .add();
+}
+
 void gateway_log::loop_late(duration lateness)
 {
     metrics_.get_histogram(loop_late_metric).record(lateness);
--- a/gateway/gateway_log.hpp
+++ b/gateway/gateway_log.hpp
@@ -8,6 +8,7 @@
 #include "core/config/config_version.hpp"
 #include "core/gateway/gateway_config.hpp"
 #include "core/gateway/key_orders.hpp"
+#include "core/gateway/server_limits.hpp"
 #include "core/gateway/server_pool.hpp"
 #include "gateway/local_answer.hpp"
 
@@ -82,6 +83,15 @@
     // The server asked for a pause of `asked`, as its header says; `span` is what it
     // gets.
     void server_paused(const server_id& server, const std::string& asked, duration span);
+    // An answer of the server changed what is known of its limit, as `change` says.
+    // `source` as for server_leaving().
+    void server_limit_changed(const server_id& server,
+                              limit_change change,
+                              double rate,
+                              std::string_view source);
+    // A request or an order was sent to a server while it had a limit. `kind` names
+    // which.
+    void sent_to_limited(const server_id& server, std::string_view kind);
     // The event loop ran a timer later than planned, by `lateness`.
     void loop_late(duration lateness);
     // The client disconnected before it received an answer. `is_noticed_late`: a check
--- a/gateway/gateway_state.cpp
+++ b/gateway/gateway_state.cpp
@@ -82,6 +82,14 @@
     return true;
 }
 
+void gateway_state::expire_limits(time_point now)
+{
+    limits_.expire(
+        [&](const server_limit& it)
+        { return is_same_incarnation(servers_.find(it.server), it.incarnation); },
+        now);
+}
+
 void gateway_state::update_pool(service_state& it, time_point now)
 {
     const std::vector<const known_server*> servers = servers_.servers_of(it.config.name);
--- a/gateway/gateway_state.hpp
+++ b/gateway/gateway_state.hpp
@@ -10,6 +10,7 @@
 #include "core/gateway/key_assignment.hpp"
 #include "core/gateway/remote_loads.hpp"
 #include "core/gateway/server_directory.hpp"
+#include "core/gateway/server_limits.hpp"
 #include "core/gateway/server_pool.hpp"
 #include "core/gateway/sliding_retry_budget.hpp"
 #include "gateway/gateway_settings.hpp"
@@ -73,6 +74,15 @@
                           const server_incarnation& incarnation,
                           time_point now);
 
+    // The limits that servers have named.
+    server_limits& limits()
+    {
+        return limits_;
+    }
+
+    // Drops the limits that have ended and those of servers that are gone.
+    void expire_limits(time_point now);
+
     // Puts `assignment` in force. Returns false, without effect, unless its version is
     // higher than the current one.
     bool set_assignment(const key_assignment& assignment, time_point now);
@@ -180,6 +190,7 @@
     gateway_config config_;
     gateway_routes routes_;
     server_directory servers_{server_directory_options{.gone_retention = seconds(20)}};
+    server_limits limits_;
     key_assignment assignment_;
     std::map<moving_range, time_point> move_starts_; // when each move was first seen
     std::map<service_name, service_state> services_;
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -215,6 +215,10 @@
                                  to,
                                  static_cast<unsigned>(tried_.size()),
                                  now - arrived_);
+    if (context_.state.limits().rate_of(to.server, to.incarnation, now))
+    {
+        context_.log.sent_to_limited(to.server, "request");
+    }
     exchange_options options;
     options.timeout = time_left();
     options.connect_timeout = std::min(connect_timeout, time_left());
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -109,6 +109,7 @@
     bool is_valid_answer(const http_response& answer) const;
     static bool is_from_intended_server(attempt_end how);
     void note_server_state(const http_response& answer);
+    void note_limit(const http_response& answer);
     void pause_server(const std::string& asked);
     bool is_server_paused() const;
     void on_withdrawn();
--- a/gateway/request_relay_server.cpp
+++ b/gateway/request_relay_server.cpp
@@ -1,6 +1,7 @@
 // The part of request_relay for what servers say of themselves: that they leave, or want
 // a pause.
 
+#include "gateway/rate_limit_header.hpp"
 #include "gateway/request_relay.hpp"
 #include "gateway/retry_after.hpp"
 #include "net/http_status.hpp"
@@ -46,6 +47,7 @@
     {
         context_.log.server_leaving(sent_to_.server, request_id_);
     }
+    note_limit(answer);
     const auto asked = answer.headers.find(context_.codec.names().retry_after);
     if (asked && answer.status == http_status::unavailable)
     {
@@ -53,6 +55,16 @@
     }
 }
 
+void request_relay::note_limit(const http_response& answer)
+{
+    const limit_statement said =
+        read_rate_limit(answer.headers, context_.codec.names().rate_limit);
+    const limit_change change = context_.state.limits().observe(
+        sent_to_.server, sent_to_.incarnation, said, context_.loop.now());
+    context_.log.server_limit_changed(
+        sent_to_.server, change, said.rate.value_or(0), request_id_);
+}
+
 void request_relay::pause_server(const std::string& asked)
 {
     const duration span = parse_retry_after(asked);
--- a/gateway/wire_names.hpp
+++ b/gateway/wire_names.hpp
@@ -19,6 +19,7 @@
     std::string shard_key;       // the key of a request to a keyed service
     std::string retry_after;     // how long a server wants no more requests, in seconds
     std::string leaving;         // present in the answers of a server that leaves
+    std::string rate_limit;      // requests a second that a server takes from the fleet
 };
 
 } // namespace camphorrock
--- a/net/http_message.cpp
+++ b/net/http_message.cpp
@@ -73,6 +73,19 @@
     }
 }
 
+std::vector<std::string_view> http_headers::find_all(std::string_view name) const
+{
+    std::vector<std::string_view> found;
+    for (const http_header& it : headers_)
+    {
+        if (is_same_name(it.name, name))
+        {
+            found.push_back(it.value);
+        }
+    }
+    return found;
+}
+
 std::optional<std::string_view> http_headers::find(std::string_view name) const
 {
     for (const http_header& it : headers_)
--- a/net/http_message.hpp
+++ b/net/http_message.hpp
@@ -39,6 +39,9 @@
     // The value of the first header of that name. O(number of headers).
     std::optional<std::string_view> find(std::string_view name) const;
 
+    // The values of all headers of that name, in their order. O(number of headers).
+    std::vector<std::string_view> find_all(std::string_view name) const;
+
     const std::vector<http_header>& all() const
     {
         return headers_;
