--- a/core/gateway/key_assigner.hpp
+++ b/core/gateway/key_assigner.hpp
@@ -97,6 +97,9 @@
     std::vector<service_name> keyed_services;
     // The number of requests that a server can complete in a second.
     std::function<double(const service_name&, const listed_server&)> capacity;
+    // The number of requests and orders that a server takes in a second, if it has named
+    // a limit. May be empty: no server has.
+    std::function<std::optional<double>(const listed_server&)> limit = {};
 };
 
 class key_assigner
