An attempt that ends unreachable at the deadline is answered as one that waited too long

relay_test "a request whose server was not reached by its deadline" failed once in a ctest run beside others. The connect timeout and the deadline are due at the same time, and a late loop may run either first; the answer (503, not run) is the same, its reason was not. Now the time that is left decides the reason.

--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -410,10 +410,11 @@
 
 local_answer_reason request_relay::reason_after(attempt_end how) const
 {
+    const bool is_deadline_reached = time_left() <= answer_margin;
     if (may_have_run_)
     {
-        return time_left() <= answer_margin ? local_answer_reason::timed_out
-                                            : local_answer_reason::server_lost;
+        return is_deadline_reached ? local_answer_reason::timed_out
+                                   : local_answer_reason::server_lost;
     }
     switch (how)
     {
@@ -422,7 +423,8 @@
     case attempt_end::not_owner:
         return local_answer_reason::no_owner;
     default:
-        return local_answer_reason::unreachable;
+        return is_deadline_reached ? local_answer_reason::waited_too_long
+                                   : local_answer_reason::unreachable;
     }
 }
 
