Gateways keep to a server's rate limit together: a token for each request

What servers saw: a server that named 3 requests a second got about ten times as many (LIMIT). Class: a promise of the whole fleet that each gateway keeps for itself, or not at all. Now one gateway counts for each server (rendezvous hashing, as for requests in flight) and hands out tokens at the server's rate; the others ask it by a datagram before they send, and the check is made again when the request is sent. A refusal says when to ask again, so questions stay near the rate; requests go to other servers, or are refused at once with that time (reason limited).

--- /dev/null
+++ b/codec/limit_codec.cpp
@@ -0,0 +1,225 @@
+#include "codec/limit_codec.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr const char* request_name = "token";
+constexpr const char* reply_name = "token_reply";
+constexpr const char* unused_name = "token_unused";
+constexpr const char* spent_name = "token_spent";
+constexpr const char* limits_name = "limits";
+constexpr std::size_t fields_per_limit = 5;
+constexpr std::size_t max_message_bytes = std::size_t{16} * 1024;
+constexpr duration max_time = std::chrono::hours(1);
+
+nlohmann::json to_json(const token_request& it)
+{
+    return nlohmann::json::array({request_name,
+                                  it.id,
+                                  it.server.str(),
+                                  it.rate,
+                                  it.max_wait.count(),
+                                  it.reply_to.str()});
+}
+
+nlohmann::json to_json(const token_reply& it)
+{
+    return nlohmann::json::array({reply_name, it.id, it.is_granted, it.wait.count()});
+}
+
+nlohmann::json to_json(const token_unused& it)
+{
+    return nlohmann::json::array({unused_name, it.server.str()});
+}
+
+nlohmann::json to_json(const token_spent& it)
+{
+    return nlohmann::json::array({spent_name, it.server.str(), it.rate});
+}
+
+nlohmann::json to_json(const limits_notice& it)
+{
+    nlohmann::json rows = nlohmann::json::array();
+    for (const aged_limit& limit : it.limits)
+    {
+        rows.push_back(limit.server.str());
+        rows.push_back(limit.incarnation.started_ms);
+        rows.push_back(limit.rate);
+        rows.push_back(limit.has_ended);
+        rows.push_back(limit.age.count());
+    }
+    return nlohmann::json::array({limits_name, std::move(rows)});
+}
+
+// Reads the elements of an array one after the other. After the first that is of another
+// type or out of range, is_valid() is false and the values are defaults.
+class array_reader
+{
+public:
+    array_reader(const nlohmann::json& array, std::size_t first)
+        : array_(array), next_(first)
+    {
+    }
+
+    std::uint64_t number()
+    {
+        const nlohmann::json* it = take();
+        return check(it != nullptr && it->is_number_unsigned()) ? it->get<std::uint64_t>()
+                                                                : 0;
+    }
+
+    std::string text()
+    {
+        const nlohmann::json* it = take();
+        return check(it != nullptr && it->is_string()) ? it->get<std::string>() : "";
+    }
+
+    bool flag()
+    {
+        const nlohmann::json* it = take();
+        return check(it != nullptr && it->is_boolean()) && it->get<bool>();
+    }
+
+    double rate()
+    {
+        const nlohmann::json* it = take();
+        const double value = it != nullptr && it->is_number() ? it->get<double>() : -1;
+        return check(std::isfinite(value) && value >= 0) ? value : 0;
+    }
+
+    duration time()
+    {
+        const nlohmann::json* it = take();
+        const bool is_time = it != nullptr && it->is_number_integer();
+        const auto us = is_time ? it->get<std::int64_t>() : -1;
+        return check(us >= 0 && us <= max_time.count()) ? duration(us) : duration();
+    }
+
+    // True if all elements have been read, and were valid.
+    bool is_complete() const
+    {
+        return is_valid_ && next_ == array_.size();
+    }
+
+private:
+    const nlohmann::json* take()
+    {
+        return next_ < array_.size() ? &array_[next_++] : nullptr;
+    }
+
+    bool check(bool is_met)
+    {
+        is_valid_ = is_valid_ && is_met;
+        return is_met;
+    }
+
+    const nlohmann::json& array_;
+    std::size_t next_;
+    bool is_valid_ = true;
+};
+
+std::optional<limit_message> read_notice(const nlohmann::json& value)
+{
+    const bool has_rows = value.size() == 2 && value[1].is_array() &&
+                          value[1].size() % fields_per_limit == 0 &&
+                          value[1].size() / fields_per_limit <= max_limits_in_notice;
+    if (!has_rows)
+    {
+        return std::nullopt;
+    }
+    limits_notice made;
+    array_reader reader(value[1], 0);
+    for (std::size_t n = 0; n < value[1].size() / fields_per_limit; ++n)
+    {
+        aged_limit& limit = made.limits.emplace_back();
+        limit.server = server_id(reader.text());
+        limit.incarnation.started_ms = reader.number();
+        limit.rate = reader.rate();
+        limit.has_ended = reader.flag();
+        limit.age = reader.time();
+    }
+    return reader.is_complete() ? std::optional<limit_message>(made) : std::nullopt;
+}
+
+std::optional<limit_message> read_message(const std::string& name,
+                                          const nlohmann::json& value)
+{
+    array_reader reader(value, 1);
+    limit_message made;
+    if (name == request_name)
+    {
+        token_request it;
+        it.id = reader.number();
+        it.server = server_id(reader.text());
+        it.rate = reader.rate();
+        it.max_wait = reader.time();
+        it.reply_to = endpoint(reader.text());
+        if (it.rate <= 0)
+        {
+            return std::nullopt;
+        }
+        made = it;
+    }
+    else if (name == reply_name)
+    {
+        token_reply it;
+        it.id = reader.number();
+        it.is_granted = reader.flag();
+        it.wait = reader.time();
+        made = it;
+    }
+    else if (name == unused_name)
+    {
+        made = token_unused{server_id(reader.text())};
+    }
+    else if (name == spent_name)
+    {
+        token_spent it;
+        it.server = server_id(reader.text());
+        it.rate = reader.rate();
+        if (it.rate <= 0)
+        {
+            return std::nullopt;
+        }
+        made = it;
+    }
+    else
+    {
+        return std::nullopt;
+    }
+    return reader.is_complete() ? std::optional(made) : std::nullopt;
+}
+
+} // namespace
+
+std::string encode_limit_message(const limit_message& message)
+{
+    std::string bytes;
+    std::visit([&](const auto& it) { nlohmann::json::to_msgpack(to_json(it), bytes); },
+               message);
+    return bytes;
+}
+
+std::optional<limit_message> decode_limit_message(std::string_view bytes)
+{
+    if (bytes.size() > max_message_bytes)
+    {
+        return std::nullopt;
+    }
+    const nlohmann::json value = nlohmann::json::from_msgpack(bytes, true, false);
+    const bool has_name = value.is_array() && value.size() >= 2 && value[0].is_string();
+    if (!has_name)
+    {
+        return std::nullopt;
+    }
+    const auto& name = value[0].get_ref<const std::string&>();
+    return name == limits_name ? read_notice(value) : read_message(name, value);
+}
+
+} // namespace camphorrock
--- a/core/gateway/in_flight_counter.cpp
+++ b/core/gateway/in_flight_counter.cpp
@@ -56,14 +56,10 @@
 }
 
 // Rendezvous hashing: the gateways with the highest scores by the server's hash.
-std::vector<endpoint> counting_gateways_of(const std::vector<fleet_gateway>& fleet,
-                                           const server_id& server,
-                                           std::size_t n)
+std::vector<endpoint> ranked_gateways_of(const std::vector<fleet_gateway>& fleet,
+                                         const server_id& server,
+                                         std::size_t n)
 {
-    if (fleet.size() <= gateway_group_options().max_single_group_size)
-    {
-        return {};
-    }
     const std::uint64_t seed = seeded_hash(server.str(), 0);
     std::vector<std::pair<std::uint64_t, const endpoint*>> scores;
     scores.reserve(fleet.size());
@@ -84,4 +80,13 @@
     return chosen;
 }
 
+std::vector<endpoint> counting_gateways_of(const std::vector<fleet_gateway>& fleet,
+                                           const server_id& server,
+                                           std::size_t n)
+{
+    const bool is_one_group =
+        fleet.size() <= gateway_group_options().max_single_group_size;
+    return is_one_group ? std::vector<endpoint>() : ranked_gateways_of(fleet, server, n);
+}
+
 } // namespace camphorrock
--- a/core/gateway/in_flight_counter.hpp
+++ b/core/gateway/in_flight_counter.hpp
@@ -71,9 +71,14 @@
 };
 
 // Returns the gateways that count for the server, the preferred one first and at most
-// `n`; none for a fleet that is one group, whose members report to each other. All
-// gateways that know the same fleet choose alike; removing one gateway changes the
-// choice only for the servers for which it counted. O(gateways).
+// `n`. All gateways that know the same fleet choose alike; removing one gateway changes
+// the choice only for the servers for which it counted. O(gateways).
+std::vector<endpoint> ranked_gateways_of(const std::vector<fleet_gateway>& fleet,
+                                         const server_id& server,
+                                         std::size_t n);
+
+// The same for requests in flight: none in a fleet that is one group, whose members
+// report them to each other.
 std::vector<endpoint> counting_gateways_of(const std::vector<fleet_gateway>& fleet,
                                            const server_id& server,
                                            std::size_t n);
--- a/core/gateway/server_pool.cpp
+++ b/core/gateway/server_pool.cpp
@@ -100,7 +100,8 @@
                               const server_criteria& criteria,
                               time_point now) const
 {
-    return is_allowed(it, criteria, now) && !is_paused(it, now);
+    return is_allowed(it, criteria, now) && !is_paused(it, now) &&
+           now >= it.limited_until;
 }
 
 // After its end, a pause goes on in effect while one request tests the server.
@@ -187,22 +188,39 @@
     return it != rows_.end() && now < it->second.paused_until;
 }
 
-std::optional<duration> server_pool::pause_left(const server_criteria& criteria,
+void server_pool::note_limit_reached(const server_id& server, time_point until)
+{
+    auto it = rows_.find(server);
+    if (it != rows_.end())
+    {
+        it->second.limited_until = until;
+    }
+}
+
+void server_pool::forget_limit_reached(const server_id& server)
+{
+    note_limit_reached(server, time_point{});
+}
+
+std::optional<pool_wait> server_pool::wait_left(const server_criteria& criteria,
                                                 time_point now) const
 {
-    std::optional<duration> least;
+    std::optional<pool_wait> least;
     for (const auto& [id, it] : rows_)
     {
         if (!is_allowed(it, criteria, now))
         {
             continue;
         }
-        if (!is_paused(it, now))
+        const bool is_limited = now < it.limited_until;
+        if (!is_paused(it, now) && !is_limited)
         {
             return std::nullopt;
         }
-        const duration left = std::max<duration>(it.paused_until - now, duration::zero());
-        least = std::min(least.value_or(left), left);
+        const time_point until = std::max(it.paused_until, it.limited_until);
+        const pool_wait wait{std::max<duration>(until - now, duration::zero()),
+                             is_limited && it.limited_until >= it.paused_until};
+        least = std::min(least.value_or(wait), wait);
     }
     return least;
 }
--- a/core/gateway/server_pool.hpp
+++ b/core/gateway/server_pool.hpp
@@ -33,6 +33,9 @@
 // being another server at the same address. It gets one request at a time, after pauses
 // that double, until it accepts one.
 //
+// A server whose rate limit is reached gets no requests until the next token for it is
+// due.
+//
 // A server that asked for a pause when it shed a request gets none until the end of the
 // pause, and then one at a time until it answers one, so that requests do not return all
 // at once.
@@ -113,6 +116,15 @@
     unsigned load = 0; // requests in flight there before this one, of all gateways
 };
 
+// Until a server gets requests again, and what it waits for.
+struct pool_wait
+{
+    duration left{};
+    bool is_for_limit = false; // for a token, not for the end of a pause
+
+    auto operator<=>(const pool_wait&) const = default;
+};
+
 class server_pool
 {
 public:
@@ -143,9 +155,15 @@
     // True if the server's pause has not ended.
     bool is_paused(const server_id& server, time_point now) const;
 
-    // If all servers that may be chosen are paused: how long until the first of them gets
-    // requests again.
-    std::optional<duration> pause_left(const server_criteria& criteria,
+    // The server's rate limit is reached: no token for it is due before `until`.
+    void note_limit_reached(const server_id& server, time_point until);
+
+    // The server has another rate limit, or none any more.
+    void forget_limit_reached(const server_id& server);
+
+    // If all servers that may be chosen are paused or have reached their limits: how long
+    // until the first of them gets requests again.
+    std::optional<pool_wait> wait_left(const server_criteria& criteria,
                                        time_point now) const;
 
     // Sets the option of that name.
@@ -204,6 +222,7 @@
         time_point full_until{};
         time_point paused_until{};
         bool is_pause_tested = true; // it answered a request after its last pause
+        time_point limited_until{};  // when the next token for it is due
         time_point warm_up_end{};
     };
 
--- a/core/gateway/testing/server_pool_test.cpp
+++ b/core/gateway/testing/server_pool_test.cpp
@@ -394,17 +394,18 @@
         {
             CHECK(fixture.place() == "other");
         }
-        CHECK_FALSE(fixture.pool.pause_left({{server_id("asks")}, {}, {}}, fixture.now));
+        CHECK_FALSE(fixture.pool.wait_left({{server_id("asks")}, {}, {}}, fixture.now));
     }
     SECTION("not even requests for its keys, and how long it lasts is known")
     {
         CHECK_FALSE(fixture.choose(owned));
-        CHECK(fixture.pool.pause_left(owned, fixture.now) == milliseconds(1500));
+        CHECK(fixture.pool.wait_left(owned, fixture.now) ==
+              pool_wait{milliseconds(1500), false});
         fixture.now += milliseconds(1499);
         CHECK_FALSE(fixture.choose(owned));
         fixture.now += milliseconds(1);
         CHECK(fixture.choose(owned));
-        CHECK_FALSE(fixture.pool.pause_left(owned, fixture.now));
+        CHECK_FALSE(fixture.pool.wait_left(owned, fixture.now));
     }
     SECTION("a shorter pause does not end a longer one")
     {
@@ -425,6 +426,7 @@
     {
         fixture.pool.pause(server_id("other"), milliseconds(400), fixture.now);
         CHECK_FALSE(fixture.choose());
-        CHECK(fixture.pool.pause_left({}, fixture.now) == milliseconds(400));
+        CHECK(fixture.pool.wait_left({}, fixture.now) ==
+              pool_wait{milliseconds(400), false});
     }
 }
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -162,7 +162,8 @@
                       { key_agent_->add_request(service, key); },
                       [this](const service_name& service, shard_key key)
                       { key_agent_->add_refusal(service, key); },
-                      &load_agent_->reservations()});
+                      &load_agent_->reservations(),
+                      &load_agent_->limits()});
     client_handler_ = std::make_unique<client_handler>(*relay_context_);
     BOOST_LEAF_CHECK(open_ports());
     loop_monitor_ = std::make_unique<loop_monitor>(
--- a/gateway/load_agent.cpp
+++ b/gateway/load_agent.cpp
@@ -33,7 +33,11 @@
       reservations_(loop,
                     state,
                     [this](const endpoint& to, std::string_view datagram)
-                    { socket_->send(to, datagram); })
+                    { socket_->send(to, datagram); }),
+      limits_(loop,
+              state,
+              [this](const endpoint& to, std::string_view datagram)
+              { socket_->send(to, datagram); })
 {
     last_report_.sender = (std::uint64_t{state.random()()} << 32) | state.random()();
 }
@@ -70,7 +74,10 @@
         remote_.add_report(*report, loop_.now());
         return;
     }
-    reservations_.on_datagram(datagram);
+    if (!limits_.on_datagram(datagram))
+    {
+        reservations_.on_datagram(datagram);
+    }
 }
 
 } // namespace camphorrock
--- a/gateway/load_agent.hpp
+++ b/gateway/load_agent.hpp
@@ -2,13 +2,15 @@
 
 // Exchanges UDP reports of requests in flight with other gateways, so that each of them
 // knows how busy a server is with the requests of all. Owns the UDP socket, and with it
-// the reservations at single servers, see reservation_agent.hpp.
+// the reservations at single servers and the rate limits of servers, see
+// reservation_agent.hpp and limit_agent.hpp.
 //
 // A gateway sends its reports to the members of its group only, so that the number of
 // reports that it receives does not grow with the fleet.
 
 #include "core/gateway/remote_loads.hpp"
 #include "gateway/gateway_state.hpp"
+#include "gateway/limit_agent.hpp"
 #include "gateway/reservation_agent.hpp"
 #include "net/event_loop.hpp"
 #include "net/udp_socket.hpp"
@@ -32,6 +34,11 @@
         return reservations_;
     }
 
+    limit_agent& limits()
+    {
+        return limits_;
+    }
+
     load_agent(const load_agent&) = delete;
     load_agent& operator=(const load_agent&) = delete;
 
@@ -45,6 +52,7 @@
     std::unique_ptr<udp_socket> socket_;
     remote_loads remote_; // of the other gateways
     reservation_agent reservations_;
+    limit_agent limits_;
     gateway_load last_report_;
     time_point last_sent_{};
     timer_handle send_timer_;
--- a/gateway/local_answer.cpp
+++ b/gateway/local_answer.cpp
@@ -13,7 +13,7 @@
 constexpr int bad_gateway = 502;
 constexpr int gateway_timeout = 504;
 
-constexpr enum_names<local_answer_reason, 14> names{{{
+constexpr enum_names<local_answer_reason, 15> names{{{
     {local_answer_reason::no_route, "no_route"},
     {local_answer_reason::no_config, "no_config"},
     {local_answer_reason::route_unreadable, "route_unreadable"},
@@ -22,6 +22,7 @@
     {local_answer_reason::no_owner, "no_owner"},
     {local_answer_reason::overloaded, "overloaded"},
     {local_answer_reason::paused, "paused"},
+    {local_answer_reason::limited, "limited"},
     {local_answer_reason::shed, "shed"},
     {local_answer_reason::unreachable, "unreachable"},
     {local_answer_reason::waited_too_long, "waited_too_long"},
@@ -49,6 +50,7 @@
     case local_answer_reason::no_owner:
     case local_answer_reason::overloaded:
     case local_answer_reason::paused:
+    case local_answer_reason::limited:
     case local_answer_reason::shed:
     case local_answer_reason::unreachable:
     case local_answer_reason::waited_too_long:
--- a/gateway/local_answer.hpp
+++ b/gateway/local_answer.hpp
@@ -23,6 +23,7 @@
     no_owner,         // no server owns the key now
     overloaded,       // no server is expected to answer in time
     paused,           // the servers that may run it asked for pauses that last too long
+    limited,          // the servers that may run it have reached their rate limits
     shed,             // the servers that were tried shed the request
     unreachable,      // no server could be reached
     waited_too_long,  // the deadline passed before the request was sent
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -188,6 +188,12 @@
                                      : local_answer_reason::overloaded);
         return;
     }
+    const std::optional<double> limit = limit_of(*to);
+    if (limit && context_.limits != nullptr)
+    {
+        ask_for_token(*to, *limit);
+        return;
+    }
     if (key_ && !may_send_to_owner(sent_to_owner_))
     {
         answer_locally(may_have_run_ ? local_answer_reason::server_lost
@@ -215,7 +221,7 @@
                                  to,
                                  static_cast<unsigned>(tried_.size()),
                                  now - arrived_);
-    if (context_.state.limits().rate_of(to.server, to.incarnation, now))
+    if (limit_of(to))
     {
         context_.log.sent_to_limited(to.server, "request");
     }
@@ -227,7 +233,8 @@
     options.is_wanted = [weak]
     {
         const std::shared_ptr<request_relay> self = weak.lock();
-        return self && !self->responder_->is_disconnected() && !self->is_server_paused();
+        return self && !self->responder_->is_disconnected() &&
+               !self->is_server_paused() && !self->is_token_missing();
     };
     exchange_ = context_.http.send(to.address,
                                    make_upstream_request(to, time_left()),
@@ -308,6 +315,7 @@
 void request_relay::on_exchange_end(const exchange_result& got)
 {
     exchange_.reset();
+    token_.reset();
     release_reservation();
     const attempt_end how = classify(got);
     const duration elapsed = context_.loop.now() - sent_at_;
@@ -512,6 +520,7 @@
     is_ended_ = true;
     is_waiting_for_owner_ = false;
     release_reservation();
+    release_token();
     cancel_attempt();
     deadline_timer_.reset();
     owner_retry_timer_.reset();
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -11,6 +11,7 @@
 //   - nothing is sent for a client that has left, also if the loop is late to handle
 //   that;
 //   - a cancelled attempt closes its connection, so that the server stops working on it;
+//   - nothing is sent to a server with a rate limit without a token of the fleet;
 //   - a request does not wait if the expected answer or the next owner of its key is
 //     already known to come too late.
 
@@ -18,6 +19,7 @@
 #include "gateway/gateway_codec.hpp"
 #include "gateway/gateway_log.hpp"
 #include "gateway/gateway_state.hpp"
+#include "gateway/limit_agent.hpp"
 #include "gateway/local_answer.hpp"
 #include "gateway/reservation_agent.hpp"
 #include "net/event_loop.hpp"
@@ -45,6 +47,7 @@
     std::function<void(const service_name&, shard_key)> on_key_request;
     std::function<void(const service_name&, shard_key)> on_key_refused;
     reservation_agent* reservations = nullptr; // null: owners' requests are not counted
+    limit_agent* limits = nullptr;             // null: servers' rate limits are not kept
 };
 
 class request_relay : public std::enable_shared_from_this<request_relay>
@@ -85,6 +88,15 @@
         unsigned count = 0;
     };
 
+    // A token for one attempt at a server with a rate limit, or the request for it.
+    struct attempt_token
+    {
+        server_choice to;
+        std::optional<token_id> asked; // empty after the decision
+        time_point usable_at{};        // valid if granted
+        bool is_used = false;
+    };
+
     // A reservation at the owner of the key, and its result.
     struct owner_reservation
     {
@@ -102,6 +114,13 @@
     std::optional<key_owner> find_owner() const;
     bool may_send_to_owner(const key_owner& owner);
     void note_refusal();
+    std::optional<double> limit_of(const server_choice& to) const;
+    void ask_for_token(const server_choice& to, double rate);
+    void on_token_decision(const token_decision& decision);
+    void send_with_token();
+    bool may_use_token() const;
+    bool is_token_missing() const;
+    void release_token();
     void send_to(const server_choice& to);
     http_request make_upstream_request(const server_choice& to, duration time_left) const;
     void on_exchange_end(const exchange_result& got);
@@ -143,6 +162,7 @@
     time_point deadline_{};
 
     std::optional<owner_reservation> reservation_; // for the next or current attempt
+    std::optional<attempt_token> token_;           // for the next or current attempt
     std::optional<exchange_id> exchange_;          // the attempt in flight
     server_choice sent_to_;                        // of the last attempt
     time_point sent_at_{};                         // of the last attempt
@@ -153,12 +173,14 @@
     unsigned attempts_not_run_ = 0; // failed attempts that did not run the request
     // The expected latency that was too long; zero if none was.
     duration rejected_estimate_{};
-    duration pause_left_{}; // of the servers that may run the request; zero: none paused
+    // Until a server that may run the request takes requests again; zero if one does.
+    duration pause_left_{};
     bool may_have_run_ = false;
     bool is_waiting_for_owner_ = false;
     bool is_ended_ = false;
     timer_handle deadline_timer_;
     timer_handle owner_retry_timer_;
+    timer_handle token_timer_;
 };
 
 } // namespace camphorrock
--- /dev/null
+++ b/gateway/request_relay_limit.cpp
@@ -0,0 +1,151 @@
+// The part of request_relay that gets a token for an attempt at a server with a rate
+// limit.
+
+#include "gateway/request_relay.hpp"
+
+#include <algorithm>
+
+namespace camphorrock
+{
+namespace
+{
+
+// A token that is used later may fall into a time with other tokens.
+constexpr duration token_validity = milliseconds(500);
+// A request that other servers could run waits for this part of the time that it has.
+constexpr int shared_wait_divisor = 4;
+constexpr duration min_limit_pause = milliseconds(1);
+
+} // namespace
+
+std::optional<double> request_relay::limit_of(const server_choice& to) const
+{
+    return context_.state.limits().rate_of(
+        to.server, to.incarnation, context_.loop.now());
+}
+
+// Goes on with send_with_token(), or with another server.
+void request_relay::ask_for_token(const server_choice& to, double rate)
+{
+    release_token();
+    is_waiting_for_owner_ = false;
+    owner_retry_timer_.reset();
+    const duration spare =
+        std::min(time_left(), max_expected_latency()) - to.expected_latency;
+    const duration max_wait = key_ ? spare : spare / shared_wait_divisor;
+    const std::weak_ptr<request_relay> weak = weak_from_this();
+    token_ = attempt_token{to, {}, {}, false};
+    token_->asked =
+        context_.limits->request_token(to.server,
+                                       rate,
+                                       max_wait,
+                                       [weak](const token_decision& decision)
+                                       {
+                                           if (const auto self = weak.lock())
+                                           {
+                                               self->on_token_decision(decision);
+                                           }
+                                       });
+}
+
+void request_relay::on_token_decision(const token_decision& decision)
+{
+    const time_point now = context_.loop.now();
+    token_->asked.reset();
+    if (!decision.is_granted)
+    {
+        const duration pause = std::max<duration>(decision.wait, min_limit_pause);
+        if (service_state* service = context_.state.find_service(service_))
+        {
+            service->pool.note_limit_reached(token_->to.server, now + pause);
+        }
+        token_.reset();
+        try_send();
+        return;
+    }
+    token_->usable_at = now + decision.wait;
+    if (decision.wait == duration::zero())
+    {
+        send_with_token();
+        return;
+    }
+    const std::weak_ptr<request_relay> weak = weak_from_this();
+    token_timer_ = context_.loop.at(token_->usable_at,
+                                    [weak]
+                                    {
+                                        if (const auto self = weak.lock())
+                                        {
+                                            self->send_with_token();
+                                        }
+                                    });
+}
+
+// The state may have changed since the server was chosen.
+void request_relay::send_with_token()
+{
+    token_timer_.reset();
+    if (is_ended_ || !token_)
+    {
+        return;
+    }
+    if (!may_use_token())
+    {
+        release_token();
+        try_send();
+        return;
+    }
+    if (key_ && !may_send_to_owner(sent_to_owner_))
+    {
+        answer_locally(may_have_run_ ? local_answer_reason::server_lost
+                                     : local_answer_reason::no_owner);
+        return;
+    }
+    token_->is_used = true;
+    send_to(token_->to);
+}
+
+bool request_relay::may_use_token() const
+{
+    const server_choice& to = token_->to;
+    const service_state* service = context_.state.find_service(service_);
+    const known_server* server = context_.state.servers().find(to.server);
+    const bool is_available = service != nullptr &&
+                              is_same_incarnation(server, to.incarnation) &&
+                              !service->pool.is_paused(to.server, context_.loop.now());
+    if (!is_available)
+    {
+        return false;
+    }
+    return key_ ? find_owner() == sent_to_owner_ : server->is_usable();
+}
+
+// True if the attempt that is about to be sent needs a token and has none, since its
+// server named a limit after it was chosen, or since the loop was late.
+bool request_relay::is_token_missing() const
+{
+    if (context_.limits == nullptr || !limit_of(sent_to_))
+    {
+        return false;
+    }
+    return !token_ || context_.loop.now() > token_->usable_at + token_validity;
+}
+
+void request_relay::release_token()
+{
+    if (!token_)
+    {
+        return;
+    }
+    if (token_->asked)
+    {
+        context_.limits->withdraw(*token_->asked);
+    }
+    else if (!token_->is_used)
+    {
+        context_.limits->return_token(token_->to.server);
+    }
+    token_.reset();
+    token_timer_.reset();
+}
+
+} // namespace camphorrock
--- a/gateway/request_relay_server.cpp
+++ b/gateway/request_relay_server.cpp
@@ -61,8 +61,20 @@
         read_rate_limit(answer.headers, context_.codec.names().rate_limit);
     const limit_change change = context_.state.limits().observe(
         sent_to_.server, sent_to_.incarnation, said, context_.loop.now());
+    if (change == limit_change::none)
+    {
+        return;
+    }
     context_.log.server_limit_changed(
         sent_to_.server, change, said.rate.value_or(0), request_id_);
+    if (service_state* service = context_.state.find_service(service_))
+    {
+        service->pool.forget_limit_reached(sent_to_.server);
+    }
+    if (context_.limits != nullptr)
+    {
+        context_.limits->on_limits_changed();
+    }
 }
 
 void request_relay::pause_server(const std::string& asked)
@@ -78,20 +90,23 @@
     pause_left_ = key_ ? span : duration::zero(); // no other server has the key
 }
 
-// No server may be chosen now. A pause of the key's owner is waited for if it ends soon.
+// No server may be chosen now. A pause of the key's owner is waited for if it ends soon;
+// a token is not: the gateway that counts has found none in time.
 void request_relay::on_no_choice(const std::optional<server_id>& owner)
 {
     const time_point now = context_.loop.now();
     const service_state* service = context_.state.find_service(service_);
     const server_criteria any{{}, owner, {}}; // also servers that were tried
-    const std::optional<duration> pause = service->pool.pause_left(any, now);
-    const bool is_too_long =
-        pause && (!key_ || now + *pause >= arrived_ + owner_wait_limit());
+    const std::optional<pool_wait> wait = service->pool.wait_left(any, now);
+    const bool is_too_long = wait && (!key_ || wait->is_for_limit ||
+                                      now + wait->left >= arrived_ + owner_wait_limit());
     if (is_too_long)
     {
-        pause_left_ = *pause;
-        answer_locally(may_have_run_ ? local_answer_reason::server_lost
-                                     : local_answer_reason::paused);
+        pause_left_ = wait->left;
+        const local_answer_reason reason = wait->is_for_limit
+                                               ? local_answer_reason::limited
+                                               : local_answer_reason::paused;
+        answer_locally(may_have_run_ ? local_answer_reason::server_lost : reason);
         return;
     }
     if (key_)
