Orders to an owner that names a rate limit leave room for requests

What servers saw: an owner with four key ranges got 32 orders in 4 s, more than 12 that its limit allowed, without a request of a client. Cause: each grant was renewed twice a second whatever the owner could take; the same class as the requests, as orders count for nobody. Now the assigner renews the grants of such an owner more slowly and for longer (its orders take a quarter of the limit, as long as a grant of 9.8 s allows), moves all its key ranges but one to servers without a limit, one after the other, prefers such servers when keys move, and counts its orders against the tokens. core_test "orders to an owner that names a limit leave room for requests" failed with 32 orders and 4 ranges, and passes.

--- a/core/gateway/key_assigner.cpp
+++ b/core/gateway/key_assigner.cpp
@@ -121,7 +121,8 @@
         const bool was_disowned = it.is_disowned();
         it.is_refused = true;
         note_disowned(it, was_disowned);
-        const bool is_due = !it.target && now - it.last_accepted_at > regrant_pause;
+        const bool is_due =
+            !it.target && now - it.last_accepted_at > regrant_pause + it.renewal_delay;
         if (is_due)
         {
             it.next_order_at = std::min(it.next_order_at, now);
@@ -152,6 +153,14 @@
     return is_store_available(now) ? options_.hold_time : options_.long_hold_time;
 }
 
+// Of a grant that is renewed after `period`; zero for one that is renewed as usual.
+duration key_assigner::hold_time_for(duration period) const
+{
+    return period <= options_.grant_renew_period
+               ? duration::zero()
+               : std::min(period + options_.limited_hold_margin, options_.long_hold_time);
+}
+
 epoch key_assigner::allocate_epoch()
 {
     return epoch{next_epoch_.value++};
@@ -226,20 +235,44 @@
             it.release_epoch && !it.is_released && it.latest_grant_end > now;
         if (needs_release)
         {
-            orders.push_back(make_order(row, it, *owner, order_kind::release, now));
+            orders.push_back(make_order(row, it, *owner, order_kind::release, view, now));
         }
         return;
     }
     if (!it.needs_higher_epoch)
     {
-        orders.push_back(make_order(row, it, *owner, order_kind::grant, now));
+        orders.push_back(make_order(row, it, *owner, order_kind::grant, view, now));
+    }
+}
+
+// A server that names a limit gets fewer orders, which leave room for requests.
+duration key_assigner::renew_period(const keyed_service& row,
+                                    const known_server& owner,
+                                    const assigner_view& view) const
+{
+    const std::optional<double> limit = limit_of(owner.entry, view);
+    if (!limit)
+    {
+        return options_.grant_renew_period;
     }
+    const auto ranges =
+        std::count_if(row.key_ranges.begin(),
+                      row.key_ranges.end(),
+                      [&](const range_state& it)
+                      { return it.range.owner == owner.entry.id && !it.target; });
+    const std::chrono::duration<double> wanted(
+        static_cast<double>(ranges) / (*limit * options_.limited_order_fraction));
+    const duration longest = options_.long_hold_time / 2;
+    return wanted >= longest ? longest
+                             : std::max(options_.grant_renew_period,
+                                        std::chrono::duration_cast<duration>(wanted));
 }
 
 key_order key_assigner::make_order(const keyed_service& row,
                                    range_state& it,
                                    const known_server& owner,
                                    order_kind kind,
+                                   const assigner_view& view,
                                    time_point now)
 {
     key_order made;
@@ -262,10 +295,12 @@
     else
     {
         made.at = it.range.grant_epoch;
-        made.hold_time = current_hold_time(now);
+        const duration period = renew_period(row, owner, view);
+        it.renewal_delay = period - options_.grant_renew_period;
+        made.hold_time = std::max(current_hold_time(now), hold_time_for(period));
         made.handover = it.handover;
         made.timeout = options_.order_timeout;
-        it.next_order_at = now + options_.grant_renew_period;
+        it.next_order_at = now + period;
         const time_point latest =
             now + made.timeout + worst_case_hold_time(made.hold_time);
         it.latest_grant_end = std::max(it.latest_grant_end, latest);
@@ -345,7 +380,8 @@
         break;
     case order_end::no_answer:
         it->is_unresponsive = true;
-        it->next_order_at = now + (is_grant ? duration::zero() : release_retry_pause);
+        it->next_order_at =
+            now + (is_grant ? it->renewal_delay / 4 : release_retry_pause);
         it->unanswered_grant_end =
             is_grant ? it->latest_grant_end : it->unanswered_grant_end;
         break;
--- a/core/gateway/key_assigner.hpp
+++ b/core/gateway/key_assigner.hpp
@@ -86,6 +86,11 @@
     duration balance_period = milliseconds(300);
     double imbalance = 1.3;       // load over the mean, above which a server is relieved
     double min_utilization = 0.5; // of its capacity, above which a server is relieved
+    // Orders take at most this fraction of the limit that a server names, as long as
+    // grants of long_hold_time allow it.
+    double limited_order_fraction = 0.25;
+    // Time from the end of a slowed renewal period to the end of its grant.
+    duration limited_hold_margin = seconds(2);
     // Standard deviations of a request count by which a load must exceed the mean.
     double significance = 2.0;
 };
@@ -161,6 +166,7 @@
         assigned_key_range range;
         time_point latest_grant_end{}; // a grant to the owner may be in force until then
         time_point next_order_at{};
+        duration renewal_delay{}; // beyond grant_renew_period, for the owner's limit
         time_point last_accepted_at{};
         bool is_unresponsive = false; // the last order failed or was not answered
         bool is_rejecting = false;    // the owner rejected the last order
@@ -203,8 +209,9 @@
     struct server_load
     {
         const known_server* server = nullptr;
-        double capacity = 1; // requests a second
-        double load = 0;     // requests within the samples
+        double capacity = 1;     // requests a second
+        bool is_limited = false; // the server has named a limit, which is its capacity
+        double load = 0;         // requests within the samples
         unsigned range_count = 0;
         bool is_unresponsive = false;   // the last order for one of its ranges failed
         bool accepted_recently = false; // it accepted an order within unresponsive_after
@@ -242,6 +249,8 @@
     std::vector<server_load> server_loads(const keyed_service& row,
                                           const assigner_view& view,
                                           time_point now) const;
+    static std::optional<double> limit_of(const listed_server& server,
+                                          const assigner_view& view);
     void plan(keyed_service& row, const assigner_view& view, time_point now);
     void plan_initial(keyed_service& row, std::vector<server_load>& loads);
     bool
@@ -268,6 +277,10 @@
                       std::vector<server_load>& loads,
                       double mean,
                       time_point now);
+    void
+    relieve_limited(keyed_service& row, std::vector<server_load>& loads, time_point now);
+    range_state*
+    range_to_move_off(keyed_service& row, const server_load& from, time_point now);
     bool may_split(const keyed_service& row, const std::vector<server_load>& loads) const;
     bool is_movable(const range_state& it, const server_id& owner, time_point now) const;
     bool move_between(keyed_service& row,
@@ -299,9 +312,14 @@
                          range_state& it,
                          const known_server& owner,
                          order_kind kind,
+                         const assigner_view& view,
                          time_point now);
+    duration renew_period(const keyed_service& row,
+                          const known_server& owner,
+                          const assigner_view& view) const;
     bool is_store_available(time_point now) const;
     duration current_hold_time(time_point now) const;
+    duration hold_time_for(duration period) const;
     duration worst_case_hold_time(duration hold_time) const;
     epoch allocate_epoch();
     void begin_uncertainty(time_point now);
--- a/core/gateway/key_assigner_plan.cpp
+++ b/core/gateway/key_assigner_plan.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace camphorrock
@@ -46,6 +47,14 @@
             server_load& made = loads.emplace_back();
             made.server = it;
             made.capacity = std::max(view.capacity(row.name, it->entry), 1e-9);
+            const std::optional<double> limit = limit_of(it->entry, view);
+            if (limit)
+            {
+                const double for_requests =
+                    *limit * (1 - options_.limited_order_fraction);
+                made.capacity = std::min(made.capacity, for_requests);
+                made.is_limited = made.capacity == for_requests;
+            }
         }
     }
     for (const range_state& it : row.key_ranges)
@@ -73,6 +82,12 @@
     return loads;
 }
 
+std::optional<double> key_assigner::limit_of(const listed_server& server,
+                                             const assigner_view& view)
+{
+    return view.limit ? view.limit(server) : std::nullopt;
+}
+
 void key_assigner::plan(keyed_service& row, const assigner_view& view, time_point now)
 {
     if (now < row.next_plan_at)
@@ -104,6 +119,7 @@
     if (is_balancing)
     {
         row.next_balance_at = now + options_.balance_period;
+        relieve_limited(row, loads, now);
         balance(row, loads, now);
     }
 }
@@ -223,7 +239,8 @@
     start_move(it, *to->server, now);
 }
 
-// The least loaded of the other servers; responsive servers are preferred.
+// The least loaded of the other servers; those that respond are preferred, then those
+// without a limit.
 key_assigner::server_load* key_assigner::successor_of(const range_state& it,
                                                       std::vector<server_load>& loads)
 {
@@ -234,11 +251,11 @@
         {
             continue;
         }
-        const bool is_better = best == nullptr ||
-                               (best->is_unresponsive && !load.is_unresponsive) ||
-                               (best->is_unresponsive == load.is_unresponsive &&
-                                load.ratio() < best->ratio());
-        best = is_better ? &load : best;
+        const auto rank = [](const server_load& of)
+        {
+            return std::tuple(of.is_unresponsive, of.is_limited, of.ratio());
+        };
+        best = best == nullptr || rank(load) < rank(*best) ? &load : best;
     }
     return best;
 }
@@ -344,10 +361,16 @@
                                 double mean,
                                 time_point now)
 {
-    const auto [least, most] = std::minmax_element(
-        loads.begin(),
-        loads.end(),
-        [](const server_load& a, const server_load& b) { return a.ratio() < b.ratio(); });
+    const auto most = std::max_element(loads.begin(),
+                                       loads.end(),
+                                       [](const server_load& a, const server_load& b)
+                                       { return a.ratio() < b.ratio(); });
+    const auto least = std::min_element(loads.begin(),
+                                        loads.end(),
+                                        [](const server_load& a, const server_load& b) {
+                                            return std::pair(a.is_limited, a.ratio()) <
+                                                   std::pair(b.is_limited, b.ratio());
+                                        });
     if (least->range_count == 0 && may_split(row, loads))
     {
         const double half = std::max(1.0, (most->load - least->load) / 2);
@@ -380,6 +403,50 @@
     return is_better && move_between(row, *piece, *most, *least, now);
 }
 
+// Each range costs its owner renewals of its grant. A server with a limit keeps one, and
+// the others move one after the other.
+void key_assigner::relieve_limited(keyed_service& row,
+                                   std::vector<server_load>& loads,
+                                   time_point now)
+{
+    for (server_load& from : loads)
+    {
+        range_state* range =
+            from.is_limited ? range_to_move_off(row, from, now) : nullptr;
+        server_load* to = range != nullptr ? successor_of(*range, loads) : nullptr;
+        if (to != nullptr && !to->is_limited)
+        {
+            move_between(row, *range, from, *to, now);
+        }
+    }
+}
+
+// The most loaded range of the server, unless it is its only one. Null while one of its
+// ranges is on the move.
+key_assigner::range_state* key_assigner::range_to_move_off(keyed_service& row,
+                                                           const server_load& from,
+                                                           time_point now)
+{
+    range_state* most = nullptr;
+    unsigned ranges = 0;
+    for (range_state& it : row.key_ranges)
+    {
+        if (it.range.owner != from.server->entry.id)
+        {
+            continue;
+        }
+        if (it.target)
+        {
+            return nullptr;
+        }
+        ++ranges;
+        const bool is_more = is_movable(it, from.server->entry.id, now) &&
+                             (most == nullptr || load_of(row, it) > load_of(row, *most));
+        most = is_more ? &it : most;
+    }
+    return ranges > 1 ? most : nullptr;
+}
+
 bool key_assigner::may_split(const keyed_service& row,
                              const std::vector<server_load>& loads) const
 {
--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -233,8 +233,11 @@
     view.keyed_services = context_.state.keyed_services();
     view.capacity = [this](const service_name& service, const listed_server& server)
     {
-        const service_state* it = context_.state.find_service(service);
-        return it == nullptr ? 1.0 : it->pool.capacity(server.id);
+        return capacity_of(service, server);
+    };
+    view.limit = [this](const listed_server& server)
+    {
+        return limit_of(server);
     };
     for (const key_order& order : assigner_->tick(view, context_.loop.now()))
     {
@@ -284,20 +287,42 @@
     }
     const limit_change change = context_.state.limits().observe(
         order.server, server->entry.incarnation, got.limit, context_.loop.now());
+    if (change != limit_change::none && context_.limits != nullptr)
+    {
+        context_.limits->on_limits_changed();
+    }
     context_.log.server_limit_changed(
         order.server, change, got.limit.rate.value_or(0), name_of(order.kind));
 }
 
+std::optional<double> assigner_role::limit_of(const listed_server& server) const
+{
+    return context_.state.limits().rate_of(
+        server.id, server.incarnation, context_.loop.now());
+}
+
+double assigner_role::capacity_of(const service_name& service,
+                                  const listed_server& server) const
+{
+    const service_state* it = context_.state.find_service(service);
+    return it == nullptr ? 1.0 : it->pool.capacity(server.id);
+}
+
+// Orders do not wait for tokens: a key must not lose its owner. They leave the fewer
+// tokens to requests.
 void assigner_role::count_limited(const key_order& order)
 {
     const known_server* server = context_.state.servers().find(order.server);
-    const bool is_limited =
-        server != nullptr && context_.state.limits().rate_of(order.server,
-                                                             server->entry.incarnation,
-                                                             context_.loop.now());
-    if (is_limited)
+    const std::optional<double> limit =
+        server == nullptr ? std::nullopt : limit_of(server->entry);
+    if (!limit)
+    {
+        return;
+    }
+    context_.log.sent_to_limited(order.server, name_of(order.kind));
+    if (context_.limits != nullptr)
     {
-        context_.log.sent_to_limited(order.server, name_of(order.kind));
+        context_.limits->spend(order.server, *limit);
     }
 }
 
--- a/gateway/assigner_role.hpp
+++ b/gateway/assigner_role.hpp
@@ -19,6 +19,7 @@
 #include "core/gateway/key_assigner.hpp"
 #include "gateway/gateway_log.hpp"
 #include "gateway/gateway_state.hpp"
+#include "gateway/limit_agent.hpp"
 #include "gateway/order_sender.hpp"
 #include "gateway/store_reader.hpp"
 #include "net/event_loop.hpp"
@@ -49,6 +50,7 @@
     gateway_state& state;
     order_sender& orders;
     gateway_log& log;
+    limit_agent* limits = nullptr; // null: orders do not count against servers' limits
 };
 
 class assigner_role
@@ -124,6 +126,8 @@
     void post_tick();
     void note_leaving(const key_order& order, const order_result& got);
     void note_limit(const key_order& order, const order_result& got);
+    std::optional<double> limit_of(const listed_server& server) const;
+    double capacity_of(const service_name& service, const listed_server& server) const;
     void count_limited(const key_order& order);
     void write_record();
     void on_record_write(const store_write& got);
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -110,8 +110,8 @@
     peer_server_.reset();
     ready_server_.reset();
     client_handler_.reset();
-    load_agent_.reset();
     key_agent_.reset();
+    load_agent_.reset();
     directory_agent_.reset();
     store_.reset();
     server_http_.reset();
@@ -147,11 +147,12 @@
     rpc_ = std::make_unique<rpc_client>(*control_http_);
     directory_agent_ =
         std::make_unique<directory_agent>(*loop_, *store_, *state_, codec_, log_);
+    BOOST_LEAF_ASSIGN(load_agent_, load_agent::create(*loop_, *state_));
     key_agent_ = std::make_unique<key_agent>(
-        assigner_role_context{*loop_, *store_, *state_, *order_sender_, log_},
+        assigner_role_context{
+            *loop_, *store_, *state_, *order_sender_, log_, &load_agent_->limits()},
         *rpc_,
         rpc_methods_);
-    BOOST_LEAF_ASSIGN(load_agent_, load_agent::create(*loop_, *state_));
     relay_context_ = std::make_unique<relay_context>(
         relay_context{*loop_,
                       *server_http_,
