--- a/codec/limit_codec.cpp
+++ b/codec/limit_codec.cpp
@@ -16,12 +16,11 @@
 constexpr const char* limits_name = "limits";
 constexpr std::size_t fields_per_limit = 5;
 constexpr std::size_t max_message_bytes = std::size_t{16} * 1024;
-constexpr duration max_time = std::chrono::hours(1);
 
 nlohmann::json to_json(const token_request& it)
 {
     return nlohmann::json::array({request_name,
-                                  it.id,
+                                  it.id.value,
                                   it.server.str(),
                                   it.rate,
                                   it.max_wait.count(),
@@ -30,7 +29,8 @@
 
 nlohmann::json to_json(const token_reply& it)
 {
-    return nlohmann::json::array({reply_name, it.id, it.is_granted, it.wait.count()});
+    return nlohmann::json::array(
+        {reply_name, it.id.value, it.is_granted, it.wait.count()});
 }
 
 nlohmann::json to_json(const token_unused& it)
@@ -98,7 +98,7 @@
         const nlohmann::json* it = take();
         const bool is_time = it != nullptr && it->is_number_integer();
         const auto us = is_time ? it->get<std::int64_t>() : -1;
-        return check(us >= 0 && us <= max_time.count()) ? duration(us) : duration();
+        return check(us >= 0 && us <= max_limit_message_time.count()) ? duration(us) : duration();
     }
 
     // True if all elements have been read, and were valid.
@@ -155,7 +155,7 @@
     if (name == request_name)
     {
         token_request it;
-        it.id = reader.number();
+        it.id = token_id{reader.number()};
         it.server = server_id(reader.text());
         it.rate = reader.rate();
         it.max_wait = reader.time();
@@ -169,7 +169,7 @@
     else if (name == reply_name)
     {
         token_reply it;
-        it.id = reader.number();
+        it.id = token_id{reader.number()};
         it.is_granted = reader.flag();
         it.wait = reader.time();
         made = it;
--- /dev/null
+++ b/core/gateway/testing/limit_simulation.cpp
@@ -0,0 +1,253 @@
+#include "core/gateway/testing/limit_simulation.hpp"
+
+#include "core/gateway/in_flight_counter.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace camphorrock::testing
+{
+namespace
+{
+
+constexpr duration window = seconds(4);
+constexpr double min_delay_us = 300;
+constexpr double max_delay_us = 3000;
+constexpr duration send_delay = milliseconds(1);
+
+double to_seconds(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+} // namespace
+
+limit_simulation::limit_simulation(limit_simulation_options options)
+    : options_(options), random_(options.seed), exchange_random_(options.seed)
+{
+    for (unsigned n = 0; n < options_.gateways; ++n)
+    {
+        gateway& it = gateways_.emplace_back();
+        it.address = endpoint("10.0." + std::to_string(n / 250) + "." +
+                              std::to_string(n % 250) + ":1");
+    }
+    set_fleet([](unsigned) { return true; });
+    schedule_demand();
+}
+
+double limit_simulation::draw()
+{
+    return std::uniform_real_distribution<double>(0, 1)(random_);
+}
+
+std::vector<fleet_gateway> limit_simulation::fleet() const
+{
+    std::vector<fleet_gateway> made;
+    for (const gateway& it : gateways_)
+    {
+        made.push_back({it.address, data_centre("z"), 100});
+    }
+    return made;
+}
+
+void limit_simulation::set_fleet(const std::function<bool(unsigned)>& is_known)
+{
+    std::vector<fleet_gateway> known;
+    for (unsigned n = 0; n < gateways_.size(); ++n)
+    {
+        if (is_known(n))
+        {
+            known.push_back(fleet()[n]);
+        }
+    }
+    for (gateway& it : gateways_)
+    {
+        it.exchange.set_fleet(known, it.address);
+    }
+}
+
+unsigned limit_simulation::counting_gateway() const
+{
+    const endpoint first = ranked_gateways_of(fleet(), server_, 1).front();
+    unsigned n = 0;
+    while (gateways_[n].address != first)
+    {
+        ++n;
+    }
+    return n;
+}
+
+void limit_simulation::freeze(unsigned gateway, duration span)
+{
+    gateways_[gateway].silent_until = now_ + span;
+}
+
+void limit_simulation::restart(unsigned gateway, duration span)
+{
+    gateways_[gateway].exchange = token_exchange();
+    gateways_[gateway].refused_until = {};
+    std::erase_if(waiting_, [&](const auto& it) { return it.second == gateway; });
+    schedule(
+        span,
+        [this, gateway]
+        { gateways_[gateway].exchange.set_fleet(fleet(), gateways_[gateway].address); });
+}
+
+void limit_simulation::schedule(duration delay, std::function<void()> action)
+{
+    events_.push({now_ + delay, ++last_event_, std::move(action)});
+}
+
+void limit_simulation::run(duration span)
+{
+    const time_point end = now_ + span;
+    while (!events_.empty() && events_.top().at < end)
+    {
+        const event next = events_.top();
+        events_.pop();
+        now_ = next.at;
+        next.action();
+    }
+    now_ = end;
+}
+
+void limit_simulation::schedule_demand()
+{
+    const double pause = std::exponential_distribution<double>(options_.demand)(random_);
+    schedule(std::chrono::duration_cast<duration>(std::chrono::duration<double>(pause)),
+             [this]
+             {
+                 const bool is_first =
+                     gateways_.size() == 1 || draw() < options_.first_share;
+                 const auto others = static_cast<double>(gateways_.size() - 1);
+                 on_request(is_first ? 0 : 1 + static_cast<unsigned>(draw() * others));
+                 schedule_demand();
+             });
+}
+
+void limit_simulation::on_request(unsigned to)
+{
+    gateway& it = gateways_[to];
+    if (now_ < it.silent_until || now_ < it.refused_until)
+    {
+        return;
+    }
+    const token_id id{++last_token_};
+    waiting_[id] = to;
+    it.exchange.request(
+        id, server_, options_.limit, options_.max_wait, exchange_random_, now_);
+    flush(to);
+}
+
+void limit_simulation::flush(unsigned of)
+{
+    gateway& it = gateways_[of];
+    for (const outgoing_limit_message& sent : it.exchange.take_outgoing())
+    {
+        deliver(of, sent);
+    }
+    for (const decided_token& got : it.exchange.take_decided())
+    {
+        waiting_.erase(got.id);
+        if (!got.decision.is_granted)
+        {
+            it.refused_until = now_ + got.decision.wait;
+            continue;
+        }
+        schedule(got.decision.wait + send_delay,
+                 [this, of]
+                 {
+                     if (now_ >= gateways_[of].silent_until)
+                     {
+                         arrivals_.push_back(now_);
+                     }
+                 });
+    }
+    schedule_tick(of);
+}
+
+void limit_simulation::schedule_tick(unsigned of)
+{
+    const std::optional<time_point> at = gateways_[of].exchange.next_timeout();
+    if (!at)
+    {
+        return;
+    }
+    schedule(std::max<duration>(*at - now_, duration(1)),
+             [this, of]
+             {
+                 const std::optional<time_point> due =
+                     gateways_[of].exchange.next_timeout();
+                 if (due && *due <= now_)
+                 {
+                     gateways_[of].exchange.tick(exchange_random_, now_);
+                     flush(of);
+                 }
+             });
+}
+
+void limit_simulation::deliver(unsigned from, const outgoing_limit_message& sent)
+{
+    if (now_ < gateways_[from].silent_until)
+    {
+        return;
+    }
+    ++messages_;
+    const unsigned copies = (draw() >= options_.lost_fraction ? 1 : 0) +
+                            (draw() < options_.repeated_fraction ? 1 : 0);
+    for (unsigned n = 0; n < copies; ++n)
+    {
+        const double delay = min_delay_us + draw() * (max_delay_us - min_delay_us);
+        schedule(duration(static_cast<duration::rep>(delay)),
+                 [this, sent]
+                 {
+                     for (unsigned to = 0; to < gateways_.size(); ++to)
+                     {
+                         const bool is_received = gateways_[to].address == sent.to &&
+                                                  now_ >= gateways_[to].silent_until;
+                         if (is_received)
+                         {
+                             gateways_[to].exchange.receive(sent.message, now_);
+                             flush(to);
+                         }
+                     }
+                 });
+    }
+}
+
+std::size_t limit_simulation::worst_window(time_point from) const
+{
+    std::size_t worst = 0;
+    for (std::size_t first = 0; first < arrivals_.size(); ++first)
+    {
+        std::size_t n = 0;
+        while (first + n < arrivals_.size() &&
+               arrivals_[first + n] < arrivals_[first] + window)
+        {
+            ++n;
+        }
+        worst = arrivals_[first] >= from ? std::max(worst, n) : worst;
+    }
+    return worst;
+}
+
+double limit_simulation::used_fraction(time_point from) const
+{
+    const auto n = std::count_if(arrivals_.begin(),
+                                 arrivals_.end(),
+                                 [&](const time_point& it) { return it >= from; });
+    return static_cast<double>(n) / (options_.limit * to_seconds(now_ - from));
+}
+
+double limit_simulation::messages_per_second() const
+{
+    return static_cast<double>(messages_) / to_seconds(now_ - started_at_);
+}
+
+std::size_t limit_simulation::undecided() const
+{
+    return waiting_.size();
+}
+
+} // namespace camphorrock::testing
--- a/gateway/gateway_state.hpp
+++ b/gateway/gateway_state.hpp
@@ -129,12 +129,6 @@
         return gateways_;
     }
 
-    // The most gateways that the fleet has had; 0 until the fleet is known.
-    std::size_t largest_fleet() const
-    {
-        return largest_fleet_;
-    }
-
     // This gateway's group, whose members report their requests in flight to each other.
     const gateway_groups& groups() const
     {
