--- a/core/gateway/server_directory.cpp
+++ b/core/gateway/server_directory.cpp
@@ -17,9 +17,14 @@
     const bool was_draining = it.entry.is_draining && is_same;
     const time_point draining_since = was_draining ? it.draining_since : now;
     const auto announced = is_same ? it.announced_leaving_at : std::nullopt;
+    const bool is_ready_again = was_draining && !entry.is_draining;
+    const time_point ready_since = it.ready_again_since.value_or(now);
     it = known_server{entry, now, false, {}, draining_since, announced};
-    // A copy of the store may hold the entry from before.
-    it.entry.is_draining = entry.is_draining || was_draining;
+    if (is_ready_again)
+    {
+        it.ready_again_since = ready_since;
+        it.entry.is_draining = now - ready_since < options_.draining_retention;
+    }
 }
 
 bool server_directory::announce_leaving(const server_id& id,
--- a/core/gateway/server_directory.hpp
+++ b/core/gateway/server_directory.hpp
@@ -13,8 +13,10 @@
 // counts as gone. Its row is kept for `gone_retention` longer, so that the server can be
 // ordered to release its keys.
 //
-// A server that drains, or has announced in an answer that it leaves, does so whatever
-// its entry says later, until an entry of a new incarnation arrives.
+// A server that drains does so until its entries have said otherwise for
+// `draining_retention`, since a store that comes back from a copy may hold an entry from
+// before. One that has announced in an answer that it leaves does so whatever its entry
+// says later. An entry of a new incarnation ends both at once.
 //
 // Memory: one row per server, including servers that are gone until expire() drops them.
 
@@ -38,6 +40,8 @@
     time_point draining_since{};    // when draining was first seen; valid if is_draining
     // When the first answer arrived that announces that the server leaves, if any did.
     std::optional<time_point> announced_leaving_at;
+    // Since when its entries say that it drains no more; empty if the last one does not.
+    std::optional<time_point> ready_again_since = {};
 
     // True if the server takes new requests.
     bool is_usable() const
@@ -78,6 +82,8 @@
 
 struct server_directory_options
 {
+    // A server writes its entry again within two seconds after the store has come back.
+    duration draining_retention = seconds(6);
     duration gone_retention = seconds(5); // how long rows of gone servers are kept
     // The same for servers that announced it: their entries may come back without them.
     duration announced_retention = seconds(600);
--- a/core/gateway/testing/server_directory_test.cpp
+++ b/core/gateway/testing/server_directory_test.cpp
@@ -111,3 +111,38 @@
         CHECK(directory.find(a) == nullptr);
     }
 }
+
+// Guards against a server that stays unused for good though it drains no more: seed 14100
+// of the owners' simulation held no key.
+TEST_CASE("draining ends when the entries of a server have said so for a while")
+{
+    const time_point start{seconds(100)};
+    server_directory directory;
+    listed_server draining = entry("a");
+    draining.is_draining = true;
+    directory.put(draining, start);
+    directory.put(entry("a"), start + seconds(1));
+    const known_server* it = directory.find(server_id("a"));
+    CHECK_FALSE(it->is_usable());
+    CHECK(it->draining_since == start);
+
+    SECTION("it is used again 6 s later")
+    {
+        directory.put(entry("a"), start + seconds(4));
+        CHECK_FALSE(it->is_usable());
+        directory.put(entry("a"), start + seconds(7));
+        CHECK(it->is_usable());
+    }
+    SECTION("an entry that drains restarts the time")
+    {
+        directory.put(draining, start + seconds(4));
+        directory.put(entry("a"), start + seconds(7));
+        CHECK_FALSE(it->is_usable());
+        CHECK(it->draining_since == start);
+    }
+    SECTION("a new incarnation is used at once")
+    {
+        directory.put(entry("a", 2), start + seconds(2));
+        CHECK(it->is_usable());
+    }
+}
