Gateways that do not know their fleet assume a larger one: 1024, not 64

Found when looking for the class of LIMIT elsewhere (a promise of the fleet that each gateway keeps for itself). Until the assigner has told a gateway its fleet, it takes its part of the retry slack, and of a server's limit, for one of 64. After a restart of a fleet of 540, all together could spend 3,780 retries of a slack of 600 (gateway_state_test, failed first), and send 68 requests in 4 s to a server that takes 3.1 a second (limit_fleet_test, failed first; 23 are allowed). The size stands in one place now.

--- a/core/gateway/gateway_groups.hpp
+++ b/core/gateway/gateway_groups.hpp
@@ -39,6 +39,10 @@
     auto operator<=>(const fleet_gateway&) const = default;
 };
 
+// A gateway that does not know its fleet takes its share of what the fleet may do for one
+// of a fleet of this size: all gateways may have started at once.
+constexpr std::size_t assumed_fleet_size = 1024;
+
 // A hash of the fleet, whatever the order of its gateways. Gateways compare it to check
 // that they know the same fleet.
 std::uint64_t fleet_hash(std::vector<fleet_gateway> fleet);
--- a/core/gateway/testing/limit_fleet_test.cpp
+++ b/core/gateway/testing/limit_fleet_test.cpp
@@ -137,3 +137,16 @@
     CHECK(static_cast<double>(it.worst_window(rose_at)) <= target_arrivals(40));
     CHECK(it.used_fraction(rose_at) >= target_use);
 }
+
+// Guards against a large fleet that restarts at once, and whose gateways each take a
+// share of the limit for a smaller fleet (LIMIT).
+TEST_CASE("gateways that do not know their fleet keep to a server's limit together")
+{
+    limit_simulation_options options;
+    options.gateways = 540;
+    options.demand = 10000;
+    limit_simulation it(options);
+    it.forget_fleet();
+    it.run(seconds(20));
+    CHECK(static_cast<double>(it.worst_window()) <= allowed_arrivals(options.limit));
+}
--- a/core/gateway/testing/limit_simulation.cpp
+++ b/core/gateway/testing/limit_simulation.cpp
@@ -67,6 +67,15 @@
     }
 }
 
+void limit_simulation::forget_fleet()
+{
+    for (gateway& it : gateways_)
+    {
+        it.exchange = token_exchange();
+    }
+    waiting_.clear();
+}
+
 unsigned limit_simulation::counting_gateway() const
 {
     const endpoint first = ranked_gateways_of(fleet(), server_, 1).front();
--- a/core/gateway/testing/limit_simulation.hpp
+++ b/core/gateway/testing/limit_simulation.hpp
@@ -45,6 +45,9 @@
     // The gateways know only those of the fleet for which `is_known` is true.
     void set_fleet(const std::function<bool(unsigned)>& is_known);
 
+    // No gateway knows the fleet, as if all had just started.
+    void forget_fleet();
+
     void set_limit(double limit)
     {
         options_.limit = limit;
--- a/core/gateway/token_exchange.cpp
+++ b/core/gateway/token_exchange.cpp
@@ -43,7 +43,7 @@
     if (!to || it.attempts == options_.max_attempts)
     {
         const std::size_t gateways =
-            largest_fleet_ == 0 ? options_.unknown_fleet_size : largest_fleet_;
+            largest_fleet_ == 0 ? assumed_fleet_size : largest_fleet_;
         decide(id, permits_.take(it.server, it.rate, gateways, it.max_wait, random, now));
         return;
     }
--- a/core/gateway/token_exchange.hpp
+++ b/core/gateway/token_exchange.hpp
@@ -38,7 +38,6 @@
     unsigned missed_replies_to_silence = 3;
     unsigned max_attempts = 4; // of one request
     std::size_t counters_per_server = 2;
-    std::size_t unknown_fleet_size = 64; // assumed until the fleet is known
     token_counter_options counter;
     random_permits_options permits;
 };
--- a/gateway/gateway_state.cpp
+++ b/gateway/gateway_state.cpp
@@ -16,8 +16,6 @@
 // A server finishes its work on keys before it releases them, which rarely takes longer.
 constexpr duration max_move_time = milliseconds(500);
 
-constexpr std::size_t assumed_fleet_size = 64; // until the fleet is known
-
 // A change of a server's store entry reaches every gateway within this time. Watches are
 // slower in a large fleet.
 constexpr duration notice_delay = milliseconds(1100);
--- a/gateway/testing/gateway_state_test.cpp
+++ b/gateway/testing/gateway_state_test.cpp
@@ -82,6 +82,28 @@
     CHECK(n == 4); // a quarter of 0.85 of 20, rounded down
 }
 
+// Guards against a large fleet that restarts at once and spends several times its slack
+// before its gateways know how many they are (BUDGET).
+TEST_CASE("gateways that do not know their fleet keep to the retry slack together")
+{
+    constexpr unsigned gateways = 540;
+    gateway_settings settings;
+    settings.retry_ratio = 0;
+    settings.retry_slack = 600;
+    unsigned retries = 0;
+    for (unsigned n = 0; n < gateways; ++n)
+    {
+        gateway_state state(settings, 1);
+        state.set_config(config(1), {});
+        sliding_retry_budget& budget = state.find_service(service_name("a"))->budget;
+        while (budget.try_spend_retry(time_point{seconds(1)}))
+        {
+            ++retries;
+        }
+    }
+    CHECK(retries <= settings.retry_slack);
+}
+
 TEST_CASE("set_assignment() rejects an assignment of an earlier term")
 {
     const gateway_settings settings;
