The trace of a request shows the limits, tokens and pauses that decided it

Event 239 token_decided, a counter of tokens, the wait in request_answered_here, and in camphorrock-ctl request the reasons paused and limited with the events of their servers (both were printed as bare words).

--- a/app/events.cpp
+++ b/app/events.cpp
@@ -180,6 +180,12 @@
               severity::warning,
               "An answer of a server named a limit that could not be read; it changes "
               "nothing."},
+    event_row{
+        event_id::token_decided,
+        "token_decided",
+        severity::debug,
+        "The gateway that counts for a server with a limit granted a request a token, "
+        "or refused it; gives the wait."},
     event_row{event_id::elected,
               "elected",
               severity::info,
--- a/app/events.hpp
+++ b/app/events.hpp
@@ -59,6 +59,7 @@
     server_limited = 236,
     server_limit_ended = 237,
     server_limit_unreadable = 238,
+    token_decided = 239,
 
     elected = 301,
     lease_lost = 302,
--- a/ctl/request_trace.cpp
+++ b/ctl/request_trace.cpp
@@ -14,7 +14,13 @@
 
 constexpr const char* store_events[] = {
     "store_lost", "store_regained", "keys_elected", "keys_resigned", "config_in_force"};
-constexpr const char* server_events[] = {"server_seen", "server_gone", "order_ended"};
+constexpr const char* server_events[] = {"server_seen",
+                                         "server_gone",
+                                         "server_leaving",
+                                         "server_paused",
+                                         "server_limited",
+                                         "server_limit_ended",
+                                         "order_ended"};
 
 struct reason_text
 {
@@ -30,6 +36,9 @@
     {"no_server", "no server of its service was known as ready"},
     {"no_owner", "no server owned its key, or the key was being moved, for too long"},
     {"overloaded", "the servers' queues were too long for an answer before its deadline"},
+    {"paused", "the servers that could run it asked for pauses; see server_paused"},
+    {"limited",
+     "the servers that could run it had reached their rate limits; see token_decided"},
     {"shed", "the server had no capacity, and no other server could take it"},
     {"unreachable", "no server could be reached"},
     {"waited_too_long", "its deadline passed before a server could be chosen"},
--- a/ctl/testing/request_trace_test.cpp
+++ b/ctl/testing/request_trace_test.cpp
@@ -52,6 +52,29 @@
         CHECK(got->context[0].time == "01");
         CHECK(got->context[1].name == "server_gone");
     }
+    SECTION("of a request that a rate limit kept back, it shows the limit and the token")
+    {
+        const std::vector<log_line> limited = {
+            make_line("01",
+                      "g1",
+                      event_id::server_limited,
+                      {{"server", "s1"}, {"rate", 3.1}, {"source", "r0"}}),
+            make_line("02",
+                      "g1",
+                      event_id::token_decided,
+                      {{"request", "r1"}, {"server", "s1"}, {"granted", false}}),
+            make_line("03",
+                      "g1",
+                      event_id::request_answered_here,
+                      {{"request", "r1"}, {"reason", "limited"}, {"not_run", true}}),
+        };
+        const std::optional<request_trace> got = trace_request("r1", limited);
+        REQUIRE(got->context.size() == 1);
+        CHECK(got->context[0].name == "server_limited");
+        REQUIRE(got->lines.size() == 2);
+        CHECK(got->lines[0].name == "token_decided");
+        CHECK(got->cause.find("rate limits") != std::string::npos);
+    }
     SECTION("the cause of an answered request is the status of the answer")
     {
         CHECK(trace_request("r2", log)->cause == "a server answered it with status 200");
--- a/gateway/gateway_log.cpp
+++ b/gateway/gateway_log.cpp
@@ -29,6 +29,9 @@
 const metric_name limited_sends_metric{
     "camphorrock_gateway_limited_sends_total",
     "What was sent to servers while they had a limit, by server and kind."};
+const metric_name tokens_metric{
+    "camphorrock_gateway_tokens_total",
+    "Tokens that requests to servers with a limit were granted, or refused."};
 const metric_name loop_late_metric{"camphorrock_gateway_loop_late_seconds",
                                    "By how much the event loop ran its timers late."};
 const metric_name latency_metric{"camphorrock_gateway_answer_seconds",
@@ -104,6 +107,7 @@
          {"elapsed_us", inputs.elapsed},
          {"left_us", inputs.time_left},
          {"expected_us", inputs.expected_latency},
+         {"wait_us", inputs.wait},
          {"config", inputs.config.value},
          {"keys_term", inputs.assignment.term},
          {"keys_change", inputs.assignment.change},
@@ -197,6 +201,25 @@
         .add();
 }
 
+void gateway_log::token_decided(const request_fields& request,
+                                const server_id& server,
+                                double rate,
+                                const token_decision& decision)
+{
+    metrics_
+        .get_counter(tokens_metric,
+                     {{"server", server.str()},
+                      {"granted", decision.is_granted ? "true" : "false"}})
+        .add();
+    events_.write(event_id::token_decided,
+                  {{"request", request.id},
+                   {"route", request.route},
+                   {"server", server},
+                   {"rate", rate},
+                   {"granted", decision.is_granted},
+                   {"wait_us", decision.wait}});
+}
+
 void gateway_log::loop_late(duration lateness)
 {
     metrics_.get_histogram(loop_late_metric).record(lateness);
--- a/gateway/gateway_log.hpp
+++ b/gateway/gateway_log.hpp
@@ -10,6 +10,7 @@
 #include "core/gateway/key_orders.hpp"
 #include "core/gateway/server_limits.hpp"
 #include "core/gateway/server_pool.hpp"
+#include "core/gateway/token_counter.hpp"
 #include "gateway/local_answer.hpp"
 
 #include <cstdint>
@@ -30,11 +31,13 @@
 // The inputs by which the gateway decided to answer a request itself.
 struct local_answer_inputs
 {
-    unsigned attempts = 0;         // sent to servers so far
-    server_id last_server;         // of the last attempt; empty without one
-    duration elapsed{};            // since the request arrived
-    duration time_left{};          // until its deadline; negative after it
-    duration expected_latency{};   // the estimate that was too long; zero if none was
+    unsigned attempts = 0;       // sent to servers so far
+    server_id last_server;       // of the last attempt; empty without one
+    duration elapsed{};          // since the request arrived
+    duration time_left{};        // until its deadline; negative after it
+    duration expected_latency{}; // the estimate that was too long; zero if none was
+    duration
+        wait{}; // until a server that may run it takes requests again; zero if one does
     config_version config;         // in force
     assignment_version assignment; // in force
     std::optional<shard_key> key;  // none for a service without keys
@@ -92,6 +95,11 @@
     // A request or an order was sent to a server while it had a limit. `kind` names
     // which.
     void sent_to_limited(const server_id& server, std::string_view kind);
+    // A request got a token for the server, whose limit is `rate`, or none in time.
+    void token_decided(const request_fields& request,
+                       const server_id& server,
+                       double rate,
+                       const token_decision& decision);
     // The event loop ran a timer later than planned, by `lateness`.
     void loop_late(duration lateness);
     // The client disconnected before it received an answer. `is_noticed_late`: a check
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -486,6 +486,7 @@
     inputs.elapsed = context_.loop.now() - arrived_;
     inputs.time_left = time_left();
     inputs.expected_latency = rejected_estimate_;
+    inputs.wait = pause_left_;
     inputs.config = context_.state.config().version;
     inputs.assignment = context_.state.assignment().version;
     inputs.key = key_;
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -92,6 +92,7 @@
     struct attempt_token
     {
         server_choice to;
+        double rate = 0;               // the server's limit, in requests a second
         std::optional<token_id> asked; // empty after the decision
         time_point usable_at{};        // valid if granted
         bool is_used = false;
--- a/gateway/request_relay_limit.cpp
+++ b/gateway/request_relay_limit.cpp
@@ -34,7 +34,7 @@
         std::min(time_left(), max_expected_latency()) - to.expected_latency;
     const duration max_wait = key_ ? spare : spare / shared_wait_divisor;
     const std::weak_ptr<request_relay> weak = weak_from_this();
-    token_ = attempt_token{to, {}, {}, false};
+    token_ = attempt_token{to, rate, {}, {}, false};
     token_->asked =
         context_.limits->request_token(to.server,
                                        rate,
@@ -52,6 +52,8 @@
 {
     const time_point now = context_.loop.now();
     token_->asked.reset();
+    context_.log.token_decided(
+        {request_id_, route_.name, service_}, token_->to.server, token_->rate, decision);
     if (!decision.is_granted)
     {
         const duration pause = std::max<duration>(decision.wait, min_limit_pause);
