--- a/gateway/directory_agent.cpp
+++ b/gateway/directory_agent.cpp
@@ -71,7 +71,7 @@
 
 void directory_agent::on_store_restored()
 {
-    restored_at_ = loop_.now();
+    are_removals_deferred_ = true;
     log_.events().write(event_id::store_restored, {{"era", store_.era().value}});
     removals_timer_ =
         loop_.after(restored_removal_delay, [this] { apply_deferred_removals(); });
@@ -79,11 +79,6 @@
         loop_.after(restored_return_delay, [this] { apply_deferred_returns(); });
 }
 
-bool directory_agent::is_just_restored() const
-{
-    return restored_at_ && loop_.now() - *restored_at_ < restored_removal_delay;
-}
-
 bool directory_agent::is_known_gone(const listed_server& server) const
 {
     const known_server* known = state_.servers().find(server.id);
@@ -93,6 +88,7 @@
 
 void directory_agent::apply_deferred_removals()
 {
+    are_removals_deferred_ = false;
     for (const std::string& key : std::exchange(deferred_removals_, {}))
     {
         remove_server(key);
@@ -161,7 +157,7 @@
         return;
     }
     deferred_removals_.erase(entry.key);
-    if (is_just_restored() && is_known_gone(*server))
+    if (are_removals_deferred_ && is_known_gone(*server))
     {
         deferred_returns_[entry.key] = entry;
         return;
@@ -187,7 +183,7 @@
 void directory_agent::remove_server(const std::string& key)
 {
     deferred_returns_.erase(key);
-    if (is_just_restored())
+    if (are_removals_deferred_)
     {
         deferred_removals_.insert(key);
         return;
--- a/gateway/directory_agent.hpp
+++ b/gateway/directory_agent.hpp
@@ -38,9 +38,6 @@
     void apply_config(const store_entry& entry);
     std::optional<listed_server> read_server(const store_entry& entry);
     duration removal_grace() const;
-    // True if the store came back from a copy a short time ago: then a missing entry is
-    // no departure, and the entry of a server that has left may be back.
-    bool is_just_restored() const;
     bool is_known_gone(const listed_server& server) const;
     void on_store_restored();
     void apply_deferred_removals();
@@ -52,8 +49,10 @@
     const gateway_codec& codec_;
     gateway_log& log_;
     timer_handle expiry_timer_;
-    std::optional<time_point> restored_at_;   // when the store last came back from a copy
-    std::set<std::string> deferred_removals_; // keys
+    // The store came back from a copy a short time ago: a missing entry is no departure,
+    // and the entry of a server that has left may be back.
+    bool are_removals_deferred_ = false;
+    std::set<std::string> deferred_removals_;             // keys
     std::map<std::string, store_entry> deferred_returns_; // by key
     timer_handle removals_timer_;
     timer_handle returns_timer_;
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -13,7 +13,6 @@
 
 constexpr duration answer_margin = milliseconds(10); // for the answer to reach the client
 constexpr duration connect_timeout = milliseconds(250);
-constexpr unsigned max_refusals_to_retry = 1; // by one owner under one epoch
 constexpr unsigned max_attempts_not_run = 3;
 constexpr int max_latency_percent = 110; // of the target latency
 constexpr duration min_retry_after = milliseconds(80);
@@ -148,31 +147,9 @@
     }
     server_criteria criteria;
     criteria.excluded = tried_;
-    if (key_)
+    if (key_ && !require_owner(criteria))
     {
-        const std::optional<key_owner> found = find_owner();
-        const bool is_refused_again = found && refusal_ && refusal_->by == *found &&
-                                      refusal_->count > max_refusals_to_retry;
-        if (!found || is_refused_again)
-        {
-            wait_for_owner();
-            return;
-        }
-        if (service->pool.is_server_unreachable(found->server, now))
-        {
-            answer_locally(may_have_run_ ? local_answer_reason::server_lost
-                                         : local_answer_reason::unreachable);
-            return;
-        }
-        if (!is_reserved_at(found->server))
-        {
-            reserve_at(found->server);
-            return;
-        }
-        criteria.owner = found->server;
-        sent_to_owner_ = *found;
-        criteria.owner_load = reservation_->other_requests;
-        criteria.excluded.clear();
+        return;
     }
     const std::optional<server_choice> to =
         service->pool.choose(criteria, context_.state.random(), now);
@@ -184,8 +161,7 @@
     if (to->expected_latency > std::min(time_left(), max_expected_latency()))
     {
         rejected_estimate_ = to->expected_latency;
-        answer_locally(may_have_run_ ? local_answer_reason::server_lost
-                                     : local_answer_reason::overloaded);
+        give_up(local_answer_reason::overloaded);
         return;
     }
     const std::optional<double> limit = limit_of(*to);
@@ -194,13 +170,18 @@
         ask_for_token(*to, *limit);
         return;
     }
+    send_if_owner_allows(*to);
+}
+
+// Sends the request, unless a retry at the owner of its key is not within the budgets.
+void request_relay::send_if_owner_allows(const server_choice& to)
+{
     if (key_ && !may_send_to_owner(sent_to_owner_))
     {
-        answer_locally(may_have_run_ ? local_answer_reason::server_lost
-                                     : local_answer_reason::no_owner);
+        give_up(local_answer_reason::no_owner);
         return;
     }
-    send_to(*to);
+    send_to(to);
 }
 
 void request_relay::send_to(const server_choice& to)
@@ -211,6 +192,10 @@
     owner_retry_timer_.reset();
     sent_to_ = to;
     sent_at_ = now;
+    if (token_)
+    {
+        token_->is_used = true;
+    }
     tried_.push_back(to.server);
     service->pool.attempt_started(to.server);
     if (tried_.size() == 1)
@@ -497,6 +482,11 @@
     finish();
 }
 
+void request_relay::give_up(local_answer_reason reason)
+{
+    answer_locally(may_have_run_ ? local_answer_reason::server_lost : reason);
+}
+
 // Ends the attempt in flight, if there is one. Returns whether its server may have
 // received any of it.
 bool request_relay::cancel_attempt()
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -109,10 +109,13 @@
 
     bool read_request();
     void try_send();
+    bool require_owner(server_criteria& criteria);
+    void send_if_owner_allows(const server_choice& to);
     bool is_reserved_at(const server_id& owner) const;
     void reserve_at(const server_id& owner);
     void release_reservation();
     std::optional<key_owner> find_owner() const;
+    unsigned refusals_by(const key_owner& owner) const;
     bool may_send_to_owner(const key_owner& owner);
     void note_refusal();
     std::optional<double> limit_of(const server_choice& to) const;
@@ -143,6 +146,9 @@
     void on_client_left(bool is_noticed_late);
     void forward_answer(http_response answer);
     void answer_locally(local_answer_reason reason);
+    // The same, for a request that is sent to no further server: `reason` holds only if
+    // no earlier attempt can have run it.
+    void give_up(local_answer_reason reason);
     local_answer_reason reason_after(attempt_end how) const;
     duration time_left() const;
     duration max_expected_latency() const;
--- a/gateway/request_relay_limit.cpp
+++ b/gateway/request_relay_limit.cpp
@@ -96,14 +96,7 @@
         try_send();
         return;
     }
-    if (key_ && !may_send_to_owner(sent_to_owner_))
-    {
-        answer_locally(may_have_run_ ? local_answer_reason::server_lost
-                                     : local_answer_reason::no_owner);
-        return;
-    }
-    token_->is_used = true;
-    send_to(token_->to);
+    send_if_owner_allows(token_->to);
 }
 
 bool request_relay::may_use_token() const
--- a/gateway/request_relay_owner.cpp
+++ b/gateway/request_relay_owner.cpp
@@ -10,6 +10,7 @@
 namespace
 {
 
+constexpr unsigned max_refusals_to_retry = 1; // by one owner under one epoch
 constexpr duration owner_retry_delay =
     milliseconds(100); // before an owner that refused the key is tried again
 constexpr duration max_owner_wait = milliseconds(350);
@@ -28,6 +29,40 @@
     return key_owner{range->owner, range->grant_epoch};
 }
 
+// Makes the owner of the key the only server that may be chosen, once its requests are
+// known. Returns false if that has to be waited for, or if the request was answered.
+bool request_relay::require_owner(server_criteria& criteria)
+{
+    const std::optional<key_owner> found = find_owner();
+    if (!found || refusals_by(*found) > max_refusals_to_retry)
+    {
+        wait_for_owner();
+        return false;
+    }
+    const service_state* service = context_.state.find_service(service_);
+    if (service->pool.is_server_unreachable(found->server, context_.loop.now()))
+    {
+        give_up(local_answer_reason::unreachable);
+        return false;
+    }
+    if (!is_reserved_at(found->server))
+    {
+        reserve_at(found->server);
+        return false;
+    }
+    sent_to_owner_ = *found;
+    criteria.owner = found->server;
+    criteria.owner_load = reservation_->other_requests;
+    criteria.excluded.clear();
+    return true;
+}
+
+// How often the owner refused the key under its present epoch.
+unsigned request_relay::refusals_by(const key_owner& owner) const
+{
+    return refusal_ && refusal_->by == owner ? refusal_->count : 0;
+}
+
 // Claims the retry that an attempt after a refusal is. An owner that refused the key gets
 // the request once more, as its grant may be on its way. Its address may belong to a
 // server of another service by now, so that attempt counts against every budget.
@@ -38,7 +73,7 @@
         return true;
     }
     const time_point now = context_.loop.now();
-    if (refusal_->by == owner)
+    if (refusals_by(owner) > 0)
     {
         return context_.state.try_spend_retry_at_all(now);
     }
@@ -48,8 +83,7 @@
 
 void request_relay::note_refusal()
 {
-    const bool is_repeated = refusal_ && refusal_->by == sent_to_owner_;
-    refusal_ = owner_refusal{sent_to_owner_, is_repeated ? refusal_->count + 1 : 1};
+    refusal_ = owner_refusal{sent_to_owner_, refusals_by(sent_to_owner_) + 1};
 }
 
 bool request_relay::is_reserved_at(const server_id& owner) const
@@ -122,8 +156,7 @@
     const bool is_stuck = context_.state.is_move_stuck(service_, *key_, now);
     if (now >= limit || is_stuck)
     {
-        answer_locally(may_have_run_ ? local_answer_reason::server_lost
-                                     : local_answer_reason::no_owner);
+        give_up(local_answer_reason::no_owner);
         return;
     }
     is_waiting_for_owner_ = true;
@@ -144,7 +177,7 @@
     if (is_waiting_for_owner_ && !is_ended_)
     {
         const std::optional<key_owner> found = find_owner();
-        const bool is_new = found && !(refusal_ && refusal_->by == *found);
+        const bool is_new = found && refusals_by(*found) == 0;
         if (is_new)
         {
             try_send();
--- a/gateway/request_relay_server.cpp
+++ b/gateway/request_relay_server.cpp
@@ -106,7 +106,7 @@
         const local_answer_reason reason = wait->is_for_limit
                                                ? local_answer_reason::limited
                                                : local_answer_reason::paused;
-        answer_locally(may_have_run_ ? local_answer_reason::server_lost : reason);
+        give_up(reason);
         return;
     }
     if (key_)
@@ -114,8 +114,7 @@
         wait_for_owner();
         return;
     }
-    answer_locally(may_have_run_ ? local_answer_reason::server_lost
-                                 : local_answer_reason::no_server);
+    give_up(local_answer_reason::no_server);
 }
 
 } // namespace camphorrock
