--- a/fakes/site/site_main.cpp
+++ b/fakes/site/site_main.cpp
@@ -26,6 +26,8 @@
 constexpr const char* services[] = {"shelf", "diary"};
 constexpr const char* keyed_service = "diary";
 constexpr int slots = 3;
+constexpr duration limit_window = seconds(4);
+constexpr duration limit_settling_time = seconds(3);
 
 struct site_arguments
 {
@@ -41,6 +43,7 @@
     std::string service;
     std::unique_ptr<fakes::site_server> server;
     std::unique_ptr<http_server> port;
+    time_point limited_at{}; // when its limit was last changed
 };
 
 Json::Value route_of(const std::string& prefix, const std::string& kind, const char* to)
@@ -107,8 +110,7 @@
     // store.
     http_response crash(const http_request& request)
     {
-        const auto id = query_value(request.target, "server");
-        auto it = processes_.find(std::string(id.value_or("")));
+        auto it = processes_.find(server_named_by(request));
         if (it == processes_.end())
         {
             return make_text_response(http_status::not_found, "no such server\n");
@@ -128,6 +130,35 @@
         return make_text_response(http_status::ok, "ok\n");
     }
 
+    // POST /limit?server=ID&value=TEXT: all answers of the server name that limit.
+    http_response set_limit(const http_request& request)
+    {
+        const auto it = processes_.find(server_named_by(request));
+        if (it == processes_.end())
+        {
+            return make_text_response(http_status::not_found, "no such server\n");
+        }
+        it->second.limited_at = loop_.now();
+        it->second.server->faults().names_limit =
+            std::string(query_value(request.target, "value").value_or(""));
+        return make_text_response(http_status::ok, "ok\n");
+    }
+
+    // GET /arrivals?server=ID: the most requests and orders that the server got in any 4
+    // s since 3 s after the last change of its limit; a gateway may need so long to learn
+    // it.
+    http_response count_arrivals(const http_request& request) const
+    {
+        const auto it = processes_.find(server_named_by(request));
+        if (it == processes_.end())
+        {
+            return make_text_response(http_status::not_found, "no such server\n");
+        }
+        const std::size_t most = it->second.server->most_arrivals(
+            limit_window, it->second.limited_at + limit_settling_time);
+        return make_text_response(http_status::ok, std::to_string(most) + "\n");
+    }
+
     // GET /runs: the number of requests that ran, and how many of them ran more than once
     // although they are not repeatable.
     http_response count_runs() const
@@ -148,6 +179,11 @@
     }
 
 private:
+    static std::string server_named_by(const http_request& request)
+    {
+        return std::string(query_value(request.target, "server").value_or(""));
+    }
+
     void publish(const std::string& id, const site_process& it)
     {
         Json::Value entry;
@@ -190,6 +226,12 @@
     admin->add("POST",
                "/store",
                [&](const http_request& request) { return fake.set_store(request); });
+    admin->add("POST",
+               "/limit",
+               [&](const http_request& request) { return fake.set_limit(request); });
+    admin->add("GET",
+               "/arrivals",
+               [&](const http_request& request) { return fake.count_arrivals(request); });
     admin->add("GET", "/runs", [&](const http_request&) { return fake.count_runs(); });
     watch_handle on_term = loop->on_signal(SIGTERM, [&] { loop->stop(); });
     watch_handle on_int = loop->on_signal(SIGINT, [&] { loop->stop(); });
@@ -207,7 +249,8 @@
                       "servers of the services shelf and diary (keyed).");
     site_arguments args;
     line.add_option("--listen", args.listen, "address of the store");
-    line.add_option("--admin", args.admin, "address for /crash, /store and /runs");
+    line.add_option(
+        "--admin", args.admin, "address for /crash, /store, /limit, /arrivals and /runs");
     line.add_option("--servers", args.servers, "number of servers of each service");
     line.require_range("--servers", 1, max_count);
     line.add_option("--work-ms", args.work_ms, "service time of each request, ms");
--- a/fakes/site/site_server.cpp
+++ b/fakes/site/site_server.cpp
@@ -54,6 +54,22 @@
     }
 }
 
+std::size_t site_server::most_arrivals(duration window, time_point from) const
+{
+    const auto begin = std::lower_bound(arrivals_.begin(), arrivals_.end(), from);
+    std::size_t most = 0;
+    auto first = begin;
+    for (auto it = begin; it != arrivals_.end(); ++it)
+    {
+        while (*it - *first >= window)
+        {
+            ++first;
+        }
+        most = std::max(most, static_cast<std::size_t>(it - first) + 1);
+    }
+    return most;
+}
+
 bool site_server::holds(shard_key key) const
 {
     return std::any_of(granted_.begin(),
--- a/fakes/site/site_server.hpp
+++ b/fakes/site/site_server.hpp
@@ -87,6 +87,10 @@
         return arrivals_;
     }
 
+    // The most arrivals within any span of `window` that begins at `from` or later.
+    // O(arrivals).
+    std::size_t most_arrivals(duration window, time_point from) const;
+
     // Returns true if a grant of the key is in force.
     bool holds(shard_key key) const;
 
