The first token of a server that names a limit is due at once

Seen in scripts/demo_platform: for up to 0.8 s after a server had named its limit, all its requests were refused, since a new row of the counter began at 0.4 of the rate and without a token, as after a restart.

--- a/core/gateway/testing/limit_simulation.cpp
+++ b/core/gateway/testing/limit_simulation.cpp
@@ -28,7 +28,7 @@
 {
     for (unsigned n = 0; n < options_.gateways; ++n)
     {
-        gateway& it = gateways_.emplace_back();
+        gateway& it = gateways_.emplace_back(token_exchange(now_));
         it.address = endpoint("10.0." + std::to_string(n / 250) + "." +
                               std::to_string(n % 250) + ":1");
     }
@@ -71,7 +71,7 @@
 {
     for (gateway& it : gateways_)
     {
-        it.exchange = token_exchange();
+        it.exchange = token_exchange(now_);
     }
     waiting_.clear();
 }
@@ -94,7 +94,7 @@
 
 void limit_simulation::restart(unsigned gateway, duration span)
 {
-    gateways_[gateway].exchange = token_exchange();
+    gateways_[gateway].exchange = token_exchange(now_);
     gateways_[gateway].refused_until = {};
     std::erase_if(waiting_, [&](const auto& it) { return it.second == gateway; });
     schedule(
--- a/core/gateway/testing/token_counter_test.cpp
+++ b/core/gateway/testing/token_counter_test.cpp
@@ -27,7 +27,7 @@
         return counter.take(server, rate, max_wait, is_preferred, now);
     }
 
-    token_counter counter;
+    token_counter counter{time_point{seconds(90)}};
     time_point now{seconds(100)};
 };
 
@@ -79,6 +79,22 @@
     }
 }
 
+// Guards against refusals of all requests for a while when a server first names a limit.
+TEST_CASE("the first token of a server is due at once")
+{
+    token_counter counter{time_point{seconds(90)}};
+    CHECK(counter.take(server, rate, duration::zero(), true, time_point{seconds(100)})
+              .is_granted);
+
+    SECTION("unless the counter has just been started")
+    {
+        token_counter started{time_point{seconds(100)}};
+        CHECK_FALSE(
+            started.take(server, rate, duration::zero(), true, time_point{seconds(100)})
+                .is_granted);
+    }
+}
+
 TEST_CASE("a gateway that is not the preferred one hands out fewer tokens")
 {
     counter_fixture it;
--- a/core/gateway/token_counter.cpp
+++ b/core/gateway/token_counter.cpp
@@ -21,14 +21,13 @@
 {
     const auto [found, is_new] = rows_.try_emplace(server);
     row& it = found->second;
-    it.first_asked_at = is_new ? now : it.first_asked_at;
     it.last_asked_at = now;
-    const bool has_settled = now - it.first_asked_at >= options_.settling_time;
+    const bool has_settled = now - started_at_ >= options_.settling_time;
     const double share = is_preferred && has_settled ? 1 : options_.standby_share;
     const double new_rate = rate * share;
     if (is_new)
     {
-        it.next_at = now + interval_of(new_rate);
+        it.next_at = has_settled ? now : now + interval_of(new_rate);
     }
     else if (it.next_at > now && new_rate != it.rate)
     {
--- a/core/gateway/token_counter.hpp
+++ b/core/gateway/token_counter.hpp
@@ -15,8 +15,9 @@
 // number of questions stays near the rate.
 //
 // A gateway that is not the preferred one of a server counts for those that do not reach
-// the preferred one, and hands out only `standby_share` of the rate. So does one that has
-// counted for less than `settling_time`: until then, others may ask its predecessor.
+// the preferred one, and hands out only `standby_share` of the rate. So does one that was
+// started less than `settling_time` ago: until then, others may ask another one, and it
+// does not know the tokens that its last run handed out.
 //
 // Memory: one row of about 100 bytes for each server with a limit, until `idle_time`
 // after the last call. Each call costs O(log servers).
@@ -49,7 +50,11 @@
 class token_counter
 {
 public:
-    explicit token_counter(token_counter_options options = {}) : options_(options) {}
+    // `started_at` is when this gateway was started.
+    explicit token_counter(time_point started_at, token_counter_options options = {})
+        : options_(options), started_at_(started_at)
+    {
+    }
 
     // Takes a token that is due within `max_wait`. `rate` is what the server takes in a
     // second, above 0; `is_preferred` is true on the preferred gateway of the server.
@@ -71,7 +76,6 @@
 private:
     struct row
     {
-        time_point first_asked_at{};
         time_point last_asked_at{};
         double rate = 0;        // tokens a second, after shares
         time_point next_at{};   // when the next token is due
@@ -83,6 +87,7 @@
     update_row(const server_id& server, double rate, bool is_preferred, time_point now);
 
     token_counter_options options_;
+    time_point started_at_;
     std::map<server_id, row> rows_;
 };
 
--- a/core/gateway/token_exchange.cpp
+++ b/core/gateway/token_exchange.cpp
@@ -8,8 +8,8 @@
 namespace camphorrock
 {
 
-token_exchange::token_exchange(token_exchange_options options)
-    : options_(options), counter_(options.counter), permits_(options.permits)
+token_exchange::token_exchange(time_point started_at, token_exchange_options options)
+    : options_(options), counter_(started_at, options.counter), permits_(options.permits)
 {
 }
 
--- a/core/gateway/token_exchange.hpp
+++ b/core/gateway/token_exchange.hpp
@@ -57,7 +57,8 @@
 class token_exchange
 {
 public:
-    explicit token_exchange(token_exchange_options options = {});
+    // `started_at` is when this gateway was started.
+    explicit token_exchange(time_point started_at, token_exchange_options options = {});
 
     // Sets the gateways of the fleet; `self` is this gateway's address.
     void set_fleet(const std::vector<fleet_gateway>& fleet, const endpoint& self);
--- a/gateway/limit_agent.cpp
+++ b/gateway/limit_agent.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 limit_agent::limit_agent(event_loop& loop, gateway_state& state, send_function send)
-    : loop_(loop), state_(state), send_(std::move(send))
+    : loop_(loop), state_(state), send_(std::move(send)), exchange_(loop.now())
 {
     set_fleet();
     state_.on_fleet_change([this] { set_fleet(); });
