--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -3,6 +3,7 @@
 
 #include "bench/balance/balance_report.hpp"
 #include "bench/cost/cost_report.hpp"
+#include "bench/limit/limit_report.hpp"
 #include "bench/queue/queue_report.hpp"
 #include "bench/report/report_table.hpp"
 
@@ -25,6 +26,7 @@
     bool only_blocking = false;
     bool only_balance = false;
     bool only_cost = false;
+    bool only_limit = false;
 };
 
 void append_tables(std::vector<report_table>& all, std::vector<report_table> more)
@@ -37,8 +39,8 @@
 
 std::vector<report_table> run(const bench_options& options)
 {
-    const bool runs_all =
-        !options.only_queue && !options.only_blocking && !options.only_balance;
+    const bool runs_all = !options.only_queue && !options.only_blocking &&
+                          !options.only_balance && !options.only_limit;
     if (options.only_cost)
     {
         return cost_report();
@@ -59,6 +61,10 @@
     {
         append_tables(all, balance_report(options.queue.seed));
     }
+    if (runs_all || options.only_limit)
+    {
+        append_tables(all, limit_report(options.queue.seed));
+    }
     return all;
 }
 
@@ -79,6 +85,8 @@
                  "Run only the scenarios of short requests behind long ones");
     app.add_flag(
         "--balance", options.only_balance, "Run only the key placement scenarios");
+    app.add_flag(
+        "--limit", options.only_limit, "Run only the scenarios of a server's rate limit");
     app.add_flag("--cost",
                  options.only_cost,
                  "Measure only processor time and memory of the decisions");
--- a/core/gateway/testing/limit_simulation.cpp
+++ b/core/gateway/testing/limit_simulation.cpp
@@ -96,7 +96,7 @@
 {
     gateways_[gateway].exchange = token_exchange(now_);
     gateways_[gateway].refused_until = {};
-    std::erase_if(waiting_, [&](const auto& it) { return it.second == gateway; });
+    std::erase_if(waiting_, [&](const auto& it) { return it.second.gateway == gateway; });
     schedule(
         span,
         [this, gateway]
@@ -143,7 +143,7 @@
         return;
     }
     const token_id id{++last_token_};
-    waiting_[id] = to;
+    waiting_[id] = {to, now_};
     it.exchange.request(
         id, server_, options_.limit, options_.max_wait, exchange_random_, now_);
     flush(to);
@@ -158,12 +158,15 @@
     }
     for (const decided_token& got : it.exchange.take_decided())
     {
+        const duration asked_for = now_ - waiting_[got.id].since;
         waiting_.erase(got.id);
         if (!got.decision.is_granted)
         {
             it.refused_until = now_ + got.decision.wait;
             continue;
         }
+        waits_ += asked_for + got.decision.wait;
+        ++granted_;
         schedule(got.decision.wait + send_delay,
                  [this, of]
                  {
@@ -254,6 +257,12 @@
     return static_cast<double>(messages_) / to_seconds(now_ - started_at_);
 }
 
+double limit_simulation::mean_wait_ms() const
+{
+    const auto n = static_cast<double>(std::max<std::size_t>(granted_, 1));
+    return std::chrono::duration<double, std::milli>(waits_).count() / n;
+}
+
 std::size_t limit_simulation::undecided() const
 {
     return waiting_.size();
--- a/core/gateway/testing/limit_simulation.hpp
+++ b/core/gateway/testing/limit_simulation.hpp
@@ -75,6 +75,9 @@
     // Messages of the whole fleet, for each second that was run.
     double messages_per_second() const;
 
+    // Of the requests that arrived, from the question for a token on.
+    double mean_wait_ms() const;
+
     // Requests that neither arrived nor were refused, nor wait for a token that is due.
     std::size_t undecided() const;
 
@@ -121,7 +124,15 @@
     std::priority_queue<event, std::vector<event>, is_later> events_;
     std::uint64_t last_event_ = 0;
     std::uint64_t last_token_ = 0;
-    std::map<token_id, unsigned> waiting_; // and the gateway whose request waits
+    struct waiting_request
+    {
+        unsigned gateway = 0;
+        time_point since{};
+    };
+
+    std::map<token_id, waiting_request> waiting_;
+    duration waits_{}; // of those that were granted a token
+    std::size_t granted_ = 0;
     std::vector<time_point> arrivals_;
     std::size_t messages_ = 0;
 };
