--- a/core/gateway/testing/server_pool_test.cpp
+++ b/core/gateway/testing/server_pool_test.cpp
@@ -430,3 +430,51 @@
               pool_wait{milliseconds(400), false});
     }
 }
+
+// Guards against requests above the rate limit of a server while others have room
+// (LIMIT).
+TEST_CASE("a server whose rate limit is reached gets nothing until a token is due")
+{
+    pool_fixture fixture;
+    fixture.add("limited", here);
+    fixture.add("other", there);
+    const server_criteria owned{{}, server_id("limited"), {}};
+    fixture.pool.note_limit_reached(server_id("limited"),
+                                    fixture.now + milliseconds(300));
+
+    SECTION("other servers of the service take over")
+    {
+        for (int n = 0; n < 20; ++n)
+        {
+            CHECK(fixture.place() == "other");
+        }
+    }
+    SECTION("a request for its key learns how long it would wait, and for what")
+    {
+        CHECK_FALSE(fixture.choose(owned));
+        CHECK(fixture.pool.wait_left(owned, fixture.now) ==
+              pool_wait{milliseconds(300), true});
+        fixture.now += milliseconds(300);
+        CHECK(fixture.choose(owned));
+    }
+    SECTION("another limit, or none any more, counts at once")
+    {
+        fixture.pool.forget_limit_reached(server_id("limited"));
+        CHECK(fixture.choose(owned));
+    }
+    SECTION("a pause that lasts longer goes on after the token is due")
+    {
+        fixture.pool.pause(server_id("limited"), seconds(1), fixture.now);
+        CHECK(fixture.pool.wait_left(owned, fixture.now) == pool_wait{seconds(1), false});
+        fixture.now += milliseconds(300);
+        CHECK_FALSE(fixture.choose(owned));
+    }
+    SECTION("where all servers are limited, the first token that is due counts")
+    {
+        fixture.pool.note_limit_reached(server_id("other"),
+                                        fixture.now + milliseconds(100));
+        CHECK_FALSE(fixture.choose());
+        CHECK(fixture.pool.wait_left({}, fixture.now) ==
+              pool_wait{milliseconds(100), true});
+    }
+}
