--- a/fakes/site/site_main.cpp
+++ b/fakes/site/site_main.cpp
@@ -78,7 +78,7 @@
 public:
     site(event_loop& loop, const site_arguments& args)
         : loop_(loop), work_(milliseconds(static_cast<int>(args.work_ms))),
-          store_(loop, {})
+          store_(loop, {.era = 1, .kv = {}})
     {
         store_.put("op/config", config_text());
     }
@@ -120,13 +120,31 @@
         return make_text_response(http_status::ok, "ok\n");
     }
 
-    // POST /store?mode=silent makes the store unresponsive; any other mode makes it
-    // serve.
+    // POST /store?mode=MODE: "silent" makes the store unresponsive, "serving" ends that;
+    // "copy" keeps a copy of it, from which "restore" brings it back in the next era.
     http_response set_store(const http_request& request)
     {
-        const bool is_unresponsive = query_value(request.target, "mode") == "silent";
-        store_.set_mode(is_unresponsive ? fakes::site_store_mode::unresponsive
-                                        : fakes::site_store_mode::serving);
+        const std::string mode(query_value(request.target, "mode").value_or(""));
+        if (mode == "silent")
+        {
+            store_.set_mode(fakes::site_store_mode::unresponsive);
+        }
+        else if (mode == "serving")
+        {
+            store_.set_mode(fakes::site_store_mode::serving);
+        }
+        else if (mode == "copy")
+        {
+            store_.keep_copy();
+        }
+        else if (mode == "restore")
+        {
+            store_.restore();
+        }
+        else
+        {
+            return make_text_response(http_status::bad_request, "no such mode\n");
+        }
         return make_text_response(http_status::ok, "ok\n");
     }
 
