A renewal that says that the lease has ended ends the assigner's role at once

A 404 to a renewal was a failure like any other; only the watch of the holder's key told the end, and no other gateway campaigned until theirs did. Now the holder asks for the role again at once. key_agent_test failed first: with watches that hear nothing, nobody campaigned within 20 s; it passes in 1.4 s.

--- a/fakes/site/site_store.cpp
+++ b/fakes/site/site_store.cpp
@@ -402,6 +402,10 @@
 
 void site_store::answer_polls()
 {
+    if (are_polls_held_)
+    {
+        return;
+    }
     for (auto it = polls_.begin(); it != polls_.end();)
     {
         it = answer_poll(*it) ? polls_.erase(it) : std::next(it);
--- a/fakes/site/site_store.hpp
+++ b/fakes/site/site_store.hpp
@@ -71,6 +71,12 @@
     void keep_copy();
     void restore();
 
+    // While held, polls are not answered: watches hear nothing, and calls go on.
+    void hold_polls(bool is_held)
+    {
+        are_polls_held_ = is_held;
+    }
+
     // Ends all leases and deletes their keys.
     void revoke_all_leases();
 
@@ -112,6 +118,7 @@
     site_store_mode mode_ = site_store_mode::serving;
     std::uint64_t compact_revision_ = 0; // polls from an earlier revision get 410
     std::list<poll> polls_;
+    bool are_polls_held_ = false;
     // Kept so that their connections stay open.
     std::vector<std::shared_ptr<http_responder>> unanswered_responders_;
     std::uint64_t calls_ = 0;
--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -169,22 +169,30 @@
     }
     is_renewal_in_flight_ = true;
     const time_point sent = context_.loop.now();
-    context_.store.keep_alive(lease_,
-                              [this, sent, alive = std::weak_ptr<const bool>(alive_)](
-                                  const store_lease_grant& got)
-                              {
-                                  if (!alive.expired())
-                                  {
-                                      on_renewal(got, sent);
-                                  }
-                              });
+    context_.store.keep_alive(
+        lease_,
+        [this, sent, lease = lease_, alive = std::weak_ptr<const bool>(alive_)](
+            const store_lease_grant& got)
+        {
+            if (!alive.expired())
+            {
+                on_renewal(got, lease, sent);
+            }
+        });
 }
 
-void assigner_role::on_renewal(const store_lease_grant& got, time_point sent)
+void assigner_role::on_renewal(const store_lease_grant& got,
+                               const store_lease& of,
+                               time_point sent)
 {
     is_renewal_in_flight_ = false;
-    if (!is_elected_)
+    if (!is_elected_ || of != lease_)
+    {
+        return;
+    }
+    if (got.has_ended)
     {
+        on_no_holder();
         return;
     }
     if (got.end == store_end::done)
--- a/gateway/assigner_role.hpp
+++ b/gateway/assigner_role.hpp
@@ -121,7 +121,10 @@
     void start_assigner(const key_assignment& record, store_revision at);
 
     void renew_lease();
-    void on_renewal(const store_lease_grant& got, time_point sent);
+    // `of` is the lease that was to be renewed, by a call that was sent at `sent`.
+    void on_renewal(const store_lease_grant& got,
+                    const store_lease& of,
+                    time_point sent);
     void tick();
     void post_tick();
     void note_leaving(const key_order& order, const order_result& got);
--- a/store/store_client.hpp
+++ b/store/store_client.hpp
@@ -97,6 +97,7 @@
     store_end end = store_end::failed;
     store_lease lease;
     duration time_to_live{};
+    bool has_ended = false; // of a renewal: the store has no such lease any more
 };
 
 class store_client
