Only a limit too low for the usual renewals makes an assigner move key ranges away

Read in the code: a server that named 50 a second, above what it can do, lost all its key ranges but one and was the last choice for others, though the renewals of five ranges take ten a second of it.

--- a/core/gateway/key_assigner.hpp
+++ b/core/gateway/key_assigner.hpp
@@ -209,9 +209,10 @@
     struct server_load
     {
         const known_server* server = nullptr;
-        double capacity = 1;     // requests a second
-        bool is_limited = false; // the server has named a limit, which is its capacity
-        double load = 0;         // requests within the samples
+        double capacity = 1; // requests a second
+        // It has named a limit that does not allow the usual orders for its ranges.
+        bool is_limited = false;
+        double load = 0; // requests within the samples
         unsigned range_count = 0;
         bool is_unresponsive = false;   // the last order for one of its ranges failed
         bool accepted_recently = false; // it accepted an order within unresponsive_after
@@ -251,6 +252,7 @@
                                           time_point now) const;
     static std::optional<double> limit_of(const listed_server& server,
                                           const assigner_view& view);
+    double affordable_ranges(double limit) const;
     void plan(keyed_service& row, const assigner_view& view, time_point now);
     void plan_initial(keyed_service& row, std::vector<server_load>& loads);
     bool
--- a/core/gateway/key_assigner_plan.cpp
+++ b/core/gateway/key_assigner_plan.cpp
@@ -53,7 +53,7 @@
                 const double for_requests =
                     *limit * (1 - options_.limited_order_fraction);
                 made.capacity = std::min(made.capacity, for_requests);
-                made.is_limited = made.capacity == for_requests;
+                made.is_limited = affordable_ranges(*limit) < options_.ranges_per_server;
             }
         }
     }
@@ -88,6 +88,14 @@
     return view.limit ? view.limit(server) : std::nullopt;
 }
 
+// The number of ranges whose grants can be renewed as usual within the orders' fraction
+// of the limit.
+double key_assigner::affordable_ranges(double limit) const
+{
+    const std::chrono::duration<double> period = options_.grant_renew_period;
+    return limit * options_.limited_order_fraction * period.count();
+}
+
 void key_assigner::plan(keyed_service& row, const assigner_view& view, time_point now)
 {
     if (now < row.next_plan_at)
--- a/core/gateway/testing/limited_owner_test.cpp
+++ b/core/gateway/testing/limited_owner_test.cpp
@@ -108,6 +108,19 @@
     CHECK(static_cast<double>(fixture.most_orders("s0", named_at + settling_time)) <=
           allowed / 2);
 
+    THEN("its keys do not move back and forth")
+    {
+        const auto releases = [&]
+        {
+            return std::count_if(fixture.orders.begin(),
+                                 fixture.orders.end(),
+                                 [](const key_order& it)
+                                 { return it.kind == order_kind::release; });
+        };
+        const auto before = releases();
+        fixture.run(seconds(20));
+        CHECK(releases() == before);
+    }
     THEN("each key has an owner that holds a grant")
     {
         for (unsigned key = 0; key < 65536; key += 1024)
@@ -121,3 +134,29 @@
         CHECK(fixture.ranges_of("s0") <= 2);
     }
 }
+
+// Guards against moves of all key ranges but one off a server whose limit has room for
+// their renewals.
+TEST_CASE("an owner that names a high limit keeps its key ranges")
+{
+    limited_fixture fixture;
+    fixture.limits[server_id("s0")] = 50;
+    fixture.run(seconds(10));
+    CHECK(fixture.ranges_of("s0") == ranges_per_server);
+}
+
+TEST_CASE("where all owners name low limits, their keys stay and get fewer orders")
+{
+    limited_fixture fixture;
+    for (unsigned n = 0; n < servers; ++n)
+    {
+        fixture.limits[server_id("s" + std::to_string(n))] = 3;
+    }
+    fixture.run(seconds(20));
+    CHECK(fixture.ranges_of("s0") >= ranges_per_server - 1);
+    CHECK(fixture.most_orders("s0", fixture.now - seconds(15)) <= 6);
+    for (unsigned key = 0; key < 65536; key += 1024)
+    {
+        CHECK(fixture.held_until[server_id(fixture.owner(key))] > fixture.now);
+    }
+}
