--- a/core/gateway/key_assigner.cpp
+++ b/core/gateway/key_assigner.cpp
@@ -121,8 +121,8 @@
         const bool was_disowned = it.is_disowned();
         it.is_refused = true;
         note_disowned(it, was_disowned);
-        const bool is_due =
-            !it.target && now - it.last_accepted_at > regrant_pause + it.renewal_delay;
+        const bool is_due = !it.target && now - it.last_accepted_at >
+                                              regrant_pause + it.renewal_delay / 4;
         if (is_due)
         {
             it.next_order_at = std::min(it.next_order_at, now);
@@ -153,14 +153,6 @@
     return is_store_available(now) ? options_.hold_time : options_.long_hold_time;
 }
 
-// Of a grant that is renewed after `period`; zero for one that is renewed as usual.
-duration key_assigner::hold_time_for(duration period) const
-{
-    return period <= options_.grant_renew_period
-               ? duration::zero()
-               : std::min(period + options_.limited_hold_margin, options_.long_hold_time);
-}
-
 epoch key_assigner::allocate_epoch()
 {
     return epoch{next_epoch_.value++};
@@ -173,6 +165,12 @@
     {
         return orders;
     }
+    const bool was_available =
+        std::exchange(was_store_available_, is_store_available(now));
+    if (was_available && !was_store_available_)
+    {
+        hasten_slow_renewals(now);
+    }
     for (const service_name& name : view.keyed_services)
     {
         keyed_service& row = service_row(name);
@@ -245,29 +243,6 @@
     }
 }
 
-// A server that names a limit gets fewer orders, which leave room for requests.
-duration key_assigner::renew_period(const keyed_service& row,
-                                    const known_server& owner,
-                                    const assigner_view& view) const
-{
-    const std::optional<double> limit = limit_of(owner.entry, view);
-    if (!limit)
-    {
-        return options_.grant_renew_period;
-    }
-    const auto ranges =
-        std::count_if(row.key_ranges.begin(),
-                      row.key_ranges.end(),
-                      [&](const range_state& it)
-                      { return it.range.owner == owner.entry.id && !it.target; });
-    const std::chrono::duration<double> wanted(
-        static_cast<double>(ranges) / (*limit * options_.limited_order_fraction));
-    const duration longest = options_.long_hold_time / 2;
-    return wanted >= longest ? longest
-                             : std::max(options_.grant_renew_period,
-                                        std::chrono::duration_cast<duration>(wanted));
-}
-
 key_order key_assigner::make_order(const keyed_service& row,
                                    range_state& it,
                                    const known_server& owner,
--- a/core/gateway/key_assigner.hpp
+++ b/core/gateway/key_assigner.hpp
@@ -322,6 +322,7 @@
     bool is_store_available(time_point now) const;
     duration current_hold_time(time_point now) const;
     duration hold_time_for(duration period) const;
+    void hasten_slow_renewals(time_point now);
     duration worst_case_hold_time(duration hold_time) const;
     epoch allocate_epoch();
     void begin_uncertainty(time_point now);
@@ -340,6 +341,7 @@
     epoch next_epoch_;
     epoch epoch_limit_;
     std::vector<keyed_service> services_;
+    bool was_store_available_ = true; // at the last tick
     std::map<order_id, sent_order> orders_;
     order_id last_order_id_;
     std::optional<time_point> last_renewal_sent_at_;
--- a/core/gateway/key_assigner_plan.cpp
+++ b/core/gateway/key_assigner_plan.cpp
@@ -82,20 +82,6 @@
     return loads;
 }
 
-std::optional<double> key_assigner::limit_of(const listed_server& server,
-                                             const assigner_view& view)
-{
-    return view.limit ? view.limit(server) : std::nullopt;
-}
-
-// The number of ranges whose grants can be renewed as usual within the orders' fraction
-// of the limit.
-double key_assigner::affordable_ranges(double limit) const
-{
-    const std::chrono::duration<double> period = options_.grant_renew_period;
-    return limit * options_.limited_order_fraction * period.count();
-}
-
 void key_assigner::plan(keyed_service& row, const assigner_view& view, time_point now)
 {
     if (now < row.next_plan_at)
@@ -252,6 +238,10 @@
 key_assigner::server_load* key_assigner::successor_of(const range_state& it,
                                                       std::vector<server_load>& loads)
 {
+    const auto rank = [](const server_load& of)
+    {
+        return std::tuple(of.is_unresponsive, of.is_limited, of.ratio());
+    };
     server_load* best = nullptr;
     for (server_load& load : loads)
     {
@@ -259,10 +249,6 @@
         {
             continue;
         }
-        const auto rank = [](const server_load& of)
-        {
-            return std::tuple(of.is_unresponsive, of.is_limited, of.ratio());
-        };
         best = best == nullptr || rank(load) < rank(*best) ? &load : best;
     }
     return best;
@@ -411,50 +397,6 @@
     return is_better && move_between(row, *piece, *most, *least, now);
 }
 
-// Each range costs its owner renewals of its grant. A server with a limit keeps one, and
-// the others move one after the other.
-void key_assigner::relieve_limited(keyed_service& row,
-                                   std::vector<server_load>& loads,
-                                   time_point now)
-{
-    for (server_load& from : loads)
-    {
-        range_state* range =
-            from.is_limited ? range_to_move_off(row, from, now) : nullptr;
-        server_load* to = range != nullptr ? successor_of(*range, loads) : nullptr;
-        if (to != nullptr && !to->is_limited)
-        {
-            move_between(row, *range, from, *to, now);
-        }
-    }
-}
-
-// The most loaded range of the server, unless it is its only one. Null while one of its
-// ranges is on the move.
-key_assigner::range_state* key_assigner::range_to_move_off(keyed_service& row,
-                                                           const server_load& from,
-                                                           time_point now)
-{
-    range_state* most = nullptr;
-    unsigned ranges = 0;
-    for (range_state& it : row.key_ranges)
-    {
-        if (it.range.owner != from.server->entry.id)
-        {
-            continue;
-        }
-        if (it.target)
-        {
-            return nullptr;
-        }
-        ++ranges;
-        const bool is_more = is_movable(it, from.server->entry.id, now) &&
-                             (most == nullptr || load_of(row, it) > load_of(row, *most));
-        most = is_more ? &it : most;
-    }
-    return ranges > 1 ? most : nullptr;
-}
-
 bool key_assigner::may_split(const keyed_service& row,
                              const std::vector<server_load>& loads) const
 {
--- a/core/gateway/testing/limited_owner_test.cpp
+++ b/core/gateway/testing/limited_owner_test.cpp
@@ -160,3 +160,18 @@
         CHECK(fixture.held_until[server_id(fixture.owner(key))] > fixture.now);
     }
 }
+
+// Guards against slow renewals that leave an owner with a short grant when the store goes
+// away.
+TEST_CASE("a limited owner, too, has a long grant when the assigner loses its authority")
+{
+    for (int ms = 0; ms < 5000; ms += 250)
+    {
+        limited_fixture fixture;
+        fixture.limits[server_id("s0")] = 1;
+        fixture.run(seconds(6) + milliseconds(ms));
+        fixture.is_renewing = false;
+        fixture.run(milliseconds(1500));
+        CHECK(fixture.held_until[server_id("s0")] > fixture.now + seconds(8));
+    }
+}
--- a/core/gateway/testing/owner_fuzz_test.cpp
+++ b/core/gateway/testing/owner_fuzz_test.cpp
@@ -96,3 +96,29 @@
     run(simulation, 20000);
     CHECK(simulation.restores() > 1);
 }
+
+// Guards against two owners of a key, or none, where grants are renewed slowly since
+// their servers name a rate limit.
+TEST_CASE("no two servers hold a key while some of them have a rate limit")
+{
+    owner_simulation_options options;
+    options.limited_servers = 2;
+    options.restore_fraction = GENERATE(0.0, 0.0006);
+    for (std::uint64_t n = 0; n < 4; ++n)
+    {
+        const std::uint64_t seed = first_seed() + 200 + n;
+        DYNAMIC_SECTION("seed " << seed)
+        {
+            owner_simulation simulation(options, seed);
+            run(simulation, steps_per_seed());
+            CHECK(simulation.grants() > 100);
+
+            AND_THEN("all keys are held again after all faults have ended")
+            {
+                simulation.end_faults();
+                run(simulation, 6000);
+                CHECK(simulation.held_keys() == last_shard_key + 1);
+            }
+        }
+    }
+}
--- a/core/gateway/testing/owner_simulation.cpp
+++ b/core/gateway/testing/owner_simulation.cpp
@@ -269,6 +269,10 @@
     assigner_view view;
     view.servers = &it.servers;
     view.keyed_services = {service};
+    view.limit = [this](const listed_server& server)
+    {
+        return limit_of(server);
+    };
     view.capacity = [](const service_name&, const listed_server&)
     {
         return 2.0;
@@ -542,4 +546,15 @@
     return sum;
 }
 
+std::optional<double> owner_simulation::limit_of(const listed_server& server) const
+{
+    constexpr duration period = seconds(20);
+    constexpr double limit = 2; // requests a second
+    const bool is_limited_now = now_.time_since_epoch() % period < period / 2;
+    const auto end = servers_.begin() + options_.limited_servers;
+    const bool names_limit = std::any_of(
+        servers_.begin(), end, [&](const auto& it) { return it.entry.id == server.id; });
+    return is_limited_now && names_limit ? std::optional(limit) : std::nullopt;
+}
+
 } // namespace camphorrock::testing
--- a/core/gateway/testing/owner_simulation.hpp
+++ b/core/gateway/testing/owner_simulation.hpp
@@ -29,6 +29,7 @@
     double restore_fraction = 0;     // of steps in which the store comes back from a copy
     double rejected_fraction = 0.01; // of grants, rejected without effect
     double fault_fraction = 0.002;   // of steps that begin a fault
+    unsigned limited_servers = 0;    // that name a rate limit, for half of each 20 s
     key_assigner_options assigner;
 };
 
@@ -130,6 +131,7 @@
     void track_owner(const server& at, const key_order& order);
     std::optional<std::string> check_invariants();
     bool is_store_reachable(const assigner& it) const;
+    std::optional<double> limit_of(const listed_server& server) const;
 
     owner_simulation_options options_;
     std::mt19937_64 random_;
--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -249,7 +249,7 @@
     };
     for (const key_order& order : assigner_->tick(view, context_.loop.now()))
     {
-        count_limited(order);
+        account_for_limit(order);
         context_.orders.send(order,
                              [this, order, alive = std::weak_ptr<const bool>(alive_)](
                                  const order_result& got)
@@ -318,7 +318,7 @@
 
 // Orders do not wait for tokens: a key must not lose its owner. They leave the fewer
 // tokens to requests.
-void assigner_role::count_limited(const key_order& order)
+void assigner_role::account_for_limit(const key_order& order)
 {
     const known_server* server = context_.state.servers().find(order.server);
     const std::optional<double> limit =
--- a/gateway/assigner_role.hpp
+++ b/gateway/assigner_role.hpp
@@ -122,16 +122,14 @@
 
     void renew_lease();
     // `of` is the lease that was to be renewed, by a call that was sent at `sent`.
-    void on_renewal(const store_lease_grant& got,
-                    const store_lease& of,
-                    time_point sent);
+    void on_renewal(const store_lease_grant& got, const store_lease& of, time_point sent);
     void tick();
     void post_tick();
     void note_leaving(const key_order& order, const order_result& got);
     void note_limit(const key_order& order, const order_result& got);
     std::optional<double> limit_of(const listed_server& server) const;
     double capacity_of(const service_name& service, const listed_server& server) const;
-    void count_limited(const key_order& order);
+    void account_for_limit(const key_order& order);
     void write_record();
     void on_record_write(const store_write& got);
     void read_back_record();
