--- a/bench/limit/limit_report.cpp
+++ b/bench/limit/limit_report.cpp
@@ -1,6 +1,7 @@
 #include "bench/limit/limit_report.hpp"
 
 #include "bench/limit/limit_policy.hpp"
+#include "core/base/busiest_window.hpp"
 #include "core/gateway/testing/limit_simulation.hpp"
 
 #include <algorithm>
@@ -72,17 +73,6 @@
     return made;
 }
 
-double worst_window(const std::vector<time_point>& arrivals, time_point from)
-{
-    std::ptrdiff_t worst = 0;
-    for (auto it = arrivals.begin(); it != arrivals.end(); ++it)
-    {
-        const auto end = std::lower_bound(it, arrivals.end(), *it + window);
-        worst = *it >= from ? std::max(worst, end - it) : worst;
-    }
-    return static_cast<double>(worst);
-}
-
 report_row make_row(const std::string& label,
                     const limit_figures& got,
                     const testing::limit_simulation_options& options)
@@ -96,7 +86,7 @@
                                        got.arrivals.end(),
                                        [&](time_point it) { return it >= from; });
     return {label,
-            {worst_window(got.arrivals, from) / allowed,
+            {static_cast<double>(busiest_window(got.arrivals, window, from)) / allowed,
              static_cast<double>(arrived) / (options.limit * measured_seconds),
              got.wait_ms,
              got.messages_per_second}};
--- a/codec/limit_codec.cpp
+++ b/codec/limit_codec.cpp
@@ -98,7 +98,8 @@
         const nlohmann::json* it = take();
         const bool is_time = it != nullptr && it->is_number_integer();
         const auto us = is_time ? it->get<std::int64_t>() : -1;
-        return check(us >= 0 && us <= max_limit_message_time.count()) ? duration(us) : duration();
+        return check(us >= 0 && us <= max_limit_message_time.count()) ? duration(us)
+                                                                      : duration();
     }
 
     // True if all elements have been read, and were valid.
--- a/core/gateway/testing/limit_simulation.cpp
+++ b/core/gateway/testing/limit_simulation.cpp
@@ -1,5 +1,6 @@
 #include "core/gateway/testing/limit_simulation.hpp"
 
+#include "core/base/busiest_window.hpp"
 #include "core/gateway/in_flight_counter.hpp"
 
 #include <algorithm>
@@ -230,18 +231,7 @@
 
 std::size_t limit_simulation::worst_window(time_point from) const
 {
-    std::size_t worst = 0;
-    for (std::size_t first = 0; first < arrivals_.size(); ++first)
-    {
-        std::size_t n = 0;
-        while (first + n < arrivals_.size() &&
-               arrivals_[first + n] < arrivals_[first] + window)
-        {
-            ++n;
-        }
-        worst = arrivals_[first] >= from ? std::max(worst, n) : worst;
-    }
-    return worst;
+    return busiest_window(arrivals_, window, from);
 }
 
 double limit_simulation::used_fraction(time_point from) const
--- a/core/gateway/testing/limited_owner_test.cpp
+++ b/core/gateway/testing/limited_owner_test.cpp
@@ -1,3 +1,4 @@
+#include "core/base/busiest_window.hpp"
 #include "core/gateway/testing/assigner_fixture.hpp"
 #include "testing/test_headers.hpp"
 
@@ -77,16 +78,7 @@
                 times.push_back(order_times[n]);
             }
         }
-        std::size_t most = 0;
-        for (std::size_t first = 0, last = 0; last < times.size(); ++last)
-        {
-            while (times[last] - times[first] >= limit_window)
-            {
-                ++first;
-            }
-            most = std::max(most, last - first + 1);
-        }
-        return most;
+        return busiest_window(times, limit_window, from);
     }
 
     unsigned turn = 0;
--- a/fakes/site/site_server.cpp
+++ b/fakes/site/site_server.cpp
@@ -1,6 +1,7 @@
 #include "fakes/site/site_server.hpp"
 
 #include "codec/json_text.hpp"
+#include "core/base/busiest_window.hpp"
 #include "core/base/number_text.hpp"
 #include "net/http_status.hpp"
 
@@ -56,18 +57,7 @@
 
 std::size_t site_server::most_arrivals(duration window, time_point from) const
 {
-    const auto begin = std::lower_bound(arrivals_.begin(), arrivals_.end(), from);
-    std::size_t most = 0;
-    auto first = begin;
-    for (auto it = begin; it != arrivals_.end(); ++it)
-    {
-        while (*it - *first >= window)
-        {
-            ++first;
-        }
-        most = std::max(most, static_cast<std::size_t>(it - first) + 1);
-    }
-    return most;
+    return busiest_window(arrivals_, window, from);
 }
 
 bool site_server::holds(shard_key key) const
--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -295,12 +295,16 @@
     }
     const limit_change change = context_.state.limits().observe(
         order.server, server->entry.incarnation, got.limit, context_.loop.now());
-    if (change != limit_change::none && context_.limits != nullptr)
+    if (change == limit_change::none)
     {
-        context_.limits->on_limits_changed();
+        return;
     }
     context_.log.server_limit_changed(
         order.server, change, got.limit.rate.value_or(0), name_of(order.kind));
+    if (context_.limits != nullptr)
+    {
+        context_.limits->on_limits_changed();
+    }
 }
 
 std::optional<double> assigner_role::limit_of(const listed_server& server) const
