A limit that another gateway saw rise or end lets requests through at once

Read in the diff: a gateway that had been refused a token went on refusing for up to 4 s after another one had told it that the limit had risen or ended; only its own answers ended the wait. gateway_state_test "what another gateway observed" failed without the change. What an answer and a notice do to limits and pools stands in gateway_state now.

--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -293,7 +293,7 @@
     {
         return;
     }
-    const limit_change change = context_.state.limits().observe(
+    const limit_change change = context_.state.observe_limit(
         order.server, server->entry.incarnation, got.limit, context_.loop.now());
     if (change == limit_change::none)
     {
--- a/gateway/gateway_state.cpp
+++ b/gateway/gateway_state.cpp
@@ -80,6 +80,38 @@
     return true;
 }
 
+limit_change gateway_state::observe_limit(const server_id& server,
+                                          const server_incarnation& incarnation,
+                                          const limit_statement& said,
+                                          time_point now)
+{
+    const limit_change change = limits_.observe(server, incarnation, said, now);
+    if (change != limit_change::none && change != limit_change::unreadable)
+    {
+        forget_limit_reached(server);
+    }
+    return change;
+}
+
+void gateway_state::adopt_limit(const server_limit& seen, time_point now)
+{
+    const auto before = limits_.rate_of(seen.server, seen.incarnation, now);
+    const bool is_changed = limits_.adopt(seen) &&
+                            limits_.rate_of(seen.server, seen.incarnation, now) != before;
+    if (is_changed)
+    {
+        forget_limit_reached(seen.server);
+    }
+}
+
+void gateway_state::forget_limit_reached(const server_id& server)
+{
+    for (auto& [name, it] : services_)
+    {
+        it.pool.forget_limit_reached(server);
+    }
+}
+
 void gateway_state::expire_limits(time_point now)
 {
     limits_.expire(
--- a/gateway/gateway_state.hpp
+++ b/gateway/gateway_state.hpp
@@ -75,11 +75,20 @@
                           time_point now);
 
     // The limits that servers have named.
-    server_limits& limits()
+    const server_limits& limits() const
     {
         return limits_;
     }
 
+    // An answer of the server arrived; see server_limits::observe().
+    limit_change observe_limit(const server_id& server,
+                               const server_incarnation& incarnation,
+                               const limit_statement& said,
+                               time_point now);
+
+    // Another gateway's observation; see server_limits::adopt().
+    void adopt_limit(const server_limit& seen, time_point now);
+
     // Drops the limits that have ended and those of servers that are gone.
     void expire_limits(time_point now);
 
@@ -169,6 +178,8 @@
     void notify(const std::vector<std::function<void()>>& listeners);
     void update_retry_slack();
     void update_pool(service_state& it, time_point now);
+    // Requests need not wait for what was due under the server's earlier limit.
+    void forget_limit_reached(const server_id& server);
     void update_group_servers(service_state& it,
                               const std::vector<const known_server*>& servers);
     // How long this gateway still sends a key's requests to an owner that it has learned
--- a/gateway/limit_agent.cpp
+++ b/gateway/limit_agent.cpp
@@ -129,8 +129,9 @@
 {
     for (const aged_limit& it : notice.limits)
     {
-        state_.limits().adopt(
-            {it.server, it.incarnation, it.rate, it.has_ended, loop_.now() - it.age});
+        const time_point now = loop_.now();
+        state_.adopt_limit(
+            {it.server, it.incarnation, it.rate, it.has_ended, now - it.age}, now);
     }
 }
 
--- a/gateway/request_relay_server.cpp
+++ b/gateway/request_relay_server.cpp
@@ -59,7 +59,7 @@
 {
     const limit_statement said =
         read_rate_limit(answer.headers, context_.codec.names().rate_limit);
-    const limit_change change = context_.state.limits().observe(
+    const limit_change change = context_.state.observe_limit(
         sent_to_.server, sent_to_.incarnation, said, context_.loop.now());
     if (change == limit_change::none)
     {
@@ -67,10 +67,6 @@
     }
     context_.log.server_limit_changed(
         sent_to_.server, change, said.rate.value_or(0), request_id_);
-    if (service_state* service = context_.state.find_service(service_))
-    {
-        service->pool.forget_limit_reached(sent_to_.server);
-    }
     if (context_.limits != nullptr)
     {
         context_.limits->on_limits_changed();
--- a/gateway/testing/gateway_state_test.cpp
+++ b/gateway/testing/gateway_state_test.cpp
@@ -104,6 +104,38 @@
     CHECK(retries <= settings.retry_slack);
 }
 
+// Guards against requests that are refused for seconds after a limit has risen or ended.
+TEST_CASE("what another gateway observed of a limit ends the wait under the earlier one")
+{
+    const gateway_settings settings;
+    gateway_state state(settings, 1);
+    state.set_config(config(1), {});
+    listed_server entry;
+    entry.id = server_id("s");
+    entry.service = service_name("b");
+    const time_point now{seconds(10)};
+    state.servers().put(entry, now);
+    state.servers_changed(now);
+    server_pool& pool = state.find_service(entry.service)->pool;
+    state.observe_limit(entry.id, entry.incarnation, {true, 2.0}, now);
+    pool.note_limit_reached(entry.id, now + seconds(4));
+
+    SECTION("if the limit has risen since")
+    {
+        state.adopt_limit({entry.id, entry.incarnation, 9, false, now + seconds(1)},
+                          now + seconds(1));
+        CHECK_FALSE(pool.wait_left({}, now + seconds(1)));
+    }
+    SECTION("but not if it is the same, or if the observation is older")
+    {
+        state.adopt_limit({entry.id, entry.incarnation, 2, false, now + seconds(1)},
+                          now + seconds(1));
+        state.adopt_limit({entry.id, entry.incarnation, 9, false, now - seconds(1)},
+                          now + seconds(1));
+        CHECK(pool.wait_left({}, now + seconds(1)) == pool_wait{seconds(3), true});
+    }
+}
+
 TEST_CASE("set_assignment() rejects an assignment of an earlier term")
 {
     const gateway_settings settings;
