--- a/core/gateway/testing/limit_fleet_test.cpp
+++ b/core/gateway/testing/limit_fleet_test.cpp
@@ -103,6 +103,13 @@
             it.run(milliseconds(300));
         }
     }
+    SECTION("when the fleet is cut in two, the sides together keep to it")
+    {
+        it.cut(options.gateways / 2, seconds(20));
+        it.run(seconds(25));
+        // All of the demand may be on the side without the counter.
+        CHECK(it.used_fraction(fault_at) >= 0.25);
+    }
     SECTION("when it leaves the fleet, its successor counts")
     {
         it.set_fleet([&](unsigned n) { return n != counting; });
--- a/core/gateway/testing/limit_simulation.cpp
+++ b/core/gateway/testing/limit_simulation.cpp
@@ -93,6 +93,12 @@
     gateways_[gateway].silent_until = now_ + span;
 }
 
+void limit_simulation::cut(unsigned size, duration span)
+{
+    cut_size_ = size;
+    cut_until_ = now_ + span;
+}
+
 void limit_simulation::restart(unsigned gateway, duration span)
 {
     gateways_[gateway].exchange = token_exchange(now_);
@@ -213,12 +219,15 @@
     {
         const double delay = min_delay_us + draw() * (max_delay_us - min_delay_us);
         schedule(duration(static_cast<duration::rep>(delay)),
-                 [this, sent]
+                 [this, from, sent]
                  {
                      for (unsigned to = 0; to < gateways_.size(); ++to)
                      {
+                         const bool is_cut_off =
+                             now_ < cut_until_ && (from < cut_size_) != (to < cut_size_);
                          const bool is_received = gateways_[to].address == sent.to &&
-                                                  now_ >= gateways_[to].silent_until;
+                                                  now_ >= gateways_[to].silent_until &&
+                                                  !is_cut_off;
                          if (is_received)
                          {
                              gateways_[to].exchange.receive(sent.message, now_);
--- a/core/gateway/testing/limit_simulation.hpp
+++ b/core/gateway/testing/limit_simulation.hpp
@@ -42,6 +42,9 @@
     // The gateway starts anew and knows the fleet again after `span`.
     void restart(unsigned gateway, duration span);
 
+    // For `span`, no message passes between the first `size` gateways and the others.
+    void cut(unsigned size, duration span);
+
     // The gateways know only those of the fleet for which `is_known` is true.
     void set_fleet(const std::function<bool(unsigned)>& is_known);
 
@@ -135,6 +138,8 @@
     std::size_t granted_ = 0;
     std::vector<time_point> arrivals_;
     std::size_t messages_ = 0;
+    unsigned cut_size_ = 0; // of the part that is cut off
+    time_point cut_until_{};
 };
 
 } // namespace camphorrock::testing
