attempt_failed says how the exchange ended and which request its answer named

The logs cannot tell a stray answer from a connection that broke. Nothing is decided by the new fields.

--- a/gateway/gateway_log.cpp
+++ b/gateway/gateway_log.cpp
@@ -61,6 +61,8 @@
 void gateway_log::attempt_failed(const request_fields& request,
                                  const server_choice& to,
                                  attempt_end how,
+                                 const exchange_result& got,
+                                 std::string_view answer_id,
                                  duration elapsed,
                                  bool is_sent_again)
 {
@@ -74,6 +76,8 @@
                    {"route", request.route},
                    {"server", to.server},
                    {"end", name_of(how)},
+                   {"exchange", name_of(got.end)},
+                   {"answer_id", answer_id},
                    {"elapsed_us", elapsed},
                    {"again", is_sent_again}});
 }
--- a/gateway/gateway_log.hpp
+++ b/gateway/gateway_log.hpp
@@ -12,6 +12,7 @@
 #include "core/gateway/server_pool.hpp"
 #include "core/gateway/token_counter.hpp"
 #include "gateway/local_answer.hpp"
+#include "net/http_client.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -63,11 +64,14 @@
                          const server_choice& to,
                          unsigned attempt,
                          duration elapsed);
-    // An attempt ended as `how`, which is not attempt_end::answered. `is_sent_again` is
-    // true if the gateway tries to send the request again.
+    // An attempt ended as `how`, which is not attempt_end::answered. `got` is what its
+    // exchange brought, `answer_id` the request's id in an answer; empty without one.
+    // `is_sent_again` is true if the gateway tries to send the request again.
     void attempt_failed(const request_fields& request,
                         const server_choice& to,
                         attempt_end how,
+                        const exchange_result& got,
+                        std::string_view answer_id,
                         duration elapsed,
                         bool is_sent_again);
     // A server's answer was forwarded to the client.
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -346,9 +346,12 @@
     // A key that was refused waits first; what is then sent is claimed at that time.
     const bool is_sent_again =
         how == attempt_end::not_owner ? may_retry(how) : claim_retry(how);
+    const wire_names& names = context_.codec.names();
     context_.log.attempt_failed({request_id_, route_.name, service_},
                                 sent_to_,
                                 how,
+                                got,
+                                got.answer.headers.find(names.request_id).value_or(""),
                                 context_.loop.now() - sent_at_,
                                 is_sent_again);
     if (how == attempt_end::not_owner)
