--- a/bench/limit/limit_policy.hpp
+++ b/bench/limit/limit_policy.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
 // Ways to keep a fleet of gateways within the rate limit of one server, for comparison
-// with the tokens of core/gateway/token_exchange.hpp. They need no network: what one
-// gateway learns of the others is simulated by a delay.
+// with the tokens of core/gateway/limits/token_exchange.hpp. They need no network: what
+// one gateway learns of the others is simulated by a delay.
 
 #include "core/base/time.hpp"
-#include "core/gateway/token_counter.hpp"
+#include "core/gateway/limits/token_counter.hpp"
 
 #include <memory>
 #include <optional>
--- a/bench/limit/limit_report.cpp
+++ b/bench/limit/limit_report.cpp
@@ -2,7 +2,7 @@
 
 #include "bench/limit/limit_policy.hpp"
 #include "core/base/busiest_window.hpp"
-#include "core/gateway/testing/limit_simulation.hpp"
+#include "core/gateway/limits/testing/limit_simulation.hpp"
 
 #include <algorithm>
 #include <random>
--- a/codec/gateway_load_codec.hpp
+++ b/codec/gateway_load_codec.hpp
@@ -3,7 +3,7 @@
 // The datagram in which a gateway reports its requests in flight to other gateways: a
 // MessagePack array [sender, number, [tag, requests, tag, requests, ...]].
 
-#include "core/gateway/remote_loads.hpp"
+#include "core/gateway/servers/remote_loads.hpp"
 
 #include <optional>
 #include <string>
--- a/codec/key_messages.hpp
+++ b/codec/key_messages.hpp
@@ -6,9 +6,9 @@
 //   keys.update   assigner -> gateway   keys_update -> {}
 
 #include "core/base/result.hpp"
-#include "core/gateway/assignment_delta.hpp"
-#include "core/gateway/gateway_groups.hpp"
-#include "core/gateway/key_assignment.hpp"
+#include "core/gateway/fleet/gateway_groups.hpp"
+#include "core/gateway/owners/assignment_delta.hpp"
+#include "core/gateway/owners/key_assignment.hpp"
 
 #include <json/value.h>
 
--- a/codec/limit_codec.hpp
+++ b/codec/limit_codec.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 // The datagrams by which gateways share the rate limits of servers; see
-// core/gateway/limit_messages.hpp. They are MessagePack arrays:
+// core/gateway/limits/limit_messages.hpp. They are MessagePack arrays:
 //
 //     ["token", id, server, rate, longest wait, reply address]
 //     ["token_reply", id, granted, wait]
@@ -11,7 +11,7 @@
 //
 // Times are in microseconds, rates in requests a second.
 
-#include "core/gateway/limit_messages.hpp"
+#include "core/gateway/limits/limit_messages.hpp"
 
 #include <cstddef>
 #include <optional>
--- a/codec/reservation_codec.hpp
+++ b/codec/reservation_codec.hpp
@@ -1,14 +1,14 @@
 #pragma once
 
 // The datagrams by which gateways reserve at the gateway that counts the requests in
-// flight at a server; see core/gateway/in_flight_counter.hpp. They are MessagePack
-// arrays:
+// flight at a server; see core/gateway/servers/in_flight_counter.hpp. They are
+// MessagePack arrays:
 //
 //     ["reserve", tag, id, reply address]
 //     ["reserved", id, other requests in flight]
 //     ["release", tag, id]
 
-#include "core/gateway/in_flight_counter.hpp"
+#include "core/gateway/servers/in_flight_counter.hpp"
 
 #include <optional>
 #include <string>
--- a/core/gateway/config/gateway_config.cpp
+++ b/core/gateway/config/gateway_config.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/gateway_config.hpp"
+#include "core/gateway/config/gateway_config.hpp"
 
 #include "core/base/enum_names.hpp"
 
--- a/core/gateway/config/gateway_routes.cpp
+++ b/core/gateway/config/gateway_routes.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/gateway_routes.hpp"
+#include "core/gateway/config/gateway_routes.hpp"
 
 #include <algorithm>
 #include <cctype>
--- a/core/gateway/config/gateway_routes.hpp
+++ b/core/gateway/config/gateway_routes.hpp
@@ -9,7 +9,7 @@
 // Memory: one row per route. A look-up costs O(slashes in the path x log routes of the
 // host).
 
-#include "core/gateway/gateway_config.hpp"
+#include "core/gateway/config/gateway_config.hpp"
 
 #include <string>
 #include <string_view>
--- a/core/gateway/fleet/gateway_groups.cpp
+++ b/core/gateway/fleet/gateway_groups.cpp
@@ -1,6 +1,6 @@
-#include "core/gateway/gateway_groups.hpp"
+#include "core/gateway/fleet/gateway_groups.hpp"
 
-#include "core/gateway/seeded_hash.hpp"
+#include "core/gateway/fleet/seeded_hash.hpp"
 
 #include <algorithm>
 #include <string>
--- a/core/gateway/fleet/gateway_groups.hpp
+++ b/core/gateway/fleet/gateway_groups.hpp
@@ -18,7 +18,7 @@
 // Adding or removing a server reassigns few others.
 
 #include "core/base/names.hpp"
-#include "core/gateway/server_directory.hpp"
+#include "core/gateway/servers/server_directory.hpp"
 
 #include <compare>
 #include <cstddef>
--- a/core/gateway/fleet/testing/gateway_groups_test.cpp
+++ b/core/gateway/fleet/testing/gateway_groups_test.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/gateway_groups.hpp"
+#include "core/gateway/fleet/gateway_groups.hpp"
 #include "testing/test_headers.hpp"
 
 #include <deque>
--- a/core/gateway/limits/limit_messages.hpp
+++ b/core/gateway/limits/limit_messages.hpp
@@ -6,7 +6,7 @@
 
 #include "core/base/names.hpp"
 #include "core/base/time.hpp"
-#include "core/gateway/listed_server.hpp"
+#include "core/gateway/servers/listed_server.hpp"
 
 #include <cstdint>
 #include <variant>
--- a/core/gateway/limits/random_permits.cpp
+++ b/core/gateway/limits/random_permits.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/random_permits.hpp"
+#include "core/gateway/limits/random_permits.hpp"
 
 #include <algorithm>
 
--- a/core/gateway/limits/random_permits.hpp
+++ b/core/gateway/limits/random_permits.hpp
@@ -12,7 +12,7 @@
 
 #include "core/base/names.hpp"
 #include "core/base/time.hpp"
-#include "core/gateway/token_counter.hpp"
+#include "core/gateway/limits/token_counter.hpp"
 
 #include <cstddef>
 #include <map>
--- a/core/gateway/limits/server_limits.cpp
+++ b/core/gateway/limits/server_limits.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/server_limits.hpp"
+#include "core/gateway/limits/server_limits.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/core/gateway/limits/server_limits.hpp
+++ b/core/gateway/limits/server_limits.hpp
@@ -19,7 +19,7 @@
 
 #include "core/base/names.hpp"
 #include "core/base/time.hpp"
-#include "core/gateway/listed_server.hpp"
+#include "core/gateway/servers/listed_server.hpp"
 
 #include <cstddef>
 #include <functional>
--- a/core/gateway/limits/testing/limit_fleet_test.cpp
+++ b/core/gateway/limits/testing/limit_fleet_test.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/testing/limit_simulation.hpp"
+#include "core/gateway/limits/testing/limit_simulation.hpp"
 #include "testing/test_headers.hpp"
 
 using namespace camphorrock;
--- a/core/gateway/limits/testing/limit_simulation.cpp
+++ b/core/gateway/limits/testing/limit_simulation.cpp
@@ -1,7 +1,7 @@
-#include "core/gateway/testing/limit_simulation.hpp"
+#include "core/gateway/limits/testing/limit_simulation.hpp"
 
 #include "core/base/busiest_window.hpp"
-#include "core/gateway/in_flight_counter.hpp"
+#include "core/gateway/servers/in_flight_counter.hpp"
 
 #include <algorithm>
 #include <string>
--- a/core/gateway/limits/testing/limit_simulation.hpp
+++ b/core/gateway/limits/testing/limit_simulation.hpp
@@ -4,7 +4,7 @@
 // the token_exchange of each gateway, a network that delays, loses and repeats messages,
 // and gateways that are silent or restart. Records each arrival at the server.
 
-#include "core/gateway/token_exchange.hpp"
+#include "core/gateway/limits/token_exchange.hpp"
 
 #include <cstddef>
 #include <functional>
--- a/core/gateway/limits/testing/token_counter_test.cpp
+++ b/core/gateway/limits/testing/token_counter_test.cpp
@@ -1,5 +1,5 @@
-#include "core/gateway/random_permits.hpp"
-#include "core/gateway/token_counter.hpp"
+#include "core/gateway/limits/random_permits.hpp"
+#include "core/gateway/limits/token_counter.hpp"
 #include "testing/test_headers.hpp"
 
 using namespace camphorrock;
--- a/core/gateway/limits/token_counter.cpp
+++ b/core/gateway/limits/token_counter.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/token_counter.hpp"
+#include "core/gateway/limits/token_counter.hpp"
 
 #include <algorithm>
 
--- a/core/gateway/limits/token_exchange.cpp
+++ b/core/gateway/limits/token_exchange.cpp
@@ -1,6 +1,6 @@
-#include "core/gateway/token_exchange.hpp"
+#include "core/gateway/limits/token_exchange.hpp"
 
-#include "core/gateway/in_flight_counter.hpp"
+#include "core/gateway/servers/in_flight_counter.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/core/gateway/limits/token_exchange.hpp
+++ b/core/gateway/limits/token_exchange.hpp
@@ -16,10 +16,10 @@
 //
 // Memory: one row for each request without a decision; see token_counter for the rest.
 
-#include "core/gateway/gateway_groups.hpp"
-#include "core/gateway/limit_messages.hpp"
-#include "core/gateway/random_permits.hpp"
-#include "core/gateway/token_counter.hpp"
+#include "core/gateway/fleet/gateway_groups.hpp"
+#include "core/gateway/limits/limit_messages.hpp"
+#include "core/gateway/limits/random_permits.hpp"
+#include "core/gateway/limits/token_counter.hpp"
 
 #include <cstddef>
 #include <map>
--- a/core/gateway/owners/assignment_delta.hpp
+++ b/core/gateway/owners/assignment_delta.hpp
@@ -8,7 +8,7 @@
 //     if (auto steps = history.steps_since(known)) send(*steps);
 //     else send(assignment);                              // too old, or of another term
 
-#include "core/gateway/key_assignment.hpp"
+#include "core/gateway/owners/key_assignment.hpp"
 
 #include <cstddef>
 #include <deque>
--- a/core/gateway/owners/key_assigner.cpp
+++ b/core/gateway/owners/key_assigner.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/key_assigner.hpp"
+#include "core/gateway/owners/key_assigner.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/core/gateway/owners/key_assigner.hpp
+++ b/core/gateway/owners/key_assigner.hpp
@@ -37,11 +37,11 @@
 //
 // Memory: one row a key range, at most `max_ranges` a service; the samples of key_load.
 
-#include "core/gateway/key_assignment.hpp"
-#include "core/gateway/key_load.hpp"
-#include "core/gateway/key_orders.hpp"
-#include "core/gateway/server_directory.hpp"
-#include "core/gateway/store_era.hpp"
+#include "core/gateway/owners/key_assignment.hpp"
+#include "core/gateway/owners/key_load.hpp"
+#include "core/gateway/owners/key_orders.hpp"
+#include "core/gateway/servers/server_directory.hpp"
+#include "core/gateway/store/store_era.hpp"
 
 #include <cstddef>
 #include <functional>
--- a/core/gateway/owners/key_assigner_era.cpp
+++ b/core/gateway/owners/key_assigner_era.cpp
@@ -1,6 +1,6 @@
 // The part of key_assigner for a store that came back from a copy.
 
-#include "core/gateway/key_assigner.hpp"
+#include "core/gateway/owners/key_assigner.hpp"
 
 #include <algorithm>
 
--- a/core/gateway/owners/key_assigner_limit.cpp
+++ b/core/gateway/owners/key_assigner_limit.cpp
@@ -1,7 +1,7 @@
 // The part of key_assigner for owners that name a rate limit: fewer orders, and fewer key
 // ranges.
 
-#include "core/gateway/key_assigner.hpp"
+#include "core/gateway/owners/key_assigner.hpp"
 
 #include <algorithm>
 
--- a/core/gateway/owners/key_assigner_plan.cpp
+++ b/core/gateway/owners/key_assigner_plan.cpp
@@ -1,6 +1,6 @@
 // The planning part of key_assigner: which key ranges move to which servers.
 
-#include "core/gateway/key_assigner.hpp"
+#include "core/gateway/owners/key_assigner.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/core/gateway/owners/key_assignment.cpp
+++ b/core/gateway/owners/key_assignment.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/key_assignment.hpp"
+#include "core/gateway/owners/key_assignment.hpp"
 
 #include <algorithm>
 
--- a/core/gateway/owners/key_assignment.hpp
+++ b/core/gateway/owners/key_assignment.hpp
@@ -12,7 +12,7 @@
 
 #include "core/base/epoch.hpp"
 #include "core/base/names.hpp"
-#include "core/gateway/listed_server.hpp"
+#include "core/gateway/servers/listed_server.hpp"
 
 #include <compare>
 #include <cstdint>
--- a/core/gateway/owners/key_load.cpp
+++ b/core/gateway/owners/key_load.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/key_load.hpp"
+#include "core/gateway/owners/key_load.hpp"
 
 #include <algorithm>
 
--- a/core/gateway/owners/key_load.hpp
+++ b/core/gateway/owners/key_load.hpp
@@ -6,7 +6,7 @@
 // Memory: at most `max_samples` keys. Adding is O(1).
 
 #include "core/base/time.hpp"
-#include "core/gateway/key_assignment.hpp"
+#include "core/gateway/owners/key_assignment.hpp"
 
 #include <cstddef>
 #include <deque>
--- a/core/gateway/owners/key_orders.cpp
+++ b/core/gateway/owners/key_orders.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/key_orders.hpp"
+#include "core/gateway/owners/key_orders.hpp"
 
 #include "core/base/enum_names.hpp"
 
--- a/core/gateway/owners/key_orders.hpp
+++ b/core/gateway/owners/key_orders.hpp
@@ -2,8 +2,8 @@
 
 // The orders that an assigner sends to the servers of keyed services, and how they end.
 
-#include "core/gateway/key_assignment.hpp"
-#include "core/gateway/server_limits.hpp"
+#include "core/gateway/limits/server_limits.hpp"
+#include "core/gateway/owners/key_assignment.hpp"
 
 #include <cstdint>
 #include <string>
--- a/core/gateway/owners/testing/assigner_fixture.hpp
+++ b/core/gateway/owners/testing/assigner_fixture.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/gateway/key_assigner.hpp"
+#include "core/gateway/owners/key_assigner.hpp"
 
 #include <deque>
 #include <functional>
--- a/core/gateway/owners/testing/assignment_delta_test.cpp
+++ b/core/gateway/owners/testing/assignment_delta_test.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/assignment_delta.hpp"
+#include "core/gateway/owners/assignment_delta.hpp"
 #include "testing/test_headers.hpp"
 
 #include <random>
--- a/core/gateway/owners/testing/key_assigner_test.cpp
+++ b/core/gateway/owners/testing/key_assigner_test.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/testing/assigner_fixture.hpp"
+#include "core/gateway/owners/testing/assigner_fixture.hpp"
 #include "testing/test_headers.hpp"
 
 using namespace camphorrock;
--- a/core/gateway/owners/testing/key_owner_load_test.cpp
+++ b/core/gateway/owners/testing/key_owner_load_test.cpp
@@ -2,9 +2,9 @@
 // a key, so each one sees a small part of the owner's requests. Requests arrive at one
 // owner from 195 gateways, in groups of 11 that report to one another.
 
-#include "core/gateway/in_flight_counter.hpp"
-#include "core/gateway/remote_loads.hpp"
-#include "core/gateway/server_pool.hpp"
+#include "core/gateway/servers/in_flight_counter.hpp"
+#include "core/gateway/servers/remote_loads.hpp"
+#include "core/gateway/servers/server_pool.hpp"
 #include "testing/test_headers.hpp"
 
 #include <map>
--- a/core/gateway/owners/testing/limited_owner_test.cpp
+++ b/core/gateway/owners/testing/limited_owner_test.cpp
@@ -1,5 +1,5 @@
 #include "core/base/busiest_window.hpp"
-#include "core/gateway/testing/assigner_fixture.hpp"
+#include "core/gateway/owners/testing/assigner_fixture.hpp"
 #include "testing/test_headers.hpp"
 
 #include <algorithm>
--- a/core/gateway/owners/testing/owner_simulation.cpp
+++ b/core/gateway/owners/testing/owner_simulation.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/testing/owner_simulation.hpp"
+#include "core/gateway/owners/testing/owner_simulation.hpp"
 
 #include <algorithm>
 #include <functional>
--- a/core/gateway/owners/testing/owner_simulation.hpp
+++ b/core/gateway/owners/testing/owner_simulation.hpp
@@ -6,7 +6,7 @@
 // loses messages. After each step it checks that no two servers hold the same key, and
 // that a key's epoch rises with each change of its owner. Slow.
 
-#include "core/gateway/key_assigner.hpp"
+#include "core/gateway/owners/key_assigner.hpp"
 
 #include <cstdint>
 #include <functional>
--- a/core/gateway/retry/sliding_retry_budget.cpp
+++ b/core/gateway/retry/sliding_retry_budget.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/sliding_retry_budget.hpp"
+#include "core/gateway/retry/sliding_retry_budget.hpp"
 
 namespace camphorrock
 {
--- a/core/gateway/servers/in_flight_counter.cpp
+++ b/core/gateway/servers/in_flight_counter.cpp
@@ -1,6 +1,6 @@
-#include "core/gateway/in_flight_counter.hpp"
+#include "core/gateway/servers/in_flight_counter.hpp"
 
-#include "core/gateway/seeded_hash.hpp"
+#include "core/gateway/fleet/seeded_hash.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/core/gateway/servers/in_flight_counter.hpp
+++ b/core/gateway/servers/in_flight_counter.hpp
@@ -14,8 +14,8 @@
 
 #include "core/base/names.hpp"
 #include "core/base/time.hpp"
-#include "core/gateway/gateway_groups.hpp"
-#include "core/gateway/remote_loads.hpp"
+#include "core/gateway/fleet/gateway_groups.hpp"
+#include "core/gateway/servers/remote_loads.hpp"
 
 #include <cstddef>
 #include <cstdint>
--- a/core/gateway/servers/remote_loads.cpp
+++ b/core/gateway/servers/remote_loads.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/remote_loads.hpp"
+#include "core/gateway/servers/remote_loads.hpp"
 
 #include "core/base/key_hash.hpp"
 
--- a/core/gateway/servers/server_directory.cpp
+++ b/core/gateway/servers/server_directory.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/server_directory.hpp"
+#include "core/gateway/servers/server_directory.hpp"
 
 #include <set>
 
--- a/core/gateway/servers/server_directory.hpp
+++ b/core/gateway/servers/server_directory.hpp
@@ -20,7 +20,7 @@
 //
 // Memory: one row per server, including servers that are gone until expire() drops them.
 
-#include "core/gateway/listed_server.hpp"
+#include "core/gateway/servers/listed_server.hpp"
 
 #include <algorithm>
 #include <cstddef>
--- a/core/gateway/servers/server_pool.cpp
+++ b/core/gateway/servers/server_pool.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/server_pool.hpp"
+#include "core/gateway/servers/server_pool.hpp"
 
 #include "core/base/backoff.hpp"
 #include "core/base/enum_names.hpp"
--- a/core/gateway/servers/server_pool.hpp
+++ b/core/gateway/servers/server_pool.hpp
@@ -43,8 +43,8 @@
 // Memory: one row per server. A choice costs O(servers).
 
 #include "core/base/names.hpp"
-#include "core/gateway/remote_loads.hpp"
-#include "core/gateway/server_directory.hpp"
+#include "core/gateway/servers/remote_loads.hpp"
+#include "core/gateway/servers/server_directory.hpp"
 
 #include <cstddef>
 #include <map>
--- a/core/gateway/servers/testing/in_flight_counter_test.cpp
+++ b/core/gateway/servers/testing/in_flight_counter_test.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/in_flight_counter.hpp"
+#include "core/gateway/servers/in_flight_counter.hpp"
 #include "testing/test_headers.hpp"
 
 #include <random>
--- a/core/gateway/servers/testing/remote_loads_test.cpp
+++ b/core/gateway/servers/testing/remote_loads_test.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/remote_loads.hpp"
+#include "core/gateway/servers/remote_loads.hpp"
 #include "testing/test_headers.hpp"
 
 using namespace camphorrock;
--- a/core/gateway/servers/testing/server_pool_test.cpp
+++ b/core/gateway/servers/testing/server_pool_test.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/server_pool.hpp"
+#include "core/gateway/servers/server_pool.hpp"
 #include "testing/test_headers.hpp"
 
 #include <deque>
--- a/core/gateway/store/store_watchers.cpp
+++ b/core/gateway/store/store_watchers.cpp
@@ -1,6 +1,6 @@
-#include "core/gateway/store_watchers.hpp"
+#include "core/gateway/store/store_watchers.hpp"
 
-#include "core/gateway/seeded_hash.hpp"
+#include "core/gateway/fleet/seeded_hash.hpp"
 
 #include <algorithm>
 
--- a/core/gateway/store/store_watchers.hpp
+++ b/core/gateway/store/store_watchers.hpp
@@ -12,7 +12,7 @@
 // different ones, a gateway may name another that does not watch the store; that one
 // refuses, and the gateway watches the store itself.
 
-#include "core/gateway/gateway_groups.hpp"
+#include "core/gateway/fleet/gateway_groups.hpp"
 
 #include <cstddef>
 #include <vector>
--- a/core/gateway/store/testing/store_watchers_test.cpp
+++ b/core/gateway/store/testing/store_watchers_test.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/store_watchers.hpp"
+#include "core/gateway/store/store_watchers.hpp"
 #include "testing/test_headers.hpp"
 
 #include <set>
--- a/fakes/site/site_server.hpp
+++ b/fakes/site/site_server.hpp
@@ -4,7 +4,7 @@
 // keys whose hold time begins when the order arrives, and the faults that the platform's
 // documentation names.
 
-#include "core/gateway/key_assignment.hpp"
+#include "core/gateway/owners/key_assignment.hpp"
 #include "fakes/server/slot_queue.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_server.hpp"
--- a/gateway/assigner_role.hpp
+++ b/gateway/assigner_role.hpp
@@ -16,7 +16,7 @@
 // for the role again at once, before the others campaign, and goes on with what it knows
 // if it had authority all the while; see key_assigner::begin_era().
 
-#include "core/gateway/key_assigner.hpp"
+#include "core/gateway/owners/key_assigner.hpp"
 #include "gateway/gateway_log.hpp"
 #include "gateway/gateway_state.hpp"
 #include "gateway/limit_agent.hpp"
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -1,6 +1,6 @@
 #include "gateway/gateway.hpp"
 
-#include "core/gateway/store_watchers.hpp"
+#include "core/gateway/store/store_watchers.hpp"
 #include "net/http_status.hpp"
 #include "net/pipelined_server.hpp"
 
--- a/gateway/gateway_codec.hpp
+++ b/gateway/gateway_codec.hpp
@@ -5,9 +5,9 @@
 // A codec does no I/O and has no mutable state.
 
 #include "core/base/result.hpp"
-#include "core/gateway/gateway_config.hpp"
-#include "core/gateway/key_orders.hpp"
-#include "core/gateway/listed_server.hpp"
+#include "core/gateway/config/gateway_config.hpp"
+#include "core/gateway/owners/key_orders.hpp"
+#include "core/gateway/servers/listed_server.hpp"
 #include "gateway/wire_names.hpp"
 #include "net/http_message.hpp"
 
--- a/gateway/gateway_state.hpp
+++ b/gateway/gateway_state.hpp
@@ -4,15 +4,15 @@
 // servers, the assignment of keys to servers, the fleet of gateways, and the pools that
 // choose servers. Listeners are called after a change.
 
-#include "core/gateway/gateway_config.hpp"
-#include "core/gateway/gateway_groups.hpp"
-#include "core/gateway/gateway_routes.hpp"
-#include "core/gateway/key_assignment.hpp"
-#include "core/gateway/remote_loads.hpp"
-#include "core/gateway/server_directory.hpp"
-#include "core/gateway/server_limits.hpp"
-#include "core/gateway/server_pool.hpp"
-#include "core/gateway/sliding_retry_budget.hpp"
+#include "core/gateway/config/gateway_config.hpp"
+#include "core/gateway/config/gateway_routes.hpp"
+#include "core/gateway/fleet/gateway_groups.hpp"
+#include "core/gateway/limits/server_limits.hpp"
+#include "core/gateway/owners/key_assignment.hpp"
+#include "core/gateway/retry/sliding_retry_budget.hpp"
+#include "core/gateway/servers/remote_loads.hpp"
+#include "core/gateway/servers/server_directory.hpp"
+#include "core/gateway/servers/server_pool.hpp"
 #include "gateway/gateway_settings.hpp"
 
 #include <functional>
--- a/gateway/key_agent.hpp
+++ b/gateway/key_agent.hpp
@@ -6,7 +6,7 @@
 // the assigner, it sends the assignments to the other gateways.
 
 #include "codec/key_messages.hpp"
-#include "core/gateway/assignment_delta.hpp"
+#include "core/gateway/owners/assignment_delta.hpp"
 #include "gateway/assigner_role.hpp"
 #include "net/rpc_client.hpp"
 #include "net/rpc_server.hpp"
--- a/gateway/limit_agent.hpp
+++ b/gateway/limit_agent.hpp
@@ -8,7 +8,7 @@
 //     const token_id id = agent.request_token(server, rate, max_wait, done);
 //     agent.withdraw(id);                   // `done` is not called any more
 
-#include "core/gateway/token_exchange.hpp"
+#include "core/gateway/limits/token_exchange.hpp"
 #include "gateway/gateway_state.hpp"
 #include "net/event_loop.hpp"
 
--- a/gateway/load_agent.hpp
+++ b/gateway/load_agent.hpp
@@ -8,7 +8,7 @@
 // A gateway sends its reports to the members of its group only, so that the number of
 // reports that it receives does not grow with the fleet.
 
-#include "core/gateway/remote_loads.hpp"
+#include "core/gateway/servers/remote_loads.hpp"
 #include "gateway/gateway_state.hpp"
 #include "gateway/limit_agent.hpp"
 #include "gateway/reservation_agent.hpp"
--- a/gateway/order_sender.hpp
+++ b/gateway/order_sender.hpp
@@ -2,7 +2,7 @@
 
 // Sends the assigner's orders to servers over HTTP.
 
-#include "core/gateway/key_orders.hpp"
+#include "core/gateway/owners/key_orders.hpp"
 #include "gateway/gateway_codec.hpp"
 #include "net/http_client.hpp"
 
--- a/gateway/rate_limit_header.hpp
+++ b/gateway/rate_limit_header.hpp
@@ -3,7 +3,7 @@
 // Reads the header by which a server limits the requests that it takes from all gateways
 // together.
 
-#include "core/gateway/server_limits.hpp"
+#include "core/gateway/limits/server_limits.hpp"
 #include "net/http_message.hpp"
 
 #include <string_view>
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -15,7 +15,7 @@
 //   - a request does not wait if the expected answer or the next owner of its key is
 //     already known to come too late.
 
-#include "core/gateway/gateway_routes.hpp"
+#include "core/gateway/config/gateway_routes.hpp"
 #include "gateway/gateway_codec.hpp"
 #include "gateway/gateway_log.hpp"
 #include "gateway/gateway_state.hpp"
--- a/gateway/reservation_agent.hpp
+++ b/gateway/reservation_agent.hpp
@@ -8,7 +8,7 @@
 // without the count, and the silent gateway is not asked for a while.
 
 #include "codec/reservation_codec.hpp"
-#include "core/gateway/in_flight_counter.hpp"
+#include "core/gateway/servers/in_flight_counter.hpp"
 #include "gateway/gateway_state.hpp"
 #include "net/event_loop.hpp"
 
--- a/store/store_client.hpp
+++ b/store/store_client.hpp
@@ -14,7 +14,7 @@
 #include "core/base/result.hpp"
 #include "core/base/store_end.hpp"
 #include "core/base/time.hpp"
-#include "core/gateway/store_era.hpp"
+#include "core/gateway/store/store_era.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
