server_probed tells whether a server ended under an attempt, and which requests are the same

The incident's logs could not tell its hypotheses apart: no line says which requests are the same one, and none whether a server has ended or only a connection has. After an attempt that was cut off, a connection to the server is opened and closed without sending anything: a refused one shows that no process listens. The event carries a fingerprint of the request. No decision depends on it.

--- a/app/events.cpp
+++ b/app/events.cpp
@@ -186,6 +186,11 @@
         severity::debug,
         "The gateway that counts for a server with a limit granted a request a token, "
         "or refused it; gives the wait."},
+    event_row{event_id::server_probed,
+              "server_probed",
+              severity::info,
+              "After an attempt was cut off, a connection to its server was tried; gives "
+              "whether the server has ended, and the request's fingerprint."},
     event_row{event_id::elected,
               "elected",
               severity::info,
--- a/app/events.hpp
+++ b/app/events.hpp
@@ -60,6 +60,7 @@
     server_limit_ended = 237,
     server_limit_unreadable = 238,
     token_decided = 239,
+    server_probed = 240,
 
     elected = 301,
     lease_lost = 302,
--- /dev/null
+++ b/core/gateway/retry/request_fingerprint.cpp
@@ -0,0 +1,46 @@
+#include "core/gateway/retry/request_fingerprint.hpp"
+
+#include <xxhash.h>
+
+#include <cinttypes>
+#include <cstdio>
+
+namespace camphorrock
+{
+namespace
+{
+
+// Hashes one part after the other, so that bytes cannot move from one to the next.
+std::uint64_t hash_part(std::string_view part, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(part.data(), part.size(), seed + part.size());
+}
+
+} // namespace
+
+request_fingerprint fingerprint_of(const request_parts& request)
+{
+    const std::string_view path = request.target.substr(0, request.target.find('?'));
+    std::uint64_t hash = hash_part(request.body, 0);
+    hash = hash_part(request.method, hash);
+    hash = hash_part(request.host, hash);
+    hash = hash_part(path, hash);
+    request_fingerprint made;
+    made.path = hash;
+    hash = hash_part(request.target.substr(path.size()), hash);
+    made.whole = hash_part(request.key, hash);
+    return made;
+}
+
+std::string text_of(const request_fingerprint& fingerprint)
+{
+    char buf[40];
+    std::snprintf(buf,
+                  sizeof buf,
+                  "%016" PRIx64 "-%016" PRIx64,
+                  fingerprint.whole,
+                  fingerprint.path);
+    return buf;
+}
+
+} // namespace camphorrock
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -153,6 +153,7 @@
             *loop_, *store_, *state_, *order_sender_, log_, &load_agent_->limits()},
         *rpc_,
         rpc_methods_);
+    server_probe_ = std::make_unique<server_probe>(*server_http_);
     relay_context_ = std::make_unique<relay_context>(
         relay_context{*loop_,
                       *server_http_,
@@ -164,7 +165,8 @@
                       [this](const service_name& service, shard_key key)
                       { key_agent_->add_refusal(service, key); },
                       &load_agent_->reservations(),
-                      &load_agent_->limits()});
+                      &load_agent_->limits(),
+                      server_probe_.get()});
     client_handler_ = std::make_unique<client_handler>(*relay_context_);
     BOOST_LEAF_CHECK(open_ports());
     loop_monitor_ = std::make_unique<loop_monitor>(
--- a/gateway/gateway_log.cpp
+++ b/gateway/gateway_log.cpp
@@ -32,6 +32,9 @@
 const metric_name tokens_metric{
     "camphorrock_gateway_tokens_total",
     "Tokens that requests to servers with a limit were granted, or refused."};
+const metric_name probes_metric{
+    "camphorrock_gateway_server_probes_total",
+    "Servers probed after an attempt was cut off, by whether they had ended."};
 const metric_name loop_late_metric{"camphorrock_gateway_loop_late_seconds",
                                    "By how much the event loop ran its timers late."};
 const metric_name latency_metric{"camphorrock_gateway_answer_seconds",
@@ -224,6 +227,19 @@
                    {"wait_us", decision.wait}});
 }
 
+void gateway_log::server_probed(const std::string& request_id,
+                                const request_fingerprint& fingerprint,
+                                const server_id& server,
+                                bool has_ended)
+{
+    metrics_.get_counter(probes_metric, {{"ended", has_ended ? "yes" : "no"}}).add();
+    events_.write(event_id::server_probed,
+                  {{"request", request_id},
+                   {"fingerprint", text_of(fingerprint)},
+                   {"server", server},
+                   {"ended", has_ended}});
+}
+
 void gateway_log::loop_late(duration lateness)
 {
     metrics_.get_histogram(loop_late_metric).record(lateness);
--- a/gateway/gateway_log.hpp
+++ b/gateway/gateway_log.hpp
@@ -10,6 +10,7 @@
 #include "core/gateway/limits/server_limits.hpp"
 #include "core/gateway/limits/token_counter.hpp"
 #include "core/gateway/owners/key_orders.hpp"
+#include "core/gateway/retry/request_fingerprint.hpp"
 #include "core/gateway/servers/server_pool.hpp"
 #include "gateway/local_answer.hpp"
 #include "net/http_client.hpp"
@@ -104,6 +105,11 @@
                        const server_id& server,
                        double rate,
                        const token_decision& decision);
+    // After an attempt there was cut off, the server was probed.
+    void server_probed(const std::string& request_id,
+                       const request_fingerprint& fingerprint,
+                       const server_id& server,
+                       bool has_ended);
     // The event loop ran a timer later than planned, by `lateness`.
     void loop_late(duration lateness);
     // The client disconnected before it received an answer. `is_noticed_late`: a check
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -354,6 +354,10 @@
                                 got.answer.headers.find(names.request_id).value_or(""),
                                 context_.loop.now() - sent_at_,
                                 is_sent_again);
+    if (got.end == exchange_end::connection_lost)
+    {
+        probe_server();
+    }
     if (how == attempt_end::not_owner)
     {
         context_.on_key_refused(service_, *key_);
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -22,6 +22,7 @@
 #include "gateway/limit_agent.hpp"
 #include "gateway/local_answer.hpp"
 #include "gateway/reservation_agent.hpp"
+#include "gateway/server_probe.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
@@ -48,6 +49,7 @@
     std::function<void(const service_name&, shard_key)> on_key_refused;
     reservation_agent* reservations = nullptr; // null: owners' requests are not counted
     limit_agent* limits = nullptr;             // null: servers' rate limits are not kept
+    server_probe* probe = nullptr;             // null: servers are not probed
 };
 
 class request_relay : public std::enable_shared_from_this<request_relay>
@@ -138,6 +140,8 @@
     void on_withdrawn();
     void on_no_choice(const std::optional<server_id>& owner);
     void on_attempt_failed(attempt_end how, const exchange_result& got);
+    request_fingerprint fingerprint() const;
+    void probe_server();
     bool may_retry(attempt_end how) const;
     bool claim_retry(attempt_end how);
     void wait_for_owner();
