--- a/fakes/site/site_server.cpp
+++ b/fakes/site/site_server.cpp
@@ -133,6 +133,13 @@
 
 void site_server::finish_run(slot_ticket ticket)
 {
+    const bool is_crash = !faults_.crashes_on.empty() &&
+                          items_[ticket].request.target.starts_with(faults_.crashes_on);
+    if (is_crash)
+    {
+        faults_.on_crash();
+        return;
+    }
     work_item it = std::move(items_[ticket]);
     items_.erase(ticket);
     queue_.release();
--- a/fakes/site/site_server.hpp
+++ b/fakes/site/site_server.hpp
@@ -10,6 +10,7 @@
 #include "net/http_server.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -41,6 +42,10 @@
     std::string names_limit; // if set, all answers name this limit of requests a second
     bool sets_content_encoding = false; // sends a Content-Encoding
     duration order_delay{}; // if not 0, orders get no answer and take effect after it
+    // Requests whose target begins with this crash the server at the end of their run;
+    // empty: none. `on_crash` must end all its connections and stop listening.
+    std::string crashes_on;
+    std::function<void()> on_crash;
 };
 
 // One run of a request.
