array_reader is a header that codecs share

It read the elements of a datagram in limit_codec alone; another codec needs the same. Its comment named is_valid(), which is is_complete(). No behaviour changes; codec_test passes.

--- a/codec/limit_codec.cpp
+++ b/codec/limit_codec.cpp
@@ -1,8 +1,6 @@
 #include "codec/limit_codec.hpp"
 
-#include <nlohmann/json.hpp>
-
-#include <cmath>
+#include "codec/array_reader.hpp"
 
 namespace camphorrock
 {
@@ -57,74 +55,6 @@
     return nlohmann::json::array({limits_name, std::move(rows)});
 }
 
-// Reads the elements of an array one after the other. After the first that is of another
-// type or out of range, is_valid() is false and the values are defaults.
-class array_reader
-{
-public:
-    array_reader(const nlohmann::json& array, std::size_t first)
-        : array_(array), next_(first)
-    {
-    }
-
-    std::uint64_t number()
-    {
-        const nlohmann::json* it = take();
-        return check(it != nullptr && it->is_number_unsigned()) ? it->get<std::uint64_t>()
-                                                                : 0;
-    }
-
-    std::string text()
-    {
-        const nlohmann::json* it = take();
-        return check(it != nullptr && it->is_string()) ? it->get<std::string>() : "";
-    }
-
-    bool flag()
-    {
-        const nlohmann::json* it = take();
-        return check(it != nullptr && it->is_boolean()) && it->get<bool>();
-    }
-
-    double rate()
-    {
-        const nlohmann::json* it = take();
-        const double value = it != nullptr && it->is_number() ? it->get<double>() : -1;
-        return check(std::isfinite(value) && value >= 0) ? value : 0;
-    }
-
-    duration time()
-    {
-        const nlohmann::json* it = take();
-        const bool is_time = it != nullptr && it->is_number_integer();
-        const auto us = is_time ? it->get<std::int64_t>() : -1;
-        return check(us >= 0 && us <= max_limit_message_time.count()) ? duration(us)
-                                                                      : duration();
-    }
-
-    // True if all elements have been read, and were valid.
-    bool is_complete() const
-    {
-        return is_valid_ && next_ == array_.size();
-    }
-
-private:
-    const nlohmann::json* take()
-    {
-        return next_ < array_.size() ? &array_[next_++] : nullptr;
-    }
-
-    bool check(bool is_met)
-    {
-        is_valid_ = is_valid_ && is_met;
-        return is_met;
-    }
-
-    const nlohmann::json& array_;
-    std::size_t next_;
-    bool is_valid_ = true;
-};
-
 std::optional<limit_message> read_notice(const nlohmann::json& value)
 {
     const bool has_rows = value.size() == 2 && value[1].is_array() &&
@@ -135,7 +65,7 @@
         return std::nullopt;
     }
     limits_notice made;
-    array_reader reader(value[1], 0);
+    array_reader reader(value[1], 0, max_limit_message_time);
     for (std::size_t n = 0; n < value[1].size() / fields_per_limit; ++n)
     {
         aged_limit& limit = made.limits.emplace_back();
@@ -151,7 +81,7 @@
 std::optional<limit_message> read_message(const std::string& name,
                                           const nlohmann::json& value)
 {
-    array_reader reader(value, 1);
+    array_reader reader(value, 1, max_limit_message_time);
     limit_message made;
     if (name == request_name)
     {
