A request under which servers crash is stopped by the whole fleet

Cause: nothing related a lost attempt to what the request was. Each gateway retried it on another server, and each arrival of it, at any gateway, started anew.

Now a request that was under way when its server ended (a refused connection shows that) is a suspect. One gateway counts for each service; it tells all others of the suspects, and permits their attempts: one at a time for a request, and none on a server that runs another suspect, so each further crash has one suspect. An answer of any server clears a request; a third crash condemns it, and it is answered 502 at once, without being sent. Messages are repeated until they are noted; without a gateway that counts, each permits its own.

--- a/app/events.cpp
+++ b/app/events.cpp
@@ -191,6 +191,25 @@
               severity::info,
               "After an attempt was cut off, a connection to its server was tried; gives "
               "whether the server has ended, and the request's fingerprint."},
+    event_row{event_id::request_suspected,
+              "request_suspected",
+              severity::info,
+              "A server ended under a request: until some server answers it, it is "
+              "sent to one server at a time in the whole fleet."},
+    event_row{event_id::request_condemned,
+              "request_condemned",
+              severity::warning,
+              "Servers ended again and again under a request: it is answered 502 and "
+              "sent to no server."},
+    event_row{event_id::suspect_cleared,
+              "suspect_cleared",
+              severity::info,
+              "A condemned request may be sent again: a server has answered it, or an "
+              "operator said so."},
+    event_row{event_id::trial_answered,
+              "trial_answered",
+              severity::debug,
+              "A suspect asked whether it may be sent to a server; gives the answer."},
     event_row{event_id::elected,
               "elected",
               severity::info,
--- a/app/events.hpp
+++ b/app/events.hpp
@@ -61,6 +61,10 @@
     server_limit_unreadable = 238,
     token_decided = 239,
     server_probed = 240,
+    request_suspected = 241,
+    request_condemned = 242,
+    suspect_cleared = 243,
+    trial_answered = 244,
 
     elected = 301,
     lease_lost = 302,
--- /dev/null
+++ b/core/gateway/retry/crash_counter.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+// Counts the crashes of servers under each request, for one or more services, and permits
+// the attempts of suspects. One gateway counts for each service; see crash_exchange.hpp.
+//
+//     counter.report(report, now);             // an attempt of a suspect has ended
+//     const trial_answer got = counter.request(trial, now);
+//     for (const suspect_row& it : counter.take_changes()) tell_all_gateways(it);
+//
+// A request that was under way when its server crashed is a suspect. So are the requests
+// that ran beside it there, and all but one of them are good. Therefore:
+//   - a suspect is sent to one server at a time in the whole fleet, and to none on which
+//     another suspect runs, so each further crash has one suspect;
+//   - a crash under an attempt that was permitted counts. Of the others, those of one
+//     moment, such as the loss of a rack, count once: a crash counts if its attempt
+//     started after the last one that counted, or if another server ended at least
+//     `min_crash_gap` later;
+//   - an answer of any server clears the request.
+// A request is condemned at `crashes_to_condemn`.
+//
+// Memory: at most `max_rows` fingerprints of about 100 bytes, the ones without news for
+// the longest time are dropped first; one row for each attempt that is permitted. A call
+// costs O(permitted attempts).
+
+#include "core/gateway/retry/crash_messages.hpp"
+#include "core/gateway/retry/suspect_list.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace camphorrock
+{
+
+struct crash_counter_options
+{
+    std::size_t max_rows = 8192;
+    // Of crashes that do not have one cause.
+    duration min_crash_gap = milliseconds(50);
+    // A cleared request is remembered for this long, so that a gateway that still takes
+    // it for a suspect does not make it one again.
+    duration cleared_retention = std::chrono::minutes(1);
+    duration suspect_retention = std::chrono::minutes(10);
+    duration verdict_retention = std::chrono::hours(24);
+};
+
+class crash_counter
+{
+public:
+    explicit crash_counter(crash_counter_options options = {}) : options_(options) {}
+
+    // Permits the attempt or says why not. `trial.known` is believed unless the request
+    // was cleared, since this gateway may have become the counting one just now.
+    trial_answer request(const trial_request& trial, time_point now);
+
+    // An attempt of a suspect, or one that crashed its server, has ended.
+    void report(const trial_report& report, time_point now);
+
+    // The attempt does not run any more; its end is reported to another gateway.
+    void end_trial(trial_id id);
+
+    // 0 for a fingerprint that is not known or was cleared.
+    unsigned crashes_of(std::uint64_t fingerprint) const;
+
+    // The rows that changed so that other gateways must know: new suspects, verdicts, and
+    // verdicts that were taken back.
+    std::vector<suspect_row> take_changes();
+
+    // Drops the rows that have reached their retention. O(rows).
+    void expire(time_point now);
+
+private:
+    struct row
+    {
+        unsigned crashes = 0; // 0: it was cleared
+        time_point last_crash_at{};
+        server_id last_crashed; // the server
+        time_point changed_at{};
+    };
+
+    struct trial
+    {
+        request_fingerprint request;
+        server_id server;
+        time_point ends_at{};
+    };
+
+    void adopt(std::uint64_t fingerprint, unsigned crashes, time_point now);
+    void count_crash(std::uint64_t fingerprint,
+                     const trial_report& report,
+                     bool was_permitted,
+                     time_point now);
+    bool is_independent(const row& it, const trial_report& report, time_point now) const;
+    void clear(std::uint64_t fingerprint, time_point now);
+    row& row_of(std::uint64_t fingerprint);
+    duration retention_of(const row& it) const;
+
+    crash_counter_options options_;
+    std::unordered_map<std::uint64_t, row> rows_;
+    std::map<trial_id, trial> trials_;
+    std::set<std::uint64_t> changed_;
+};
+
+} // namespace camphorrock
--- a/core/gateway/retry/request_fingerprint.cpp
+++ b/core/gateway/retry/request_fingerprint.cpp
@@ -32,15 +32,16 @@
     return made;
 }
 
-std::string text_of(const request_fingerprint& fingerprint)
+std::string fingerprint_text(std::uint64_t fingerprint)
 {
-    char buf[40];
-    std::snprintf(buf,
-                  sizeof buf,
-                  "%016" PRIx64 "-%016" PRIx64,
-                  fingerprint.whole,
-                  fingerprint.path);
+    char buf[17];
+    std::snprintf(buf, sizeof buf, "%016" PRIx64, fingerprint);
     return buf;
 }
 
+std::string text_of(const request_fingerprint& fingerprint)
+{
+    return fingerprint_text(fingerprint.whole) + "-" + fingerprint_text(fingerprint.path);
+}
+
 } // namespace camphorrock
--- a/core/gateway/retry/request_fingerprint.hpp
+++ b/core/gateway/retry/request_fingerprint.hpp
@@ -42,7 +42,10 @@
 // The same on all gateways and in all builds. O(bytes).
 request_fingerprint fingerprint_of(const request_parts& request);
 
-// As hexadecimal digits, the whole one first: "91ce03...-07ab...".
+// As 16 hexadecimal digits.
+std::string fingerprint_text(std::uint64_t fingerprint);
+
+// Both of them, with a hyphen between: "<whole>-<path>".
 std::string text_of(const request_fingerprint& fingerprint);
 
 } // namespace camphorrock
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -147,13 +147,13 @@
     rpc_ = std::make_unique<rpc_client>(*control_http_);
     directory_agent_ =
         std::make_unique<directory_agent>(*loop_, *store_, *state_, codec_, log_);
-    BOOST_LEAF_ASSIGN(load_agent_, load_agent::create(*loop_, *state_));
+    BOOST_LEAF_ASSIGN(load_agent_,
+                      load_agent::create(*loop_, *state_, log_, *server_http_));
     key_agent_ = std::make_unique<key_agent>(
         assigner_role_context{
             *loop_, *store_, *state_, *order_sender_, log_, &load_agent_->limits()},
         *rpc_,
         rpc_methods_);
-    server_probe_ = std::make_unique<server_probe>(*server_http_);
     relay_context_ = std::make_unique<relay_context>(
         relay_context{*loop_,
                       *server_http_,
@@ -166,7 +166,7 @@
                       { key_agent_->add_refusal(service, key); },
                       &load_agent_->reservations(),
                       &load_agent_->limits(),
-                      server_probe_.get()});
+                      &load_agent_->crashes()});
     client_handler_ = std::make_unique<client_handler>(*relay_context_);
     BOOST_LEAF_CHECK(open_ports());
     loop_monitor_ = std::make_unique<loop_monitor>(
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -86,7 +86,6 @@
     rpc_server rpc_methods_;
     std::unique_ptr<key_agent> key_agent_;
     std::unique_ptr<load_agent> load_agent_;
-    std::unique_ptr<server_probe> server_probe_;
     std::unique_ptr<relay_context> relay_context_;
     std::unique_ptr<client_handler> client_handler_;
     std::unique_ptr<ready_handler> ready_handler_;
--- a/gateway/gateway_log.cpp
+++ b/gateway/gateway_log.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gateway_log.hpp"
 
+#include "core/gateway/retry/suspect_list.hpp"
+
 namespace camphorrock
 {
 namespace
@@ -35,6 +37,12 @@
 const metric_name probes_metric{
     "camphorrock_gateway_server_probes_total",
     "Servers probed after an attempt was cut off, by whether they had ended."};
+const metric_name suspects_metric{
+    "camphorrock_gateway_suspects_total",
+    "Fingerprints of requests under which servers ended, by what became of them."};
+const metric_name trials_metric{
+    "camphorrock_gateway_trials_total",
+    "Attempts of suspects, by the answer of the gateway that permits them."};
 const metric_name loop_late_metric{"camphorrock_gateway_loop_late_seconds",
                                    "By how much the event loop ran its timers late."};
 const metric_name latency_metric{"camphorrock_gateway_answer_seconds",
@@ -118,7 +126,8 @@
          {"config", inputs.config.value},
          {"keys_term", inputs.assignment.term},
          {"keys_change", inputs.assignment.change},
-         {"key", inputs.key ? std::to_string(inputs.key->value) : std::string()}});
+         {"key", inputs.key ? std::to_string(inputs.key->value) : std::string()},
+         {"fingerprint", inputs.fingerprint}});
 }
 
 void gateway_log::config_in_force(const gateway_config& config, std::uint64_t revision)
@@ -240,6 +249,28 @@
                    {"ended", has_ended}});
 }
 
+void gateway_log::suspect_changed(const suspect_row& row)
+{
+    const event_id id = row.crashes == 0                   ? event_id::suspect_cleared
+                        : row.crashes < crashes_to_condemn ? event_id::request_suspected
+                                                           : event_id::request_condemned;
+    metrics_.get_counter(suspects_metric, {{"event", std::string(row_of(id).name)}})
+        .add();
+    events_.write(
+        id,
+        {{"fingerprint", fingerprint_text(row.fingerprint)}, {"crashes", row.crashes}});
+}
+
+void gateway_log::trial_answered(const request_fields& request,
+                                 const server_id& server,
+                                 trial_answer answer)
+{
+    const std::string_view name = trial_answer_names.name(answer);
+    metrics_.get_counter(trials_metric, {{"answer", std::string(name)}}).add();
+    events_.write(event_id::trial_answered,
+                  {{"request", request.id}, {"server", server}, {"answer", name}});
+}
+
 void gateway_log::loop_late(duration lateness)
 {
     metrics_.get_histogram(loop_late_metric).record(lateness);
--- a/gateway/gateway_log.hpp
+++ b/gateway/gateway_log.hpp
@@ -10,7 +10,7 @@
 #include "core/gateway/limits/server_limits.hpp"
 #include "core/gateway/limits/token_counter.hpp"
 #include "core/gateway/owners/key_orders.hpp"
-#include "core/gateway/retry/request_fingerprint.hpp"
+#include "core/gateway/retry/crash_messages.hpp"
 #include "core/gateway/servers/server_pool.hpp"
 #include "gateway/local_answer.hpp"
 #include "net/http_client.hpp"
@@ -43,6 +43,8 @@
     config_version config;         // in force
     assignment_version assignment; // in force
     std::optional<shard_key> key;  // none for a service without keys
+    // Of a request that is known to crash servers, or suspected of it; else empty.
+    std::string fingerprint;
 };
 
 class gateway_log
@@ -110,6 +112,12 @@
                        const request_fingerprint& fingerprint,
                        const server_id& server,
                        bool has_ended);
+    // What is known of a fingerprint has changed: a suspect, condemned or cleared.
+    void suspect_changed(const suspect_row& row);
+    // A suspect asked whether it may be sent to the server.
+    void trial_answered(const request_fields& request,
+                        const server_id& server,
+                        trial_answer answer);
     // The event loop ran a timer later than planned, by `lateness`.
     void loop_late(duration lateness);
     // The client disconnected before it received an answer. `is_noticed_late`: a check
--- a/gateway/load_agent.cpp
+++ b/gateway/load_agent.cpp
@@ -15,9 +15,11 @@
 } // namespace
 
 result<std::unique_ptr<load_agent>> load_agent::create(event_loop& loop,
-                                                       gateway_state& state)
+                                                       gateway_state& state,
+                                                       gateway_log& log,
+                                                       http_client& server_http)
 {
-    std::unique_ptr<load_agent> made(new load_agent(loop, state));
+    std::unique_ptr<load_agent> made(new load_agent(loop, state, log, server_http));
     load_agent* self = made.get();
     BOOST_LEAF_ASSIGN(made->socket_,
                       udp_socket::create(loop,
@@ -28,20 +30,34 @@
     return made;
 }
 
-load_agent::load_agent(event_loop& loop, gateway_state& state)
+load_agent::load_agent(event_loop& loop,
+                       gateway_state& state,
+                       gateway_log& log,
+                       http_client& server_http)
     : loop_(loop), state_(state),
       reservations_(loop,
                     state,
                     [this](const endpoint& to, std::string_view datagram)
-                    { socket_->send(to, datagram); }),
+                    { send(to, datagram); }),
       limits_(loop,
               state,
               [this](const endpoint& to, std::string_view datagram)
-              { socket_->send(to, datagram); })
+              { send(to, datagram); }),
+      crashes_(loop,
+               state,
+               log,
+               server_http,
+               [this](const endpoint& to, std::string_view datagram)
+               { send(to, datagram); })
 {
     last_report_.sender = (std::uint64_t{state.random()()} << 32) | state.random()();
 }
 
+void load_agent::send(const endpoint& to, std::string_view datagram)
+{
+    socket_->send(to, datagram);
+}
+
 void load_agent::send_report()
 {
     const time_point now = loop_.now();
@@ -62,7 +78,7 @@
     {
         if (to != state_.settings().peer)
         {
-            socket_->send(to, datagram);
+            send(to, datagram);
         }
     }
 }
@@ -74,7 +90,8 @@
         remote_.add_report(*report, loop_.now());
         return;
     }
-    if (!limits_.on_datagram(datagram))
+    const bool is_taken = limits_.on_datagram(datagram) || crashes_.on_datagram(datagram);
+    if (!is_taken)
     {
         reservations_.on_datagram(datagram);
     }
--- a/gateway/load_agent.hpp
+++ b/gateway/load_agent.hpp
@@ -2,13 +2,14 @@
 
 // Exchanges UDP reports of requests in flight with other gateways, so that each of them
 // knows how busy a server is with the requests of all. Owns the UDP socket, and with it
-// the reservations at single servers and the rate limits of servers, see
-// reservation_agent.hpp and limit_agent.hpp.
+// the reservations at single servers, the rate limits of servers and the requests that
+// crash servers, see reservation_agent.hpp, limit_agent.hpp and crash_agent.hpp.
 //
 // A gateway sends its reports to the members of its group only, so that the number of
 // reports that it receives does not grow with the fleet.
 
 #include "core/gateway/servers/remote_loads.hpp"
+#include "gateway/crash_agent.hpp"
 #include "gateway/gateway_state.hpp"
 #include "gateway/limit_agent.hpp"
 #include "gateway/reservation_agent.hpp"
@@ -24,10 +25,12 @@
 class load_agent
 {
 public:
-    // `loop` and `state` must outlive the agent. Fails with error_code::io if the peer
-    // address cannot be bound for UDP.
+    // `loop`, `state`, `log` and `server_http`, which connects to servers, must outlive
+    // the agent. Fails with error_code::io if the peer address cannot be bound for UDP.
     static result<std::unique_ptr<load_agent>> create(event_loop& loop,
-                                                      gateway_state& state);
+                                                      gateway_state& state,
+                                                      gateway_log& log,
+                                                      http_client& server_http);
 
     reservation_agent& reservations()
     {
@@ -39,12 +42,21 @@
         return limits_;
     }
 
+    crash_agent& crashes()
+    {
+        return crashes_;
+    }
+
     load_agent(const load_agent&) = delete;
     load_agent& operator=(const load_agent&) = delete;
 
 private:
-    load_agent(event_loop& loop, gateway_state& state);
+    load_agent(event_loop& loop,
+               gateway_state& state,
+               gateway_log& log,
+               http_client& server_http);
     void send_report();
+    void send(const endpoint& to, std::string_view datagram);
     void on_datagram(std::string_view datagram);
 
     event_loop& loop_;
@@ -53,6 +65,7 @@
     remote_loads remote_; // of the other gateways
     reservation_agent reservations_;
     limit_agent limits_;
+    crash_agent crashes_;
     gateway_load last_report_;
     time_point last_sent_{};
     timer_handle send_timer_;
--- a/gateway/local_answer.cpp
+++ b/gateway/local_answer.cpp
@@ -13,7 +13,7 @@
 constexpr int bad_gateway = 502;
 constexpr int gateway_timeout = 504;
 
-constexpr enum_names<local_answer_reason, 15> names{{{
+constexpr enum_names<local_answer_reason, 17> names{{{
     {local_answer_reason::no_route, "no_route"},
     {local_answer_reason::no_config, "no_config"},
     {local_answer_reason::route_unreadable, "route_unreadable"},
@@ -23,11 +23,13 @@
     {local_answer_reason::overloaded, "overloaded"},
     {local_answer_reason::paused, "paused"},
     {local_answer_reason::limited, "limited"},
+    {local_answer_reason::suspected, "suspected"},
     {local_answer_reason::shed, "shed"},
     {local_answer_reason::unreachable, "unreachable"},
     {local_answer_reason::waited_too_long, "waited_too_long"},
     {local_answer_reason::timed_out, "timed_out"},
     {local_answer_reason::server_lost, "server_lost"},
+    {local_answer_reason::crashes_servers, "crashes_servers"},
     {local_answer_reason::bad_answer, "bad_answer"},
 }}};
 
@@ -42,6 +44,7 @@
     case local_answer_reason::timed_out:
         return gateway_timeout;
     case local_answer_reason::server_lost:
+    case local_answer_reason::crashes_servers:
     case local_answer_reason::bad_answer:
         return bad_gateway;
     case local_answer_reason::no_config:
@@ -51,6 +54,7 @@
     case local_answer_reason::overloaded:
     case local_answer_reason::paused:
     case local_answer_reason::limited:
+    case local_answer_reason::suspected:
     case local_answer_reason::shed:
     case local_answer_reason::unreachable:
     case local_answer_reason::waited_too_long:
--- a/gateway/local_answer.hpp
+++ b/gateway/local_answer.hpp
@@ -24,11 +24,13 @@
     overloaded,       // no server is expected to answer in time
     paused,           // the servers that may run it asked for pauses that last too long
     limited,          // the servers that may run it have reached their rate limits
+    suspected,        // a server crashed under the request; another attempt of it runs
     shed,             // the servers that were tried shed the request
     unreachable,      // no server could be reached
     waited_too_long,  // the deadline passed before the request was sent
     timed_out,        // the deadline passed after it was sent; it may have been run
     server_lost,      // the answer was lost or invalid; the request may have been run
+    crashes_servers,  // servers crash under the request; it is sent to none any more
     bad_answer,       // the received answer is not a server's answer to this request
 };
 
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -145,14 +145,26 @@
         answer_locally(local_answer_reason::no_server);
         return;
     }
+    if (standing() == crash_standing::condemned)
+    {
+        answer_locally(local_answer_reason::crashes_servers);
+        return;
+    }
     server_criteria criteria;
     criteria.excluded = tried_;
+    criteria.excluded.insert(
+        criteria.excluded.end(), busy_servers_.begin(), busy_servers_.end());
     if (key_ && !require_owner(criteria))
     {
         return;
     }
     const std::optional<server_choice> to =
         service->pool.choose(criteria, context_.state.random(), now);
+    if (!to && !busy_servers_.empty())
+    {
+        wait_for_permission();
+        return;
+    }
     if (!to)
     {
         on_no_choice(criteria.owner);
@@ -164,13 +176,24 @@
         give_up(local_answer_reason::overloaded);
         return;
     }
-    const std::optional<double> limit = limit_of(*to);
+    if (standing() == crash_standing::suspected && !is_permitted(to->server))
+    {
+        ask_for_permission(*to);
+        return;
+    }
+    send_with_limits(*to);
+}
+
+// Sends the request, if its server has a rate limit as soon as a token for it is due.
+void request_relay::send_with_limits(const server_choice& to)
+{
+    const std::optional<double> limit = limit_of(to);
     if (limit && context_.limits != nullptr)
     {
-        ask_for_token(*to, *limit);
+        ask_for_token(to, *limit);
         return;
     }
-    send_if_owner_allows(*to);
+    send_if_owner_allows(to);
 }
 
 // Sends the request, unless a retry at the owner of its key is not within the budgets.
@@ -219,7 +242,8 @@
     {
         const std::shared_ptr<request_relay> self = weak.lock();
         return self && !self->responder_->is_disconnected() &&
-               !self->is_server_paused() && !self->is_token_missing();
+               !self->is_server_paused() && !self->is_token_missing() &&
+               !self->is_permission_missing();
     };
     exchange_ = context_.http.send(to.address,
                                    make_upstream_request(to, time_left()),
@@ -308,6 +332,10 @@
     {
         service->pool.attempt_ended(sent_to_, how, elapsed, context_.loop.now());
     }
+    if (got.end != exchange_end::connection_lost)
+    {
+        note_attempt_end(how);
+    }
     if (got.end == exchange_end::withdrawn)
     {
         on_withdrawn();
@@ -354,9 +382,11 @@
                                 got.answer.headers.find(names.request_id).value_or(""),
                                 context_.loop.now() - sent_at_,
                                 is_sent_again);
-    if (got.end == exchange_end::connection_lost)
+    const bool is_checked =
+        got.end == exchange_end::connection_lost && context_.crashes != nullptr;
+    if (is_checked)
     {
-        probe_server();
+        check_crash(is_sent_again);
     }
     if (how == attempt_end::not_owner)
     {
@@ -368,6 +398,10 @@
         wait_for_owner();
         return;
     }
+    if (is_sent_again && is_checked)
+    {
+        return; // goes on when it is known whether the server has crashed
+    }
     if (is_sent_again)
     {
         try_send();
@@ -482,6 +516,10 @@
     inputs.config = context_.state.config().version;
     inputs.assignment = context_.state.assignment().version;
     inputs.key = key_;
+    if (standing() != crash_standing::clear)
+    {
+        inputs.fingerprint = text_of(fingerprint());
+    }
     context_.log.answered_locally({request_id_, route_.name, service_}, reason, inputs);
     http_response answer = make_local_answer(reason, retry_after());
     answer.headers.add(context_.codec.names().request_id, request_id_);
@@ -520,8 +558,10 @@
     release_reservation();
     release_token();
     cancel_attempt();
+    release_permission();
     deadline_timer_.reset();
     owner_retry_timer_.reset();
+    permission_timer_.reset();
     on_ended_(shared_from_this());
 }
 
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -12,17 +12,19 @@
 //   that;
 //   - a cancelled attempt closes its connection, so that the server stops working on it;
 //   - nothing is sent to a server with a rate limit without a token of the fleet;
+//   - a request under which a server has crashed is sent with a permission of the fleet
+//     only, and one that is known to crash servers is not sent;
 //   - a request does not wait if the expected answer or the next owner of its key is
 //     already known to come too late.
 
 #include "core/gateway/config/gateway_routes.hpp"
+#include "gateway/crash_agent.hpp"
 #include "gateway/gateway_codec.hpp"
 #include "gateway/gateway_log.hpp"
 #include "gateway/gateway_state.hpp"
 #include "gateway/limit_agent.hpp"
 #include "gateway/local_answer.hpp"
 #include "gateway/reservation_agent.hpp"
-#include "gateway/server_probe.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
@@ -49,7 +51,7 @@
     std::function<void(const service_name&, shard_key)> on_key_refused;
     reservation_agent* reservations = nullptr; // null: owners' requests are not counted
     limit_agent* limits = nullptr;             // null: servers' rate limits are not kept
-    server_probe* probe = nullptr;             // null: servers are not probed
+    crash_agent* crashes = nullptr;            // null: crashes of servers are not noted
 };
 
 class request_relay : public std::enable_shared_from_this<request_relay>
@@ -100,6 +102,14 @@
         bool is_used = false;
     };
 
+    // The permission for one attempt of a suspect, or the request for it.
+    struct attempt_permission
+    {
+        server_id server;
+        std::optional<trial_id> asked;   // empty after the answer
+        std::optional<trial_id> granted; // empty before it, and after the attempt
+    };
+
     // A reservation at the owner of the key, and its result.
     struct owner_reservation
     {
@@ -112,6 +122,7 @@
     bool read_request();
     void try_send();
     bool require_owner(server_criteria& criteria);
+    void send_with_limits(const server_choice& to);
     void send_if_owner_allows(const server_choice& to);
     bool is_reserved_at(const server_id& owner) const;
     void reserve_at(const server_id& owner);
@@ -124,7 +135,6 @@
     void ask_for_token(const server_choice& to, double rate);
     void on_token_decision(const token_decision& decision);
     void send_with_token();
-    bool may_use_token() const;
     bool is_token_missing() const;
     void release_token();
     void send_to(const server_choice& to);
@@ -140,8 +150,18 @@
     void on_withdrawn();
     void on_no_choice(const std::optional<server_id>& owner);
     void on_attempt_failed(attempt_end how, const exchange_result& got);
-    request_fingerprint fingerprint() const;
-    void probe_server();
+    const request_fingerprint& fingerprint();
+    crash_standing standing();
+    bool is_permitted(const server_id& server) const;
+    bool is_permission_missing();
+    void ask_for_permission(const server_choice& to);
+    void on_permission_answer(const server_choice& to, trial_answer answer);
+    bool may_still_use(const server_choice& to) const;
+    void wait_for_permission();
+    watched_attempt last_attempt();
+    void note_attempt_end(attempt_end how);
+    void check_crash(bool is_sent_again);
+    void release_permission();
     bool may_retry(attempt_end how) const;
     bool claim_retry(attempt_end how);
     void wait_for_owner();
@@ -172,14 +192,18 @@
     time_point arrived_{};
     time_point deadline_{};
 
-    std::optional<owner_reservation> reservation_; // for the next or current attempt
-    std::optional<attempt_token> token_;           // for the next or current attempt
-    std::optional<exchange_id> exchange_;          // the attempt in flight
-    server_choice sent_to_;                        // of the last attempt
-    time_point sent_at_{};                         // of the last attempt
-    std::vector<server_id> tried_;                 // one for each attempt, in order
-    key_owner sent_to_owner_;                      // of the last attempt with a key
-    std::optional<owner_refusal> refusal_;         // the last one, if any
+    std::optional<owner_reservation> reservation_;   // for the next or current attempt
+    std::optional<attempt_token> token_;             // for the next or current attempt
+    std::optional<attempt_permission> permission_;   // for the next or current attempt
+    std::optional<request_fingerprint> fingerprint_; // empty until it is needed
+    std::vector<server_id> busy_servers_;            // that run other suspects
+    std::optional<time_point> permission_wait_end_;  // of a suspect that waits
+    std::optional<exchange_id> exchange_;            // the attempt in flight
+    server_choice sent_to_;                          // of the last attempt
+    time_point sent_at_{};                           // of the last attempt
+    std::vector<server_id> tried_;                   // one for each attempt, in order
+    key_owner sent_to_owner_;                        // of the last attempt with a key
+    std::optional<owner_refusal> refusal_;           // the last one, if any
     unsigned possible_runs_ = 0;    // attempts that may have run the request
     unsigned attempts_not_run_ = 0; // failed attempts that did not run the request
     // The expected latency that was too long; zero if none was.
@@ -192,6 +216,7 @@
     timer_handle deadline_timer_;
     timer_handle owner_retry_timer_;
     timer_handle token_timer_;
+    timer_handle permission_timer_;
 };
 
 } // namespace camphorrock
--- a/gateway/request_relay_limit.cpp
+++ b/gateway/request_relay_limit.cpp
@@ -90,7 +90,7 @@
     {
         return;
     }
-    if (!may_use_token())
+    if (!may_still_use(token_->to))
     {
         release_token();
         try_send();
@@ -99,21 +99,6 @@
     send_if_owner_allows(token_->to);
 }
 
-bool request_relay::may_use_token() const
-{
-    const server_choice& to = token_->to;
-    const service_state* service = context_.state.find_service(service_);
-    const known_server* server = context_.state.servers().find(to.server);
-    const bool is_available = service != nullptr &&
-                              is_same_incarnation(server, to.incarnation) &&
-                              !service->pool.is_paused(to.server, context_.loop.now());
-    if (!is_available)
-    {
-        return false;
-    }
-    return key_ ? find_owner() == sent_to_owner_ : server->is_usable();
-}
-
 // True if the attempt that is about to be sent needs a token and has none, since its
 // server named a limit after it was chosen, or since the loop was late.
 bool request_relay::is_token_missing() const
