One module chooses the gateway that counts for a name; one draw of ids

The loop over silent gateways stood in token_exchange and reservation_agent, with different counts of missed replies, and a third user has come: core/gateway/fleet/counting_gateways. token_exchange hands messages to the counter in one place; the 64-bit draw, which stood four times, is gateway_state::draw_id. Rows of silent gateways that left the fleet are dropped. No behaviour changes: core_test with its limit fleets, gateway_test, codec_test and bench_test pass.

--- a/core/gateway/limits/testing/limit_simulation.cpp
+++ b/core/gateway/limits/testing/limit_simulation.cpp
@@ -1,7 +1,6 @@
 #include "core/gateway/limits/testing/limit_simulation.hpp"
 
 #include "core/base/busiest_window.hpp"
-#include "core/gateway/servers/in_flight_counter.hpp"
 
 #include <algorithm>
 #include <string>
@@ -79,7 +78,7 @@
 
 unsigned limit_simulation::counting_gateway() const
 {
-    const endpoint first = ranked_gateways_of(fleet(), server_, 1).front();
+    const endpoint first = ranked_gateways_of(fleet(), server_.str(), 1).front();
     unsigned n = 0;
     while (gateways_[n].address != first)
     {
--- a/core/gateway/limits/token_exchange.cpp
+++ b/core/gateway/limits/token_exchange.cpp
@@ -1,7 +1,5 @@
 #include "core/gateway/limits/token_exchange.hpp"
 
-#include "core/gateway/servers/in_flight_counter.hpp"
-
 #include <algorithm>
 #include <utility>
 
@@ -9,16 +7,16 @@
 {
 
 token_exchange::token_exchange(time_point started_at, token_exchange_options options)
-    : options_(options), counter_(started_at, options.counter), permits_(options.permits)
+    : options_(options), gateways_(options.counting),
+      counter_(started_at, options.counter), permits_(options.permits)
 {
 }
 
 void token_exchange::set_fleet(const std::vector<fleet_gateway>& fleet,
                                const endpoint& self)
 {
-    fleet_ = fleet;
-    self_ = self;
-    largest_fleet_ = std::max(largest_fleet_, fleet_.size());
+    gateways_.set_fleet(fleet, self);
+    largest_fleet_ = std::max(largest_fleet_, fleet.size());
 }
 
 void token_exchange::request(token_id id,
@@ -39,7 +37,7 @@
                          std::minstd_rand& random,
                          time_point now)
 {
-    const std::optional<endpoint> to = choose_counter(it.server, now);
+    const std::optional<endpoint> to = gateways_.choose(it.server.str(), now);
     if (!to || it.attempts == options_.max_attempts)
     {
         const std::size_t gateways =
@@ -47,7 +45,7 @@
         decide(id, permits_.take(it.server, it.rate, gateways, it.max_wait, random, now));
         return;
     }
-    if (*to == self_)
+    if (*to == gateways_.self())
     {
         decide(
             id,
@@ -57,7 +55,8 @@
     ++it.attempts;
     it.asked = *to;
     it.timeout = now + options_.reply_timeout;
-    outgoing_.push_back({*to, token_request{id, it.server, it.rate, it.max_wait, self_}});
+    outgoing_.push_back(
+        {*to, token_request{id, it.server, it.rate, it.max_wait, gateways_.self()}});
 }
 
 void token_exchange::decide(token_id id, const token_decision& decision)
@@ -66,25 +65,9 @@
     decided_.push_back({id, decision});
 }
 
-std::optional<endpoint> token_exchange::choose_counter(const server_id& server,
-                                                       time_point now) const
-{
-    for (const endpoint& it :
-         ranked_gateways_of(fleet_, server, options_.counters_per_server))
-    {
-        const auto health = counters_.find(it);
-        if (health == counters_.end() || now >= health->second.silent_until)
-        {
-            return it;
-        }
-    }
-    return std::nullopt;
-}
-
 bool token_exchange::is_preferred(const server_id& server) const
 {
-    const std::vector<endpoint> first = ranked_gateways_of(fleet_, server, 1);
-    return !first.empty() && first.front() == self_;
+    return gateways_.is_preferred(server.str());
 }
 
 void token_exchange::withdraw(token_id id)
@@ -92,34 +75,28 @@
     pending_.erase(id);
 }
 
-void token_exchange::give_back(const server_id& server, time_point now)
+template<class Message>
+void token_exchange::tell_counter(const Message& message, time_point now)
 {
-    const std::optional<endpoint> to = choose_counter(server, now);
-    if (!to)
+    const std::optional<endpoint> to = gateways_.choose(message.server.str(), now);
+    if (to && *to == gateways_.self())
     {
-        return;
+        handle(message, now);
     }
-    if (*to == self_)
+    else if (to)
     {
-        counter_.give_back(server, now);
-        return;
+        outgoing_.push_back({*to, message});
     }
-    outgoing_.push_back({*to, token_unused{server}});
+}
+
+void token_exchange::give_back(const server_id& server, time_point now)
+{
+    tell_counter(token_unused{server}, now);
 }
 
 void token_exchange::spend(const server_id& server, double rate, time_point now)
 {
-    const std::optional<endpoint> to = choose_counter(server, now);
-    if (!to)
-    {
-        return;
-    }
-    if (*to == self_)
-    {
-        counter_.spend(server, rate, is_preferred(server), now);
-        return;
-    }
-    outgoing_.push_back({*to, token_spent{server, rate}});
+    tell_counter(token_spent{server, rate}, now);
 }
 
 void token_exchange::receive(const limit_message& message, time_point now)
@@ -143,7 +120,7 @@
     const auto found = pending_.find(reply.id);
     if (found != pending_.end())
     {
-        counters_.erase(found->second.asked);
+        gateways_.note_reply(found->second.asked);
         decide(reply.id, {reply.is_granted, reply.wait});
     }
 }
@@ -173,21 +150,11 @@
     for (const token_id id : late)
     {
         pending_token& it = pending_.at(id);
-        note_missed_reply(it.asked, now);
+        gateways_.note_missed_reply(it.asked, now);
         ask(id, it, random, now);
     }
 }
 
-void token_exchange::note_missed_reply(const endpoint& counter, time_point now)
-{
-    counter_health& health = counters_[counter];
-    ++health.missed_replies;
-    if (health.missed_replies >= options_.missed_replies_to_silence)
-    {
-        health = {0, now + options_.silence_time};
-    }
-}
-
 std::optional<time_point> token_exchange::next_timeout() const
 {
     std::optional<time_point> first;
@@ -202,11 +169,7 @@
 {
     counter_.expire(now);
     permits_.expire(now);
-    std::erase_if(counters_,
-                  [&](const auto& it) {
-                      return now >= it.second.silent_until &&
-                             it.second.missed_replies == 0;
-                  });
+    gateways_.expire(now);
 }
 
 std::vector<outgoing_limit_message> token_exchange::take_outgoing()
--- a/core/gateway/limits/token_exchange.hpp
+++ b/core/gateway/limits/token_exchange.hpp
@@ -11,12 +11,12 @@
 //     for (const decided_token& it : exchange.take_decided()) ...
 //
 // A request whose reply is lost is repeated. A gateway that stays silent is left out for
-// `silence_time`, and the next in rank is asked, which hands out fewer tokens. Without
+// a while, and the next in rank is asked, which hands out fewer tokens. Without
 // any, random_permits decides. Each request gets one decision unless it is withdrawn.
 //
 // Memory: one row for each request without a decision; see token_counter for the rest.
 
-#include "core/gateway/fleet/gateway_groups.hpp"
+#include "core/gateway/fleet/counting_gateways.hpp"
 #include "core/gateway/limits/limit_messages.hpp"
 #include "core/gateway/limits/random_permits.hpp"
 #include "core/gateway/limits/token_counter.hpp"
@@ -33,11 +33,8 @@
 struct token_exchange_options
 {
     duration reply_timeout = milliseconds(50);
-    duration silence_time = seconds(2); // a silent gateway is not asked
-    // Consecutive; datagrams are lost now and then, which is no silence.
-    unsigned missed_replies_to_silence = 3;
+    counting_gateways_options counting;
     unsigned max_attempts = 4; // of one request
-    std::size_t counters_per_server = 2;
     token_counter_options counter;
     random_permits_options permits;
 };
@@ -106,17 +103,11 @@
         time_point timeout{}; // for the reply
     };
 
-    // How a gateway that counts has answered lately.
-    struct counter_health
-    {
-        unsigned missed_replies = 0; // consecutive
-        time_point silent_until{};
-    };
-
     void ask(token_id id, pending_token& it, std::minstd_rand& random, time_point now);
     void decide(token_id id, const token_decision& decision);
-    void note_missed_reply(const endpoint& counter, time_point now);
-    std::optional<endpoint> choose_counter(const server_id& server, time_point now) const;
+    // Hands the message to the gateway that counts for its server, if there is one.
+    template<class Message>
+    void tell_counter(const Message& message, time_point now);
     bool is_preferred(const server_id& server) const;
     void handle(const token_request& request, time_point now);
     void handle(const token_reply& reply, time_point now);
@@ -125,13 +116,11 @@
     void handle(const limits_notice& notice, time_point now);
 
     token_exchange_options options_;
-    std::vector<fleet_gateway> fleet_;
-    endpoint self_;
+    counting_gateways gateways_;
     std::size_t largest_fleet_ = 0;
     token_counter counter_;
     random_permits permits_;
     std::map<token_id, pending_token> pending_;
-    std::map<endpoint, counter_health> counters_;
     std::vector<outgoing_limit_message> outgoing_;
     std::vector<decided_token> decided_;
 };
--- a/core/gateway/servers/in_flight_counter.cpp
+++ b/core/gateway/servers/in_flight_counter.cpp
@@ -1,10 +1,5 @@
 #include "core/gateway/servers/in_flight_counter.hpp"
 
-#include "core/gateway/fleet/seeded_hash.hpp"
-
-#include <algorithm>
-#include <utility>
-
 namespace camphorrock
 {
 unsigned in_flight_counter::reserve(const reservation& it, time_point now)
@@ -55,38 +50,12 @@
     return found == counts_.end() ? 0 : found->second;
 }
 
-// Rendezvous hashing: the gateways with the highest scores by the server's hash.
-std::vector<endpoint> ranked_gateways_of(const std::vector<fleet_gateway>& fleet,
-                                         const server_id& server,
-                                         std::size_t n)
-{
-    const std::uint64_t seed = seeded_hash(server.str(), 0);
-    std::vector<std::pair<std::uint64_t, const endpoint*>> scores;
-    scores.reserve(fleet.size());
-    for (const fleet_gateway& it : fleet)
-    {
-        scores.emplace_back(seeded_hash(it.peer.str(), seed), &it.peer);
-    }
-    const std::size_t size = std::min(n, scores.size());
-    std::partial_sort(scores.begin(),
-                      scores.begin() + static_cast<std::ptrdiff_t>(size),
-                      scores.end(),
-                      [](const auto& a, const auto& b) { return a.first > b.first; });
-    std::vector<endpoint> chosen;
-    for (std::size_t at = 0; at < size; ++at)
-    {
-        chosen.push_back(*scores[at].second);
-    }
-    return chosen;
-}
-
-std::vector<endpoint> counting_gateways_of(const std::vector<fleet_gateway>& fleet,
-                                           const server_id& server,
-                                           std::size_t n)
+std::vector<fleet_gateway>
+gateways_that_count_requests(const std::vector<fleet_gateway>& fleet)
 {
     const bool is_one_group =
         fleet.size() <= gateway_group_options().max_single_group_size;
-    return is_one_group ? std::vector<endpoint>() : ranked_gateways_of(fleet, server, n);
+    return is_one_group ? std::vector<fleet_gateway>() : fleet;
 }
 
 } // namespace camphorrock
--- a/core/gateway/servers/in_flight_counter.hpp
+++ b/core/gateway/servers/in_flight_counter.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 // Counts the requests in flight at servers, of all gateways of a large fleet. Each server
-// has one gateway that counts for it, see counting_gateways_of(); the others reserve
+// has one gateway that counts for it, see counting_gateways.hpp; the others reserve
 // there before they send a request to the server, and release after its end.
 //
 //     const unsigned before = counter.reserve({tag, id}, now);
@@ -70,17 +70,9 @@
     std::deque<expiry> expiries_; // in the order of their times; may have been released
 };
 
-// Returns the gateways that count for the server, the preferred one first and at most
-// `n`. All gateways that know the same fleet choose alike; removing one gateway changes
-// the choice only for the servers for which it counted. O(gateways).
-std::vector<endpoint> ranked_gateways_of(const std::vector<fleet_gateway>& fleet,
-                                         const server_id& server,
-                                         std::size_t n);
-
-// The same for requests in flight: none in a fleet that is one group, whose members
-// report them to each other.
-std::vector<endpoint> counting_gateways_of(const std::vector<fleet_gateway>& fleet,
-                                           const server_id& server,
-                                           std::size_t n);
+// The gateways that are asked to count requests in flight: none of a fleet that is one
+// group, whose members report them to each other.
+std::vector<fleet_gateway>
+gateways_that_count_requests(const std::vector<fleet_gateway>& fleet);
 
 } // namespace camphorrock
--- a/gateway/crash_agent.cpp
+++ b/gateway/crash_agent.cpp
@@ -40,18 +40,12 @@
     flush();
 }
 
-trial_id crash_agent::draw_id()
-{
-    const std::uint64_t high = state_.random()();
-    return {(high << 32) ^ state_.random()()};
-}
-
 trial_id crash_agent::request_trial(const watched_attempt& attempt,
                                     duration lifetime,
                                     answer_callback done)
 {
     trial_request trial;
-    trial.id = draw_id();
+    trial.id = trial_id{state_.draw_id()};
     trial.service = attempt.service;
     trial.request = attempt.request;
     trial.server = attempt.server;
@@ -89,7 +83,7 @@
 void crash_agent::report(const watched_attempt& attempt, trial_end end)
 {
     trial_report made;
-    made.id = attempt.trial ? *attempt.trial : draw_id();
+    made.id = attempt.trial.value_or(trial_id{state_.draw_id()});
     made.service = attempt.service;
     made.request = attempt.request;
     made.end = end;
--- a/gateway/crash_agent.hpp
+++ b/gateway/crash_agent.hpp
@@ -99,7 +99,6 @@
     };
 
     void set_fleet();
-    trial_id draw_id();
     duration age_of(time_point at) const;
     // Sends what the exchange has produced, posts its decisions, and sets its timer.
     void flush();
--- a/gateway/gateway_state.hpp
+++ b/gateway/gateway_state.hpp
@@ -169,6 +169,13 @@
         return random_;
     }
 
+    // A random number that no other gateway draws, for all practical purposes.
+    std::uint64_t draw_id()
+    {
+        const std::uint64_t high = random_();
+        return (high << 32) ^ random_();
+    }
+
     const gateway_settings& settings() const
     {
         return settings_;
--- a/gateway/limit_agent.cpp
+++ b/gateway/limit_agent.cpp
@@ -38,8 +38,7 @@
                                     duration max_wait,
                                     decision_callback done)
 {
-    const std::uint64_t high = state_.random()();
-    const token_id id{(high << 32) ^ state_.random()()};
+    const token_id id{state_.draw_id()};
     waiting_[id] = std::move(done);
     exchange_.request(id, server, rate, max_wait, state_.random(), loop_.now());
     flush();
--- a/gateway/load_agent.cpp
+++ b/gateway/load_agent.cpp
@@ -50,7 +50,7 @@
                [this](const endpoint& to, std::string_view datagram)
                { send(to, datagram); })
 {
-    last_report_.sender = (std::uint64_t{state.random()()} << 32) | state.random()();
+    last_report_.sender = state.draw_id();
 }
 
 void load_agent::send(const endpoint& to, std::string_view datagram)
--- a/gateway/reservation_agent.cpp
+++ b/gateway/reservation_agent.cpp
@@ -8,9 +8,6 @@
 {
 
 constexpr duration reply_timeout = milliseconds(30);
-constexpr duration silence_time = seconds(2); // a silent gateway is not asked
-// The next one counts while the preferred one is silent.
-constexpr std::size_t counters_per_server = 2;
 
 } // namespace
 
@@ -19,33 +16,26 @@
                                      send_function send)
     : loop_(loop), state_(state), send_(std::move(send))
 {
+    set_fleet();
+    state_.on_fleet_change([this] { set_fleet(); });
 }
 
-std::optional<endpoint> reservation_agent::choose_counter(const server_id& server) const
+void reservation_agent::set_fleet()
 {
-    const time_point now = loop_.now();
-    for (const endpoint& it :
-         counting_gateways_of(state_.gateways(), server, counters_per_server))
-    {
-        const auto silent = silent_until_.find(it);
-        if (silent == silent_until_.end() || now >= silent->second)
-        {
-            return it;
-        }
-    }
-    return std::nullopt;
+    gateways_.set_fleet(gateways_that_count_requests(state_.gateways()),
+                        state_.settings().peer);
+    gateways_.expire(loop_.now());
 }
 
 std::optional<reservation> reservation_agent::reserve(const server_id& server,
                                                       reply_callback done)
 {
-    const std::optional<endpoint> to = choose_counter(server);
+    const std::optional<endpoint> to = gateways_.choose(server.str(), loop_.now());
     if (!to)
     {
         return std::nullopt;
     }
-    const std::uint64_t high = state_.random()();
-    const reservation made{tag_of(server), (high << 32) ^ state_.random()()};
+    const reservation made{tag_of(server), state_.draw_id()};
     held_[made] = *to;
     if (*to == state_.settings().peer)
     {
@@ -82,7 +72,7 @@
     const auto found = pending_replies_.find(id);
     if (found != pending_replies_.end())
     {
-        silent_until_[found->second.from] = loop_.now() + silence_time;
+        gateways_.note_missed_reply(found->second.from, loop_.now());
         end_wait(id, std::nullopt);
     }
 }
--- a/gateway/reservation_agent.hpp
+++ b/gateway/reservation_agent.hpp
@@ -8,6 +8,7 @@
 // without the count, and the silent gateway is not asked for a while.
 
 #include "codec/reservation_codec.hpp"
+#include "core/gateway/fleet/counting_gateways.hpp"
 #include "core/gateway/servers/in_flight_counter.hpp"
 #include "gateway/gateway_state.hpp"
 #include "net/event_loop.hpp"
@@ -52,7 +53,7 @@
         timer_handle timeout;
     };
 
-    std::optional<endpoint> choose_counter(const server_id& server) const;
+    void set_fleet();
     void on_reply_timeout(std::uint64_t id);
     void end_wait(std::uint64_t id, std::optional<unsigned> requests);
 
@@ -60,9 +61,10 @@
     gateway_state& state_;
     send_function send_;
     in_flight_counter counter_;
+    // One missed reply is enough: the request goes on without the count.
+    counting_gateways gateways_{{.missed_replies_to_silence = 1}};
     std::map<std::uint64_t, pending_reply> pending_replies_; // by reservation id
     std::map<reservation, endpoint> held_;                   // and who counts them
-    std::map<endpoint, time_point> silent_until_; // gateways that did not reply
 };
 
 } // namespace camphorrock
