Verdicts on requests that crash servers outlast a restart of all gateways, and can be lifted

A verdict stood in the memory of gateways alone: after a restart of all of them (a kill of all, a rolling restart in which the last one that knows it goes) the request could end three servers more, each time. The gateway that condemns keeps the verdict in one record of the store, by compare-and-swap; the elected assigner reads it when it takes its role and tells all gateways.

--- a/core/gateway/retry/crash_exchange.cpp
+++ b/core/gateway/retry/crash_exchange.cpp
@@ -140,23 +140,37 @@
 
 void crash_exchange::lift(const request_fingerprint& request, time_point now)
 {
-    std::vector<suspect_row> rows;
-    for (const std::uint64_t it : request.both())
-    {
-        learn({it, 0}, now);
-        rows.push_back({it, 0});
-    }
     trial_report cleared;
     cleared.request = request;
     cleared.end = trial_end::completed;
     counter_.report(cleared, now);
     counter_.take_changes();
-    notices_.push_back({std::move(rows), now, 0});
+    const std::vector<suspect_row> rows{{request.whole, 0}, {request.path, 0}};
+    verdicts_.insert(verdicts_.end(), rows.begin(), rows.end());
+    tell_all(rows, now);
+}
+
+void crash_exchange::restore(const std::vector<suspect_row>& verdicts, time_point now)
+{
+    tell_all(verdicts, now);
 }
 
 void crash_exchange::note_changes(time_point now)
 {
     const std::vector<suspect_row> rows = counter_.take_changes();
+    for (const suspect_row& it : rows)
+    {
+        const bool is_verdict = it.crashes == 0 || it.crashes == crashes_to_condemn;
+        if (is_verdict)
+        {
+            verdicts_.push_back(it);
+        }
+    }
+    tell_all(rows, now);
+}
+
+void crash_exchange::tell_all(const std::vector<suspect_row>& rows, time_point now)
+{
     if (rows.empty())
     {
         return;
@@ -344,7 +358,7 @@
                           [&](suspect_row& row)
                           {
                               const bool was_suspect = row.crashes > 0;
-                              row.crashes = counter_.crashes_of(row.fingerprint);
+                              row.crashes = suspects_.crashes_of(row.fingerprint);
                               return was_suspect && row.crashes == 0;
                           });
         }
@@ -401,6 +415,11 @@
     return std::exchange(decided_, {});
 }
 
+std::vector<suspect_row> crash_exchange::take_verdicts()
+{
+    return std::exchange(verdicts_, {});
+}
+
 std::vector<suspect_row> crash_exchange::take_news()
 {
     return std::exchange(news_, {});
--- a/core/gateway/retry/crash_exchange.hpp
+++ b/core/gateway/retry/crash_exchange.hpp
@@ -112,6 +112,12 @@
     // What has become known since the last call.
     std::vector<suspect_row> take_news();
 
+    // The verdicts that this gateway made, or took back, since the last call, to be kept.
+    std::vector<suspect_row> take_verdicts();
+
+    // Verdicts that were kept. Tells all gateways.
+    void restore(const std::vector<suspect_row>& verdicts, time_point now);
+
 private:
     struct pending_trial
     {
@@ -144,6 +150,7 @@
     static trial_report aged(const pending_report& it, time_point now);
     void count_here(const trial_report& report, time_point now);
     void note_changes(time_point now);
+    void tell_all(const std::vector<suspect_row>& rows, time_point now);
     void send_notice(const std::vector<suspect_row>& rows);
     void learn(const suspect_row& row, time_point now);
     void ask_for_verdicts(time_point now);
@@ -171,6 +178,7 @@
     std::vector<outgoing_crash_message> outgoing_;
     std::vector<decided_trial> decided_;
     std::vector<suspect_row> news_;
+    std::vector<suspect_row> verdicts_;
 };
 
 } // namespace camphorrock
--- a/core/gateway/retry/request_fingerprint.cpp
+++ b/core/gateway/retry/request_fingerprint.cpp
@@ -39,6 +39,14 @@
     return buf;
 }
 
+std::optional<request_fingerprint> parse_fingerprint(std::string_view text)
+{
+    const std::string copy(text);
+    request_fingerprint made;
+    std::sscanf(copy.c_str(), "%16" SCNx64 "-%16" SCNx64, &made.whole, &made.path);
+    return text_of(made) == copy ? std::optional(made) : std::nullopt;
+}
+
 std::string text_of(const request_fingerprint& fingerprint)
 {
     return fingerprint_text(fingerprint.whole) + "-" + fingerprint_text(fingerprint.path);
--- a/core/gateway/retry/request_fingerprint.hpp
+++ b/core/gateway/retry/request_fingerprint.hpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -48,4 +49,7 @@
 // Both of them, with a hyphen between: "<whole>-<path>".
 std::string text_of(const request_fingerprint& fingerprint);
 
+// Reads the form of text_of(); returns nullopt for any other text.
+std::optional<request_fingerprint> parse_fingerprint(std::string_view text);
+
 } // namespace camphorrock
--- a/core/gateway/retry/suspect_list.hpp
+++ b/core/gateway/retry/suspect_list.hpp
@@ -57,6 +57,9 @@
 
     known_crashes crashes_of(const request_fingerprint& request) const;
 
+    // 0 for a fingerprint that is clear.
+    unsigned crashes_of(std::uint64_t fingerprint) const;
+
     // Keeps the higher number of crashes. A row without crashes clears its fingerprint.
     // Returns true if the row is new or has changed.
     bool add(const suspect_row& row, time_point now);
@@ -77,7 +80,6 @@
         time_point added_at{};
     };
 
-    unsigned crashes_of(std::uint64_t fingerprint) const;
     void drop_one();
 
     suspect_list_options options_;
--- a/core/gateway/retry/testing/request_fingerprint_test.cpp
+++ b/core/gateway/retry/testing/request_fingerprint_test.cpp
@@ -34,3 +34,18 @@
         }
     }
 }
+
+TEST_CASE("a fingerprint is read back from its text")
+{
+    const request_fingerprint made{0x0123456789abcdefU, 0xfedcba9876543210U};
+    CHECK(text_of(made) == "0123456789abcdef-fedcba9876543210");
+    CHECK(parse_fingerprint(text_of(made)) == made);
+    for (const char* it : {"",
+                           "0123456789abcdef",
+                           "0123456789abcdef-fedcba987654321",
+                           "0123456789ABCDEF-fedcba9876543210",
+                           " 123456789abcdef-fedcba9876543210"})
+    {
+        CHECK_FALSE(parse_fingerprint(it));
+    }
+}
--- a/ctl/command.cpp
+++ b/ctl/command.cpp
@@ -345,6 +345,30 @@
                });
 }
 
+int lift_verdict(const command_context& context, const std::string& fingerprint)
+{
+    return run(context,
+               [&]() -> result<int>
+               {
+                   Json::Value call(Json::objectValue);
+                   call["jsonrpc"] = "2.0";
+                   call["id"] = 1;
+                   call["method"] = "crashes.lift";
+                   call["params"]["fingerprint"] = fingerprint;
+                   BOOST_LEAF_AUTO(answer,
+                                   context.assigners.send(
+                                       make_request("POST", "/rpc", write_json(call)),
+                                       http_status::unavailable));
+                   if (answer.body.isMember("error"))
+                   {
+                       return fail(error_code::invalid_argument,
+                                   answer.body["error"]["message"].asString());
+                   }
+                   context.out << "lifted\n";
+                   return exit_ok;
+               });
+}
+
 int drain_server(const command_context& context, const std::string& server)
 {
     return run(context,
--- a/ctl/command.hpp
+++ b/ctl/command.hpp
@@ -51,6 +51,10 @@
              const std::string& key,
              const std::string& server);
 
+// Lifts the verdict on a request that crashes servers, by its fingerprint as gateways log
+// it. Asks one gateway, which tells the others.
+int lift_verdict(const command_context& context, const std::string& fingerprint);
+
 // Submits a patch that marks a server as draining in each service that names it.
 int drain_server(const command_context& context, const std::string& server);
 
--- a/ctl/ctl_main.cpp
+++ b/ctl/ctl_main.cpp
@@ -19,6 +19,7 @@
     std::string key;
     std::string server;
     std::string request;
+    std::string fingerprint;
     std::vector<std::string> log_files;
 };
 
@@ -41,6 +42,7 @@
     CLI::App* request = nullptr;
     CLI::App* move = nullptr;
     CLI::App* drain = nullptr;
+    CLI::App* lift = nullptr;
 };
 
 commands declare_commands(CLI::App& app, arguments& args)
@@ -87,6 +89,12 @@
     made.move->add_option("server", args.server)->required();
     made.drain = app.add_subcommand("drain", "move all partitions off a server");
     made.drain->add_option("server", args.server)->required();
+    made.lift = app.add_subcommand(
+        "lift-verdict",
+        "let a request be sent again that was refused because servers crash under it;\n"
+        "--assigner names the peer address of a gateway");
+    made.lift->add_option("fingerprint", args.fingerprint, "as in the gateways' logs")
+        ->required();
     return made;
 }
 
@@ -123,6 +131,10 @@
     {
         return move_key(context, args.service, args.key, args.server);
     }
+    if (made.lift->parsed())
+    {
+        return lift_verdict(context, args.fingerprint);
+    }
     return drain_server(context, args.server);
 }
 
--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -155,6 +155,10 @@
          {"record_revision", at.value},
          {"era", era.value},
          {"goes_on", goes_on}});
+    if (context_.on_elected)
+    {
+        context_.on_elected();
+    }
     tick_timer_ = context_.loop.every(tick_period, [this] { tick(); });
     hand_over_timer_ =
         context_.loop.every(hand_over_check_period, [this] { hand_over_to_stronger(); });
--- a/gateway/assigner_role.hpp
+++ b/gateway/assigner_role.hpp
@@ -51,6 +51,7 @@
     order_sender& orders;
     gateway_log& log;
     limit_agent* limits = nullptr; // null: orders do not count against servers' limits
+    std::function<void()> on_elected{}; // called when this gateway starts to assign
 };
 
 class assigner_role
--- a/gateway/crash_agent.cpp
+++ b/gateway/crash_agent.cpp
@@ -119,6 +119,12 @@
     flush();
 }
 
+void crash_agent::restore(const std::vector<suspect_row>& verdicts)
+{
+    exchange_.restore(verdicts, loop_.now());
+    flush();
+}
+
 bool crash_agent::on_datagram(std::string_view datagram)
 {
     const std::optional<crash_message> message = decode_crash_message(datagram);
@@ -145,6 +151,11 @@
     {
         log_.suspect_changed(it);
     }
+    const std::vector<suspect_row> verdicts = exchange_.take_verdicts();
+    if (on_verdicts_ && !verdicts.empty())
+    {
+        on_verdicts_(verdicts);
+    }
     const std::optional<time_point> timeout = exchange_.next_timeout();
     if (!timeout)
     {
--- a/gateway/crash_agent.hpp
+++ b/gateway/crash_agent.hpp
@@ -87,6 +87,15 @@
     // An operator's word: the request may be sent again, by all gateways.
     void lift(const request_fingerprint& request);
 
+    // Sets the callback for verdicts that this gateway made, or took back.
+    void on_verdicts(std::function<void(const std::vector<suspect_row>&)> callback)
+    {
+        on_verdicts_ = std::move(callback);
+    }
+
+    // Verdicts that were kept: tells all gateways.
+    void restore(const std::vector<suspect_row>& verdicts);
+
     // To be called with each datagram that another gateway sent. Returns false for one
     // that is of another kind.
     bool on_datagram(std::string_view datagram);
@@ -110,6 +119,7 @@
     gateway_log& log_;
     server_probe probe_;
     send_function send_;
+    std::function<void(const std::vector<suspect_row>&)> on_verdicts_; // may be empty
     crash_exchange exchange_;
     std::map<trial_id, waiting_attempt> waiting_;
     timer_handle timeout_timer_;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -112,6 +112,7 @@
     client_handler_.reset();
     key_agent_.reset();
     load_agent_.reset();
+    verdict_store_.reset();
     directory_agent_.reset();
     store_.reset();
     server_http_.reset();
@@ -149,9 +150,20 @@
         std::make_unique<directory_agent>(*loop_, *store_, *state_, codec_, log_);
     BOOST_LEAF_ASSIGN(load_agent_,
                       load_agent::create(*loop_, *state_, log_, *server_http_));
+    keep_verdicts();
     key_agent_ = std::make_unique<key_agent>(
-        assigner_role_context{
-            *loop_, *store_, *state_, *order_sender_, log_, &load_agent_->limits()},
+        assigner_role_context{*loop_,
+                              *store_,
+                              *state_,
+                              *order_sender_,
+                              log_,
+                              &load_agent_->limits(),
+                              [this]
+                              {
+                                  verdict_store_->load(
+                                      [this](const std::vector<suspect_row>& verdicts)
+                                      { load_agent_->crashes().restore(verdicts); });
+                              }},
         *rpc_,
         rpc_methods_);
     relay_context_ = std::make_unique<relay_context>(
@@ -176,6 +188,31 @@
     return {};
 }
 
+void gateway::keep_verdicts()
+{
+    verdict_store_ = std::make_unique<verdict_store>(*loop_, *store_);
+    load_agent_->crashes().on_verdicts([this](const std::vector<suspect_row>& verdicts)
+                                       { verdict_store_->save(verdicts); });
+    rpc_methods_.add("crashes.lift",
+                     [this](const Json::Value& params) { return lift_verdict(params); });
+}
+
+// `params` is {"fingerprint": text_of()}.
+result<Json::Value> gateway::lift_verdict(const Json::Value& params)
+{
+    const Json::Value& text = params["fingerprint"];
+    const std::optional<request_fingerprint> request =
+        parse_fingerprint(text.isString() ? text.asString() : "");
+    if (!request)
+    {
+        return fail(error_code::invalid_argument,
+                    "a fingerprint is two numbers of 16 hexadecimal digits, with a "
+                    "hyphen between");
+    }
+    load_agent_->crashes().lift(*request);
+    return Json::Value(Json::objectValue);
+}
+
 // While the assigner gets to know the fleet, each report brings a larger part of it.
 void gateway::schedule_watch_sources()
 {
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -17,6 +17,7 @@
 #include "gateway/gateway_state.hpp"
 #include "gateway/key_agent.hpp"
 #include "gateway/load_agent.hpp"
+#include "gateway/verdict_store.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_server.hpp"
 #include "net/loop_monitor.hpp"
@@ -68,6 +69,8 @@
     void set_watch_sources();
     result<void> open_ports();
     void open_metrics();
+    void keep_verdicts();
+    result<Json::Value> lift_verdict(const Json::Value& params);
     void stop();
     void check_drained();
 
@@ -86,6 +89,7 @@
     rpc_server rpc_methods_;
     std::unique_ptr<key_agent> key_agent_;
     std::unique_ptr<load_agent> load_agent_;
+    std::unique_ptr<verdict_store> verdict_store_;
     std::unique_ptr<relay_context> relay_context_;
     std::unique_ptr<client_handler> client_handler_;
     std::unique_ptr<ready_handler> ready_handler_;
