--- a/bench/net_bench_main.cpp
+++ b/bench/net_bench_main.cpp
@@ -10,6 +10,7 @@
 #include "app/command_line.hpp"
 #include "app/latency_histogram.hpp"
 #include "app/program.hpp"
+#include "core/gateway/retry/suspect_list.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
@@ -33,6 +34,7 @@
 {
     bool is_server = false;
     bool opens_fresh_connections = false;
+    bool takes_fingerprints = false; // of each request, as while there are suspects
     std::string listen = "127.0.0.1:0";
     std::string to;
     std::int64_t connections = 16;
@@ -67,21 +69,41 @@
 class echo_handler : public http_handler
 {
 public:
+    explicit echo_handler(bool takes_fingerprints)
+        : takes_fingerprints_(takes_fingerprints)
+    {
+    }
+
     void handle(http_request request, std::shared_ptr<http_responder> responder) override
     {
         ++requests;
+        if (takes_fingerprints_)
+        {
+            const request_fingerprint made =
+                fingerprint_of({request.method,
+                                request.headers.find("Host").value_or(""),
+                                request.target,
+                                request.headers.find("Shard-Key").value_or(""),
+                                request.body});
+            seen += suspects_.standing_of(made) == crash_standing::clear ? 0 : 1;
+        }
         http_response answer;
         answer.body = std::move(request.body);
         responder->respond(std::move(answer));
     }
 
     std::uint64_t requests = 0;
+    std::uint64_t seen = 0; // suspects
+
+private:
+    bool takes_fingerprints_;
+    suspect_list suspects_;
 };
 
 result<int> serve(const bench_settings& settings)
 {
     BOOST_LEAF_AUTO(loop, event_loop::create());
-    echo_handler handler;
+    echo_handler handler(settings.takes_fingerprints);
     http_server_options options;
     options.address = endpoint(settings.listen);
     BOOST_LEAF_AUTO(server, http_server::create(*loop, options, handler));
@@ -191,6 +213,9 @@
     constexpr double max_body_bytes = 1000000;
     constexpr double max_seconds = 60;
     line.add_flag("--serve", settings.is_server, "run the server");
+    line.add_flag("--fingerprints",
+                  settings.takes_fingerprints,
+                  "of the server: take the fingerprint of each request");
     line.add_flag("--fresh",
                   settings.opens_fresh_connections,
                   "open a new connection for each request");
--- a/core/gateway/retry/crash_counter.cpp
+++ b/core/gateway/retry/crash_counter.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+constexpr unsigned max_crashes_of_one_moment = 2;
+
 bool is_same_request(const request_fingerprint& a, const request_fingerprint& b)
 {
     return a.whole == b.whole || a.path == b.path;
@@ -89,6 +91,7 @@
     if (crashes > it.crashes)
     {
         it = {crashes, now, {}, now};
+        changed_.insert(fingerprint);
     }
 }
 
@@ -98,26 +101,44 @@
                                 time_point now)
 {
     row& it = row_of(fingerprint);
-    if (!was_permitted && !is_independent(it, report, now))
+    const unsigned crashes = crashes_after(it, report, was_permitted, now);
+    const bool is_adopted = it.crashes > 0 && it.last_crashed.str().empty();
+    if (crashes == it.crashes && !is_adopted)
     {
         return;
     }
-    ++it.crashes;
+    it.crashes = crashes;
     it.last_crash_at = now - report.ended_ago;
     it.last_crashed = report.server;
     it.changed_at = now;
     changed_.insert(fingerprint);
 }
 
-bool crash_counter::is_independent(const row& it,
-                                   const trial_report& report,
-                                   time_point now) const
+unsigned crash_counter::crashes_after(const row& it,
+                                      const trial_report& report,
+                                      bool was_permitted,
+                                      time_point now) const
 {
-    const time_point started_at = now - report.started_ago;
-    const time_point ended_at = now - report.ended_ago;
-    const bool is_later = report.server != it.last_crashed &&
-                          ended_at - it.last_crash_at >= options_.min_crash_gap;
-    return it.crashes == 0 || started_at > it.last_crash_at || is_later;
+    // Ages in reports are a few milliseconds out, by the time on the way.
+    const time_point next_moment = it.last_crash_at + options_.min_crash_gap;
+    const bool has_started_later = now - report.started_ago >= next_moment;
+    const bool has_ended_later = now - report.ended_ago >= next_moment;
+    if (it.crashes == 0)
+    {
+        return 1;
+    }
+    // It was told by another attempt, or by a gateway that knew of it before.
+    const bool is_known = report.server == it.last_crashed ||
+                          (it.last_crashed.str().empty() && !was_permitted);
+    if (is_known && !has_started_later)
+    {
+        return it.crashes;
+    }
+    if (was_permitted || has_started_later || has_ended_later)
+    {
+        return it.crashes + 1;
+    }
+    return std::max(it.crashes, max_crashes_of_one_moment);
 }
 
 void crash_counter::clear(std::uint64_t fingerprint, time_point now)
--- a/core/gateway/retry/crash_counter.hpp
+++ b/core/gateway/retry/crash_counter.hpp
@@ -11,10 +11,9 @@
 // that ran beside it there, and all but one of them are good. Therefore:
 //   - a suspect is sent to one server at a time in the whole fleet, and to none on which
 //     another suspect runs, so each further crash has one suspect;
-//   - a crash under an attempt that was permitted counts. Of the others, those of one
-//     moment, such as the loss of a rack, count once: a crash counts if its attempt
-//     started after the last one that counted, or if another server ended at least
-//     `min_crash_gap` later;
+//   - a crash under an attempt that was permitted counts, and so does one that is
+//     `min_crash_gap` later than the last one. Crashes of one moment, such as the loss of
+//     a rack, raise the number to two at most;
 //   - an answer of any server clears the request.
 // A request is condemned at `crashes_to_condemn`.
 //
@@ -77,7 +76,7 @@
     {
         unsigned crashes = 0; // 0: it was cleared
         time_point last_crash_at{};
-        server_id last_crashed; // the server
+        server_id last_crashed; // the server; empty if another gateway knew of the crash
         time_point changed_at{};
     };
 
@@ -93,7 +92,11 @@
                      const trial_report& report,
                      bool was_permitted,
                      time_point now);
-    bool is_independent(const row& it, const trial_report& report, time_point now) const;
+    // The crashes of the row after that one.
+    unsigned crashes_after(const row& it,
+                           const trial_report& report,
+                           bool was_permitted,
+                           time_point now) const;
     void clear(std::uint64_t fingerprint, time_point now);
     row& row_of(std::uint64_t fingerprint);
     duration retention_of(const row& it) const;
--- a/core/gateway/retry/crash_exchange.cpp
+++ b/core/gateway/retry/crash_exchange.cpp
@@ -41,6 +41,7 @@
     if (is_decided_here)
     {
         decide(id, counter_.request(it.trial, now));
+        note_changes(now);
         return;
     }
     ++it.attempts;
@@ -241,6 +242,7 @@
 {
     outgoing_.push_back(
         {trial.reply_to, trial_reply{trial.id, counter_.request(trial, now)}});
+    note_changes(now); // the gateway that asks may know more
 }
 
 void crash_exchange::handle(const trial_reply& reply, time_point now)
--- a/core/gateway/retry/testing/crash_simulation.cpp
+++ b/core/gateway/retry/testing/crash_simulation.cpp
@@ -28,7 +28,7 @@
         it.address = endpoint("10.0." + std::to_string(n / 250) + "." +
                               std::to_string(n % 250) + ":1");
     }
-    for (unsigned n = 0; n < options_.gateways; ++n)
+    for (unsigned n = 0; n < options_.gateways && options_.is_shared; ++n)
     {
         gateways_[n].exchange.set_fleet(fleet(), gateways_[n].address, now_);
         flush(n);
--- a/core/gateway/retry/testing/crash_simulation.hpp
+++ b/core/gateway/retry/testing/crash_simulation.hpp
@@ -28,6 +28,7 @@
     double bad_rate = 0;    // of one request that crashes each server
     bool is_bad_repeatable = true;
     bool is_protected = true;           // false: no exchange is used
+    bool is_shared = true;              // false: each gateway learns for itself
     double lost_fraction = 0;           // of the messages
     double cut_fraction = 0;            // of the answers, without a crash
     duration work = milliseconds(80);   // of a request; a bad one crashes at its end
--- a/ctl/request_trace.cpp
+++ b/ctl/request_trace.cpp
@@ -22,6 +22,9 @@
                                          "server_limit_ended",
                                          "order_ended"};
 
+constexpr const char* crash_events[] = {
+    "request_suspected", "request_condemned", "suspect_cleared"};
+
 struct reason_text
 {
     std::string_view reason; // as in the event's field
@@ -45,6 +48,10 @@
     {"timed_out", "it timed out at a server, which may have run it"},
     {"server_lost",
      "the connection to a server broke after it was sent; the server may have run it"},
+    {"suspected", "a server had crashed under it, and another attempt of it ran"},
+    {"crashes_servers",
+     "servers crashed under it again and again, so it is sent to none; see the "
+     "server_probed lines of all gateways, and lift-verdict"},
     {"bad_answer", "the response was not a valid answer of a server to it"},
 };
 
@@ -125,6 +132,32 @@
     return made;
 }
 
+// Returns the lines, of all gateways, on the crashes under requests with that fingerprint
+// and on what followed from them.
+std::vector<log_line> crashes_under(const std::vector<log_line>& log,
+                                    const std::string& fingerprint)
+{
+    std::vector<log_line> made;
+    if (fingerprint.empty())
+    {
+        return made;
+    }
+    for (const log_line& it : log)
+    {
+        const std::string found = field_text(it.fields, "fingerprint");
+        const bool is_crash = it.name == "server_probed" && it.fields["ended"].asBool() &&
+                              found == fingerprint;
+        const bool is_standing =
+            is_one_of(it.name, std::begin(crash_events), std::end(crash_events)) &&
+            fingerprint.find(found) != std::string::npos;
+        if (is_crash || is_standing)
+        {
+            made.push_back(it);
+        }
+    }
+    return made;
+}
+
 } // namespace
 
 std::optional<log_line> parse_log_line(const std::string& text)
@@ -175,6 +208,14 @@
     servers.erase("");
     const log_line& last = made.lines.back();
     made.context = events_before(log, last.program, servers, last.time);
+    for (const log_line& it : crashes_under(log, field_text(last.fields, "fingerprint")))
+    {
+        made.context.push_back(it);
+    }
+    std::stable_sort(made.context.begin(),
+                     made.context.end(),
+                     [](const log_line& a, const log_line& b)
+                     { return a.time < b.time; });
     made.cause = outcome_cause(last);
     return made;
 }
--- a/ctl/request_trace.hpp
+++ b/ctl/request_trace.hpp
@@ -28,8 +28,8 @@
 struct request_trace
 {
     std::vector<log_line> lines; // of the request, by time
-    // The last event of each kind about its servers and the store before its end, by
-    // time.
+    // The last event of each kind about its servers and the store before its end, and
+    // the crashes under a request that is suspected of them, by time.
     std::vector<log_line> context;
     std::string cause; // of the outcome; one sentence
 };
--- a/ctl/testing/request_trace_test.cpp
+++ b/ctl/testing/request_trace_test.cpp
@@ -75,6 +75,40 @@
         CHECK(got->lines[0].name == "token_decided");
         CHECK(got->cause.find("rate limits") != std::string::npos);
     }
+    SECTION("of a request that crashes servers, it shows the crashes at all gateways")
+    {
+        const std::vector<log_line> crashes = {
+            make_line("01",
+                      "g2",
+                      event_id::server_probed,
+                      {{"request", "r0"},
+                       {"fingerprint", "aa-bb"},
+                       {"server", "s1"},
+                       {"ended", true}}),
+            make_line("02",
+                      "g2",
+                      event_id::server_probed,
+                      {{"request", "r9"},
+                       {"fingerprint", "cc-dd"},
+                       {"server", "s1"},
+                       {"ended", true}}),
+            make_line("03",
+                      "g3",
+                      event_id::request_condemned,
+                      {{"fingerprint", "bb"}, {"crashes", 3}}),
+            make_line("04",
+                      "g1",
+                      event_id::request_answered_here,
+                      {{"request", "r1"},
+                       {"reason", "crashes_servers"},
+                       {"fingerprint", "aa-bb"}}),
+        };
+        const std::optional<request_trace> got = trace_request("r1", crashes);
+        REQUIRE(got->context.size() == 2);
+        CHECK(got->context[0].fields["request"].asString() == "r0");
+        CHECK(got->context[1].name == "request_condemned");
+        CHECK(got->cause.find("servers crashed under it") != std::string::npos);
+    }
     SECTION("the cause of an answered request is the status of the answer")
     {
         CHECK(trace_request("r2", log)->cause == "a server answered it with status 200");
