An answer to an earlier request is skipped, and the request's own is read after it

Cause: a server sends an answer once more, late, on a connection that already carries the next request. libcurl takes it for that request's answer, so the exchange ended, the attempt counted as lost and the connection was closed while the server ran the request: an unrepeatable one was answered 502, a repeatable one ran a second time elsewhere.

Now the next answer is read from a duplicate of the socket, by answer_reader, until the request's own arrives.

--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -245,6 +245,7 @@
                !self->is_server_paused() && !self->is_token_missing() &&
                !self->is_permission_missing();
     };
+    options.is_own_answer = own_answer_check();
     exchange_ = context_.http.send(to.address,
                                    make_upstream_request(to, time_left()),
                                    options,
@@ -257,6 +258,22 @@
                                    });
 }
 
+// Empty for HEAD requests. An answer without an id cannot be told from one to another
+// request, so it is taken here; classify() does not trust it.
+std::function<bool(const http_response&)> request_relay::own_answer_check() const
+{
+    if (request_.method == "HEAD")
+    {
+        return {};
+    }
+    return [id = request_id_,
+            name = context_.codec.names().request_id](const http_response& answer)
+    {
+        const auto found = answer.headers.find(name);
+        return !found || *found == id;
+    };
+}
+
 http_request request_relay::make_upstream_request(const server_choice& to,
                                                   duration time_left) const
 {
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -138,6 +138,7 @@
     bool is_token_missing() const;
     void release_token();
     void send_to(const server_choice& to);
+    std::function<bool(const http_response&)> own_answer_check() const;
     http_request make_upstream_request(const server_choice& to, duration time_left) const;
     void on_exchange_end(const exchange_result& got);
     attempt_end classify(const exchange_result& got) const;
--- a/net/curl_exchange.cpp
+++ b/net/curl_exchange.cpp
@@ -1,7 +1,9 @@
 #include "net/curl_exchange.hpp"
 
 #include "net/http_status.hpp"
+#include "net/socket_address.hpp"
 
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <strings.h>
@@ -110,6 +112,14 @@
 {
 }
 
+curl_exchange::~curl_exchange()
+{
+    if (skipped_socket_ >= 0)
+    {
+        ::close(skipped_socket_);
+    }
+}
+
 void curl_exchange::set_options(const endpoint& to,
                                 seconds max_idle,
                                 endpoint_connections& connections,
@@ -418,6 +428,12 @@
     if (trim(line).empty())
     {
         has_final_headers_ = answer_.status >= first_final_status;
+        const bool is_skipped = has_final_headers_ && options_.is_own_answer &&
+                                !options_.is_own_answer(answer_);
+        if (is_skipped)
+        {
+            skip_answer();
+        }
     }
     else if (colon != std::string_view::npos)
     {
@@ -426,6 +442,27 @@
     }
 }
 
+// libcurl takes the first answer for that of the request, and closes its descriptor of
+// the connection after it. The next answer is read from a duplicate.
+void curl_exchange::skip_answer()
+{
+    forbid_reuse();
+    const auto fd =
+        std::find_if(connections_->connected.begin(),
+                     connections_->connected.end(),
+                     [&](int it) { return local_port_of(it) == local_port_; });
+    if (fd != connections_->connected.end())
+    {
+        skipped_socket_ = fcntl(*fd, F_DUPFD_CLOEXEC, 0);
+    }
+}
+
+std::optional<int> curl_exchange::take_socket()
+{
+    const int fd = std::exchange(skipped_socket_, -1);
+    return fd >= 0 ? std::optional(fd) : std::nullopt;
+}
+
 // An answer that states neither length nor encoding ends where the connection closes, so
 // its body may be truncated.
 bool curl_exchange::is_answer_whole() const
--- a/net/curl_exchange.hpp
+++ b/net/curl_exchange.hpp
@@ -56,6 +56,7 @@
                   http_request request,
                   exchange_options options);
 
+    ~curl_exchange();
     curl_exchange(const curl_exchange&) = delete;
     curl_exchange& operator=(const curl_exchange&) = delete;
 
@@ -113,6 +114,15 @@
     // The result of an exchange that is ended by exchange_options::timeout.
     exchange_result time_out() const;
 
+    // After an answer that was not the request's own: the socket, from which the next
+    // answer can be read, and which the caller must close. Empty after any other end.
+    std::optional<int> take_socket();
+
+    const exchange_options& options() const
+    {
+        return options_;
+    }
+
     // The part of a streamed body that arrived since the last call.
     std::string take_pieces();
 
@@ -136,6 +146,7 @@
     bool count_answer_bytes(std::size_t n);
     void add_header_line(std::string_view line);
     bool is_answer_whole() const;
+    void skip_answer();
 
     exchange_id id_;
     curl_easy easy_;
@@ -157,6 +168,7 @@
     bool is_reused_ = false;
     int local_port_ = 0;
     int opened_socket_ = -1;
+    int skipped_socket_ = -1; // a duplicate, after an answer that is to be skipped
 };
 
 } // namespace camphorrock
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -1,12 +1,13 @@
 #include "net/http_client.hpp"
 
 #include "core/base/enum_names.hpp"
+#include "net/answer_reader.hpp"
 #include "net/curl_exchange.hpp"
 #include "net/curl_pool.hpp"
 #include "net/socket_address.hpp"
 
-#include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <deque>
@@ -38,26 +39,15 @@
     curl_exchange curl;
     endpoint to;
     std::shared_ptr<endpoint_connections> connections; // of the endpoint
-    std::shared_ptr<curl_pool> pool;                   // null until it is started
+    // Null until it is started, and once it is read by `reader`.
+    std::shared_ptr<curl_pool> pool;
     http_client::callback done;
     curl_exchange::piece_callback on_piece;
     time_point started{};
     timer_handle time_limit;
+    std::unique_ptr<answer_reader> reader{}; // set after an answer that was skipped
 };
 
-int local_port_of(int fd)
-{
-    sockaddr_storage address{};
-    socklen_t size = sizeof address;
-    if (getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0)
-    {
-        return 0;
-    }
-    return address.ss_family == AF_INET6
-               ? ntohs(reinterpret_cast<const sockaddr_in6&>(address).sin6_port)
-               : ntohs(reinterpret_cast<const sockaddr_in&>(address).sin_port);
-}
-
 // True if the exchange uses, or is about to use, the connection.
 bool uses_socket(const curl_exchange& it, int fd)
 {
@@ -168,11 +158,22 @@
         void* number = nullptr;
         curl_easy_getinfo(easy, CURLINFO_PRIVATE, &number);
         auto it = exchanges_.find(reinterpret_cast<std::uintptr_t>(number));
-        if (it != exchanges_.end())
+        if (it == exchanges_.end())
+        {
+            return;
+        }
+        client_exchange& exchange = *it->second;
+        const std::optional<int> socket = exchange.curl.take_socket();
+        if (socket && code == CURLE_OK)
         {
-            exchange_result got = it->second->curl.finish(code);
-            finish(it->second->curl.id(), std::move(got));
+            read_next_answer(exchange, *socket);
+            return;
         }
+        if (socket)
+        {
+            ::close(*socket);
+        }
+        finish(exchange.curl.id(), exchange.curl.finish(code));
     }
 
     void on_libcurl_returned() override
@@ -270,6 +271,29 @@
         }
     }
 
+    // libcurl has ended the exchange with an answer that is not its own.
+    void read_next_answer(client_exchange& it, int socket)
+    {
+        leave_pool(it);
+        it.reader =
+            std::make_unique<answer_reader>(loop_,
+                                            socket,
+                                            it.curl.options(),
+                                            [this, id = it.curl.id()](exchange_result got)
+                                            { finish(id, std::move(got)); });
+    }
+
+    void leave_pool(client_exchange& it)
+    {
+        if (it.pool)
+        {
+            it.pool->remove(it.curl.easy());
+        }
+        it.connections->running_shared -= it.pool && it.pool == shared_pool_ ? 1 : 0;
+        it.pool.reset();
+        start_next_waiting(it.to);
+    }
+
     bool has_own_pool(const endpoint& to) const
     {
         return !options_.shares_pool || unshared_endpoints_.contains(to) ||
@@ -383,14 +407,8 @@
         }
         std::unique_ptr<client_exchange> taken = std::move(it->second);
         exchanges_.erase(it);
-        if (taken->pool)
-        {
-            taken->pool->remove(taken->curl.easy());
-        }
-        taken->connections->running_shared -=
-            taken->pool && taken->pool == shared_pool_ ? 1 : 0;
+        leave_pool(*taken);
         recycle_handle(taken->curl.release());
-        start_next_waiting(taken->to);
         return taken;
     }
 
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -76,6 +76,11 @@
     // Asked just before the request is sent, since the loop may be late: a reason not to
     // send it may have arrived that the loop has not handled yet. Empty: always wanted.
     std::function<bool()> is_wanted{};
+    // Asked once the headers of an answer are complete. Returns false for an answer to an
+    // earlier request, which a server may send once more: it is skipped, and the next one
+    // on the connection is read. Empty: the first answer is the request's own. Not for
+    // HEAD requests.
+    std::function<bool(const http_response&)> is_own_answer{};
 };
 
 // Identifies an exchange until its callback; never reused.
--- a/net/socket_address.cpp
+++ b/net/socket_address.cpp
@@ -120,6 +120,19 @@
     return endpoint(std::string(buf) + ":" + std::to_string(ntohs(four->sin_port)));
 }
 
+int local_port_of(int fd)
+{
+    sockaddr_storage address{};
+    socklen_t size = sizeof address;
+    if (getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0)
+    {
+        return 0;
+    }
+    return address.ss_family == AF_INET6
+               ? ntohs(reinterpret_cast<const sockaddr_in6*>(&address)->sin6_port)
+               : ntohs(reinterpret_cast<const sockaddr_in*>(&address)->sin_port);
+}
+
 result<int> listen_at(const endpoint& address)
 {
     BOOST_LEAF_AUTO(at, parse_address(address));
--- a/net/socket_address.hpp
+++ b/net/socket_address.hpp
@@ -28,6 +28,9 @@
 // The endpoint that a socket is bound to.
 endpoint bound_endpoint(int fd);
 
+// The port that a socket is bound to; 0 if it is bound to none.
+int local_port_of(int fd);
+
 // Returns a non-blocking TCP socket that listens at `address`, to be closed by the
 // caller. Fails with error_code::invalid_argument if the address cannot be parsed, and
 // with error_code::io if the address cannot be bound.
