--- a/net/curl_exchange.cpp
+++ b/net/curl_exchange.cpp
@@ -443,10 +443,21 @@
 }
 
 // libcurl takes the first answer for that of the request, and closes its descriptor of
-// the connection after it. The next answer is read from a duplicate.
+// the connection after it. The next answer is read from a duplicate. It must not have
+// been read by libcurl together with the first one: libcurl drops such bytes, and says so
+// in its debug messages, which are relied on only for an answer with a length.
 void curl_exchange::skip_answer()
 {
+    const bool has_length = answer_.headers.find("Content-Length") &&
+                            !answer_.headers.find("Transfer-Encoding");
+    if (!has_length)
+    {
+        return;
+    }
     forbid_reuse();
+    curl_easy_setopt(easy_.get(), CURLOPT_DEBUGFUNCTION, &curl_exchange::on_debug);
+    curl_easy_setopt(easy_.get(), CURLOPT_DEBUGDATA, this);
+    curl_easy_setopt(easy_.get(), CURLOPT_VERBOSE, 1L);
     const auto fd =
         std::find_if(connections_->connected.begin(),
                      connections_->connected.end(),
@@ -457,10 +468,27 @@
     }
 }
 
+int curl_exchange::on_debug(
+    CURL*, curl_infotype type, char* data, std::size_t n, void* self)
+{
+    auto* it = static_cast<curl_exchange*>(self);
+    if (type == CURLINFO_TEXT)
+    {
+        it->has_debug_text_ = true;
+        it->has_dropped_bytes_ = it->has_dropped_bytes_ ||
+                                 std::string_view(data, n).starts_with("Excess found");
+    }
+    return 0;
+}
+
 std::optional<int> curl_exchange::take_socket()
 {
-    const int fd = std::exchange(skipped_socket_, -1);
-    return fd >= 0 ? std::optional(fd) : std::nullopt;
+    const bool is_next_whole = has_debug_text_ && !has_dropped_bytes_;
+    if (skipped_socket_ < 0 || !is_next_whole)
+    {
+        return std::nullopt;
+    }
+    return std::exchange(skipped_socket_, -1);
 }
 
 // An answer that states neither length nor encoding ends where the connection closes, so
--- a/net/curl_exchange.hpp
+++ b/net/curl_exchange.hpp
@@ -115,7 +115,8 @@
     exchange_result time_out() const;
 
     // After an answer that was not the request's own: the socket, from which the next
-    // answer can be read, and which the caller must close. Empty after any other end.
+    // answer can be read from its first byte on, and which the caller must close. Empty
+    // after any other end, or if the first bytes are lost.
     std::optional<int> take_socket();
 
     const exchange_options& options() const
@@ -137,6 +138,7 @@
     on_body(const char* data, std::size_t size, std::size_t n, void* self);
     static int on_request(void* self, char*, char*, int, int local_port);
     static curl_socket_t on_open_socket(void* self, curlsocktype, curl_sockaddr* address);
+    static int on_debug(CURL*, curl_infotype type, char* data, std::size_t n, void* self);
     static int on_close_socket(void* connections, curl_socket_t fd);
 
     std::optional<exchange_end> reason_not_to_send() const;
@@ -169,6 +171,8 @@
     int local_port_ = 0;
     int opened_socket_ = -1;
     int skipped_socket_ = -1; // a duplicate, after an answer that is to be skipped
+    bool has_debug_text_ = false;
+    bool has_dropped_bytes_ = false; // libcurl read more than the answer to be skipped
 };
 
 } // namespace camphorrock
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -78,8 +78,9 @@
     std::function<bool()> is_wanted{};
     // Asked once the headers of an answer are complete. Returns false for an answer to an
     // earlier request, which a server may send once more: it is skipped, and the next one
-    // on the connection is read. Empty: the first answer is the request's own. Not for
-    // HEAD requests.
+    // on the connection is read. Where its first bytes are lost, the exchange ends with
+    // the answer that should be skipped. Empty: the first answer is the request's own.
+    // Not for HEAD requests.
     std::function<bool(const http_response&)> is_own_answer{};
 };
 
--- a/net/testing/answer_reader_test.cpp
+++ b/net/testing/answer_reader_test.cpp
@@ -105,6 +105,35 @@
             CHECK_FALSE(it.end().is_connection_reused);
         }
     }
+    SECTION("its own comes in the same read as the other")
+    {
+        // libcurl drops it, so what follows must not be taken for it.
+        it.send();
+        it.reply({answer(other, "old") + answer(own, "new"), answer(own, "copy")});
+        CHECK(it.end().end == exchange_end::answered);
+        CHECK(it.end().answer.headers.find("Id") == "1");
+    }
+    SECTION("the first bytes of its own come in the same read as the other")
+    {
+        const std::string last = answer(own, "new");
+        it.send();
+        it.reply({answer(other, "old") + last.substr(0, 7), last.substr(7)});
+        CHECK(it.end().answer.headers.find("Id") == "1");
+    }
+    SECTION("the other has no length, or no body")
+    {
+        const std::string begin = "HTTP/1.1 200 OK\r\n" + other;
+        const std::string chunked =
+            begin + "Transfer-Encoding: chunked\r\n\r\n3\r\nold\r\n0\r\n\r\n";
+        const std::string empty = begin + "Content-Length: 0\r\n\r\n";
+        const int kind = GENERATE(0, 1, 2);
+        const std::string first = kind == 0   ? chunked
+                                  : kind == 1 ? chunked + answer(own, "new")
+                                              : empty + answer(own, "new");
+        it.send();
+        it.reply({first, answer(own, "copy")});
+        CHECK(it.end().answer.headers.find("Id") == "1");
+    }
     SECTION("several others come first, one of them an interim answer, in pieces")
     {
         it.send();
