--- a/core/gateway/limits/testing/limit_simulation.cpp
+++ b/core/gateway/limits/testing/limit_simulation.cpp
@@ -28,7 +28,7 @@
 {
     for (unsigned n = 0; n < options_.gateways; ++n)
     {
-        gateway& it = gateways_.emplace_back(token_exchange(now_));
+        gateway& it = gateways_.emplace_back(token_exchange(events_.now()));
         it.address = endpoint("10.0." + std::to_string(n / 250) + "." +
                               std::to_string(n % 250) + ":1");
     }
@@ -71,7 +71,7 @@
 {
     for (gateway& it : gateways_)
     {
-        it.exchange = token_exchange(now_);
+        it.exchange = token_exchange(events_.now());
     }
     waiting_.clear();
 }
@@ -89,69 +89,51 @@
 
 void limit_simulation::freeze(unsigned gateway, duration span)
 {
-    gateways_[gateway].silent_until = now_ + span;
+    gateways_[gateway].silent_until = events_.now() + span;
 }
 
 void limit_simulation::cut(unsigned size, duration span)
 {
     cut_size_ = size;
-    cut_until_ = now_ + span;
+    cut_until_ = events_.now() + span;
 }
 
 void limit_simulation::restart(unsigned gateway, duration span)
 {
-    gateways_[gateway].exchange = token_exchange(now_);
+    gateways_[gateway].exchange = token_exchange(events_.now());
     gateways_[gateway].refused_until = {};
     std::erase_if(waiting_, [&](const auto& it) { return it.second.gateway == gateway; });
-    schedule(
+    events_.schedule(
         span,
         [this, gateway]
         { gateways_[gateway].exchange.set_fleet(fleet(), gateways_[gateway].address); });
 }
 
-void limit_simulation::schedule(duration delay, std::function<void()> action)
-{
-    events_.push({now_ + delay, ++last_event_, std::move(action)});
-}
-
-void limit_simulation::run(duration span)
-{
-    const time_point end = now_ + span;
-    while (!events_.empty() && events_.top().at < end)
-    {
-        const event next = events_.top();
-        events_.pop();
-        now_ = next.at;
-        next.action();
-    }
-    now_ = end;
-}
-
 void limit_simulation::schedule_demand()
 {
     const double pause = std::exponential_distribution<double>(options_.demand)(random_);
-    schedule(std::chrono::duration_cast<duration>(std::chrono::duration<double>(pause)),
-             [this]
-             {
-                 const bool is_first =
-                     gateways_.size() == 1 || draw() < options_.first_share;
-                 const auto others = static_cast<double>(gateways_.size() - 1);
-                 on_request(is_first ? 0 : 1 + static_cast<unsigned>(draw() * others));
-                 schedule_demand();
-             });
+    events_.schedule(
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>(pause)),
+        [this]
+        {
+            const bool is_first = gateways_.size() == 1 || draw() < options_.first_share;
+            const auto others = static_cast<double>(gateways_.size() - 1);
+            on_request(is_first ? 0 : 1 + static_cast<unsigned>(draw() * others));
+            schedule_demand();
+        });
 }
 
 void limit_simulation::on_request(unsigned to)
 {
     gateway& it = gateways_[to];
-    if (now_ < it.silent_until || now_ < it.refused_until)
+    if (events_.now() < it.silent_until || events_.now() < it.refused_until)
     {
         return;
     }
     const token_id id{++last_token_};
-    waiting_[id] = {to, now_};
+    waiting_[id] = {to, events_.now()};
     it.exchange.request(
-        id, server_, options_.limit, options_.max_wait, exchange_random_, now_);
+        id, server_, options_.limit, options_.max_wait, exchange_random_, events_.now());
     flush(to);
 }
 
@@ -164,23 +146,23 @@
     }
     for (const decided_token& got : it.exchange.take_decided())
     {
-        const duration asked_for = now_ - waiting_[got.id].since;
+        const duration asked_for = events_.now() - waiting_[got.id].since;
         waiting_.erase(got.id);
         if (!got.decision.is_granted)
         {
-            it.refused_until = now_ + got.decision.wait;
+            it.refused_until = events_.now() + got.decision.wait;
             continue;
         }
         waits_ += asked_for + got.decision.wait;
         ++granted_;
-        schedule(got.decision.wait + send_delay,
-                 [this, of]
-                 {
-                     if (now_ >= gateways_[of].silent_until)
-                     {
-                         arrivals_.push_back(now_);
-                     }
-                 });
+        events_.schedule(got.decision.wait + send_delay,
+                         [this, of]
+                         {
+                             if (events_.now() >= gateways_[of].silent_until)
+                             {
+                                 arrivals_.push_back(events_.now());
+                             }
+                         });
     }
     schedule_tick(of);
 }
@@ -192,22 +174,22 @@
     {
         return;
     }
-    schedule(std::max<duration>(*at - now_, duration(1)),
-             [this, of]
-             {
-                 const std::optional<time_point> due =
-                     gateways_[of].exchange.next_timeout();
-                 if (due && *due <= now_)
-                 {
-                     gateways_[of].exchange.tick(exchange_random_, now_);
-                     flush(of);
-                 }
-             });
+    events_.schedule(std::max<duration>(*at - events_.now(), duration(1)),
+                     [this, of]
+                     {
+                         const std::optional<time_point> due =
+                             gateways_[of].exchange.next_timeout();
+                         if (due && *due <= events_.now())
+                         {
+                             gateways_[of].exchange.tick(exchange_random_, events_.now());
+                             flush(of);
+                         }
+                     });
 }
 
 void limit_simulation::deliver(unsigned from, const outgoing_limit_message& sent)
 {
-    if (now_ < gateways_[from].silent_until)
+    if (events_.now() < gateways_[from].silent_until)
     {
         return;
     }
@@ -217,23 +199,24 @@
     for (unsigned n = 0; n < copies; ++n)
     {
         const double delay = min_delay_us + draw() * (max_delay_us - min_delay_us);
-        schedule(duration(static_cast<duration::rep>(delay)),
-                 [this, from, sent]
-                 {
-                     for (unsigned to = 0; to < gateways_.size(); ++to)
-                     {
-                         const bool is_cut_off =
-                             now_ < cut_until_ && (from < cut_size_) != (to < cut_size_);
-                         const bool is_received = gateways_[to].address == sent.to &&
-                                                  now_ >= gateways_[to].silent_until &&
-                                                  !is_cut_off;
-                         if (is_received)
-                         {
-                             gateways_[to].exchange.receive(sent.message, now_);
-                             flush(to);
-                         }
-                     }
-                 });
+        events_.schedule(
+            duration(static_cast<duration::rep>(delay)),
+            [this, from, sent]
+            {
+                for (unsigned to = 0; to < gateways_.size(); ++to)
+                {
+                    const bool is_cut_off = events_.now() < cut_until_ &&
+                                            (from < cut_size_) != (to < cut_size_);
+                    const bool is_received =
+                        gateways_[to].address == sent.to &&
+                        events_.now() >= gateways_[to].silent_until && !is_cut_off;
+                    if (is_received)
+                    {
+                        gateways_[to].exchange.receive(sent.message, events_.now());
+                        flush(to);
+                    }
+                }
+            });
     }
 }
 
@@ -247,12 +230,12 @@
     const auto n = std::count_if(arrivals_.begin(),
                                  arrivals_.end(),
                                  [&](const time_point& it) { return it >= from; });
-    return static_cast<double>(n) / (options_.limit * to_seconds(now_ - from));
+    return static_cast<double>(n) / (options_.limit * to_seconds(events_.now() - from));
 }
 
 double limit_simulation::messages_per_second() const
 {
-    return static_cast<double>(messages_) / to_seconds(now_ - started_at_);
+    return static_cast<double>(messages_) / to_seconds(events_.now() - started_at_);
 }
 
 double limit_simulation::mean_wait_ms() const
--- a/core/gateway/limits/testing/limit_simulation.hpp
+++ b/core/gateway/limits/testing/limit_simulation.hpp
@@ -4,12 +4,12 @@
 // the token_exchange of each gateway, a network that delays, loses and repeats messages,
 // and gateways that are silent or restart. Records each arrival at the server.
 
+#include "core/gateway/fleet/testing/event_queue.hpp"
 #include "core/gateway/limits/token_exchange.hpp"
 
 #include <cstddef>
 #include <functional>
 #include <map>
-#include <queue>
 #include <random>
 #include <vector>
 
@@ -34,7 +34,10 @@
 public:
     explicit limit_simulation(limit_simulation_options options);
 
-    void run(duration span);
+    void run(duration span)
+    {
+        events_.run(span);
+    }
 
     // The gateway neither sends nor receives for `span`, as if it were frozen.
     void freeze(unsigned gateway, duration span);
@@ -61,7 +64,7 @@
 
     time_point now() const
     {
-        return now_;
+        return events_.now();
     }
 
     const std::vector<time_point>& arrivals() const
@@ -93,22 +96,6 @@
         time_point refused_until{}; // no token is due before
     };
 
-    struct event
-    {
-        time_point at{};
-        std::uint64_t number = 0;
-        std::function<void()> action;
-    };
-
-    struct is_later
-    {
-        bool operator()(const event& a, const event& b) const
-        {
-            return std::pair(a.at, a.number) > std::pair(b.at, b.number);
-        }
-    };
-
-    void schedule(duration delay, std::function<void()> action);
     void schedule_demand();
     void on_request(unsigned to);
     void flush(unsigned of);
@@ -121,11 +108,9 @@
     server_id server_{"limited"};
     std::mt19937_64 random_;
     std::minstd_rand exchange_random_;
-    time_point now_{seconds(1000)};
-    time_point started_at_ = now_;
+    event_queue events_{time_point(seconds(1000))};
+    time_point started_at_ = events_.now();
     std::vector<gateway> gateways_;
-    std::priority_queue<event, std::vector<event>, is_later> events_;
-    std::uint64_t last_event_ = 0;
     std::uint64_t last_token_ = 0;
     struct waiting_request
     {
--- a/core/gateway/retry/testing/crash_simulation.cpp
+++ b/core/gateway/retry/testing/crash_simulation.cpp
@@ -30,7 +30,7 @@
     }
     for (unsigned n = 0; n < options_.gateways && options_.is_shared; ++n)
     {
-        gateways_[n].exchange.set_fleet(fleet(), gateways_[n].address, now_);
+        gateways_[n].exchange.set_fleet(fleet(), gateways_[n].address, events_.now());
         flush(n);
     }
     for (unsigned n = 0; n < options_.servers; ++n)
@@ -81,13 +81,14 @@
 
 void crash_simulation::silence(unsigned gateway, duration span)
 {
-    gateways_[gateway].silent_until = now_ + span;
+    gateways_[gateway].silent_until = events_.now() + span;
 }
 
 void crash_simulation::restart(unsigned gateway)
 {
     gateways_[gateway].exchange = crash_exchange();
-    gateways_[gateway].exchange.set_fleet(fleet(), gateways_[gateway].address, now_);
+    gateways_[gateway].exchange.set_fleet(
+        fleet(), gateways_[gateway].address, events_.now());
     std::erase_if(requests_,
                   [&](const auto& it) { return it.second.gateway == gateway; });
     flush(gateway);
@@ -96,7 +97,7 @@
 void crash_simulation::cut(unsigned size, duration span)
 {
     cut_size_ = size;
-    cut_until_ = now_ + span;
+    cut_until_ = events_.now() + span;
 }
 
 unsigned crash_simulation::late_bad_crashes() const
@@ -126,24 +127,6 @@
     return good_;
 }
 
-void crash_simulation::schedule(duration delay, std::function<void()> action)
-{
-    events_.push({now_ + delay, ++last_event_, std::move(action)});
-}
-
-void crash_simulation::run(duration span)
-{
-    const time_point end = now_ + span;
-    while (!events_.empty() && events_.top().at < end)
-    {
-        const event next = events_.top();
-        events_.pop();
-        now_ = next.at;
-        next.action();
-    }
-    now_ = end;
-}
-
 void crash_simulation::schedule_arrivals(request_kind kind)
 {
     const double rate = kind == request_kind::good  ? options_.good_rate
@@ -154,15 +137,16 @@
         return;
     }
     const double pause = std::exponential_distribution<double>(rate)(random_);
-    schedule(std::chrono::duration_cast<duration>(std::chrono::duration<double>(pause)),
-             [this, kind, generation = arrivals_generation_]
-             {
-                 if (generation == arrivals_generation_)
-                 {
-                     on_arrival(kind);
-                     schedule_arrivals(kind);
-                 }
-             });
+    events_.schedule(
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>(pause)),
+        [this, kind, generation = arrivals_generation_]
+        {
+            if (generation == arrivals_generation_)
+            {
+                on_arrival(kind);
+                schedule_arrivals(kind);
+            }
+        });
 }
 
 void crash_simulation::on_arrival(request_kind kind)
@@ -244,7 +228,7 @@
     trial.server = servers_[server].id;
     trial.lifetime = lifetime;
     asked_[trial.id] = {n, server};
-    gateways_[it.gateway].exchange.request(trial, now_);
+    gateways_[it.gateway].exchange.request(trial, events_.now());
     flush(it.gateway);
 }
 
@@ -274,20 +258,20 @@
 {
     request& it = requests_.at(n);
     it.busy.clear();
-    it.wait_end = it.wait_end.value_or(now_ + max_wait);
-    if (now_ >= *it.wait_end)
+    it.wait_end = it.wait_end.value_or(events_.now() + max_wait);
+    if (events_.now() >= *it.wait_end)
     {
         finish(n, &request_counts::suspected);
         return;
     }
-    schedule(retry_delay, [this, n] { try_send(n); });
+    events_.schedule(retry_delay, [this, n] { try_send(n); });
 }
 
 void crash_simulation::start(request_number n, unsigned server)
 {
     request& it = requests_.at(n);
     it.server = server;
-    it.started_at = now_;
+    it.started_at = events_.now();
     if (!servers_[server].is_up)
     {
         end_attempt(n, trial_end::unknown);
@@ -296,18 +280,18 @@
     }
     ++it.attempts;
     const double factor = 0.5 + draw();
-    schedule(duration(static_cast<duration::rep>(
-                 static_cast<double>(options_.work.count()) * factor)),
-             [this, n, attempt = it.attempts]
-             {
-                 const auto found = requests_.find(n);
-                 const bool is_running =
-                     found != requests_.end() && found->second.attempts == attempt;
-                 if (is_running)
-                 {
-                     on_run_end(n);
-                 }
-             });
+    events_.schedule(duration(static_cast<duration::rep>(
+                         static_cast<double>(options_.work.count()) * factor)),
+                     [this, n, attempt = it.attempts]
+                     {
+                         const auto found = requests_.find(n);
+                         const bool is_running = found != requests_.end() &&
+                                                 found->second.attempts == attempt;
+                         if (is_running)
+                         {
+                             on_run_end(n);
+                         }
+                     });
 }
 
 void crash_simulation::on_run_end(request_number n)
@@ -315,7 +299,7 @@
     const request& it = requests_.at(n);
     if (it.kind == request_kind::bad)
     {
-        bad_crashes_.push_back(now_);
+        bad_crashes_.push_back(events_.now());
         crash(it.server);
         return;
     }
@@ -347,9 +331,9 @@
         report.request = it.fingerprint;
         report.end = end;
         report.server = servers_[it.server].id;
-        report.started_ago = now_ - it.started_at;
+        report.started_ago = events_.now() - it.started_at;
         report.ended_ago = end == trial_end::crashed ? check_time : duration();
-        at.exchange.report(report, now_);
+        at.exchange.report(report, events_.now());
         it.trial.reset();
         flush(it.gateway);
     }
@@ -362,22 +346,23 @@
         return;
     }
     servers_[server].is_up = false;
-    schedule(options_.restart_time, [this, server] { servers_[server].is_up = true; });
+    events_.schedule(options_.restart_time,
+                     [this, server] { servers_[server].is_up = true; });
     for (auto& [n, it] : requests_)
     {
         const bool is_there = it.attempts > 0 && it.server == server;
         if (is_there)
         {
             it.attempts += 100; // its run does not end any more
-            schedule(check_time,
-                     [this, number = n]
-                     {
-                         if (requests_.contains(number))
-                         {
-                             requests_.at(number).attempts -= 100;
-                             on_lost(number, true);
-                         }
-                     });
+            events_.schedule(check_time,
+                             [this, number = n]
+                             {
+                                 if (requests_.contains(number))
+                                 {
+                                     requests_.at(number).attempts -= 100;
+                                     on_lost(number, true);
+                                 }
+                             });
         }
     }
 }
@@ -419,21 +404,21 @@
     }
     for (const decided_trial& it : exchange.take_decided())
     {
-        schedule(duration(0),
-                 [this, it]
-                 {
-                     const auto [n, server] = asked_.at(it.id);
-                     asked_.erase(it.id);
-                     if (!requests_.contains(n))
-                     {
-                         return; // its gateway restarted
-                     }
-                     if (it.answer == trial_answer::run)
-                     {
-                         requests_.at(n).trial = it.id;
-                     }
-                     on_answer(n, server, it.answer);
-                 });
+        events_.schedule(duration(0),
+                         [this, it]
+                         {
+                             const auto [n, server] = asked_.at(it.id);
+                             asked_.erase(it.id);
+                             if (!requests_.contains(n))
+                             {
+                                 return; // its gateway restarted
+                             }
+                             if (it.answer == trial_answer::run)
+                             {
+                                 requests_.at(n).trial = it.id;
+                             }
+                             on_answer(n, server, it.answer);
+                         });
     }
     schedule_tick(of);
 }
@@ -445,23 +430,23 @@
     {
         return;
     }
-    schedule(std::max<duration>(*at - now_, duration(1)),
-             [this, of]
-             {
-                 const std::optional<time_point> due =
-                     gateways_[of].exchange.next_timeout();
-                 if (due && *due <= now_)
-                 {
-                     gateways_[of].exchange.tick(now_);
-                     flush(of);
-                 }
-             });
+    events_.schedule(std::max<duration>(*at - events_.now(), duration(1)),
+                     [this, of]
+                     {
+                         const std::optional<time_point> due =
+                             gateways_[of].exchange.next_timeout();
+                         if (due && *due <= events_.now())
+                         {
+                             gateways_[of].exchange.tick(events_.now());
+                             flush(of);
+                         }
+                     });
 }
 
 void crash_simulation::deliver(unsigned from, const outgoing_crash_message& sent)
 {
     ++messages_;
-    if (now_ < gateways_[from].silent_until || draw() < options_.lost_fraction)
+    if (events_.now() < gateways_[from].silent_until || draw() < options_.lost_fraction)
     {
         return;
     }
@@ -471,17 +456,17 @@
                      [&](const gateway& it) { return it.address == sent.to; });
     const auto to = static_cast<unsigned>(found - gateways_.begin());
     const double delay = min_delay_us + draw() * (max_delay_us - min_delay_us);
-    schedule(duration(static_cast<duration::rep>(delay)),
-             [this, from, to, sent]
-             {
-                 const bool is_cut_off =
-                     now_ < cut_until_ && (from < cut_size_) != (to < cut_size_);
-                 if (now_ >= gateways_[to].silent_until && !is_cut_off)
-                 {
-                     gateways_[to].exchange.receive(sent.message, now_);
-                     flush(to);
-                 }
-             });
+    events_.schedule(duration(static_cast<duration::rep>(delay)),
+                     [this, from, to, sent]
+                     {
+                         const bool is_cut_off = events_.now() < cut_until_ &&
+                                                 (from < cut_size_) != (to < cut_size_);
+                         if (events_.now() >= gateways_[to].silent_until && !is_cut_off)
+                         {
+                             gateways_[to].exchange.receive(sent.message, events_.now());
+                             flush(to);
+                         }
+                     });
 }
 
 } // namespace camphorrock::testing
--- a/core/gateway/retry/testing/crash_simulation.hpp
+++ b/core/gateway/retry/testing/crash_simulation.hpp
@@ -5,13 +5,13 @@
 // loses messages, gateways that are cut off, silent or restart. Counts the crashes under
 // each request, and the requests that were refused.
 
+#include "core/gateway/fleet/testing/event_queue.hpp"
 #include "core/gateway/retry/crash_exchange.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
-#include <queue>
 #include <random>
 #include <string>
 #include <vector>
@@ -52,7 +52,10 @@
 public:
     explicit crash_simulation(crash_simulation_options options);
 
-    void run(duration span);
+    void run(duration span)
+    {
+        events_.run(span);
+    }
 
     // That many servers crash at once, not under a request.
     void lose_servers(unsigned n);
@@ -131,24 +134,8 @@
         std::vector<unsigned> busy; // servers that run other suspects
     };
 
-    struct event
-    {
-        time_point at{};
-        std::uint64_t number = 0;
-        std::function<void()> action;
-    };
-
-    struct is_later
-    {
-        bool operator()(const event& a, const event& b) const
-        {
-            return std::pair(a.at, a.number) > std::pair(b.at, b.number);
-        }
-    };
-
     using request_number = std::uint64_t;
 
-    void schedule(duration delay, std::function<void()> action);
     void schedule_arrivals(request_kind kind);
     void on_arrival(request_kind kind);
     void try_send(request_number n);
@@ -172,13 +159,11 @@
     crash_simulation_options options_;
     service_name service_{"service"};
     std::mt19937_64 random_;
-    time_point now_{seconds(1000)};
+    event_queue events_{time_point(seconds(1000))};
     std::vector<gateway> gateways_;
     std::vector<server> servers_;
     std::map<request_number, request> requests_;
     std::map<trial_id, std::pair<request_number, unsigned>> asked_; // and the server
-    std::priority_queue<event, std::vector<event>, is_later> events_;
-    std::uint64_t last_event_ = 0;
     std::uint64_t last_number_ = 0;
     std::uint64_t arrivals_generation_ = 0;
     request_counts good_;
