--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -52,7 +52,7 @@
 assigner_role::assigner_role(assigner_role_context context,
                              std::function<void(const key_assignment&)> on_published,
                              std::function<void()> on_holder)
-    : context_(context), on_published_(std::move(on_published)),
+    : context_(std::move(context)), on_published_(std::move(on_published)),
       on_holder_(std::move(on_holder))
 {
     holder_reader_ = std::make_unique<store_reader>(
--- a/gateway/key_agent.cpp
+++ b/gateway/key_agent.cpp
@@ -28,7 +28,9 @@
 
 } // namespace
 
-key_agent::key_agent(assigner_role_context context, rpc_client& rpc, rpc_server& server)
+key_agent::key_agent(const assigner_role_context& context,
+                     rpc_client& rpc,
+                     rpc_server& server)
     : context_(context), rpc_(rpc), role_(
                                         context,
                                         [this](const key_assignment& it) { publish(it); },
--- a/gateway/key_agent.hpp
+++ b/gateway/key_agent.hpp
@@ -22,7 +22,7 @@
 public:
     // What `context` refers to, `rpc` and `server` must outlive the agent. Adds the
     // methods keys.report and keys.update to `server`.
-    key_agent(assigner_role_context context, rpc_client& rpc, rpc_server& server);
+    key_agent(const assigner_role_context& context, rpc_client& rpc, rpc_server& server);
     key_agent(const key_agent&) = delete;
     key_agent& operator=(const key_agent&) = delete;
 
