--- a/core/gateway/retry/crash_counter.hpp
+++ b/core/gateway/retry/crash_counter.hpp
@@ -37,7 +37,7 @@
 struct crash_counter_options
 {
     std::size_t max_rows = 8192;
-    // Of crashes that do not have one cause.
+    // Crashes closer together may have one cause.
     duration min_crash_gap = milliseconds(50);
     // A cleared request is remembered for this long, so that a gateway that still takes
     // it for a suspect does not make it one again.
--- a/core/gateway/retry/crash_exchange.hpp
+++ b/core/gateway/retry/crash_exchange.hpp
@@ -14,12 +14,14 @@
 //     for (const outgoing_crash_message& it : exchange.take_outgoing()) send(it);
 //     for (const decided_trial& it : exchange.take_decided()) ...
 //
-// Nothing is sent while no attempt is lost. A change of a suspect is told to all
+// Nothing is sent while no server crashes, but for the questions of a gateway that was
+// just started, which asks others for the verdicts. A change of a suspect is told to all
 // gateways, by the one that counts. Without a gateway that counts, each one permits the
 // attempts of its own suspects, one at a time.
 //
 // Messages may be lost: requests and reports are repeated until their reply arrives,
-// notices a few times. A gateway that was just started asks others for the verdicts.
+// notices a few times. A report whose first sending is not answered is also counted here,
+// and told to all, so that they learn of a crash while those that count are silent.
 //
 // Memory: see suspect_list and crash_counter; a row for each request without a decision,
 // and for each report that is to be repeated.
