A gateway watches its links to the servers and logs when it has lost them

Events 245 to 247, counters; attempt_failed says whether the connection was refused. A probe now tells accepted, refused and unanswered apart.

--- a/app/events.hpp
+++ b/app/events.hpp
@@ -65,6 +65,9 @@
     request_condemned = 242,
     suspect_cleared = 243,
     trial_answered = 244,
+    links_probed = 245,
+    links_lost = 246,
+    links_back = 247,
 
     elected = 301,
     lease_lost = 302,
--- a/gateway/crash_agent.cpp
+++ b/gateway/crash_agent.cpp
@@ -97,8 +97,9 @@
 void crash_agent::check_crash(const watched_attempt& attempt, crash_callback done)
 {
     probe_.check(attempt.address,
-                 [this, attempt, done = std::move(done)](bool has_ended)
+                 [this, attempt, done = std::move(done)](probe_end end)
                  {
+                     const bool has_ended = end == probe_end::refused;
                      log_.server_probed(
                          attempt.request_id, attempt.request, attempt.server, has_ended);
                      if (has_ended)
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -112,6 +112,7 @@
     client_handler_.reset();
     key_agent_.reset();
     load_agent_.reset();
+    link_agent_.reset();
     verdict_store_.reset();
     directory_agent_.reset();
     store_.reset();
@@ -150,6 +151,7 @@
         std::make_unique<directory_agent>(*loop_, *store_, *state_, codec_, log_);
     BOOST_LEAF_ASSIGN(load_agent_,
                       load_agent::create(*loop_, *state_, log_, *server_http_));
+    link_agent_ = std::make_unique<link_agent>(*loop_, *state_, log_, *server_http_);
     keep_verdicts();
     key_agent_ = std::make_unique<key_agent>(
         assigner_role_context{*loop_,
@@ -178,7 +180,8 @@
                       { key_agent_->add_refusal(service, key); },
                       &load_agent_->reservations(),
                       &load_agent_->limits(),
-                      &load_agent_->crashes()});
+                      &load_agent_->crashes(),
+                      link_agent_.get()});
     client_handler_ = std::make_unique<client_handler>(*relay_context_);
     BOOST_LEAF_CHECK(open_ports());
     loop_monitor_ = std::make_unique<loop_monitor>(
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -16,6 +16,7 @@
 #include "gateway/gateway_settings.hpp"
 #include "gateway/gateway_state.hpp"
 #include "gateway/key_agent.hpp"
+#include "gateway/link_agent.hpp"
 #include "gateway/load_agent.hpp"
 #include "gateway/verdict_store.hpp"
 #include "net/event_loop.hpp"
@@ -89,6 +90,7 @@
     rpc_server rpc_methods_;
     std::unique_ptr<key_agent> key_agent_;
     std::unique_ptr<load_agent> load_agent_;
+    std::unique_ptr<link_agent> link_agent_;
     std::unique_ptr<verdict_store> verdict_store_;
     std::unique_ptr<relay_context> relay_context_;
     std::unique_ptr<client_handler> client_handler_;
--- a/gateway/gateway_log.cpp
+++ b/gateway/gateway_log.cpp
@@ -43,6 +43,13 @@
 const metric_name trials_metric{
     "camphorrock_gateway_trials_total",
     "Attempts of suspects, by the answer of the gateway that permits them."};
+const metric_name link_rounds_metric{
+    "camphorrock_gateway_link_probe_rounds_total",
+    "Rounds of probes of servers that seemed out of reach, by suspicion and result."};
+const metric_name links_lost_metric{"camphorrock_gateway_links_lost_total",
+                                    "Times that no server could be reached from here."};
+const metric_name links_outage_metric{"camphorrock_gateway_links_outage_seconds",
+                                      "From the loss of the links until their return."};
 const metric_name loop_late_metric{"camphorrock_gateway_loop_late_seconds",
                                    "By how much the event loop ran its timers late."};
 const metric_name latency_metric{"camphorrock_gateway_answer_seconds",
@@ -88,6 +95,7 @@
                    {"server", to.server},
                    {"end", name_of(how)},
                    {"exchange", name_of(got.end)},
+                   {"refused", got.is_connection_refused},
                    {"answer_id", answer_id},
                    {"elapsed_us", elapsed},
                    {"again", is_sent_again}});
@@ -271,6 +279,36 @@
                   {{"request", request.id}, {"server", server}, {"answer", name}});
 }
 
+void gateway_log::links_probed(link_suspicion why,
+                               const probe_round& round,
+                               duration elapsed)
+{
+    const char* found = round.accepted > 0 ? "accepted" : "none";
+    metrics_
+        .get_counter(link_rounds_metric,
+                     {{"suspicion", std::string(name_of(why))}, {"result", found}})
+        .add();
+    events_.write(event_id::links_probed,
+                  {{"suspicion", name_of(why)},
+                   {"asked", round.asked},
+                   {"accepted", round.accepted},
+                   {"late", round.is_late},
+                   {"elapsed_us", elapsed}});
+}
+
+void gateway_log::links_lost(link_suspicion why, const probe_round& round)
+{
+    metrics_.get_counter(links_lost_metric).add();
+    events_.write(event_id::links_lost,
+                  {{"suspicion", name_of(why)}, {"asked", round.asked}});
+}
+
+void gateway_log::links_back(duration elapsed)
+{
+    metrics_.get_histogram(links_outage_metric).record(elapsed);
+    events_.write(event_id::links_back, {{"elapsed_us", elapsed}});
+}
+
 void gateway_log::loop_late(duration lateness)
 {
     metrics_.get_histogram(loop_late_metric).record(lateness);
--- a/gateway/gateway_log.hpp
+++ b/gateway/gateway_log.hpp
@@ -9,6 +9,7 @@
 #include "core/gateway/config/gateway_config.hpp"
 #include "core/gateway/limits/server_limits.hpp"
 #include "core/gateway/limits/token_counter.hpp"
+#include "core/gateway/links/link_monitor.hpp"
 #include "core/gateway/owners/key_orders.hpp"
 #include "core/gateway/retry/crash_messages.hpp"
 #include "core/gateway/servers/server_pool.hpp"
@@ -118,6 +119,12 @@
     void trial_answered(const request_fields& request,
                         const server_id& server,
                         trial_answer answer);
+    // Servers seemed out of reach, and a round of probes has ended after `elapsed`.
+    void links_probed(link_suspicion why, const probe_round& round, duration elapsed);
+    // No server can be reached from here.
+    void links_lost(link_suspicion why, const probe_round& round);
+    // Servers can be reached again, `elapsed` after the links were lost.
+    void links_back(duration elapsed);
     // The event loop ran a timer later than planned, by `lateness`.
     void loop_late(duration lateness);
     // The client disconnected before it received an answer. `is_noticed_late`: a check
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -18,6 +18,26 @@
 constexpr duration min_retry_after = milliseconds(80);
 constexpr int retry_after_spread_ms = 120; // random, against simultaneous retries
 
+// An attempt that timed out after it was sent shows nothing by itself: the server may be
+// slow.
+attempt_evidence evidence_of(exchange_end end)
+{
+    switch (end)
+    {
+    case exchange_end::answered:
+    case exchange_end::too_large:
+        return attempt_evidence::reached;
+    case exchange_end::not_connected:
+    case exchange_end::connection_lost:
+        return attempt_evidence::unreached;
+    case exchange_end::timed_out:
+    case exchange_end::timed_out_before_send:
+    case exchange_end::withdrawn:
+        break;
+    }
+    return attempt_evidence::none;
+}
+
 std::string_view target_path(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -233,6 +253,10 @@
     {
         context_.log.sent_to_limited(to.server, "request");
     }
+    if (context_.links != nullptr)
+    {
+        link_attempt_ = context_.links->attempt_started(to.expected_latency);
+    }
     exchange_options options;
     options.timeout = time_left();
     options.connect_timeout = std::min(connect_timeout, time_left());
@@ -343,6 +367,7 @@
     exchange_.reset();
     token_.reset();
     release_reservation();
+    note_link(evidence_of(got.end));
     const attempt_end how = classify(got);
     const duration elapsed = context_.loop.now() - sent_at_;
     if (service_state* service = context_.state.find_service(service_))
@@ -559,6 +584,7 @@
     }
     const bool may_be_sent = context_.http.cancel(*exchange_);
     exchange_.reset();
+    note_link(attempt_evidence::none);
     if (service_state* service = context_.state.find_service(service_))
     {
         const time_point now = context_.loop.now();
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -23,6 +23,7 @@
 #include "gateway/gateway_log.hpp"
 #include "gateway/gateway_state.hpp"
 #include "gateway/limit_agent.hpp"
+#include "gateway/link_agent.hpp"
 #include "gateway/local_answer.hpp"
 #include "gateway/reservation_agent.hpp"
 #include "net/event_loop.hpp"
@@ -52,6 +53,7 @@
     reservation_agent* reservations = nullptr; // null: owners' requests are not counted
     limit_agent* limits = nullptr;             // null: servers' rate limits are not kept
     crash_agent* crashes = nullptr;            // null: crashes of servers are not noted
+    link_agent* links = nullptr;               // null: links to servers are not watched
 };
 
 class request_relay : public std::enable_shared_from_this<request_relay>
@@ -146,6 +148,7 @@
     static bool is_from_intended_server(attempt_end how);
     void note_server_state(const http_response& answer);
     void note_limit(const http_response& answer);
+    void note_link(attempt_evidence evidence);
     void pause_server(const std::string& asked);
     bool is_server_paused() const;
     void on_withdrawn();
@@ -200,6 +203,7 @@
     std::vector<server_id> busy_servers_;            // that run other suspects
     std::optional<time_point> permission_wait_end_;  // of a suspect that waits
     std::optional<exchange_id> exchange_;            // the attempt in flight
+    link_agent::attempt_number link_attempt_ = 0;    // of the last attempt
     server_choice sent_to_;                          // of the last attempt
     time_point sent_at_{};                           // of the last attempt
     std::vector<server_id> tried_;                   // one for each attempt, in order
--- a/gateway/request_relay_server.cpp
+++ b/gateway/request_relay_server.cpp
@@ -55,6 +55,14 @@
     }
 }
 
+void request_relay::note_link(attempt_evidence evidence)
+{
+    if (context_.links != nullptr)
+    {
+        context_.links->attempt_ended(link_attempt_, evidence, sent_to_.server);
+    }
+}
+
 void request_relay::note_limit(const http_response& answer)
 {
     const limit_statement said =
--- a/gateway/server_probe.cpp
+++ b/gateway/server_probe.cpp
@@ -7,7 +7,17 @@
 namespace
 {
 
-constexpr duration probe_timeout = milliseconds(100);
+// The exchange is withdrawn once the connection is open.
+probe_end end_of(const exchange_result& got)
+{
+    if (got.end == exchange_end::withdrawn)
+    {
+        return probe_end::accepted;
+    }
+    const bool is_refused =
+        got.end == exchange_end::not_connected && got.is_connection_refused;
+    return is_refused ? probe_end::refused : probe_end::unanswered;
+}
 
 } // namespace
 
@@ -23,8 +33,8 @@
     never_sent.method = "GET";
     never_sent.target = "/";
     exchange_options options;
-    options.timeout = probe_timeout;
-    options.connect_timeout = probe_timeout;
+    options.timeout = timeout;
+    options.connect_timeout = timeout;
     options.connection = connection_choice::fresh;
     options.is_wanted = []
     {
@@ -47,11 +57,9 @@
 {
     const std::vector<callback> waiting = std::exchange(waiting_[server], {});
     waiting_.erase(server);
-    const bool has_ended =
-        got.end == exchange_end::not_connected && got.is_connection_refused;
     for (const callback& it : waiting)
     {
-        it(has_ended);
+        it(end_of(got));
     }
 }
 
--- a/gateway/server_probe.hpp
+++ b/gateway/server_probe.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-// Finds out whether a server has ended, after an attempt there was lost: a connection is
-// opened and closed again, without sending anything. A connection that is refused shows
-// that no process listens at the address. One that breaks for another reason, such as a
-// reset or an answer that is cut short, does not.
+// Finds out whether a connection to a server can be opened: it is opened and closed
+// again, without sending anything. A connection that is refused shows that no process
+// listens at the address, or that the link refuses it. One that breaks for another
+// reason, such as a reset, shows nothing.
 //
 // Probes of one server at the same time share one connection.
 
@@ -18,18 +18,26 @@
 namespace camphorrock
 {
 
+enum class probe_end
+{
+    accepted,
+    refused,
+    unanswered, // neither in time: the server may only be cut off
+};
+
 class server_probe
 {
 public:
-    using callback = std::function<void(bool has_ended)>;
+    using callback = std::function<void(probe_end)>;
+
+    static constexpr duration timeout = milliseconds(100);
 
     // `http` must outlive the probe.
     explicit server_probe(http_client& http) : http_(http) {}
     server_probe(const server_probe&) = delete;
     server_probe& operator=(const server_probe&) = delete;
 
-    // Calls `done` once, not within this call. A server that neither accepts nor refuses
-    // the connection in time counts as running: it may only be cut off.
+    // Calls `done` once, not within this call.
     void check(const endpoint& server, callback done);
 
 private:
