A gateway that reaches no server sends its callers' requests by another gateway

Callers saw 503 or 504 at gateways that had lost their links, while the others served. Cause: a gateway took what it saw of its own links for the state of the servers, and its own link for the only way there.

Once a round of probes shows that the links are lost, requests go to another gateway's peer port as /forward/v1/..., which decides everything and answers; a repeatable request that hangs at a server goes there, too. One hop; nothing that may have run and is not repeatable; a gateway that is cut off, full, stopping or behind in its configuration declines. While the links are suspected, requests wait for the probes. When they are back, suspensions of unreachable servers end.

--- a/app/events.hpp
+++ b/app/events.hpp
@@ -68,6 +68,9 @@
     links_probed = 245,
     links_lost = 246,
     links_back = 247,
+    request_forwarded = 248,
+    forward_ended = 249,
+    forward_taken = 250,
 
     elected = 301,
     lease_lost = 302,
--- /dev/null
+++ b/core/gateway/links/peer_choice.cpp
@@ -0,0 +1,99 @@
+#include "core/gateway/links/peer_choice.hpp"
+
+#include <algorithm>
+
+namespace camphorrock
+{
+namespace
+{
+
+using candidate_list = std::vector<const fleet_gateway*>;
+
+const fleet_gateway* draw(const candidate_list& from, std::minstd_rand& random)
+{
+    return from.empty() ? nullptr : from[random() % from.size()];
+}
+
+} // namespace
+
+void peer_choice::set_fleet(const std::vector<fleet_gateway>& fleet,
+                            const fleet_gateway& self)
+{
+    zone_ = self.zone;
+    others_.clear();
+    std::copy_if(fleet.begin(),
+                 fleet.end(),
+                 std::back_inserter(others_),
+                 [&](const fleet_gateway& it) { return it.peer != self.peer; });
+    std::erase_if(rows_, [](const auto& it) { return it.second.in_flight == 0; });
+}
+
+bool peer_choice::is_candidate(const fleet_gateway& it,
+                               const std::vector<endpoint>& excluded,
+                               time_point now) const
+{
+    if (std::find(excluded.begin(), excluded.end(), it.peer) != excluded.end())
+    {
+        return false;
+    }
+    const auto found = rows_.find(it.peer);
+    return found == rows_.end() || (now >= found->second.left_out_until &&
+                                    found->second.in_flight < options_.max_in_flight);
+}
+
+unsigned peer_choice::cost(const fleet_gateway& it) const
+{
+    const auto found = rows_.find(it.peer);
+    const unsigned in_flight = found == rows_.end() ? 0 : found->second.in_flight;
+    return in_flight + (it.zone == zone_ ? 0 : options_.remote_zone_cost);
+}
+
+std::optional<endpoint> peer_choice::choose(const std::vector<endpoint>& excluded,
+                                            std::minstd_rand& random,
+                                            time_point now) const
+{
+    candidate_list all;
+    candidate_list near;
+    for (const fleet_gateway& it : others_)
+    {
+        if (is_candidate(it, excluded, now))
+        {
+            all.push_back(&it);
+            if (it.zone == zone_)
+            {
+                near.push_back(&it);
+            }
+        }
+    }
+    const fleet_gateway* first = draw(near.empty() ? all : near, random);
+    const fleet_gateway* second = draw(all, random);
+    if (first == nullptr)
+    {
+        return std::nullopt;
+    }
+    return cost(*second) < cost(*first) ? second->peer : first->peer;
+}
+
+void peer_choice::started(const endpoint& peer)
+{
+    ++rows_[peer].in_flight;
+}
+
+void peer_choice::ended(const endpoint& peer, peer_end how, time_point now)
+{
+    row& it = rows_[peer];
+    it.in_flight -= it.in_flight > 0 ? 1 : 0;
+    switch (how)
+    {
+    case peer_end::taken:
+        break;
+    case peer_end::declined:
+        it.left_out_until = now + options_.declined_pause;
+        break;
+    case peer_end::lost:
+        it.left_out_until = now + options_.lost_pause;
+        break;
+    }
+}
+
+} // namespace camphorrock
--- a/core/gateway/servers/server_pool.cpp
+++ b/core/gateway/servers/server_pool.cpp
@@ -202,6 +202,20 @@
     note_limit_reached(server, time_point{});
 }
 
+void server_pool::forget_unreachable()
+{
+    for (auto& [id, it] : rows_)
+    {
+        if (it.was_unreachable)
+        {
+            it.was_unreachable = false;
+            it.failures = 0;
+            it.failure_rate = 0;
+            it.suspended_until = {};
+        }
+    }
+}
+
 std::optional<pool_wait> server_pool::wait_left(const server_criteria& criteria,
                                                 time_point now) const
 {
--- a/core/gateway/servers/server_pool.hpp
+++ b/core/gateway/servers/server_pool.hpp
@@ -161,6 +161,9 @@
     // The server has another rate limit, or none any more.
     void forget_limit_reached(const server_id& server);
 
+    // Ends the suspensions of servers that could not be reached.
+    void forget_unreachable();
+
     // If all servers that may be chosen are paused or have reached their limits: how long
     // until the first of them gets requests again.
     std::optional<pool_wait> wait_left(const server_criteria& criteria,
--- a/gateway/client_handler.hpp
+++ b/gateway/client_handler.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <unordered_set>
 
 namespace camphorrock
@@ -20,17 +21,32 @@
 
     void handle(http_request request, std::shared_ptr<http_responder> responder) override;
 
-    // Requests that have not ended.
+    // The same for a request that another gateway has forwarded.
+    void handle_forwarded(http_request request,
+                          std::shared_ptr<http_responder> responder,
+                          const forward_terms& terms);
+
+    // Requests that have not ended, forwarded ones included.
     std::size_t in_flight() const
     {
         return relays_.size();
     }
 
+    std::size_t forwarded_in_flight() const
+    {
+        return forwarded_in_flight_;
+    }
+
 private:
+    void start(http_request request,
+               std::shared_ptr<http_responder> responder,
+               std::optional<forward_terms> forwarded);
     void notify_relays();
+    void on_links_changed();
 
     relay_context& context_;
     std::unordered_set<std::shared_ptr<request_relay>> relays_;
+    std::size_t forwarded_in_flight_ = 0;
     bool is_notify_posted_ = false; // several state changes cause one notification
 };
 
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -24,7 +24,9 @@
 constexpr long connections_per_server = 24;
 constexpr seconds client_idle_timeout = seconds(60);
 constexpr std::size_t max_client_body_bytes = std::size_t{64} << 20;
-constexpr std::size_t max_peer_body_bytes = std::size_t{4} << 20;
+constexpr std::size_t max_call_body_bytes = std::size_t{4} << 20;
+// The targets of forwarded requests are longer.
+constexpr std::size_t extra_peer_header_bytes = 128;
 
 http_response make_status(int status)
 {
@@ -56,14 +58,20 @@
 class gateway::peer_handler : public http_handler
 {
 public:
-    // `watches` answers what is no call of a method; may be null.
-    peer_handler(rpc_server& methods, http_handler* watches)
-        : methods_(methods), watches_(watches)
+    // `watches` answers what is neither a forwarded request nor a call of a method; may
+    // be null.
+    peer_handler(rpc_server& methods, http_handler& forwards, http_handler* watches)
+        : methods_(methods), forwards_(forwards), watches_(watches)
     {
     }
 
     void handle(http_request request, std::shared_ptr<http_responder> responder) override
     {
+        if (is_forward_target(request.target))
+        {
+            forwards_.handle(std::move(request), std::move(responder));
+            return;
+        }
         const bool is_call = request.method == "POST" && request.target == "/rpc";
         if (!is_call && watches_ != nullptr)
         {
@@ -75,6 +83,11 @@
             responder->respond(make_status(http_status::not_found));
             return;
         }
+        if (request.body.size() > max_call_body_bytes)
+        {
+            responder->respond(make_status(http_status::content_too_large));
+            return;
+        }
         http_response answer;
         answer.headers.add("Content-Type", "application/json");
         answer.body = methods_.dispatch(request.body);
@@ -83,6 +96,7 @@
 
 private:
     rpc_server& methods_;
+    http_handler& forwards_;
     http_handler* watches_;
 };
 
@@ -109,6 +123,7 @@
     client_server_.reset();
     peer_server_.reset();
     ready_server_.reset();
+    forward_handler_.reset();
     client_handler_.reset();
     key_agent_.reset();
     load_agent_.reset();
@@ -168,6 +183,7 @@
                               }},
         *rpc_,
         rpc_methods_);
+    peer_agent_ = std::make_unique<peer_agent>(*loop_, *state_);
     relay_context_ = std::make_unique<relay_context>(
         relay_context{*loop_,
                       *server_http_,
@@ -181,8 +197,11 @@
                       &load_agent_->reservations(),
                       &load_agent_->limits(),
                       &load_agent_->crashes(),
-                      link_agent_.get()});
+                      link_agent_.get(),
+                      peer_agent_.get()});
     client_handler_ = std::make_unique<client_handler>(*relay_context_);
+    forward_handler_ =
+        std::make_unique<forward_handler>(*relay_context_, *client_handler_);
     BOOST_LEAF_CHECK(open_ports());
     loop_monitor_ = std::make_unique<loop_monitor>(
         *loop_, [this](duration lateness) { log_.loop_late(lateness); });
@@ -236,7 +255,8 @@
 result<void> gateway::open_ports()
 {
     ready_handler_ = std::make_unique<ready_handler>(*this);
-    peer_handler_ = std::make_unique<peer_handler>(rpc_methods_, store_->watch_handler());
+    peer_handler_ = std::make_unique<peer_handler>(
+        rpc_methods_, *forward_handler_, store_->watch_handler());
     pipelined_server_options client_options;
     client_options.common.address = settings_.listen;
     client_options.common.max_body_bytes = max_client_body_bytes;
@@ -249,7 +269,8 @@
                       create_pipelined_server(*loop_, ready_options, *ready_handler_));
     pipelined_server_options peer_options;
     peer_options.common.address = settings_.peer;
-    peer_options.common.max_body_bytes = max_peer_body_bytes;
+    peer_options.common.max_header_bytes += extra_peer_header_bytes;
+    peer_options.common.max_body_bytes = max_client_body_bytes;
     BOOST_LEAF_ASSIGN(peer_server_,
                       create_pipelined_server(*loop_, peer_options, *peer_handler_));
     open_metrics();
@@ -315,6 +336,7 @@
                         {{"in_flight", client_handler_->in_flight()},
                          {"connections", client_server_->connections()}});
     key_agent_->shut_down();
+    forward_handler_->stop();
     client_server_->close_after_answers();
     stop_check_timer_ = loop_->every(stop_check_period, [this] { check_drained(); });
 }
@@ -328,7 +350,8 @@
     }
     client_server_->stop_accepting();
     client_server_->close_idle();
-    const bool is_idle = client_server_->connections() == 0;
+    const bool is_idle =
+        client_server_->connections() == 0 && client_handler_->in_flight() == 0;
     const bool is_deadline_passed = time_left <= duration::zero();
     if (is_idle || is_deadline_passed)
     {
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -11,6 +11,7 @@
 #include "app/command_line.hpp"
 #include "gateway/client_handler.hpp"
 #include "gateway/directory_agent.hpp"
+#include "gateway/forward_handler.hpp"
 #include "gateway/gateway_codec.hpp"
 #include "gateway/gateway_log.hpp"
 #include "gateway/gateway_settings.hpp"
@@ -93,7 +94,9 @@
     std::unique_ptr<link_agent> link_agent_;
     std::unique_ptr<verdict_store> verdict_store_;
     std::unique_ptr<relay_context> relay_context_;
+    std::unique_ptr<peer_agent> peer_agent_;
     std::unique_ptr<client_handler> client_handler_;
+    std::unique_ptr<forward_handler> forward_handler_;
     std::unique_ptr<ready_handler> ready_handler_;
     std::unique_ptr<peer_handler> peer_handler_;
     std::unique_ptr<http_server> ready_server_;
--- a/gateway/gateway_log.hpp
+++ b/gateway/gateway_log.hpp
@@ -13,6 +13,7 @@
 #include "core/gateway/owners/key_orders.hpp"
 #include "core/gateway/retry/crash_messages.hpp"
 #include "core/gateway/servers/server_pool.hpp"
+#include "gateway/forward_protocol.hpp"
 #include "gateway/local_answer.hpp"
 #include "net/http_client.hpp"
 
@@ -48,6 +49,13 @@
     std::string fingerprint;
 };
 
+// Why a request goes by another gateway.
+enum class forward_reason
+{
+    links_lost,         // no server can be reached from here
+    server_unreachable, // the servers that may run it cannot
+};
+
 class gateway_log
 {
 public:
@@ -125,6 +133,20 @@
     void links_lost(link_suspicion why, const probe_round& round);
     // Servers can be reached again, `elapsed` after the links were lost.
     void links_back(duration elapsed);
+    // A request is to be sent by another gateway; `elapsed` since it was read.
+    void request_forwarded(const request_fields& request,
+                           const endpoint& to,
+                           forward_reason why,
+                           duration elapsed);
+    // What became of it there, `elapsed` after it was sent.
+    void forward_ended(const request_fields& request,
+                       const endpoint& to,
+                       forward_end how,
+                       exchange_end end,
+                       duration elapsed);
+    // A request of another gateway was taken on, or not.
+    void forward_taken(const request_fields& request, unsigned max_attempts);
+    void forward_declined(forward_end reason);
     // The event loop ran a timer later than planned, by `lateness`.
     void loop_late(duration lateness);
     // The client disconnected before it received an answer. `is_noticed_late`: a check
--- a/gateway/gateway_state.cpp
+++ b/gateway/gateway_state.cpp
@@ -213,6 +213,14 @@
     return true;
 }
 
+void gateway_state::forget_unreachable_servers()
+{
+    for (auto& [name, it] : services_)
+    {
+        it.pool.forget_unreachable();
+    }
+}
+
 std::vector<service_name> gateway_state::keyed_services() const
 {
     std::vector<service_name> names;
--- a/gateway/gateway_state.hpp
+++ b/gateway/gateway_state.hpp
@@ -113,6 +113,10 @@
     // more: for a retry at an address that may belong to any service by now.
     bool try_spend_retry_at_all(time_point now);
 
+    // The links to the servers are back: servers that could not be reached may be chosen
+    // again at once.
+    void forget_unreachable_servers();
+
     std::vector<service_name> keyed_services() const;
 
     // Chooses the service for one request, so that each service of the route gets
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -38,6 +38,21 @@
     return attempt_evidence::none;
 }
 
+// What the first gateway is told of a request that this one answers itself.
+forward_end forward_end_of(local_answer_reason reason)
+{
+    switch (reason)
+    {
+    case local_answer_reason::unreachable:
+        return forward_end::unreachable;
+    case local_answer_reason::no_route:
+    case local_answer_reason::no_key:
+        return forward_end::not_run;
+    default:
+        return is_not_run(reason) ? forward_end::not_run : forward_end::unknown;
+    }
+}
+
 std::string_view target_path(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -53,9 +68,10 @@
 request_relay::request_relay(relay_context& context,
                              http_request request,
                              std::shared_ptr<http_responder> responder,
-                             ended_callback on_ended)
+                             ended_callback on_ended,
+                             std::optional<forward_terms> forwarded)
     : context_(context), request_(std::move(request)), responder_(std::move(responder)),
-      on_ended_(std::move(on_ended)), arrived_(context.loop.now())
+      on_ended_(std::move(on_ended)), forwarded_(forwarded), arrived_(context.loop.now())
 {
 }
 
@@ -79,6 +95,11 @@
         on_client_left(true);
         return;
     }
+    if (forwarded_)
+    {
+        context_.log.forward_taken({request_id_, route_.name, service_},
+                                   route_.max_attempts);
+    }
     deadline_timer_ = context_.loop.at(deadline_,
                                        [weak]
                                        {
@@ -96,6 +117,11 @@
 {
     const wire_names& names = context_.codec.names();
     request_id_ = std::string(request_.headers.find(names.request_id).value_or(""));
+    if (forwarded_ && context_.state.config().version < forwarded_->config)
+    {
+        decline(forward_end::behind);
+        return false;
+    }
     if (!context_.state.has_config())
     {
         answer_locally(local_answer_reason::no_config);
@@ -109,6 +135,10 @@
         return false;
     }
     route_ = *route;
+    if (forwarded_)
+    {
+        route_.max_attempts = std::min(route_.max_attempts, forwarded_->max_attempts);
+    }
     if (!route_.is_usable)
     {
         answer_locally(local_answer_reason::route_unreadable);
@@ -139,7 +169,10 @@
             return false;
         }
         key_ = shard_key{*key};
-        context_.on_key_request(service_, *key_);
+        if (!forwarded_) // the first gateway has counted it
+        {
+            context_.on_key_request(service_, *key_);
+        }
     }
     return true;
 }
@@ -170,6 +203,16 @@
         answer_locally(local_answer_reason::crashes_servers);
         return;
     }
+    if (is_cut_off())
+    {
+        go_by_peer(forward_reason::links_lost);
+        return;
+    }
+    if (context_.links != nullptr && context_.links->state() == link_state::suspected)
+    {
+        wait_for_links();
+        return;
+    }
     server_criteria criteria;
     criteria.excluded = tried_;
     criteria.excluded.insert(
@@ -265,7 +308,7 @@
     options.is_wanted = [weak]
     {
         const std::shared_ptr<request_relay> self = weak.lock();
-        return self && !self->responder_->is_disconnected() &&
+        return self && !self->responder_->is_disconnected() && !self->is_cut_off() &&
                !self->is_server_paused() && !self->is_token_missing() &&
                !self->is_permission_missing();
     };
@@ -454,7 +497,12 @@
         forward_answer(got.answer);
         return;
     }
-    answer_locally(reason_after(how));
+    const bool is_forwarded =
+        how == attempt_end::unreachable && try_peer(forward_reason::server_unreachable);
+    if (!is_forwarded)
+    {
+        answer_locally(reason_after(how));
+    }
 }
 
 // True if the request may be sent again, if a retry budget allows it.
@@ -533,6 +581,10 @@
     context_.log.answer_forwarded({request_id_, route_.name, service_},
                                   answer.status,
                                   context_.loop.now() - arrived_);
+    if (forwarded_)
+    {
+        set_forward_end(answer, forward_end::answered);
+    }
     responder_->respond(std::move(answer));
     finish();
 }
@@ -565,6 +617,10 @@
     context_.log.answered_locally({request_id_, route_.name, service_}, reason, inputs);
     http_response answer = make_local_answer(reason, retry_after());
     answer.headers.add(context_.codec.names().request_id, request_id_);
+    if (forwarded_)
+    {
+        set_forward_end(answer, forward_end_of(reason));
+    }
     responder_->respond(std::move(answer));
     finish();
 }
@@ -584,6 +640,11 @@
     }
     const bool may_be_sent = context_.http.cancel(*exchange_);
     exchange_.reset();
+    if (peer_)
+    {
+        context_.peers->ended(*std::exchange(peer_, {}), peer_end::taken);
+        return may_be_sent;
+    }
     note_link(attempt_evidence::none);
     if (service_state* service = context_.state.find_service(service_))
     {
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -14,17 +14,22 @@
 //   - nothing is sent to a server with a rate limit without a token of the fleet;
 //   - a request under which a server has crashed is sent with a permission of the fleet
 //     only, and one that is known to crash servers is not sent;
+//   - a request goes by another gateway if this one cannot reach its server, but not if a
+//   server may have run it and it is not repeatable, nor if another gateway has forwarded
+//   it;
 //   - a request does not wait if the expected answer or the next owner of its key is
 //     already known to come too late.
 
 #include "core/gateway/config/gateway_routes.hpp"
 #include "gateway/crash_agent.hpp"
+#include "gateway/forward_protocol.hpp"
 #include "gateway/gateway_codec.hpp"
 #include "gateway/gateway_log.hpp"
 #include "gateway/gateway_state.hpp"
 #include "gateway/limit_agent.hpp"
 #include "gateway/link_agent.hpp"
 #include "gateway/local_answer.hpp"
+#include "gateway/peer_agent.hpp"
 #include "gateway/reservation_agent.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
@@ -54,6 +59,7 @@
     limit_agent* limits = nullptr;             // null: servers' rate limits are not kept
     crash_agent* crashes = nullptr;            // null: crashes of servers are not noted
     link_agent* links = nullptr;               // null: links to servers are not watched
+    peer_agent* peers = nullptr;               // null: nothing is forwarded
 };
 
 class request_relay : public std::enable_shared_from_this<request_relay>
@@ -61,10 +67,12 @@
 public:
     using ended_callback = std::function<void(const std::shared_ptr<request_relay>&)>;
 
+    // `forwarded` is empty for the request of a client.
     request_relay(relay_context& context,
                   http_request request,
                   std::shared_ptr<http_responder> responder,
-                  ended_callback on_ended);
+                  ended_callback on_ended,
+                  std::optional<forward_terms> forwarded = {});
 
     // Starts relaying. May call `on_ended` before it returns.
     void start();
@@ -73,6 +81,10 @@
     // owner of its key is sent if there is a new one.
     void on_state_changed();
 
+    // To be called when this gateway has lost its links to the servers. A repeatable
+    // request that is in flight at one goes by another gateway.
+    void on_links_lost();
+
     const std::string& request_id() const
     {
         return request_id_;
@@ -168,6 +180,17 @@
     void release_permission();
     bool may_retry(attempt_end how) const;
     bool claim_retry(attempt_end how);
+    bool is_cut_off() const;
+    void wait_for_links();
+    bool may_go_by_peer() const;
+    void go_by_peer(forward_reason why);
+    bool try_peer(forward_reason why);
+    void send_to_peer(const endpoint& to, forward_reason why);
+    http_request make_forwarded_request() const;
+    forward_end classify_forward(exchange_result& got) const;
+    void on_peer_end(exchange_result got, forward_reason why);
+    void finish_forward(forward_end how, http_response answer);
+    void decline(forward_end reason);
     void wait_for_owner();
     void on_deadline();
     bool cancel_attempt();
@@ -189,6 +212,7 @@
     std::shared_ptr<http_responder> responder_;
     ended_callback on_ended_; // releases this relay
 
+    std::optional<forward_terms> forwarded_; // empty for the request of a client
     std::string request_id_;
     gateway_route route_;
     service_name service_;
@@ -204,6 +228,8 @@
     std::optional<time_point> permission_wait_end_;  // of a suspect that waits
     std::optional<exchange_id> exchange_;            // the attempt in flight
     link_agent::attempt_number link_attempt_ = 0;    // of the last attempt
+    std::optional<endpoint> peer_;                   // that has the request, if one has
+    std::vector<endpoint> tried_peers_;              // in order
     server_choice sent_to_;                          // of the last attempt
     time_point sent_at_{};                           // of the last attempt
     std::vector<server_id> tried_;                   // one for each attempt, in order
--- a/gateway/request_relay_owner.cpp
+++ b/gateway/request_relay_owner.cpp
@@ -42,7 +42,8 @@
     const service_state* service = context_.state.find_service(service_);
     if (service->pool.is_server_unreachable(found->server, context_.loop.now()))
     {
-        give_up(local_answer_reason::unreachable);
+        sent_to_.server = found->server;
+        go_by_peer(forward_reason::server_unreachable);
         return false;
     }
     if (!is_reserved_at(found->server))
