An assigner that reaches no server hands its role over

Cause: the role was kept as long as the store renewed its lease, though its orders did not arrive (70 to 77 a second not_sent) and the owners' grants ran out 2.3 s after the cut.

The links that the gateway watches decide this, too: once they are lost the lease is revoked, and no campaign begins until they are back. Orders count as evidence.

key_agent_test 'an assigner that loses its links': kept for 6 s before; handed over, keys held, now.

--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -64,6 +64,10 @@
         [this](const std::vector<store_entry>& all) { on_holder_read(all); },
         [this](const std::vector<store_entry>& changes) { on_holder_changed(changes); });
     context_.store.on_era_changed([this] { on_era_changed(); });
+    if (context_.links != nullptr)
+    {
+        context_.links->on_change([this] { on_links_changed(); });
+    }
     // A change of the servers or the configuration may need new orders.
     context_.state.on_change([this] { post_tick(); });
 }
@@ -161,7 +165,7 @@
     }
     tick_timer_ = context_.loop.every(tick_period, [this] { tick(); });
     hand_over_timer_ =
-        context_.loop.every(hand_over_check_period, [this] { hand_over_to_stronger(); });
+        context_.loop.every(hand_over_check_period, [this] { check_hand_over(); });
     tick();
 }
 
@@ -261,6 +265,7 @@
                                  if (!alive.expired() && assigner_)
                                  {
                                      context_.log.order_ended(order, got);
+                                     note_link(order, got);
                                      note_leaving(order, got);
                                      note_limit(order, got);
                                      assigner_->order_ended(
@@ -273,6 +278,21 @@
     publish_changes();
 }
 
+// A release may stay without an answer for long, since the server ends its work first.
+void assigner_role::note_link(const key_order& order, const order_result& got)
+{
+    const bool is_unreached =
+        got.end == order_end::not_sent ||
+        (got.end == order_end::no_answer && order.kind == order_kind::grant);
+    const attempt_evidence evidence = got.status != 0 ? attempt_evidence::reached
+                                      : is_unreached  ? attempt_evidence::unreached
+                                                      : attempt_evidence::none;
+    if (context_.links != nullptr)
+    {
+        context_.links->order_ended(evidence, order.server);
+    }
+}
+
 // A server that leaves must hand its keys over, also if its entry does not say so yet.
 void assigner_role::note_leaving(const key_order& order, const order_result& got)
 {
--- a/gateway/assigner_role.hpp
+++ b/gateway/assigner_role.hpp
@@ -11,6 +11,8 @@
 // The holder resigns when the holder key is no longer its own, or when another gateway
 // has written the record. A gateway that knows of one with at least twice its processor
 // time campaigns later; if it holds the role, it hands the role over.
+// So does one that has lost its links to the servers, since its orders would not arrive;
+// it campaigns again when they are back.
 //
 // When the store comes back from a copy, the holder's lease may be gone. The holder asks
 // for the role again at once, before the others campaign, and goes on with what it knows
@@ -20,6 +22,7 @@
 #include "gateway/gateway_log.hpp"
 #include "gateway/gateway_state.hpp"
 #include "gateway/limit_agent.hpp"
+#include "gateway/link_agent.hpp"
 #include "gateway/order_sender.hpp"
 #include "gateway/store_reader.hpp"
 #include "net/event_loop.hpp"
@@ -51,6 +54,7 @@
     order_sender& orders;
     gateway_log& log;
     limit_agent* limits = nullptr; // null: orders do not count against servers' limits
+    link_agent* links = nullptr;   // null: links to servers are not watched
     std::function<void()> on_elected{}; // called when this gateway starts to assign
 };
 
@@ -98,7 +102,11 @@
     void schedule_campaign();
     duration campaign_spread() const;
     duration campaign_delay() const;
-    void hand_over_to_stronger();
+    void check_hand_over();
+    void hand_over(const char* reason);
+    bool is_cut_off() const;
+    void on_links_changed();
+    void note_link(const key_order& order, const order_result& got);
     void campaign();
     void on_lease_granted(const store_lease_grant& got);
     void on_holder_write(const store_write& got);
--- a/gateway/assigner_role_campaign.cpp
+++ b/gateway/assigner_role_campaign.cpp
@@ -89,7 +89,7 @@
 
 void assigner_role::schedule_campaign()
 {
-    if (is_shut_down_ || is_campaigning_ || holder_)
+    if (is_shut_down_ || is_campaigning_ || holder_ || is_cut_off())
     {
         return;
     }
@@ -133,7 +133,8 @@
 void assigner_role::campaign()
 {
     campaign_timer_.reset();
-    if (is_shut_down_ || is_campaigning_ || holder_ || !holder_reader_->has_snapshot())
+    if (is_shut_down_ || is_campaigning_ || holder_ || is_cut_off() ||
+        !holder_reader_->has_snapshot())
     {
         return;
     }
@@ -231,6 +232,11 @@
     is_elected_ = true;
     holder_ = context_.state.settings().peer;
     on_holder_();
+    if (is_cut_off())
+    {
+        check_hand_over();
+        return;
+    }
     renew_timer_ = context_.loop.every(renew_period, [this] { renew_lease(); });
     store_page page;
     context_.store.get_prefix(
@@ -247,16 +253,42 @@
 
 // The role is resigned only when the watch of the holder key reports that the store has
 // ended the lease: while the store does not answer, no other gateway could be elected.
-void assigner_role::hand_over_to_stronger()
+void assigner_role::check_hand_over()
 {
-    if (is_elected_ && context_.state.has_stronger_gateway())
+    if (!is_elected_)
+    {
+        return;
+    }
+    if (is_cut_off())
     {
-        context_.log.events().write(
-            event_id::keys_handed_over,
-            {{"reason", "a gateway with more processor time is known"}});
-        has_revoked_lease_ = true;
-        context_.store.revoke_lease(lease_, [](const store_lease_grant&) {});
+        hand_over("no server can be reached from here");
     }
+    else if (context_.state.has_stronger_gateway())
+    {
+        hand_over("a gateway with more processor time is known");
+    }
+}
+
+void assigner_role::hand_over(const char* reason)
+{
+    context_.log.events().write(event_id::keys_handed_over, {{"reason", reason}});
+    has_revoked_lease_ = true;
+    context_.store.revoke_lease(lease_, [](const store_lease_grant&) {});
+}
+
+bool assigner_role::is_cut_off() const
+{
+    return context_.links != nullptr && context_.links->state() == link_state::lost;
+}
+
+void assigner_role::on_links_changed()
+{
+    if (is_cut_off())
+    {
+        check_hand_over();
+        return;
+    }
+    schedule_campaign();
 }
 
 } // namespace camphorrock
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -175,6 +175,7 @@
                               *order_sender_,
                               log_,
                               &load_agent_->limits(),
+                              link_agent_.get(),
                               [this]
                               {
                                   verdict_store_->load(
--- a/gateway/link_agent.hpp
+++ b/gateway/link_agent.hpp
@@ -39,11 +39,17 @@
         return monitor_.state();
     }
 
-    // An attempt or an order was sent, and its end.
+    // An attempt was sent, and its end.
     attempt_number attempt_started(duration expected_latency);
     void
     attempt_ended(attempt_number id, attempt_evidence evidence, const server_id& server);
 
+    // The end of an order to the server.
+    void order_ended(attempt_evidence evidence, const server_id& server)
+    {
+        attempt_ended(0, evidence, server);
+    }
+
     // A server seems to have crashed. Calls `done` with up or lost after a round of
     // probes, not within this call.
     void check_crash(known_callback done);
