A cut link is not taken for the crash of its servers

A crash is now reported only if other servers accept connections at the time; link_agent answers that in one place.

cut_links_test 'requests that are in flight when the links are reset': all three gateways had suspects before, none has now.

--- a/gateway/crash_agent.cpp
+++ b/gateway/crash_agent.cpp
@@ -24,9 +24,9 @@
 crash_agent::crash_agent(event_loop& loop,
                          gateway_state& state,
                          gateway_log& log,
-                         http_client& http,
+                         link_agent& links,
                          send_function send)
-    : loop_(loop), state_(state), log_(log), probe_(http), send_(std::move(send)),
+    : loop_(loop), state_(state), log_(log), links_(links), send_(std::move(send)),
       exchange_(make_options())
 {
     set_fleet();
@@ -96,22 +96,30 @@
 
 void crash_agent::check_crash(const watched_attempt& attempt, crash_callback done)
 {
-    probe_.check(attempt.address,
-                 [this, attempt, done = std::move(done)](probe_end end)
-                 {
-                     const bool has_ended = end == probe_end::refused;
-                     log_.server_probed(
-                         attempt.request_id, attempt.request, attempt.server, has_ended);
-                     if (has_ended)
-                     {
-                         report(attempt, trial_end::crashed);
-                     }
-                     else if (attempt.trial)
-                     {
-                         report(attempt, trial_end::unknown);
-                     }
-                     done();
-                 });
+    links_.check_ended(attempt.address,
+                       [this,
+                        attempt,
+                        done = std::move(done),
+                        alive = std::weak_ptr<const bool>(alive_)](bool has_ended)
+                       {
+                           if (alive.expired())
+                           {
+                               return;
+                           }
+                           log_.server_probed(attempt.request_id,
+                                              attempt.request,
+                                              attempt.server,
+                                              has_ended);
+                           if (has_ended)
+                           {
+                               report(attempt, trial_end::crashed);
+                           }
+                           else if (attempt.trial)
+                           {
+                               report(attempt, trial_end::unknown);
+                           }
+                           done();
+                       });
 }
 
 void crash_agent::lift(const request_fingerprint& request)
--- a/gateway/crash_agent.hpp
+++ b/gateway/crash_agent.hpp
@@ -13,7 +13,7 @@
 #include "core/gateway/retry/crash_exchange.hpp"
 #include "gateway/gateway_log.hpp"
 #include "gateway/gateway_state.hpp"
-#include "gateway/server_probe.hpp"
+#include "gateway/link_agent.hpp"
 #include "net/event_loop.hpp"
 
 #include <functional>
@@ -46,12 +46,12 @@
     using answer_callback = std::function<void(trial_answer)>;
     using crash_callback = std::function<void()>;
 
-    // `loop`, `state`, `log` and `http`, which connects to servers, must outlive the
-    // agent. `send` sends a datagram to a gateway.
+    // `loop`, `state`, `log` and `links` must outlive the agent. `send` sends a datagram
+    // to a gateway.
     crash_agent(event_loop& loop,
                 gateway_state& state,
                 gateway_log& log,
-                http_client& http,
+                link_agent& links,
                 send_function send);
     crash_agent(const crash_agent&) = delete;
     crash_agent& operator=(const crash_agent&) = delete;
@@ -117,7 +117,7 @@
     event_loop& loop_;
     gateway_state& state_;
     gateway_log& log_;
-    server_probe probe_;
+    link_agent& links_;
     send_function send_;
     std::function<void(const std::vector<suspect_row>&)> on_verdicts_; // may be empty
     crash_exchange exchange_;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -164,9 +164,9 @@
     rpc_ = std::make_unique<rpc_client>(*control_http_);
     directory_agent_ =
         std::make_unique<directory_agent>(*loop_, *store_, *state_, codec_, log_);
-    BOOST_LEAF_ASSIGN(load_agent_,
-                      load_agent::create(*loop_, *state_, log_, *server_http_));
     link_agent_ = std::make_unique<link_agent>(*loop_, *state_, log_, *server_http_);
+    BOOST_LEAF_ASSIGN(load_agent_,
+                      load_agent::create(*loop_, *state_, log_, *link_agent_));
     keep_verdicts();
     key_agent_ = std::make_unique<key_agent>(
         assigner_role_context{*loop_,
--- a/gateway/link_agent.cpp
+++ b/gateway/link_agent.cpp
@@ -40,11 +40,27 @@
     update();
 }
 
-void link_agent::check_crash(known_callback done)
+void link_agent::check_ended(const endpoint& server, ended_callback done)
+{
+    probe_.check(server,
+                 [this, done = std::move(done)](probe_end end)
+                 {
+                     if (end != probe_end::refused)
+                     {
+                         done(false);
+                         return;
+                     }
+                     confirm_ended(done);
+                 });
+}
+
+// Goes on after a round of probes.
+void link_agent::confirm_ended(ended_callback done)
 {
     monitor_.suspect_crash();
     update();
-    when_known(std::move(done));
+    when_known([done = std::move(done)](link_state state)
+               { done(state == link_state::up); });
 }
 
 void link_agent::when_known(known_callback done)
--- a/gateway/link_agent.hpp
+++ b/gateway/link_agent.hpp
@@ -25,6 +25,7 @@
 public:
     using attempt_number = std::uint64_t;
     using known_callback = std::function<void(link_state)>;
+    using ended_callback = std::function<void(bool has_ended)>;
 
     // All must outlive the agent. `http` connects to servers.
     link_agent(event_loop& loop,
@@ -50,9 +51,10 @@
         attempt_ended(0, evidence, server);
     }
 
-    // A server seems to have crashed. Calls `done` with up or lost after a round of
-    // probes, not within this call.
-    void check_crash(known_callback done);
+    // Finds out whether the server at the address has ended, after an attempt there was
+    // cut off. Calls `done` once, not within this call. A server has ended if it refuses
+    // a connection while others accept one: if none does, the link may be at fault.
+    void check_ended(const endpoint& server, ended_callback done);
 
     // Calls `done` with up or lost as soon as the links are not suspected: at once, or
     // after the round in flight.
@@ -73,6 +75,7 @@
         time_point started{};
     };
 
+    void confirm_ended(ended_callback done);
     void update();
     void start_round(unsigned probes);
     std::vector<endpoint> draw_servers(unsigned n) const;
--- a/gateway/load_agent.cpp
+++ b/gateway/load_agent.cpp
@@ -17,9 +17,9 @@
 result<std::unique_ptr<load_agent>> load_agent::create(event_loop& loop,
                                                        gateway_state& state,
                                                        gateway_log& log,
-                                                       http_client& server_http)
+                                                       link_agent& links)
 {
-    std::unique_ptr<load_agent> made(new load_agent(loop, state, log, server_http));
+    std::unique_ptr<load_agent> made(new load_agent(loop, state, log, links));
     load_agent* self = made.get();
     BOOST_LEAF_ASSIGN(made->socket_,
                       udp_socket::create(loop,
@@ -33,7 +33,7 @@
 load_agent::load_agent(event_loop& loop,
                        gateway_state& state,
                        gateway_log& log,
-                       http_client& server_http)
+                       link_agent& links)
     : loop_(loop), state_(state),
       reservations_(loop,
                     state,
@@ -46,7 +46,7 @@
       crashes_(loop,
                state,
                log,
-               server_http,
+               links,
                [this](const endpoint& to, std::string_view datagram)
                { send(to, datagram); })
 {
--- a/gateway/load_agent.hpp
+++ b/gateway/load_agent.hpp
@@ -25,12 +25,10 @@
 class load_agent
 {
 public:
-    // `loop`, `state`, `log` and `server_http`, which connects to servers, must outlive
-    // the agent. Fails with error_code::io if the peer address cannot be bound for UDP.
-    static result<std::unique_ptr<load_agent>> create(event_loop& loop,
-                                                      gateway_state& state,
-                                                      gateway_log& log,
-                                                      http_client& server_http);
+    // `loop`, `state`, `log` and `links` must outlive the agent. Fails with
+    // error_code::io if the peer address cannot be bound for UDP.
+    static result<std::unique_ptr<load_agent>>
+    create(event_loop& loop, gateway_state& state, gateway_log& log, link_agent& links);
 
     reservation_agent& reservations()
     {
@@ -54,7 +52,7 @@
     load_agent(event_loop& loop,
                gateway_state& state,
                gateway_log& log,
-               http_client& server_http);
+               link_agent& links);
     void send_report();
     void send(const endpoint& to, std::string_view datagram);
     void on_datagram(std::string_view datagram);
