--- a/core/gateway/links/peer_choice.cpp
+++ b/core/gateway/links/peer_choice.cpp
@@ -11,7 +11,7 @@
 
 const fleet_gateway* draw(const candidate_list& from, std::minstd_rand& random)
 {
-    return from.empty() ? nullptr : from[random() % from.size()];
+    return from[random() % from.size()];
 }
 
 } // namespace
@@ -65,13 +65,17 @@
             }
         }
     }
-    const fleet_gateway* first = draw(near.empty() ? all : near, random);
-    const fleet_gateway* second = draw(all, random);
-    if (first == nullptr)
+    if (all.empty())
     {
         return std::nullopt;
     }
-    return cost(*second) < cost(*first) ? second->peer : first->peer;
+    const candidate_list drawn{
+        draw(near.empty() ? all : near, random), draw(all, random), draw(all, random)};
+    const auto best = std::min_element(drawn.begin(),
+                                       drawn.end(),
+                                       [this](const auto* a, const auto* b)
+                                       { return cost(*a) < cost(*b); });
+    return (*best)->peer;
 }
 
 void peer_choice::started(const endpoint& peer)
--- a/core/gateway/links/peer_choice.hpp
+++ b/core/gateway/links/peer_choice.hpp
@@ -7,10 +7,10 @@
 //     if (const auto to = peers.choose(excluded, random, now)) { peers.started(*to); ...
 //     } peers.ended(*to, peer_end::taken, now);
 //
-// Two gateways are drawn, one of them from the own data centre if there is one, and the
-// one with fewer of this gateway's requests is taken; one in another data centre counts
-// as if it had `remote_zone_cost` more. One that took a request on none, or could not be
-// reached, is left out for a while.
+// Three gateways are drawn, one of them in the own data centre if there is one, and the
+// one with the fewest of this gateway's requests is taken; one in another data centre
+// counts as if it had `remote_zone_cost` more. One that did not take a request on, or
+// could not be reached, is left out for a while.
 //
 // Memory: one row for each gateway that has requests from here or is left out. A choice
 // costs O(gateways).
