--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -55,17 +55,6 @@
     return is_sent ? it.local_port() == local_port_of(fd) : it.opened_socket() == fd;
 }
 
-bool is_ip_endpoint(const endpoint& to)
-{
-    return value_or_handle(
-        [&]() -> result<bool>
-        {
-            BOOST_LEAF_CHECK(parse_address(to));
-            return true;
-        },
-        [](const error&) { return false; });
-}
-
 // Each endpoint has a pool of its own. With `shares_pool` they share one instead, except
 // those with a limit of their own, and those whose connections were dropped until their
 // own pool has been idle. In the shared pool, no more exchanges are in flight to an
@@ -193,7 +182,7 @@
                       callback done)
     {
         const exchange_id id{++last_id_};
-        if (!is_sendable(request) || !is_ip_endpoint(to))
+        if (!is_sendable(request) || !is_connectable(to))
         {
             end_unstarted(id, std::move(done));
             return id;
--- a/net/socket_address.cpp
+++ b/net/socket_address.cpp
@@ -102,6 +102,13 @@
     return *made;
 }
 
+bool is_connectable(const endpoint& text)
+{
+    const std::optional<socket_address> made = make_address(text.str());
+    // The port lies at the same place for both families.
+    return made && reinterpret_cast<const sockaddr_in*>(&made->storage)->sin_port != 0;
+}
+
 endpoint bound_endpoint(int fd)
 {
     sockaddr_storage at{};
--- a/net/socket_address.hpp
+++ b/net/socket_address.hpp
@@ -25,6 +25,9 @@
 // Fails with error_code::invalid_argument for host names and for text of any other form.
 result<socket_address> parse_address(const endpoint& text);
 
+// True if the text is an IP address and a port above 0, as a server can have.
+bool is_connectable(const endpoint& text);
+
 // The endpoint that a socket is bound to.
 endpoint bound_endpoint(int fd);
 
