An answer to a suspect clears it at every gateway that has counted

Crashes from before several answers added up elsewhere, and that verdict was told to all.

A clearance is told to all, also of what is only suspected, and each gateway forgets what it has counted; the threshold stays.

--- a/core/gateway/retry/crash_counter.cpp
+++ b/core/gateway/retry/crash_counter.cpp
@@ -63,7 +63,11 @@
         }
         if (report.end == trial_end::completed)
         {
-            clear(it, now);
+            if (crashes_of(it) > 0)
+            {
+                changed_.insert(it);
+            }
+            learn_cleared(it, now);
         }
     }
 }
@@ -141,17 +145,13 @@
     return std::max(it.crashes, max_crashes_of_one_moment);
 }
 
-void crash_counter::clear(std::uint64_t fingerprint, time_point now)
+void crash_counter::learn_cleared(std::uint64_t fingerprint, time_point now)
 {
     const auto found = rows_.find(fingerprint);
     if (found == rows_.end())
     {
         return;
     }
-    if (found->second.crashes >= crashes_to_condemn)
-    {
-        changed_.insert(fingerprint);
-    }
     found->second.crashes = 0;
     found->second.changed_at = now;
 }
--- a/core/gateway/retry/crash_counter.hpp
+++ b/core/gateway/retry/crash_counter.hpp
@@ -58,6 +58,10 @@
     // An attempt of a suspect, or one that crashed its server, has ended.
     void report(const trial_report& report, time_point now);
 
+    // Another gateway counted an answer to the request, or will: what was counted here
+    // does not stand any more.
+    void learn_cleared(std::uint64_t fingerprint, time_point now);
+
     // The attempt does not run any more; its end is reported to another gateway.
     void end_trial(trial_id id);
 
@@ -65,7 +69,7 @@
     unsigned crashes_of(std::uint64_t fingerprint) const;
 
     // The rows that changed so that other gateways must know: new suspects, verdicts, and
-    // verdicts that were taken back.
+    // cleared ones, since several gateways may have counted the same request.
     std::vector<suspect_row> take_changes();
 
     // Drops the rows that have reached their retention. O(rows).
@@ -97,7 +101,6 @@
                            const trial_report& report,
                            bool was_permitted,
                            time_point now) const;
-    void clear(std::uint64_t fingerprint, time_point now);
     row& row_of(std::uint64_t fingerprint);
     duration retention_of(const row& it) const;
 
--- a/core/gateway/retry/crash_exchange.cpp
+++ b/core/gateway/retry/crash_exchange.cpp
@@ -40,7 +40,7 @@
         !to || *to == gateways_.self() || it.attempts == options_.max_attempts;
     if (is_decided_here)
     {
-        decide(id, counter_.request(it.trial, now));
+        decide(id, counter_.request(it.trial, now), now);
         note_changes(now);
         return;
     }
@@ -50,14 +50,14 @@
     outgoing_.push_back({*to, it.trial});
 }
 
-void crash_exchange::decide(trial_id id, trial_answer answer)
+void crash_exchange::decide(trial_id id, trial_answer answer, time_point now)
 {
     const auto found = pending_.find(id);
     const request_fingerprint request = found->second.trial.request;
     pending_.erase(found);
     if (answer == trial_answer::cleared)
     {
-        suspects_.clear(request);
+        clear(request, now);
     }
     decided_.push_back({id, answer});
 }
@@ -89,10 +89,6 @@
 
 void crash_exchange::report(const trial_report& report, time_point now)
 {
-    if (report.end == trial_end::completed)
-    {
-        suspects_.clear(report.request);
-    }
     if (report.end == trial_end::crashed)
     {
         const known_crashes known = suspects_.crashes_of(report.request);
@@ -103,6 +99,19 @@
     it = {report, now, {}, 0, {}};
     it.report.reply_to = gateways_.self();
     send_report(report.id, now);
+    if (report.end == trial_end::completed)
+    {
+        clear(report.request, now);
+    }
+}
+
+void crash_exchange::clear(const request_fingerprint& request, time_point now)
+{
+    suspects_.clear(request);
+    for (const std::uint64_t it : request.both())
+    {
+        counter_.learn_cleared(it, now);
+    }
 }
 
 void crash_exchange::send_report(trial_id id, time_point now)
@@ -137,6 +146,27 @@
 {
     counter_.report(report, now);
     note_changes(now);
+    if (report.end == trial_end::completed)
+    {
+        tell_cleared(report.request, now);
+    }
+}
+
+// For what another gateway has counted, and this one has only heard of.
+void crash_exchange::tell_cleared(const request_fingerprint& request, time_point now)
+{
+    for (const std::uint64_t it : request.both())
+    {
+        const unsigned crashes = suspects_.crashes_of(it);
+        if (crashes >= crashes_to_condemn)
+        {
+            verdicts_.push_back({it, 0});
+        }
+        if (crashes > 0)
+        {
+            tell_all({{it, 0}}, now);
+        }
+    }
 }
 
 void crash_exchange::lift(const request_fingerprint& request, time_point now)
@@ -161,7 +191,10 @@
     const std::vector<suspect_row> rows = counter_.take_changes();
     for (const suspect_row& it : rows)
     {
-        const bool is_verdict = it.crashes == 0 || it.crashes == crashes_to_condemn;
+        const bool was_verdict =
+            suspects_.crashes_of(it.fingerprint) >= crashes_to_condemn;
+        const bool is_verdict =
+            it.crashes == 0 ? was_verdict : it.crashes == crashes_to_condemn;
         if (is_verdict)
         {
             verdicts_.push_back(it);
@@ -257,7 +290,7 @@
     {
         learn({found->second.trial.request.whole, crashes_to_condemn}, now);
     }
-    decide(reply.id, reply.answer);
+    decide(reply.id, reply.answer, now);
 }
 
 void crash_exchange::handle(const trial_report& report, time_point now)
@@ -281,6 +314,10 @@
     for (const suspect_row& it : notice.rows)
     {
         learn(it, now);
+        if (it.crashes == 0)
+        {
+            counter_.learn_cleared(it.fingerprint, now);
+        }
     }
 }
 
--- a/core/gateway/retry/crash_exchange.hpp
+++ b/core/gateway/retry/crash_exchange.hpp
@@ -21,7 +21,8 @@
 //
 // Messages may be lost: requests and reports are repeated until their reply arrives,
 // notices a few times. A report whose first sending is not answered is also counted here,
-// and told to all, so that they learn of a crash while those that count are silent.
+// and told to all, so that they learn of a crash while those that count are silent. So
+// several gateways may count the same request, and a clearance is told to all, too.
 //
 // Memory: see suspect_list and crash_counter; a row for each request without a decision,
 // and for each report that is to be repeated.
@@ -146,11 +147,13 @@
     };
 
     void ask(trial_id id, time_point now);
-    void decide(trial_id id, trial_answer answer);
+    void decide(trial_id id, trial_answer answer, time_point now);
     void send_report(trial_id id, time_point now);
     // The report with its ages as of now.
     static trial_report aged(const pending_report& it, time_point now);
+    void clear(const request_fingerprint& request, time_point now);
     void count_here(const trial_report& report, time_point now);
+    void tell_cleared(const request_fingerprint& request, time_point now);
     void note_changes(time_point now);
     void tell_all(const std::vector<suspect_row>& rows, time_point now);
     void send_notice(const std::vector<suspect_row>& rows);
