Gateways that reach no server say so, so that no request is sent by them

Nothing is sent while no link is lost. The frame of the datagrams, written twice in limit_codec and crash_codec, is named_message now.

--- a/codec/crash_codec.cpp
+++ b/codec/crash_codec.cpp
@@ -1,6 +1,7 @@
 #include "codec/crash_codec.hpp"
 
 #include "codec/array_reader.hpp"
+#include "codec/named_message.hpp"
 
 #include <algorithm>
 
@@ -181,30 +182,23 @@
 
 std::string encode_crash_message(const crash_message& message)
 {
-    std::string bytes;
-    std::visit([&](const auto& it) { nlohmann::json::to_msgpack(to_json(it), bytes); },
-               message);
-    return bytes;
+    return std::visit([](const auto& it) { return encode_named_message(to_json(it)); },
+                      message);
 }
 
 std::optional<crash_message> decode_crash_message(std::string_view bytes)
 {
-    if (bytes.size() > max_message_bytes)
+    const auto value = decode_named_message(bytes, max_message_bytes);
+    if (!value)
     {
         return std::nullopt;
     }
-    const nlohmann::json value = nlohmann::json::from_msgpack(bytes, true, false);
-    const bool has_name = value.is_array() && value.size() >= 2 && value[0].is_string();
-    if (!has_name)
-    {
-        return std::nullopt;
-    }
-    const auto& name = value[0].get_ref<const std::string&>();
+    const auto& name = (*value)[0].get_ref<const std::string&>();
     if (name == suspects_name)
     {
-        return value.size() == 2 ? read_suspects(value[1]) : std::nullopt;
+        return value->size() == 2 ? read_suspects((*value)[1]) : std::nullopt;
     }
-    array_reader reader(value, 1, max_crash_message_time);
+    array_reader reader(*value, 1, max_crash_message_time);
     std::optional<crash_message> made = read_message(name, reader);
     return reader.is_complete() ? made : std::nullopt;
 }
--- a/codec/limit_codec.cpp
+++ b/codec/limit_codec.cpp
@@ -1,6 +1,7 @@
 #include "codec/limit_codec.hpp"
 
 #include "codec/array_reader.hpp"
+#include "codec/named_message.hpp"
 
 namespace camphorrock
 {
@@ -131,26 +132,19 @@
 
 std::string encode_limit_message(const limit_message& message)
 {
-    std::string bytes;
-    std::visit([&](const auto& it) { nlohmann::json::to_msgpack(to_json(it), bytes); },
-               message);
-    return bytes;
+    return std::visit([](const auto& it) { return encode_named_message(to_json(it)); },
+                      message);
 }
 
 std::optional<limit_message> decode_limit_message(std::string_view bytes)
 {
-    if (bytes.size() > max_message_bytes)
+    const auto value = decode_named_message(bytes, max_message_bytes);
+    if (!value)
     {
         return std::nullopt;
     }
-    const nlohmann::json value = nlohmann::json::from_msgpack(bytes, true, false);
-    const bool has_name = value.is_array() && value.size() >= 2 && value[0].is_string();
-    if (!has_name)
-    {
-        return std::nullopt;
-    }
-    const auto& name = value[0].get_ref<const std::string&>();
-    return name == limits_name ? read_notice(value) : read_message(name, value);
+    const auto& name = (*value)[0].get_ref<const std::string&>();
+    return name == limits_name ? read_notice(*value) : read_message(name, *value);
 }
 
 } // namespace camphorrock
--- a/core/gateway/links/peer_choice.cpp
+++ b/core/gateway/links/peer_choice.cpp
@@ -37,8 +37,9 @@
         return false;
     }
     const auto found = rows_.find(it.peer);
-    return found == rows_.end() || (now >= found->second.left_out_until &&
-                                    found->second.in_flight < options_.max_in_flight);
+    return found == rows_.end() ||
+           (now >= found->second.left_out_until && now >= found->second.cut_off_until &&
+            found->second.in_flight < options_.max_in_flight);
 }
 
 unsigned peer_choice::cost(const fleet_gateway& it) const
@@ -78,6 +79,13 @@
     return (*best)->peer;
 }
 
+void peer_choice::note_cut_off(const endpoint& peer, bool is_cut_off, time_point now)
+{
+    row& it = rows_[peer];
+    it.cut_off_until = is_cut_off ? now + options_.cut_off_memory : time_point{};
+    it.left_out_until = is_cut_off ? it.left_out_until : time_point{};
+}
+
 void peer_choice::started(const endpoint& peer)
 {
     ++rows_[peer].in_flight;
--- a/core/gateway/links/peer_choice.hpp
+++ b/core/gateway/links/peer_choice.hpp
@@ -10,7 +10,8 @@
 // Three gateways are drawn, one of them in the own data centre if there is one, and the
 // one with the fewest of this gateway's requests is taken; one in another data centre
 // counts as if it had `remote_zone_cost` more. One that did not take a request on, or
-// could not be reached, is left out for a while.
+// could not be reached, is left out for a while, and so is one that has told that it is
+// cut off.
 //
 // Memory: one row for each gateway that has requests from here or is left out. A choice
 // costs O(gateways).
@@ -40,6 +41,8 @@
     unsigned max_in_flight = 20;   // at one gateway, from this one
     duration declined_pause = milliseconds(500);
     duration lost_pause = seconds(1);
+    // A gateway that is cut off says so again before this has passed.
+    duration cut_off_memory = seconds(5);
 };
 
 class peer_choice
@@ -59,11 +62,15 @@
     // A request that was started there has ended.
     void ended(const endpoint& peer, peer_end how, time_point now);
 
+    // The peer has told that it reaches no server, or that it does again.
+    void note_cut_off(const endpoint& peer, bool is_cut_off, time_point now);
+
 private:
     struct row
     {
         unsigned in_flight = 0;
         time_point left_out_until{};
+        time_point cut_off_until{};
     };
 
     bool is_candidate(const fleet_gateway& it,
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -184,7 +184,6 @@
                               }},
         *rpc_,
         rpc_methods_);
-    peer_agent_ = std::make_unique<peer_agent>(*loop_, *state_);
     relay_context_ = std::make_unique<relay_context>(
         relay_context{*loop_,
                       *server_http_,
@@ -199,7 +198,7 @@
                       &load_agent_->limits(),
                       &load_agent_->crashes(),
                       link_agent_.get(),
-                      peer_agent_.get()});
+                      &load_agent_->peers()});
     client_handler_ = std::make_unique<client_handler>(*relay_context_);
     forward_handler_ =
         std::make_unique<forward_handler>(*relay_context_, *client_handler_);
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -94,7 +94,6 @@
     std::unique_ptr<link_agent> link_agent_;
     std::unique_ptr<verdict_store> verdict_store_;
     std::unique_ptr<relay_context> relay_context_;
-    std::unique_ptr<peer_agent> peer_agent_;
     std::unique_ptr<client_handler> client_handler_;
     std::unique_ptr<forward_handler> forward_handler_;
     std::unique_ptr<ready_handler> ready_handler_;
--- a/gateway/load_agent.cpp
+++ b/gateway/load_agent.cpp
@@ -48,7 +48,12 @@
                log,
                links,
                [this](const endpoint& to, std::string_view datagram)
-               { send(to, datagram); })
+               { send(to, datagram); }),
+      peers_(loop,
+             state,
+             links,
+             [this](const endpoint& to, std::string_view datagram)
+             { send(to, datagram); })
 {
     last_report_.sender = state.draw_id();
 }
@@ -90,7 +95,8 @@
         remote_.add_report(*report, loop_.now());
         return;
     }
-    const bool is_taken = limits_.on_datagram(datagram) || crashes_.on_datagram(datagram);
+    const bool is_taken = limits_.on_datagram(datagram) ||
+                          crashes_.on_datagram(datagram) || peers_.on_datagram(datagram);
     if (!is_taken)
     {
         reservations_.on_datagram(datagram);
--- a/gateway/load_agent.hpp
+++ b/gateway/load_agent.hpp
@@ -2,8 +2,9 @@
 
 // Exchanges UDP reports of requests in flight with other gateways, so that each of them
 // knows how busy a server is with the requests of all. Owns the UDP socket, and with it
-// the reservations at single servers, the rate limits of servers and the requests that
-// crash servers, see reservation_agent.hpp, limit_agent.hpp and crash_agent.hpp.
+// the reservations at single servers, the rate limits of servers, the requests that crash
+// servers and the gateways that reach none, see reservation_agent.hpp, limit_agent.hpp,
+// crash_agent.hpp and peer_agent.hpp.
 //
 // A gateway sends its reports to the members of its group only, so that the number of
 // reports that it receives does not grow with the fleet.
@@ -12,6 +13,7 @@
 #include "gateway/crash_agent.hpp"
 #include "gateway/gateway_state.hpp"
 #include "gateway/limit_agent.hpp"
+#include "gateway/peer_agent.hpp"
 #include "gateway/reservation_agent.hpp"
 #include "net/event_loop.hpp"
 #include "net/udp_socket.hpp"
@@ -45,6 +47,11 @@
         return crashes_;
     }
 
+    peer_agent& peers()
+    {
+        return peers_;
+    }
+
     load_agent(const load_agent&) = delete;
     load_agent& operator=(const load_agent&) = delete;
 
@@ -64,6 +71,7 @@
     reservation_agent reservations_;
     limit_agent limits_;
     crash_agent crashes_;
+    peer_agent peers_;
     gateway_load last_report_;
     time_point last_sent_{};
     timer_handle send_timer_;
