--- a/ctl/request_trace.cpp
+++ b/ctl/request_trace.cpp
@@ -12,8 +12,14 @@
 namespace
 {
 
-constexpr const char* store_events[] = {
-    "store_lost", "store_regained", "keys_elected", "keys_resigned", "config_in_force"};
+// Of the gateway itself.
+constexpr const char* gateway_events[] = {"store_lost",
+                                          "store_regained",
+                                          "keys_elected",
+                                          "keys_resigned",
+                                          "config_in_force",
+                                          "links_lost",
+                                          "links_back"};
 constexpr const char* server_events[] = {"server_seen",
                                          "server_gone",
                                          "server_leaving",
@@ -43,7 +49,7 @@
     {"limited",
      "the servers that could run it had reached their rate limits; see token_decided"},
     {"shed", "the server had no capacity, and no other server could take it"},
-    {"unreachable", "no server could be reached"},
+    {"unreachable", "no server could be reached, from here or by another gateway"},
     {"waited_too_long", "its deadline passed before a server could be chosen"},
     {"timed_out", "it timed out at a server, which may have run it"},
     {"server_lost",
@@ -86,6 +92,11 @@
     {
         return "a server answered it with status " + field_text(last.fields, "status");
     }
+    if (last.name == "forward_ended")
+    {
+        return "another gateway, which had it, answered it: " +
+               field_text(last.fields, "end");
+    }
     if (last.name == "client_gone")
     {
         return "its client disconnected before an answer";
@@ -93,8 +104,8 @@
     return "the log does not show how it ended";
 }
 
-// Returns the last line of each store event, and of each event of one of `servers`, that
-// `program` wrote up to `until`, by time.
+// Returns the last line of each gateway event, and of each event of one of `servers`,
+// that `program` wrote up to `until`, by time.
 std::vector<log_line> events_before(const std::vector<log_line>& log,
                                     const std::string& program,
                                     const std::set<std::string>& servers,
@@ -108,12 +119,12 @@
             continue;
         }
         const std::string server = field_text(it.fields, "server");
-        const bool is_store_event =
-            is_one_of(it.name, std::begin(store_events), std::end(store_events));
+        const bool is_gateway_event =
+            is_one_of(it.name, std::begin(gateway_events), std::end(gateway_events));
         const bool is_server_event =
             servers.contains(server) &&
             is_one_of(it.name, std::begin(server_events), std::end(server_events));
-        if (is_store_event || is_server_event)
+        if (is_gateway_event || is_server_event)
         {
             const log_line*& latest =
                 last[it.name + " " + (is_server_event ? server : "")];
--- a/ctl/testing/request_trace_test.cpp
+++ b/ctl/testing/request_trace_test.cpp
@@ -109,6 +109,28 @@
         CHECK(got->context[1].name == "request_condemned");
         CHECK(got->cause.find("servers crashed under it") != std::string::npos);
     }
+    SECTION("of a request that went by another gateway, it shows both and why")
+    {
+        const std::vector<log_line> forwarded = {
+            make_line("01", "g1", event_id::links_lost, {{"suspicion", "silence"}}),
+            make_line("02", "g1", event_id::request_forwarded, {{"request", "r1"}}),
+            make_line("03", "g2", event_id::forward_taken, {{"request", "r1"}}),
+            make_line("04",
+                      "g2",
+                      event_id::request_answered_here,
+                      {{"request", "r1"}, {"reason", "no_owner"}, {"not_run", true}}),
+            make_line("05",
+                      "g1",
+                      event_id::forward_ended,
+                      {{"request", "r1"}, {"end", "not_run"}}),
+        };
+        const std::optional<request_trace> got = trace_request("r1", forwarded);
+        REQUIRE(got);
+        CHECK(got->lines.size() == 4);
+        REQUIRE(got->context.size() == 1);
+        CHECK(got->context[0].name == "links_lost");
+        CHECK(got->cause == "another gateway, which had it, answered it: not_run");
+    }
     SECTION("the cause of an answered request is the status of the answer")
     {
         CHECK(trace_request("r2", log)->cause == "a server answered it with status 200");
