--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -4,6 +4,7 @@
 #include "bench/balance/balance_report.hpp"
 #include "bench/cost/cost_report.hpp"
 #include "bench/crash/crash_report.hpp"
+#include "bench/cut/cut_report.hpp"
 #include "bench/limit/limit_report.hpp"
 #include "bench/queue/queue_report.hpp"
 #include "bench/report/report_table.hpp"
@@ -29,6 +30,7 @@
     bool only_cost = false;
     bool only_limit = false;
     bool only_crash = false;
+    bool only_cut = false;
 };
 
 void append_tables(std::vector<report_table>& all, std::vector<report_table> more)
@@ -43,7 +45,7 @@
 {
     const bool runs_all = !options.only_queue && !options.only_blocking &&
                           !options.only_balance && !options.only_limit &&
-                          !options.only_crash;
+                          !options.only_crash && !options.only_cut;
     if (options.only_cost)
     {
         return cost_report();
@@ -72,6 +74,10 @@
     {
         append_tables(all, crash_report(options.queue.seed));
     }
+    if (runs_all || options.only_cut)
+    {
+        append_tables(all, cut_report(options.queue.seed));
+    }
     return all;
 }
 
@@ -97,6 +103,9 @@
     app.add_flag("--crash",
                  options.only_crash,
                  "Run only the scenarios of a request that crashes servers");
+    app.add_flag("--cut",
+                 options.only_cut,
+                 "Run only the scenarios of gateways without a path to the servers");
     app.add_flag("--cost",
                  options.only_cost,
                  "Measure only processor time and memory of the decisions");
--- a/core/gateway/links/testing/link_fleet_test.cpp
+++ b/core/gateway/links/testing/link_fleet_test.cpp
@@ -27,13 +27,6 @@
     return it.sent == 0 ? 1.0 : static_cast<double>(it.served) / it.sent;
 }
 
-duration median(std::vector<duration> values)
-{
-    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
-    std::nth_element(values.begin(), middle, values.end());
-    return *middle;
-}
-
 // The first `n` gateways are cut off, and their links come back.
 void check_cut(const link_simulation_options& options,
                unsigned n,
@@ -95,7 +88,7 @@
     it.cut(23, simulated_cut::reset);
     it.run(target_time);
     it.count(seconds(10));
-    const duration added = median(it.cut_off().latencies) - median(it.others().latencies);
+    const duration added = median_latency(it.cut_off()) - median_latency(it.others());
     CHECK(added <= milliseconds(3)); // one link there and back, and 1 ms
     CHECK(it.most_attempts() <= 1.5 * it.mean_attempts());
 }
--- a/core/gateway/links/testing/link_simulation.cpp
+++ b/core/gateway/links/testing/link_simulation.cpp
@@ -21,6 +21,18 @@
 
 } // namespace
 
+duration median_latency(const link_counts& of)
+{
+    if (of.latencies.empty())
+    {
+        return duration::zero();
+    }
+    std::vector<duration> values = of.latencies;
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
 link_simulation::link_simulation(link_simulation_options options)
     : options_(options), random_(options.seed), choices_(options.seed)
 {
@@ -72,6 +84,7 @@
     {
         it.attempts = 0;
     }
+    notices_ = 0;
     is_counting_ = true;
     run(span);
     is_counting_ = false;
@@ -374,7 +387,12 @@
 {
     for (unsigned to = 0; to < gateways_.size(); ++to)
     {
-        if (to == g || draw() < options_.lost_notice_fraction)
+        if (to == g)
+        {
+            continue;
+        }
+        notices_ += is_counting_ ? 1 : 0;
+        if (draw() < options_.lost_notice_fraction)
         {
             continue;
         }
--- a/core/gateway/links/testing/link_simulation.hpp
+++ b/core/gateway/links/testing/link_simulation.hpp
@@ -51,6 +51,9 @@
     std::vector<duration> latencies; // of the served ones
 };
 
+// The median of what was served; zero if nothing was.
+duration median_latency(const link_counts& of);
+
 class link_simulation
 {
 public:
@@ -96,6 +99,12 @@
         return false_losses_;
     }
 
+    // Messages between gateways in the last count.
+    unsigned notices() const
+    {
+        return notices_;
+    }
+
     // Connections that were opened to probe servers.
     unsigned probes() const
     {
@@ -186,6 +195,7 @@
     unsigned losses_ = 0;
     unsigned false_losses_ = 0;
     unsigned probes_ = 0;
+    unsigned notices_ = 0;
     duration last_noticed_after_{};
 };
 
