--- a/core/gateway/fleet/testing/counting_gateways_test.cpp
+++ b/core/gateway/fleet/testing/counting_gateways_test.cpp
@@ -1,23 +1,9 @@
 #include "core/gateway/fleet/counting_gateways.hpp"
+#include "core/gateway/fleet/testing/make_fleet.hpp"
 #include "testing/test_headers.hpp"
 
 using namespace camphorrock;
-
-namespace
-{
-
-std::vector<fleet_gateway> make_fleet(int n)
-{
-    std::vector<fleet_gateway> fleet;
-    for (int at = 0; at < n; ++at)
-    {
-        fleet.push_back(
-            {endpoint("10.0.0." + std::to_string(at) + ":1"), data_centre("z"), 100});
-    }
-    return fleet;
-}
-
-} // namespace
+using namespace camphorrock::testing;
 
 TEST_CASE("the gateways of a fleet divide the names among them for counting")
 {
--- a/core/gateway/links/testing/link_simulation.cpp
+++ b/core/gateway/links/testing/link_simulation.cpp
@@ -1,5 +1,7 @@
 #include "core/gateway/links/testing/link_simulation.hpp"
 
+#include "core/gateway/fleet/testing/make_fleet.hpp"
+
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -36,19 +38,14 @@
 link_simulation::link_simulation(link_simulation_options options)
     : options_(options), random_(options.seed), choices_(options.seed)
 {
-    std::vector<fleet_gateway> fleet;
+    const std::vector<fleet_gateway> fleet =
+        make_fleet(options_.gateways, options_.zones);
     for (unsigned n = 0; n < options_.gateways; ++n)
     {
         gateway& it = gateways_.emplace_back();
-        it.entry.peer = endpoint("10.0." + std::to_string(n / 250) + "." +
-                                 std::to_string(n % 250) + ":1");
-        it.entry.zone = data_centre("z" + std::to_string(n % options_.zones));
+        it.entry = fleet[n];
+        it.peers.set_fleet(fleet, it.entry);
         index_of_[it.entry.peer] = n;
-        fleet.push_back(it.entry);
-    }
-    for (unsigned n = 0; n < options_.gateways; ++n)
-    {
-        gateways_[n].peers.set_fleet(fleet, gateways_[n].entry);
         schedule_arrival(n);
         schedule_check(n);
     }
--- a/core/gateway/links/testing/peer_choice_test.cpp
+++ b/core/gateway/links/testing/peer_choice_test.cpp
@@ -1,3 +1,4 @@
+#include "core/gateway/fleet/testing/make_fleet.hpp"
 #include "core/gateway/links/peer_choice.hpp"
 #include "testing/test_headers.hpp"
 
@@ -6,6 +7,7 @@
 #include <string>
 
 using namespace camphorrock;
+using namespace camphorrock::testing;
 
 namespace
 {
@@ -13,17 +15,6 @@
 const time_point now{seconds(100)};
 
 // `n` gateways in each of three data centres; the first one is this gateway.
-std::vector<fleet_gateway> make_fleet(int n)
-{
-    std::vector<fleet_gateway> fleet;
-    for (int k = 0; k < 3 * n; ++k)
-    {
-        const std::string zone(1, static_cast<char>('a' + k % 3));
-        fleet.push_back({endpoint("g" + std::to_string(k)), data_centre(zone), 100});
-    }
-    return fleet;
-}
-
 } // namespace
 
 TEST_CASE("a peer is chosen among the other gateways")
@@ -34,27 +25,27 @@
     SECTION("none without a fleet, or in a fleet of one")
     {
         CHECK_FALSE(peers.choose({}, random, now));
-        const std::vector<fleet_gateway> fleet = make_fleet(1);
+        const std::vector<fleet_gateway> fleet = make_fleet(3, 3);
         peers.set_fleet({fleet[0]}, fleet[0]);
         CHECK_FALSE(peers.choose({}, random, now));
     }
     SECTION("never this gateway, nor one that was tried")
     {
-        const std::vector<fleet_gateway> fleet = make_fleet(1);
+        const std::vector<fleet_gateway> fleet = make_fleet(3, 3);
         peers.set_fleet(fleet, fleet[0]);
         for (int n = 0; n < 50; ++n)
         {
-            CHECK(peers.choose({endpoint("g1")}, random, now) == endpoint("g2"));
+            CHECK(peers.choose({fleet[1].peer}, random, now) == fleet[2].peer);
         }
-        CHECK_FALSE(peers.choose({endpoint("g1"), endpoint("g2")}, random, now));
+        CHECK_FALSE(peers.choose({fleet[1].peer, fleet[2].peer}, random, now));
     }
     SECTION("in the own data centre while its gateways have few requests from here")
     {
-        const std::vector<fleet_gateway> fleet = make_fleet(4);
+        const std::vector<fleet_gateway> fleet = make_fleet(12, 3);
         peers.set_fleet(fleet, fleet[0]);
         const auto to = peers.choose({}, random, now);
         REQUIRE(to);
-        CHECK((*to == endpoint("g3") || *to == endpoint("g6") || *to == endpoint("g9")));
+        CHECK((*to == fleet[3].peer || *to == fleet[6].peer || *to == fleet[9].peer));
     }
 }
 
@@ -62,7 +53,7 @@
 TEST_CASE("requests are spread over the peers")
 {
     std::minstd_rand random(6);
-    const std::vector<fleet_gateway> fleet = make_fleet(4);
+    const std::vector<fleet_gateway> fleet = make_fleet(12, 3);
     peer_choice peers;
     peers.set_fleet(fleet, fleet[0]);
     std::map<endpoint, unsigned> in_flight;
@@ -87,36 +78,36 @@
 TEST_CASE("a peer that does not take a request on is left out for a while")
 {
     std::minstd_rand random(7);
-    const std::vector<fleet_gateway> fleet = make_fleet(1);
+    const std::vector<fleet_gateway> fleet = make_fleet(3, 3);
     peer_choice peers;
     peers.set_fleet(fleet, fleet[0]);
-    peers.started(endpoint("g1"));
+    peers.started(fleet[1].peer);
 
     SECTION("after it declined")
     {
-        peers.ended(endpoint("g1"), peer_end::declined, now);
-        CHECK(peers.choose({endpoint("g2")}, random, now) == std::nullopt);
-        CHECK(peers.choose({endpoint("g2")}, random, now + milliseconds(500)) ==
-              endpoint("g1"));
+        peers.ended(fleet[1].peer, peer_end::declined, now);
+        CHECK(peers.choose({fleet[2].peer}, random, now) == std::nullopt);
+        CHECK(peers.choose({fleet[2].peer}, random, now + milliseconds(500)) ==
+              fleet[1].peer);
     }
     SECTION("longer after it could not be reached")
     {
-        peers.ended(endpoint("g1"), peer_end::lost, now);
-        CHECK(peers.choose({endpoint("g2")}, random, now + milliseconds(500)) ==
+        peers.ended(fleet[1].peer, peer_end::lost, now);
+        CHECK(peers.choose({fleet[2].peer}, random, now + milliseconds(500)) ==
               std::nullopt);
-        CHECK(peers.choose({endpoint("g2")}, random, now + seconds(1)) == endpoint("g1"));
+        CHECK(peers.choose({fleet[2].peer}, random, now + seconds(1)) == fleet[1].peer);
     }
     SECTION("not after it took one on")
     {
-        peers.ended(endpoint("g1"), peer_end::taken, now);
-        CHECK(peers.choose({endpoint("g2")}, random, now) == endpoint("g1"));
+        peers.ended(fleet[1].peer, peer_end::taken, now);
+        CHECK(peers.choose({fleet[2].peer}, random, now) == fleet[1].peer);
     }
     SECTION("while it has as many requests from here as it may have")
     {
         for (int n = 1; n < 20; ++n)
         {
-            peers.started(endpoint("g1"));
+            peers.started(fleet[1].peer);
         }
-        CHECK(peers.choose({endpoint("g2")}, random, now) == std::nullopt);
+        CHECK(peers.choose({fleet[2].peer}, random, now) == std::nullopt);
     }
 }
--- a/core/gateway/retry/testing/crash_exchange_test.cpp
+++ b/core/gateway/retry/testing/crash_exchange_test.cpp
@@ -1,3 +1,4 @@
+#include "core/gateway/fleet/testing/make_fleet.hpp"
 #include "core/gateway/retry/crash_exchange.hpp"
 #include "core/gateway/retry/testing/crash_simulation.hpp"
 #include "testing/test_headers.hpp"
@@ -18,11 +19,7 @@
 {
     exchange_fixture()
     {
-        std::vector<fleet_gateway> fleet;
-        for (int n = 0; n < 3; ++n)
-        {
-            fleet.push_back({endpoint("10.0.0." + std::to_string(n) + ":1"), {}, 100});
-        }
+        const std::vector<fleet_gateway> fleet = make_fleet(3);
         for (const endpoint& it : ranked_gateways_of(fleet, service.str(), 3))
         {
             addresses.push_back(it);
--- a/core/gateway/servers/testing/in_flight_counter_test.cpp
+++ b/core/gateway/servers/testing/in_flight_counter_test.cpp
@@ -1,9 +1,11 @@
+#include "core/gateway/fleet/testing/make_fleet.hpp"
 #include "core/gateway/servers/in_flight_counter.hpp"
 #include "testing/test_headers.hpp"
 
 #include <random>
 
 using namespace camphorrock;
+using namespace camphorrock::testing;
 
 namespace
 {
@@ -11,17 +13,6 @@
 constexpr server_tag busy{1};
 constexpr server_tag other{2};
 
-std::vector<fleet_gateway> make_fleet(int n)
-{
-    std::vector<fleet_gateway> fleet;
-    for (int at = 0; at < n; ++at)
-    {
-        fleet.push_back(
-            {endpoint("10.0.0." + std::to_string(at) + ":1"), data_centre("z"), 100});
-    }
-    return fleet;
-}
-
 } // namespace
 
 TEST_CASE("a counter returns the other requests in flight at a server")
