--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -91,6 +91,9 @@
     }
 
 private:
+    // For the answer to reach the client.
+    static constexpr duration answer_margin = milliseconds(10);
+
     struct key_owner
     {
         server_id server;
--- /dev/null
+++ b/gateway/request_relay_attempt.cpp
@@ -0,0 +1,240 @@
+// The part of request_relay for the end of an attempt at a server: what it means, and
+// whether the request is sent again.
+
+#include "gateway/request_relay.hpp"
+#include "net/http_status.hpp"
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr unsigned max_attempts_not_run = 3;
+
+// An attempt that timed out after it was sent shows nothing by itself: the server may be
+// slow.
+attempt_evidence evidence_of(exchange_end end)
+{
+    switch (end)
+    {
+    case exchange_end::answered:
+    case exchange_end::too_large:
+        return attempt_evidence::reached;
+    case exchange_end::not_connected:
+    case exchange_end::connection_lost:
+        return attempt_evidence::unreached;
+    case exchange_end::timed_out:
+    case exchange_end::timed_out_before_send:
+    case exchange_end::withdrawn:
+        break;
+    }
+    return attempt_evidence::none;
+}
+
+bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+attempt_end request_relay::classify(const exchange_result& got) const
+{
+    if (got.end == exchange_end::withdrawn ||
+        got.end == exchange_end::timed_out_before_send)
+    {
+        return attempt_end::cancelled;
+    }
+    if (is_unsent(got.end))
+    {
+        return attempt_end::unreachable;
+    }
+    if (got.end != exchange_end::answered)
+    {
+        return attempt_end::lost;
+    }
+    const wire_names& names = context_.codec.names();
+    // An answer without the request's id may be a late copy of an earlier answer, also if
+    // it says that its request was not run.
+    const std::string_view id = got.answer.headers.find(names.request_id).value_or("");
+    if (id != request_id_)
+    {
+        return attempt_end::lost;
+    }
+    const bool is_not_run = got.answer.headers.find(names.not_run).has_value();
+    if (got.answer.status == http_status::misdirected)
+    {
+        return key_ ? attempt_end::not_owner : attempt_end::other_server;
+    }
+    if (is_not_run)
+    {
+        return attempt_end::shed;
+    }
+    if (!is_valid_answer(got.answer))
+    {
+        return attempt_end::lost;
+    }
+    return got.answer.status >= http_status::server_error ? attempt_end::server_error
+                                                          : attempt_end::answered;
+}
+
+// A success must carry the server's signature, and no answer may be content-encoded: its
+// body must be as the server made it.
+bool request_relay::is_valid_answer(const http_response& answer) const
+{
+    const wire_names& names = context_.codec.names();
+    if (answer.headers.find("Content-Encoding"))
+    {
+        return false;
+    }
+    return !is_success(answer.status) || answer.headers.find(names.signature);
+}
+
+void request_relay::on_exchange_end(const exchange_result& got)
+{
+    exchange_.reset();
+    token_.reset();
+    release_reservation();
+    note_link(evidence_of(got.end));
+    const attempt_end how = classify(got);
+    const duration elapsed = context_.loop.now() - sent_at_;
+    if (service_state* service = context_.state.find_service(service_))
+    {
+        service->pool.attempt_ended(sent_to_, how, elapsed, context_.loop.now());
+    }
+    if (got.end != exchange_end::connection_lost)
+    {
+        note_attempt_end(how);
+    }
+    if (got.end == exchange_end::withdrawn)
+    {
+        on_withdrawn();
+        return;
+    }
+    if (got.end == exchange_end::timed_out_before_send)
+    {
+        on_deadline();
+        return;
+    }
+    const bool is_invalid_answer =
+        how == attempt_end::lost && got.end == exchange_end::answered;
+    if (is_invalid_answer)
+    {
+        context_.http.drop_connections(sent_to_.address);
+    }
+    if (is_from_intended_server(how))
+    {
+        note_server_state(got.answer);
+    }
+    if (how == attempt_end::answered)
+    {
+        forward_answer(got.answer);
+        return;
+    }
+    on_attempt_failed(how, got);
+}
+
+void request_relay::on_attempt_failed(attempt_end how, const exchange_result& got)
+{
+    const bool may_have_run =
+        how == attempt_end::lost || how == attempt_end::server_error;
+    may_have_run_ = may_have_run_ || may_have_run;
+    possible_runs_ += may_have_run ? 1 : 0;
+    attempts_not_run_ += may_have_run ? 0 : 1;
+    // A key that was refused waits first; what is then sent is claimed at that time.
+    const bool is_sent_again =
+        how == attempt_end::not_owner ? may_retry(how) : claim_retry(how);
+    const wire_names& names = context_.codec.names();
+    context_.log.attempt_failed({request_id_, route_.name, service_},
+                                sent_to_,
+                                how,
+                                got,
+                                got.answer.headers.find(names.request_id).value_or(""),
+                                context_.loop.now() - sent_at_,
+                                is_sent_again);
+    const bool is_checked =
+        got.end == exchange_end::connection_lost && context_.crashes != nullptr;
+    if (is_checked)
+    {
+        check_crash(is_sent_again);
+    }
+    if (how == attempt_end::not_owner)
+    {
+        context_.on_key_refused(service_, *key_);
+        note_refusal();
+    }
+    if (is_sent_again && how == attempt_end::not_owner)
+    {
+        wait_for_owner();
+        return;
+    }
+    if (is_sent_again && is_checked)
+    {
+        return; // goes on when it is known whether the server has crashed
+    }
+    if (is_sent_again)
+    {
+        try_send();
+        return;
+    }
+    if (how == attempt_end::server_error)
+    {
+        forward_answer(got.answer);
+        return;
+    }
+    const bool is_forwarded =
+        how == attempt_end::unreachable && try_peer(forward_reason::server_unreachable);
+    if (!is_forwarded)
+    {
+        answer_locally(reason_after(how));
+    }
+}
+
+// True if the request may be sent again, if a retry budget allows it.
+bool request_relay::may_retry(attempt_end how) const
+{
+    const bool is_safe = route_.is_repeatable || !may_have_run_;
+    const bool has_attempts =
+        possible_runs_ < route_.max_attempts && attempts_not_run_ <= max_attempts_not_run;
+    // Only its owner can run a request for a key.
+    const bool has_other_server = !key_ || how != attempt_end::shed;
+    return is_safe && has_attempts && has_other_server && time_left() > duration::zero();
+}
+
+// True if the request may be sent again. Unless nothing was sent in the last attempt, the
+// retry is counted against the retry budget of the service.
+bool request_relay::claim_retry(attempt_end how)
+{
+    if (!may_retry(how))
+    {
+        return false;
+    }
+    if (how == attempt_end::unreachable)
+    {
+        return true;
+    }
+    service_state* service = context_.state.find_service(service_);
+    return service != nullptr && service->budget.try_spend_retry(context_.loop.now());
+}
+
+local_answer_reason request_relay::reason_after(attempt_end how) const
+{
+    const bool is_deadline_reached = time_left() <= answer_margin;
+    if (may_have_run_)
+    {
+        return is_deadline_reached ? local_answer_reason::timed_out
+                                   : local_answer_reason::server_lost;
+    }
+    switch (how)
+    {
+    case attempt_end::shed:
+        return local_answer_reason::shed;
+    case attempt_end::not_owner:
+        return local_answer_reason::no_owner;
+    default:
+        return is_deadline_reached ? local_answer_reason::waited_too_long
+                                   : local_answer_reason::unreachable;
+    }
+}
+
+} // namespace camphorrock
