--- a/core/gateway/links/peer_choice.cpp
+++ b/core/gateway/links/peer_choice.cpp
@@ -53,6 +53,10 @@
                                             std::minstd_rand& random,
                                             time_point now) const
 {
+    if (now < isolated_until_)
+    {
+        return std::nullopt;
+    }
     candidate_list all;
     candidate_list near;
     for (const fleet_gateway& it : others_)
@@ -95,6 +99,11 @@
 {
     row& it = rows_[peer];
     it.in_flight -= it.in_flight > 0 ? 1 : 0;
+    losses_ = how == peer_end::lost ? losses_ + 1 : 0;
+    if (losses_ >= options_.losses_to_isolation)
+    {
+        isolated_until_ = now + options_.isolation_pause;
+    }
     switch (how)
     {
     case peer_end::taken:
--- a/core/gateway/links/peer_choice.hpp
+++ b/core/gateway/links/peer_choice.hpp
@@ -13,6 +13,10 @@
 // could not be reached, is left out for a while, and so is one that has told that it is
 // cut off.
 //
+// A gateway that has lost several requests to peers in a row, and none was taken or
+// declined in between, is taken to reach no other gateway: none is chosen for a while, so
+// that its clients are refused at once.
+//
 // Memory: one row for each gateway that has requests from here or is left out. A choice
 // costs O(gateways).
 
@@ -41,6 +45,8 @@
     unsigned max_in_flight = 20;   // at one gateway, from this one
     duration declined_pause = milliseconds(500);
     duration lost_pause = seconds(1);
+    unsigned losses_to_isolation = 3;
+    duration isolation_pause = milliseconds(300); // until one is tried again
     // A gateway that is cut off says so again before this has passed.
     duration cut_off_memory = seconds(5);
 };
@@ -82,6 +88,8 @@
     std::vector<fleet_gateway> others_;
     data_centre zone_;
     std::map<endpoint, row> rows_;
+    unsigned losses_ = 0; // consecutive
+    time_point isolated_until_{};
 };
 
 } // namespace camphorrock
--- a/core/gateway/links/testing/peer_choice_test.cpp
+++ b/core/gateway/links/testing/peer_choice_test.cpp
@@ -111,3 +111,41 @@
         CHECK(peers.choose({fleet[2].peer}, random, now) == std::nullopt);
     }
 }
+
+// Guards against requests that try one unreachable gateway after the other, each for as
+// long as a connection may take, at a gateway that is cut off from all.
+TEST_CASE("a gateway that reaches no other one does not go on trying")
+{
+    std::minstd_rand random(8);
+    const std::vector<fleet_gateway> fleet = make_fleet(195, 6);
+    peer_choice peers;
+    peers.set_fleet(fleet, fleet[0]);
+    for (int n = 0; n < 3; ++n)
+    {
+        const std::optional<endpoint> to = peers.choose({}, random, now);
+        REQUIRE(to);
+        peers.started(*to);
+        peers.ended(*to, peer_end::lost, now);
+    }
+    CHECK_FALSE(peers.choose({}, random, now));
+    const time_point later = now + milliseconds(300);
+    const std::optional<endpoint> to = peers.choose({}, random, later);
+    REQUIRE(to);
+    peers.started(*to);
+
+    SECTION("until one takes a request on")
+    {
+        peers.ended(*to, peer_end::taken, later);
+        CHECK(peers.choose({}, random, later));
+    }
+    SECTION("or declines")
+    {
+        peers.ended(*to, peer_end::declined, later);
+        CHECK(peers.choose({}, random, later));
+    }
+    SECTION("and stops again at the next loss")
+    {
+        peers.ended(*to, peer_end::lost, later);
+        CHECK_FALSE(peers.choose({}, random, later));
+    }
+}
