A late loop is not taken for silent servers

Read in the code: after a freeze, or on a slowed machine, the check for silence could run before the answers that had arrived were read; the requests of up to three late rounds of probes then waited, 0.16 s and more each. The check is left out when it is late itself, and an answer ends the suspicion also while its round is in flight, but for that of a crash. link_monitor_test: failed before.

--- a/core/gateway/links/link_monitor.cpp
+++ b/core/gateway/links/link_monitor.cpp
@@ -53,9 +53,10 @@
     case attempt_evidence::reached:
         last_reached_at_ = now;
         failed_servers_.clear();
-        if (state_ == link_state::suspected && !is_round_in_flight_)
+        if (state_ == link_state::suspected && suspicion_ != link_suspicion::crash)
         {
             set_up(now);
+            next_round_at_ = now; // the answer may have arrived before a cut
         }
         break;
     case attempt_evidence::unreached:
--- a/core/gateway/links/link_monitor.hpp
+++ b/core/gateway/links/link_monitor.hpp
@@ -103,8 +103,9 @@
     // `id` identifies the attempt until its end.
     void attempt_started(std::uint64_t id, duration expected_latency, time_point now);
 
-    // No effect on the state by itself, except that a reached server ends a suspicion
-    // before its round has begun.
+    // A reached server ends a suspicion, also if its round is in flight: the round then
+    // decides nothing. Not that of a crash, which the answer of an earlier moment must
+    // not confirm.
     void attempt_ended(std::uint64_t id,
                        attempt_evidence evidence,
                        const server_id& server,
@@ -114,8 +115,9 @@
     // in its place.
     void suspect_crash();
 
-    // Looks for an attempt that has been without an answer for long. O(attempts in
-    // flight).
+    // Looks for an attempt that has been without an answer for long. Not to be called
+    // while the loop is late: answers may have arrived that it has not read. O(attempts
+    // in flight).
     void check_silence(time_point now);
 
     // The number of servers to probe now; 0 if no round is due, or one is in flight.
--- a/core/gateway/links/testing/link_monitor_test.cpp
+++ b/core/gateway/links/testing/link_monitor_test.cpp
@@ -140,6 +140,29 @@
         it.pass(milliseconds(100));
         CHECK(it.links.state() == link_state::suspected);
     }
+    // Guards against requests that wait for probes at a gateway whose loop was late, and
+    // which then reads the answers that had arrived (a frozen or slow process).
+    SECTION("an answer while the round is in flight ends the suspicion, too")
+    {
+        it.pass(milliseconds(400));
+        REQUIRE(it.links.begin_round(it.now) == 4);
+        it.reach("b");
+        CHECK(it.links.state() == link_state::up);
+        it.links.end_round({4, 0, false}, it.now);
+        CHECK(it.links.state() == link_state::up);
+        it.fail_at("a");
+        it.fail_at("c");
+        CHECK(it.links.state() == link_state::suspected); // without a pause
+    }
+    SECTION("but not the suspicion of a crash, which the round decides")
+    {
+        it.links.suspect_crash();
+        REQUIRE(it.links.begin_round(it.now) == 4);
+        it.reach("b");
+        CHECK(it.links.state() == link_state::suspected);
+        it.links.end_round({4, 0, false}, it.now);
+        CHECK(it.links.state() == link_state::lost);
+    }
     SECTION("an answer before the round begins ends the suspicion")
     {
         it.pass(milliseconds(400));
--- a/gateway/link_agent.cpp
+++ b/gateway/link_agent.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr duration check_period = milliseconds(100);
+constexpr duration max_check_lateness = milliseconds(50);
 // A round that takes longer was held up by this gateway's own loop.
 constexpr duration max_round_time = server_probe::timeout + milliseconds(60);
 
@@ -88,15 +89,23 @@
     }
     if (!check_timer_)
     {
-        check_timer_ = loop_.every(check_period,
-                                   [this]
-                                   {
-                                       monitor_.check_silence(loop_.now());
-                                       update();
-                                   });
+        last_check_at_ = loop_.now();
+        check_timer_ = loop_.every(check_period, [this] { on_check(); });
     }
 }
 
+void link_agent::on_check()
+{
+    const time_point now = loop_.now();
+    const bool is_late = now - last_check_at_ > check_period + max_check_lateness;
+    last_check_at_ = now;
+    if (!is_late)
+    {
+        monitor_.check_silence(now);
+    }
+    update();
+}
+
 // Without a known server, the round ends with no probe asked.
 void link_agent::start_round(unsigned probes)
 {
--- a/gateway/link_agent.hpp
+++ b/gateway/link_agent.hpp
@@ -76,6 +76,7 @@
     };
 
     void confirm_ended(ended_callback done);
+    void on_check();
     void update();
     void start_round(unsigned probes);
     std::vector<endpoint> draw_servers(unsigned n) const;
@@ -96,6 +97,7 @@
     std::vector<known_callback> waiting_;
     std::vector<std::function<void()>> listeners_;
     timer_handle check_timer_;
+    time_point last_check_at_{};
     timer_handle empty_round_timer_;
 };
 
