--- a/gateway/peer_agent.cpp
+++ b/gateway/peer_agent.cpp
@@ -75,8 +75,7 @@
 
 std::optional<endpoint> peer_agent::start(const std::vector<endpoint>& excluded)
 {
-    const std::optional<endpoint> to =
-        peers_.choose(excluded, state_.random(), loop_.now());
+    std::optional<endpoint> to = peers_.choose(excluded, state_.random(), loop_.now());
     if (to)
     {
         peers_.started(*to);
