--- a/gateway/client_handler.hpp
+++ b/gateway/client_handler.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
-// Accepts clients' requests and owns the relay of each one until the relay has ended.
+// Accepts clients' requests, also those that other gateways forward, and owns the relay
+// of each one until the relay has ended. Tells the relays when the state changes, or when
+// this gateway has lost its links to the servers.
 
 #include "gateway/request_relay.hpp"
 #include "net/http_server.hpp"
