Review: a copy of a grant's answer is taken for that of a release (OWNER)

The case: a draining server of a keyed service is at work on three keys and gets a release; one extra answer, a copy of its answer to the grant before, arrives where the release's answer is due. The gateway grants the keys to the next owner while the first one is at work.

--- /dev/null
+++ b/review/testing/release_case.cpp
@@ -0,0 +1,139 @@
+// An extra answer of a server where the answer to its release is due: does the next owner
+// get the keys while the last one is still at work on them?
+
+#include "review/testing/stand_ins.hpp"
+
+using namespace review;
+
+namespace
+{
+
+constexpr unsigned time_limit_ms = 4000;
+constexpr double work_seconds = 1.5;
+
+// OWNER: an upstream is given a key on which another is still at work, before that one's
+// hold would have run out.
+unsigned count_violations(case_record& record,
+                          case_server& one,
+                          case_server& other,
+                          const std::vector<key_hold>& granted_to_one)
+{
+    unsigned found = 0;
+    for (const case_run& run : one.runs())
+    {
+        for (const key_hold& given : other.holds())
+        {
+            const bool is_at_work = run.key && given.first <= *run.key &&
+                                    *run.key <= given.last && run.begins < given.begins &&
+                                    given.begins < run.ends;
+            const bool is_held = std::any_of(granted_to_one.begin(),
+                                             granted_to_one.end(),
+                                             [&](const key_hold& it)
+                                             {
+                                                 return it.first <= *run.key &&
+                                                        *run.key <= it.last &&
+                                                        it.begins <= given.begins &&
+                                                        given.begins < it.ends;
+                                             });
+            if (is_at_work && is_held)
+            {
+                record.line("BROKEN: %s is given key %u at %.3f; %s is at work on it for "
+                            "%s from %.3f to %.3f",
+                            other.id().c_str(),
+                            *run.key,
+                            given.begins,
+                            one.id().c_str(),
+                            run.id.c_str(),
+                            run.begins,
+                            run.ends);
+                ++found;
+                break; // what follows are renewals
+            }
+        }
+    }
+    return found;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const case_arguments args = read_arguments(argc, argv);
+    case_record record(args.record);
+    case_store store;
+    const std::size_t port = store.add_port();
+    store.put("op/config", one_route_config("safe", true, "5s"));
+
+    case_server first(record, "i-first", "shelf", true);
+    case_server second(record, "i-second", "shelf", true);
+    std::atomic<bool> has_sent_extra{false};
+    if (args.has_trouble)
+    {
+        // One answer of the whole case is sent a second time, late: where the answer to
+        // the next order on its connection is due.
+        first.extra_answer = [&](const case_message& request, const std::string& last)
+        {
+            const bool is_moment =
+                request.target == "/camphorrock/release" && !last.empty();
+            if (!is_moment || has_sent_extra.exchange(true))
+            {
+                return std::string();
+            }
+            record.line("i-first sends its last answer on that connection once more");
+            return last;
+        };
+    }
+    first.start(store);
+    second.start(store);
+    case_gateway gateway(args.program, args.folder, "g1", store.port(port));
+    gateway.wait_ready();
+    pause_for(3);
+
+    // Until it leaves, the first server has half of the keys.
+    std::vector<key_hold> granted;
+    unsigned first_key = 0;
+    for (const key_hold& it : first.holds())
+    {
+        first_key = it.first;
+    }
+    std::vector<std::thread> clients;
+    for (unsigned n = 0; n < 3; ++n)
+    {
+        clients.emplace_back(
+            [&, n]
+            {
+                send_once(record,
+                          gateway.port(),
+                          "GET",
+                          "/look/work-1500/" + std::to_string(n),
+                          "look-" + std::to_string(n),
+                          first_key + 100 + n,
+                          time_limit_ms);
+            });
+    }
+    pause_for(0.3);
+    // What the server has been granted so far, with the time that it would hold it.
+    granted = first.holds();
+    record.line("i-first says that it is draining");
+    first.set_state("draining");
+    for (std::thread& it : clients)
+    {
+        it.join();
+    }
+    pause_for(1.5);
+    gateway.end();
+
+    const unsigned broken = count_violations(record, first, second, granted);
+    const std::vector<case_run> runs = first.runs();
+    const bool was_at_work = std::any_of(
+        runs.begin(),
+        runs.end(),
+        [](const case_run& it) { return it.ends - it.begins > work_seconds / 2; });
+    const bool is_played =
+        was_at_work && second.holds().size() > 1 && (!args.has_trouble || has_sent_extra);
+    record.line(
+        "%u violations; the case was played: %s", broken, is_played ? "yes" : "no");
+    std::printf("%u violations of OWNER\n", broken);
+    std::fflush(stdout);
+    _exit(broken > 0 ? 1 : is_played ? 0 : 2);
+}
