--- a/review/testing/stand_ins.hpp
+++ b/review/testing/stand_ins.hpp
@@ -732,6 +732,7 @@
     {
     }
 
+    std::string answer_body;   // of requests; empty: a text with the id
     double order_time = 0.001; // until an order is carried out and answered
 
     // Returns true if the order gets no answer; it may be carried out later by
@@ -1024,8 +1025,9 @@
                      id_.c_str(),
                      id.c_str(),
                      is_dropped ? ", whose connection has closed" : "");
-        return make_answer(
-            200, id_ + " ran " + id, echo + "Response-Signature: signed." + id_ + "\r\n");
+        return make_answer(200,
+                           answer_body.empty() ? id_ + " ran " + id : answer_body,
+                           echo + "Response-Signature: signed." + id_ + "\r\n");
     }
 
     case_record& record_;
