--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 folder="$(mktemp -d)" || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -k 5 110 target/review/refused_case target/camphorrock-gateway "$folder" review/3/record.txt
+timeout -k 5 110 target/review/drain_case target/camphorrock-gateway "$folder" review/3/record.txt
 status=$?
 [ "$status" -le 1 ] && exit "$status"
 exit 2
