A connection is closed once its client has closed it, not when the last answer is written (LOST)

Cause: the descriptor was closed as soon as the operating system had taken the last byte. The client's next request then met a closed socket; the reset that answers it discards what was not delivered.

Change: the sending side is shut down and what arrives is discarded until the client closes, for 10 s at most (net/lingering_sockets). So after refused requests, aborted answers, idle timeouts and close_idle. A stopping gateway waits for these connections within its time to stop. Requests behind an aborted answer are told that it is over.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -350,8 +350,9 @@
     }
     client_server_->stop_accepting();
     client_server_->close_idle();
-    const bool is_idle =
-        client_server_->connections() == 0 && client_handler_->in_flight() == 0;
+    const bool is_idle = client_server_->connections() == 0 &&
+                         client_server_->lingering_connections() == 0 &&
+                         client_handler_->in_flight() == 0;
     const bool is_deadline_passed = time_left <= duration::zero();
     if (is_idle || is_deadline_passed)
     {
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -117,6 +117,12 @@
         return connections_->size();
     }
 
+    // libmicrohttpd closes its connections by itself.
+    std::size_t lingering_connections() const override
+    {
+        return 0;
+    }
+
     void schedule_run() override
     {
         if (!is_run_scheduled_)
--- a/net/http_server.hpp
+++ b/net/http_server.hpp
@@ -103,6 +103,10 @@
 
     // Open connections, with or without a request.
     virtual std::size_t connections() const = 0;
+
+    // Ended connections that their clients have not closed yet: the last answers may
+    // still be on their way.
+    virtual std::size_t lingering_connections() const = 0;
 };
 
 } // namespace camphorrock
--- a/net/pipelined_connection.cpp
+++ b/net/pipelined_connection.cpp
@@ -319,7 +319,7 @@
         pending_answers_.pop_front();
         if (is_end)
         {
-            close();
+            end_answers();
             return;
         }
     }
@@ -357,7 +357,26 @@
 {
     const std::deque<std::shared_ptr<pending_answer>> left = pending_answers_;
     close();
-    for (const std::shared_ptr<pending_answer>& it : left)
+    report_disconnect(left);
+}
+
+// The operating system may still have to deliver the answers. Requests behind an aborted
+// answer get none.
+void pipelined_connection::end_answers()
+{
+    const std::shared_ptr<pipelined_connection> alive = shared_from_this();
+    const std::deque<std::shared_ptr<pending_answer>> left = pending_answers_;
+    if (const std::optional<int> fd = take_socket())
+    {
+        owner_.close_lingering(*fd);
+    }
+    report_disconnect(left);
+}
+
+void pipelined_connection::report_disconnect(
+    const std::deque<std::shared_ptr<pending_answer>>& requests)
+{
+    for (const std::shared_ptr<pending_answer>& it : requests)
     {
         if (const std::function<void()> report =
                 std::exchange(it->on_disconnect, nullptr))
@@ -368,17 +387,27 @@
 }
 
 void pipelined_connection::close()
+{
+    if (const std::optional<int> fd = take_socket())
+    {
+        ::close(*fd);
+    }
+}
+
+// Ends the connection without closing its descriptor. Empty if it has ended before.
+std::optional<int> pipelined_connection::take_socket()
 {
     if (fd_ < 0)
     {
-        return;
+        return std::nullopt;
     }
     const std::shared_ptr<pipelined_connection> alive = shared_from_this();
     read_watch_.reset();
     write_watch_.reset();
     pending_answers_.clear();
-    ::close(std::exchange(fd_, -1));
+    const int fd = std::exchange(fd_, -1);
     owner_.on_connection_closed(*this);
+    return fd;
 }
 
 void pipelined_connection::abort()
@@ -394,7 +423,7 @@
 {
     if (pending_answers_.empty() && !parser_.is_in_request())
     {
-        close();
+        end_answers();
     }
 }
 
@@ -404,10 +433,14 @@
         parser_.is_in_request() && now - request_started_ > options_.request_timeout;
     const bool is_idle = pending_answers_.empty() && !parser_.is_in_request() &&
                          now - last_active_ > options_.common.idle_timeout;
-    if (is_slow || is_idle)
+    if (is_slow)
     {
         disconnect();
     }
+    else if (is_idle)
+    {
+        end_answers();
+    }
 }
 
 } // namespace camphorrock
--- a/net/pipelined_connection.hpp
+++ b/net/pipelined_connection.hpp
@@ -12,6 +12,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace camphorrock
@@ -35,8 +36,12 @@
     // on_hangup() once the client closes its sending side.
     virtual void watch_hangup(pipelined_connection& it, int fd) = 0;
 
-    // Called once, when the connection has closed. The connection holds a reference to
-    // itself during the call.
+    // Takes ownership of a descriptor on which all answers were sent, and closes it as
+    // lingering_sockets does.
+    virtual void close_lingering(int fd) = 0;
+
+    // Called once, when the connection has closed or has no answers to send any more. The
+    // connection holds a reference to itself during the call.
     virtual void on_connection_closed(pipelined_connection& it) = 0;
 };
 
@@ -67,7 +72,7 @@
     void on_hangup();
 
     // Closes the connection if it has no request. Bytes that arrive at the same time are
-    // not read.
+    // discarded.
     void close_if_idle();
 
     // Closes the connection if it has been idle for longer than idle_timeout, or a
@@ -104,7 +109,11 @@
     void schedule_flush();
     bool send_bytes(std::string& bytes);
     void disconnect();
+    void end_answers();
+    static void
+    report_disconnect(const std::deque<std::shared_ptr<pending_answer>>& requests);
     void close();
+    std::optional<int> take_socket();
 
     event_loop& loop_;
     int fd_;
--- a/net/pipelined_server.cpp
+++ b/net/pipelined_server.cpp
@@ -1,6 +1,7 @@
 #include "net/pipelined_server.hpp"
 
 #include "net/hangup_watch.hpp"
+#include "net/lingering_sockets.hpp"
 #include "net/pipelined_connection.hpp"
 #include "net/tcp_acceptor.hpp"
 
@@ -27,7 +28,8 @@
     pipelined_http_server(event_loop& loop,
                           pipelined_server_options options,
                           http_handler& handler)
-        : loop_(loop), options_(std::move(options)), handler_(handler)
+        : loop_(loop), options_(std::move(options)), handler_(handler),
+          lingering_(loop, options_.linger_timeout)
     {
     }
 
@@ -92,6 +94,11 @@
         return connections_.size();
     }
 
+    std::size_t lingering_connections() const override
+    {
+        return lingering_.size();
+    }
+
     void handle(http_request request, std::shared_ptr<http_responder> responder) override
     {
         handler_.handle(std::move(request), std::move(responder));
@@ -109,6 +116,11 @@
         hangup_watch_->add(fd, id);
     }
 
+    void close_lingering(int fd) override
+    {
+        lingering_.add(fd);
+    }
+
     void on_connection_closed(pipelined_connection& it) override
     {
         connections_.erase(&it);
@@ -128,7 +140,7 @@
 
     void add(int fd)
     {
-        if (connections_.size() >= options_.common.max_connections)
+        if (connections_.size() + lingering_.size() >= options_.common.max_connections)
         {
             ::close(fd);
             return;
@@ -172,6 +184,7 @@
     std::unordered_map<std::uint64_t, std::weak_ptr<pipelined_connection>>
         hangup_watched_;
     std::uint64_t last_hangup_id_ = 0;
+    lingering_sockets lingering_;
     std::unique_ptr<tcp_acceptor> acceptor_;
     timer_handle sweep_;
     bool closes_after_answers_ = false;
--- a/net/pipelined_server.hpp
+++ b/net/pipelined_server.hpp
@@ -8,7 +8,8 @@
 // A connection is not read while it has `max_pipelined` or more unanswered requests; one
 // read may exceed that number. An answer that closes the connection is the last that is
 // sent on it: with close_after_answers(), the answer to the last request that was passed
-// to the handler.
+// to the handler. An ended connection is closed once its client closes it, so that
+// answers on their way are not lost (net/lingering_sockets.hpp).
 
 #include "net/http_server.hpp"
 
@@ -20,6 +21,8 @@
     http_server_options common;
     std::size_t max_pipelined = 32;
     seconds request_timeout = seconds(10); // from a request's first byte to its last
+    // How long a client may take to close a connection that the server has ended.
+    seconds linger_timeout = seconds(10);
 };
 
 // Listens at once. Fails with error_code::io if the address cannot be bound. `loop` and
--- a/net/testing/pipelined_server_test.cpp
+++ b/net/testing/pipelined_server_test.cpp
@@ -11,7 +11,7 @@
 // Holds each responder until the test answers.
 struct pipelined_fixture
 {
-    pipelined_fixture()
+    explicit pipelined_fixture(seconds idle_timeout = seconds(60))
         : loop(event_loop::create().value()),
           handler(
               [this](const http_request&, std::shared_ptr<http_responder> responder)
@@ -24,6 +24,7 @@
         pipelined_server_options options;
         options.common.address = endpoint("127.0.0.1:0");
         options.max_pipelined = 3;
+        options.common.idle_timeout = idle_timeout;
         server = create_pipelined_server(*loop, options, handler).value();
     }
 
@@ -51,6 +52,25 @@
         return got;
     }
 
+    // Runs the loop for a while.
+    void run_for(duration time)
+    {
+        const timer_handle end = loop->after(time, [this] { loop->stop(); });
+        loop->run();
+    }
+
+    std::string read_to_end(raw_peer& peer)
+    {
+        std::string got;
+        run_until(
+            [&]
+            {
+                got += peer.read_some();
+                return peer.is_ended();
+            });
+        return got;
+    }
+
     std::unique_ptr<event_loop> loop;
     std::vector<std::shared_ptr<http_responder>> held;
     std::vector<std::size_t> disconnected;
@@ -152,6 +172,55 @@
     CHECK(got.ends_with("second"));
 }
 
+// Guards against answers that are lost (LOST): a connection that is closed at once resets
+// when its client sends further requests, and what was not delivered yet is discarded.
+TEST_CASE("answers that are on their way survive the close of their connection")
+{
+    constexpr int small_window = 4096;
+    constexpr std::size_t large_bytes = 200000; // more than the client's window
+    constexpr seconds idle_timeout(1);
+    pipelined_fixture it(idle_timeout);
+    raw_peer peer(it.server->bound(), small_window);
+    const std::string large = std::string(large_bytes, 'x') + "end of ";
+    peer.send(get + get);
+    it.run_until([&] { return it.held.size() == 2; });
+    it.answer(0, large + "first");
+
+    SECTION("after the last answer of a server that drains")
+    {
+        it.server->close_after_answers();
+        it.answer(1, large + "second");
+    }
+    SECTION("after an answer that is aborted")
+    {
+        it.held[1]->abort();
+        it.held[1].reset();
+    }
+    SECTION("after a request that is refused")
+    {
+        it.answer(1, large + "second");
+        peer.send("GET / HTTP/1.1\r\nHost: x\nOne: 1\r\n\r\n");
+    }
+    SECTION("after close_idle")
+    {
+        it.answer(1, large + "second");
+        it.run_until([&] { return it.server->in_flight() == 0; });
+        it.server->close_idle();
+    }
+    SECTION("after the idle timeout")
+    {
+        it.answer(1, large + "second");
+        it.run_for(idle_timeout + seconds(2));
+    }
+    it.run_until([&] { return it.server->in_flight() == 0; });
+    peer.send(get + get);
+    it.run_for(milliseconds(20));
+    const std::string got = it.read_to_end(peer);
+    CHECK(got.find("end of first") != std::string::npos);
+    CHECK((it.held[1] == nullptr || got.find("end of second") != std::string::npos));
+    CHECK(it.held.size() == 2);
+}
+
 TEST_CASE("close_idle keeps connections with requests")
 {
     pipelined_fixture it;
--- a/net/testing/raw_peer.hpp
+++ b/net/testing/raw_peer.hpp
@@ -21,10 +21,17 @@
 class raw_peer
 {
 public:
-    explicit raw_peer(const endpoint& to)
+    // Receives at most about `receive_window` bytes that were not read yet; zero: as many
+    // as the operating system chooses.
+    explicit raw_peer(const endpoint& to, int receive_window = 0)
     {
         const socket_address at = parse_address(to).value();
         fd_ = socket(at.storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (receive_window > 0)
+        {
+            setsockopt(
+                fd_, SOL_SOCKET, SO_RCVBUF, &receive_window, sizeof receive_window);
+        }
         is_connected_ = connect(fd_, at.raw(), at.size) == 0;
     }
 
