Two attempts of a request never share a connection (REFUSED)

Cause: the attempt after a 421 went to the same server on the same connection under the same Request-Id. A late copy of the 421 was taken for the answer to the second attempt; ids tell only different requests apart.

Change: an attempt at an address that was tried before opens a new connection, on which only its own answer can come. Addresses count, not ids: two servers may have had one address.

--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -17,6 +17,7 @@
 //   - a request goes by another gateway if this one cannot reach its server, but not if a
 //   server may have run it and it is not repeatable, nor if another gateway has forwarded
 //   it;
+//   - two attempts of a request never use the same connection to a server;
 //   - a request does not wait if the expected answer or the next owner of its key is
 //     already known to come too late.
 
@@ -155,6 +156,7 @@
     bool is_token_missing() const;
     void release_token();
     void send_to(const server_choice& to);
+    connection_choice connection_for(const endpoint& to) const;
     std::function<bool(const http_response&)> own_answer_check() const;
     http_request make_upstream_request(const server_choice& to, duration time_left) const;
     void on_exchange_end(const exchange_result& got);
@@ -236,6 +238,7 @@
     server_choice sent_to_;                          // of the last attempt
     time_point sent_at_{};                           // of the last attempt
     std::vector<server_id> tried_;                   // one for each attempt, in order
+    std::vector<endpoint> tried_addresses_;          // the same, their addresses
     key_owner sent_to_owner_;                        // of the last attempt with a key
     std::optional<owner_refusal> refusal_;           // the last one, if any
     unsigned possible_runs_ = 0;    // attempts that may have run the request
