An order's answer is taken for that of no other order (OWNER)

Orders had no id, so a late copy of the answer to a grant ended a release; a copy of a 409, 421 or 400 refused a later grant, and its keys counted as free before its hold had run out.

Change: each order bears a Request-Id, and an answer that names another order is skipped. For servers that name none, a release has a connection to itself, and no connection is used on after a refusal.

--- a/gateway/order_sender.hpp
+++ b/gateway/order_sender.hpp
@@ -1,12 +1,21 @@
 #pragma once
 
 // Sends the assigner's orders to servers over HTTP.
+//
+// A server may write an answer once more, late, where the answer to a later order is
+// expected. So each order has an id, and an answer that names another one is skipped. As
+// answers need not name an order, none may be taken for another that means more: a
+// release has a connection to itself, and no connection is used on after a refusal. What
+// is left is an accepted grant's answer that is taken for that to a later grant.
 
 #include "core/gateway/owners/key_orders.hpp"
 #include "gateway/gateway_codec.hpp"
 #include "net/http_client.hpp"
 
+#include <cstdint>
 #include <functional>
+#include <string>
+#include <string_view>
 
 namespace camphorrock
 {
@@ -29,8 +38,13 @@
     void send(const key_order& order, callback done);
 
 private:
+    order_result read_result(const exchange_result& got,
+                             std::string_view id_header,
+                             const std::string& id) const;
+
     http_client& http_;
     const gateway_codec& codec_;
+    std::uint64_t last_number_ = 0; // of an order
 };
 
 } // namespace camphorrock
