--- a/ctl/request_trace.cpp
+++ b/ctl/request_trace.cpp
@@ -39,6 +39,7 @@
 
 constexpr reason_text reason_texts[] = {
     {"no_route", "no route of the configuration in force matches it"},
+    {"stopping", "it came while the gateway was about to end"},
     {"no_config", "the gateway had no configuration yet"},
     {"route_unreadable", "the route could not be read; see config_part_unreadable"},
     {"no_key", "it names no key, and its service is keyed"},
--- a/gateway/client_handler.cpp
+++ b/gateway/client_handler.cpp
@@ -1,7 +1,5 @@
 #include "gateway/client_handler.hpp"
 
-#include <vector>
-
 namespace camphorrock
 {
 
@@ -52,11 +50,25 @@
     made->start();
 }
 
+void client_handler::answer_all_by(time_point when)
+{
+    context_.answer_by = when;
+    for (const std::shared_ptr<request_relay>& it : all())
+    {
+        it->answer_by(when);
+    }
+}
+
+// A copy, since a relay may end while the caller iterates.
+std::vector<std::shared_ptr<request_relay>> client_handler::all() const
+{
+    return {relays_.begin(), relays_.end()};
+}
+
 void client_handler::notify_relays()
 {
     is_notify_posted_ = false;
-    const std::vector<std::shared_ptr<request_relay>> all(relays_.begin(), relays_.end());
-    for (const std::shared_ptr<request_relay>& it : all)
+    for (const std::shared_ptr<request_relay>& it : all())
     {
         it->on_state_changed();
     }
@@ -74,8 +86,7 @@
     {
         context_.http.drop_connections(server.entry.address);
     }
-    const std::vector<std::shared_ptr<request_relay>> all(relays_.begin(), relays_.end());
-    for (const std::shared_ptr<request_relay>& it : all)
+    for (const std::shared_ptr<request_relay>& it : all())
     {
         it->on_links_lost();
     }
--- a/gateway/client_handler.hpp
+++ b/gateway/client_handler.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_set>
+#include <vector>
 
 namespace camphorrock
 {
@@ -28,6 +29,15 @@
                           std::shared_ptr<http_responder> responder,
                           const forward_terms& terms);
 
+    // Answers each request by `when` at the latest, also those in flight.
+    void answer_all_by(time_point when);
+
+    // Answers requests that arrive from now on at once, as not run.
+    void refuse_requests()
+    {
+        context_.refuses_requests = true;
+    }
+
     // Requests that have not ended, forwarded ones included.
     std::size_t in_flight() const
     {
@@ -45,6 +55,7 @@
                std::optional<forward_terms> forwarded);
     void notify_relays();
     void on_links_changed();
+    std::vector<std::shared_ptr<request_relay>> all() const;
 
     relay_context& context_;
     std::unordered_set<std::shared_ptr<request_relay>> relays_;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -12,11 +12,6 @@
 namespace
 {
 
-constexpr duration stop_check_period = milliseconds(50);
-// How long requests are still accepted after SIGTERM, so that the load balancer can
-// direct new clients elsewhere. Requests accepted by then can be answered before the
-// exit.
-constexpr duration drain_accept_time = milliseconds(2600);
 constexpr duration server_unresponsive_limit = milliseconds(1500);
 constexpr duration store_unresponsive_limit = milliseconds(3000);
 // From a change of the fleet until the gateways that watch the store are chosen anew.
@@ -120,6 +115,7 @@
 gateway::~gateway()
 {
     // The servers that accept requests go first, then the components that process them.
+    stop_.reset();
     client_server_.reset();
     peer_server_.reset();
     ready_server_.reset();
@@ -320,44 +316,26 @@
 
 bool gateway::is_ready() const
 {
-    return !is_stopping_ && directory_agent_->is_loaded() &&
+    return !is_stopping() && directory_agent_->is_loaded() &&
            key_agent_->has_assignments();
 }
 
 void gateway::stop()
 {
-    if (is_stopping_)
+    if (is_stopping())
     {
         return;
     }
-    is_stopping_ = true;
-    stop_deadline_ = loop_->now() + settings_.stop_limit;
     log_.events().write(event_id::program_stopping,
                         {{"in_flight", client_handler_->in_flight()},
                          {"connections", client_server_->connections()}});
     key_agent_->shut_down();
     forward_handler_->stop();
-    client_server_->close_after_answers();
-    stop_check_timer_ = loop_->every(stop_check_period, [this] { check_drained(); });
-}
-
-void gateway::check_drained()
-{
-    const duration time_left = stop_deadline_ - loop_->now();
-    if (time_left > settings_.stop_limit - drain_accept_time)
-    {
-        return;
-    }
-    client_server_->stop_accepting();
-    client_server_->close_idle();
-    const bool is_idle = client_server_->connections() == 0 &&
-                         client_server_->lingering_connections() == 0 &&
-                         client_handler_->in_flight() == 0;
-    const bool is_deadline_passed = time_left <= duration::zero();
-    if (is_idle || is_deadline_passed)
-    {
-        loop_->stop();
-    }
+    stop_ = std::make_unique<gateway_stop>(*loop_,
+                                           *client_server_,
+                                           *client_handler_,
+                                           settings_.stop_limit,
+                                           [this] { loop_->stop(); });
 }
 
 } // namespace camphorrock
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -3,9 +3,8 @@
 // A gateway: one process on an entry instance. It accepts clients' requests, relays each
 // to a server, and acts as the assigner of keys while it is elected.
 //
-// On SIGTERM the gateway reports itself not ready at once. It still accepts requests for
-// a while, and closes each connection after its answer. Then it closes idle connections
-// and accepts no more. It exits when no connection is left, or after `stop_limit`.
+// On SIGTERM the gateway reports itself not ready at once, and exits when its clients are
+// served, after `stop_limit` at the latest (gateway_stop.hpp).
 
 #include "app/admin_server.hpp"
 #include "app/command_line.hpp"
@@ -16,6 +15,7 @@
 #include "gateway/gateway_log.hpp"
 #include "gateway/gateway_settings.hpp"
 #include "gateway/gateway_state.hpp"
+#include "gateway/gateway_stop.hpp"
 #include "gateway/key_agent.hpp"
 #include "gateway/link_agent.hpp"
 #include "gateway/load_agent.hpp"
@@ -74,7 +74,10 @@
     void keep_verdicts();
     result<Json::Value> lift_verdict(const Json::Value& params);
     void stop();
-    void check_drained();
+    bool is_stopping() const
+    {
+        return stop_ != nullptr;
+    }
 
     const gateway_settings& settings_;
     const gateway_codec& codec_;
@@ -104,10 +107,8 @@
     std::unique_ptr<admin_server> admin_;
     std::unique_ptr<loop_monitor> loop_monitor_;
     std::vector<watch_handle> signal_handles_;
-    timer_handle stop_check_timer_;
-    timer_handle watch_sources_timer_; // empty: none is due
-    time_point stop_deadline_{};
-    bool is_stopping_ = false;
+    timer_handle watch_sources_timer_;   // empty: none is due
+    std::unique_ptr<gateway_stop> stop_; // null until SIGTERM
 };
 
 } // namespace camphorrock
--- a/gateway/local_answer.cpp
+++ b/gateway/local_answer.cpp
@@ -13,8 +13,9 @@
 constexpr int bad_gateway = 502;
 constexpr int gateway_timeout = 504;
 
-constexpr enum_names<local_answer_reason, 17> names{{{
+constexpr enum_names<local_answer_reason, 18> names{{{
     {local_answer_reason::no_route, "no_route"},
+    {local_answer_reason::stopping, "stopping"},
     {local_answer_reason::no_config, "no_config"},
     {local_answer_reason::route_unreadable, "route_unreadable"},
     {local_answer_reason::no_key, "no_key"},
@@ -47,6 +48,7 @@
     case local_answer_reason::crashes_servers:
     case local_answer_reason::bad_answer:
         return bad_gateway;
+    case local_answer_reason::stopping:
     case local_answer_reason::no_config:
     case local_answer_reason::route_unreadable:
     case local_answer_reason::no_server:
--- a/gateway/local_answer.hpp
+++ b/gateway/local_answer.hpp
@@ -16,6 +16,7 @@
 enum class local_answer_reason
 {
     no_route,         // the configuration has no route for the host and path
+    stopping,         // this gateway stops, and the request came too late
     no_config,        // this gateway has no configuration yet
     route_unreadable, // the route's destination or timeout could not be read
     no_key,           // the service is keyed and the request has no valid key
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -56,15 +56,29 @@
         context_.log.forward_taken({request_id_, route_.name, service_},
                                    route_.max_attempts);
     }
+    start_deadline_timer();
+    try_send();
+}
+
+void request_relay::start_deadline_timer()
+{
     deadline_timer_ = context_.loop.at(deadline_,
-                                       [weak]
+                                       [weak = weak_from_this()]
                                        {
                                            if (const auto self = weak.lock())
                                            {
                                                self->on_deadline();
                                            }
                                        });
-    try_send();
+}
+
+void request_relay::answer_by(time_point when)
+{
+    if (!is_ended_ && when < deadline_)
+    {
+        deadline_ = when;
+        start_deadline_timer();
+    }
 }
 
 // Finds the request's route, service, deadline and key. Returns false if it has answered
@@ -78,6 +92,11 @@
         decline(forward_end::behind);
         return false;
     }
+    if (context_.refuses_requests)
+    {
+        answer_locally(local_answer_reason::stopping);
+        return false;
+    }
     if (!context_.state.has_config())
     {
         answer_locally(local_answer_reason::no_config);
@@ -115,6 +134,7 @@
         const time_point client_deadline = arrived_ + milliseconds(*remaining_ms);
         deadline_ = std::min(deadline_, client_deadline - answer_margin);
     }
+    deadline_ = std::min(deadline_, context_.answer_by);
     if (service->config.is_keyed)
     {
         const std::optional<unsigned> key =
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -61,6 +61,8 @@
     crash_agent* crashes = nullptr;            // null: crashes of servers are not noted
     link_agent* links = nullptr;               // null: links to servers are not watched
     peer_agent* peers = nullptr;               // null: nothing is forwarded
+    time_point answer_by = time_point::max();  // all requests are answered by then
+    bool refuses_requests = false;             // that arrive from now on
 };
 
 class request_relay : public std::enable_shared_from_this<request_relay>
@@ -86,6 +88,9 @@
     // request that is in flight at one goes by another gateway.
     void on_links_lost();
 
+    // Moves the deadline to `when`, if that is earlier.
+    void answer_by(time_point when);
+
     const std::string& request_id() const
     {
         return request_id_;
@@ -197,6 +202,7 @@
     void finish_forward(forward_end how, http_response answer);
     void decline(forward_end reason);
     void wait_for_owner();
+    void start_deadline_timer();
     void on_deadline();
     bool cancel_attempt();
     void on_client_left(bool is_noticed_late);
