--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -19,6 +19,8 @@
 constexpr long connections_per_server = 24;
 constexpr seconds client_idle_timeout = seconds(60);
 constexpr std::size_t max_client_body_bytes = std::size_t{64} << 20;
+// The rest is for the program itself, and for buffers that are larger than their content.
+constexpr std::size_t message_memory_divisor = 2;
 constexpr std::size_t max_call_body_bytes = std::size_t{4} << 20;
 // The targets of forwarded requests are longer.
 constexpr std::size_t extra_peer_header_bytes = 128;
@@ -134,7 +136,10 @@
 result<void> gateway::open(const store_factory& make_store)
 {
     BOOST_LEAF_ASSIGN(loop_, event_loop::create());
+    memory_ =
+        memory_budget::create(*loop_, settings_.memory_bytes / message_memory_divisor);
     http_client_options server_options;
+    server_options.memory = memory_;
     server_options.max_connections_per_endpoint = connections_per_server;
     server_options.ack_timeout = server_unresponsive_limit;
     server_options.resets_on_close = true;
@@ -257,6 +262,7 @@
     client_options.common.address = settings_.listen;
     client_options.common.max_body_bytes = max_client_body_bytes;
     client_options.common.idle_timeout = client_idle_timeout;
+    client_options.memory = memory_;
     BOOST_LEAF_ASSIGN(client_server_,
                       create_pipelined_server(*loop_, client_options, *client_handler_));
     pipelined_server_options ready_options;
@@ -267,6 +273,7 @@
     peer_options.common.address = settings_.peer;
     peer_options.common.max_header_bytes += extra_peer_header_bytes;
     peer_options.common.max_body_bytes = max_client_body_bytes;
+    peer_options.memory = memory_;
     BOOST_LEAF_ASSIGN(peer_server_,
                       create_pipelined_server(*loop_, peer_options, *peer_handler_));
     open_metrics();
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -84,6 +84,7 @@
     metrics_registry metrics_;
     gateway_log log_;
     std::unique_ptr<event_loop> loop_;
+    std::shared_ptr<memory_budget> memory_;     // of all messages together
     std::unique_ptr<http_client> server_http_;  // requests to servers
     std::unique_ptr<http_client> control_http_; // store, orders, other gateways
     std::unique_ptr<store_client> store_;
--- a/gateway/gateway_settings.hpp
+++ b/gateway/gateway_settings.hpp
@@ -5,6 +5,7 @@
 #include "core/base/names.hpp"
 #include "core/base/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -21,7 +22,8 @@
     endpoint metrics; // for Prometheus; empty: no metrics are served
     endpoint store;   // the key-value service
     unsigned processor_percent = 100; // CPU limit of the process, in percent of one core
-    std::vector<endpoint> seeds;      // `ready` of other gateways; some may be down
+    std::size_t memory_bytes = std::size_t{256} << 20; // limit of the process
+    std::vector<endpoint> seeds; // `ready` of other gateways; some may be down
 
     duration stop_limit = seconds(5);    // longest time from SIGTERM to the exit
     double retry_ratio = 0.2;            // retries to a service, per request to it
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -29,6 +29,7 @@
     : context_(context), request_(std::move(request)), responder_(std::move(responder)),
       on_ended_(std::move(on_ended)), forwarded_(forwarded), arrived_(context.loop.now())
 {
+    request_.share_body();
 }
 
 void request_relay::start()
--- a/gateway/request_relay_crash.cpp
+++ b/gateway/request_relay_crash.cpp
@@ -26,7 +26,7 @@
         parts.host = request_.headers.find("Host").value_or("");
         parts.target = request_.target;
         parts.key = request_.headers.find(context_.codec.names().shard_key).value_or("");
-        parts.body = request_.body;
+        parts.body = request_.content();
         fingerprint_ = fingerprint_of(parts);
     }
     return *fingerprint_;
--- a/net/answer_reader.cpp
+++ b/net/answer_reader.cpp
@@ -27,8 +27,9 @@
 answer_reader::answer_reader(event_loop& loop,
                              int fd,
                              exchange_options options,
+                             memory_claim& memory,
                              callback done)
-    : fd_(fd), options_(std::move(options)), done_(std::move(done)),
+    : fd_(fd), options_(std::move(options)), memory_(memory), done_(std::move(done)),
       settings_(make_settings())
 {
     http_parser_init(&raw_, HTTP_RESPONSE);
@@ -110,6 +111,7 @@
 bool answer_reader::count_bytes(std::size_t n, std::size_t limit)
 {
     answer_bytes_ += n;
+    memory_.add(n);
     is_too_large_ = answer_bytes_ > limit;
     return !is_too_large_;
 }
@@ -118,6 +120,7 @@
 {
     answer_reader* self = self_of(raw);
     self->answer_ = {};
+    self->memory_.set(0);
     self->header_name_.clear();
     self->header_value_.clear();
     self->is_in_value_ = false;
--- a/net/answer_reader.hpp
+++ b/net/answer_reader.hpp
@@ -26,9 +26,14 @@
 public:
     using callback = std::function<void(exchange_result)>;
 
-    // Takes over the socket `fd`, and closes it in the end. `loop` must outlive the
-    // reader. `options.is_own_answer` must not be empty; the time limits are not used.
-    answer_reader(event_loop& loop, int fd, exchange_options options, callback done);
+    // Takes over the socket `fd`, and closes it in the end. Counts the answer's bytes in
+    // `memory`. `loop` and `memory` must outlive the reader. `options.is_own_answer` must
+    // not be empty; the time limits are not used.
+    answer_reader(event_loop& loop,
+                  int fd,
+                  exchange_options options,
+                  memory_claim& memory,
+                  callback done);
     answer_reader(const answer_reader&) = delete;
     answer_reader& operator=(const answer_reader&) = delete;
     ~answer_reader();
@@ -50,6 +55,7 @@
 
     int fd_;
     exchange_options options_;
+    memory_claim& memory_;
     callback done_; // empty after the call
     http_parser raw_{};
     http_parser_settings settings_;
--- a/net/curl_exchange.cpp
+++ b/net/curl_exchange.cpp
@@ -106,9 +106,10 @@
 curl_exchange::curl_exchange(exchange_id id,
                              curl_easy easy,
                              http_request request,
-                             exchange_options options)
+                             exchange_options options,
+                             memory_claim& memory)
     : id_(id), easy_(std::move(easy)), request_(std::move(request)),
-      options_(std::move(options))
+      options_(std::move(options)), memory_(&memory)
 {
 }
 
@@ -183,13 +184,13 @@
     }
     // POST, PUT and PATCH state a length even if the body is empty.
     const bool has_length = method == "POST" || method == "PUT" || method == "PATCH";
-    if (has_length || !request_.body.empty())
+    if (has_length || !request_.content().empty())
     {
         curl_easy_setopt(easy, CURLOPT_POST, 1L);
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request_.body.data());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request_.content().data());
         curl_easy_setopt(easy,
                          CURLOPT_POSTFIELDSIZE_LARGE,
-                         static_cast<curl_off_t>(request_.body.size()));
+                         static_cast<curl_off_t>(request_.content().size()));
     }
     else
     {
@@ -405,6 +406,7 @@
 bool curl_exchange::count_answer_bytes(std::size_t n)
 {
     answer_bytes_ += n;
+    memory_->add(n);
     is_too_large_ = answer_bytes_ > options_.max_answer_bytes;
     return !is_too_large_;
 }
--- a/net/curl_exchange.hpp
+++ b/net/curl_exchange.hpp
@@ -8,6 +8,7 @@
 // `connection_lost`, unless no byte of the first attempt had been sent.
 
 #include "net/http_client.hpp"
+#include "net/memory_budget.hpp"
 
 #include <curl/curl.h>
 
@@ -50,11 +51,13 @@
 public:
     using piece_callback = std::function<void(std::string_view)>;
 
-    // `easy` is new or has been reset. The exchange must not move after set_options().
+    // `easy` is new or has been reset. Counts the answer's bytes in `memory`, which must
+    // outlive the exchange. The exchange must not move after set_options().
     curl_exchange(exchange_id id,
                   curl_easy easy,
                   http_request request,
-                  exchange_options options);
+                  exchange_options options,
+                  memory_claim& memory);
 
     ~curl_exchange();
     curl_exchange(const curl_exchange&) = delete;
@@ -155,6 +158,7 @@
     curl_list headers_;
     http_request request_;
     exchange_options options_;
+    memory_claim* memory_;
     endpoint_connections* connections_ = nullptr;
     const http_client_options* client_ = nullptr;
     std::function<void()> on_stored_piece_;
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -36,6 +36,7 @@
 // An exchange and the client's state for it.
 struct client_exchange
 {
+    std::unique_ptr<memory_claim> memory; // of the answer
     curl_exchange curl;
     endpoint to;
     std::shared_ptr<endpoint_connections> connections; // of the endpoint
@@ -187,15 +188,19 @@
             end_unstarted(id, std::move(done));
             return id;
         }
-        auto made = std::unique_ptr<client_exchange>(
-            new client_exchange{{id, acquire_handle(), std::move(request), options},
-                                to,
-                                connections_of(to),
-                                nullptr,
-                                std::move(done),
-                                std::move(on_piece),
-                                loop_.now(),
-                                {}});
+        auto memory =
+            std::make_unique<memory_claim>(options_.memory, [this, id] { evict(id); });
+        memory_claim& claim = *memory;
+        auto made = std::unique_ptr<client_exchange>(new client_exchange{
+            std::move(memory),
+            {id, acquire_handle(), std::move(request), options, claim},
+            to,
+            connections_of(to),
+            nullptr,
+            std::move(done),
+            std::move(on_piece),
+            loop_.now(),
+            {}});
         std::function<void()> stored;
         if (made->on_piece)
         {
@@ -268,6 +273,7 @@
             std::make_unique<answer_reader>(loop_,
                                             socket,
                                             it.curl.options(),
+                                            *it.memory,
                                             [this, id = it.curl.id()](exchange_result got)
                                             { finish(id, std::move(got)); });
     }
@@ -421,6 +427,14 @@
         }
     }
 
+    // Ends an exchange whose answer takes too much of the memory budget.
+    void evict(exchange_id id)
+    {
+        exchange_result given_up;
+        given_up.end = exchange_end::too_large;
+        finish(id, std::move(given_up));
+    }
+
     void deliver_pieces(exchange_id id)
     {
         auto it = exchanges_.find(id.value);
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -16,6 +16,7 @@
 #include "net/endpoint_connections.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_message.hpp"
+#include "net/memory_budget.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -37,7 +38,8 @@
     withdrawn,             // exchange_options::is_wanted returned false
     timed_out,             // the time ran out after bytes were sent
     connection_lost,       // the connection broke after bytes were sent, or in the answer
-    too_large,             // the answer exceeded max_answer_bytes or max_head_bytes
+    too_large, // the answer exceeded max_answer_bytes, max_head_bytes or the memory
+               // budget
 };
 
 // "answered", "not_connected", ...; "cut" for connection_lost.
@@ -106,6 +108,9 @@
     // drop_connections() is called for them. Not for clients that call
     // limit_connections(): idle connections of a shared pool are closed late.
     bool shares_pool = false;
+    // Counts answers as they arrive. If it is exceeded, the exchange of a large answer
+    // ends as too_large. Null: only exchange_options::max_answer_bytes bounds them.
+    std::shared_ptr<memory_budget> memory{};
 };
 
 class http_client
--- a/net/http_message.hpp
+++ b/net/http_message.hpp
@@ -5,14 +5,18 @@
 // client both limit the size that they accept. Streamed answers are passed in pieces by
 // http_responder and http_client::stream().
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace camphorrock
 {
 
+class memory_claim;
+
 struct http_header
 {
     std::string name;
@@ -57,6 +61,21 @@
     std::string target; // path and query as sent, still percent-encoded: "/a/b?c=d"
     http_headers headers;
     std::string body;
+    // The body instead, if copies of the request share it; `body` is empty then.
+    std::shared_ptr<const std::string> shared_body{};
+    // What the body takes of a memory budget, until the last copy is gone. May be null.
+    std::shared_ptr<const memory_claim> body_memory{};
+
+    const std::string& content() const
+    {
+        return shared_body ? *shared_body : body;
+    }
+
+    // Makes copies of the request, which it is for, share the body.
+    void share_body()
+    {
+        shared_body = std::make_shared<const std::string>(std::exchange(body, {}));
+    }
 };
 
 struct http_response
--- a/net/pipelined_connection.cpp
+++ b/net/pipelined_connection.cpp
@@ -1,6 +1,7 @@
 #include "net/pipelined_connection.hpp"
 
 #include "net/answer_text.hpp"
+#include "net/http_status.hpp"
 #include "net/peer_closed.hpp"
 
 #include <sys/socket.h>
@@ -17,6 +18,7 @@
 
 constexpr std::size_t read_buffer_bytes = std::size_t{16} * 1024;
 constexpr std::size_t max_unsent_bytes = std::size_t{16} * 1024 * 1024;
+constexpr const char* refusal_retry_after = "1"; // in seconds
 
 } // namespace
 
@@ -64,6 +66,7 @@
             return;
         }
         append_chunk(pending_->bytes, piece);
+        it->count_unsent();
         pending_->is_aborted = pending_->bytes.size() > max_unsent_bytes;
         pending_->is_complete = pending_->is_aborted;
         it->schedule_flush();
@@ -130,8 +133,9 @@
                                            const pipelined_server_options& options,
                                            pipelined_owner& owner)
     : loop_(loop), fd_(fd), options_(options), owner_(owner),
-      parser_({options.common.max_header_bytes, options.common.max_body_bytes}),
-      last_active_(loop.now())
+      parser_({options.common.max_header_bytes, options.common.max_body_bytes},
+              options.memory),
+      unsent_(options.memory, [this] { disconnect(); }), last_active_(loop.now())
 {
 }
 
@@ -253,6 +257,10 @@
     http_response made;
     made.status = why.status;
     made.headers.add("Content-Type", "text/plain");
+    if (why.status == http_status::unavailable)
+    {
+        made.headers.add("Retry-After", refusal_retry_after);
+    }
     made.body = why.text + "\n";
     answer(*pending, made);
 }
@@ -268,6 +276,7 @@
     }
     append_answer(it.bytes, response, it.is_head, it.is_last);
     it.is_complete = true;
+    count_unsent();
     schedule_flush();
 }
 
@@ -295,8 +304,25 @@
     }
 }
 
-// Sends the answers in order, up to the first that is incomplete.
 void pipelined_connection::flush()
+{
+    const std::shared_ptr<pipelined_connection> alive = shared_from_this();
+    send_answers();
+    count_unsent();
+}
+
+void pipelined_connection::count_unsent()
+{
+    std::size_t sum = 0;
+    for (const std::shared_ptr<pending_answer>& it : pending_answers_)
+    {
+        sum += it->bytes.size();
+    }
+    unsent_.set(sum);
+}
+
+// Sends the answers in order, up to the first that is incomplete.
+void pipelined_connection::send_answers()
 {
     write_watch_.reset();
     if (fd_ < 0 || !send_bytes(interim_bytes_))
--- a/net/pipelined_connection.hpp
+++ b/net/pipelined_connection.hpp
@@ -106,6 +106,8 @@
     void answer(pending_answer& it, const http_response& response);
     void begin_stream(pending_answer& it, const http_response& response);
     void flush();
+    void send_answers();
+    void count_unsent();
     void schedule_flush();
     bool send_bytes(std::string& bytes);
     void disconnect();
@@ -122,6 +124,7 @@
     request_parser parser_;
     std::deque<std::shared_ptr<pending_answer>> pending_answers_;
     std::string interim_bytes_;    // bytes of interim answers (1xx)
+    memory_claim unsent_;          // of the answers
     bool accepts_requests_ = true; // false after the last request of the connection
     bool is_flush_scheduled_ = false;
     bool is_hangup_watched_ = false;
--- a/net/pipelined_server.hpp
+++ b/net/pipelined_server.hpp
@@ -12,6 +12,7 @@
 // answers on their way are not lost (net/lingering_sockets.hpp).
 
 #include "net/http_server.hpp"
+#include "net/memory_budget.hpp"
 
 namespace camphorrock
 {
@@ -23,6 +24,10 @@
     seconds request_timeout = seconds(10); // from a request's first byte to its last
     // How long a client may take to close a connection that the server has ended.
     seconds linger_timeout = seconds(10);
+    // Counts bodies of requests, and answers that were not sent yet. If it is exceeded,
+    // new bodies are refused with 503, and a client that leaves much unread is cut off.
+    // Null: only max_body_bytes bounds them.
+    std::shared_ptr<memory_budget> memory{};
 };
 
 // Listens at once. Fails with error_code::io if the address cannot be bound. `loop` and
--- a/net/request_parser.cpp
+++ b/net/request_parser.cpp
@@ -4,6 +4,8 @@
 
 #include <strings.h>
 
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 namespace camphorrock
@@ -12,6 +14,7 @@
 {
 
 constexpr int stop_parsing = 1; // a callback's result that stops the parser
+constexpr std::uint64_t no_length = std::numeric_limits<std::uint64_t>::max();
 
 request_parser* self_of(http_parser* raw)
 {
@@ -20,8 +23,9 @@
 
 } // namespace
 
-request_parser::request_parser(request_bounds bounds)
-    : settings_(make_settings()), bounds_(bounds)
+request_parser::request_parser(request_bounds bounds,
+                               std::shared_ptr<memory_budget> memory)
+    : settings_(make_settings()), bounds_(bounds), memory_(std::move(memory))
 {
     http_parser_init(&raw_, HTTP_REQUEST);
     raw_.data = this;
@@ -92,6 +96,20 @@
     return stop_parsing;
 }
 
+bool request_parser::claim_body(std::size_t n)
+{
+    if (!body_memory_)
+    {
+        body_memory_ = std::make_shared<memory_claim>(memory_);
+    }
+    const bool has_room = body_memory_->try_add(n);
+    if (!has_room)
+    {
+        refuse(http_status::unavailable, "there is no memory for the body");
+    }
+    return has_room;
+}
+
 bool request_parser::count_header_bytes(std::size_t n)
 {
     header_bytes_ += n;
@@ -102,6 +120,7 @@
 {
     request_parser* self = self_of(raw);
     self->current_ = {};
+    self->body_memory_.reset();
     self->header_name_.clear();
     self->header_value_.clear();
     self->header_bytes_ = 0;
@@ -182,7 +201,17 @@
         self->refusal_ = why;
         return -1;
     }
-    const bool has_body = raw->content_length != 0 || (raw->flags & F_CHUNKED) != 0;
+    const bool is_chunked = (raw->flags & F_CHUNKED) != 0;
+    const std::size_t length = raw->content_length == no_length ? 0 : raw->content_length;
+    if (!is_chunked && length > 0)
+    {
+        if (!self->claim_body(length))
+        {
+            return -1;
+        }
+        request.body.reserve(length);
+    }
+    const bool has_body = is_chunked || raw->content_length != 0;
     const std::optional<std::string_view> expects = request.headers.find("Expect");
     self->wants_continue_ =
         has_body && expects &&
@@ -198,6 +227,11 @@
     {
         return self->refuse(http_status::content_too_large, "the body is too large");
     }
+    const bool is_chunked = (raw->flags & F_CHUNKED) != 0;
+    if (is_chunked && !self->claim_body(n))
+    {
+        return stop_parsing;
+    }
     body.append(data, n);
     return 0;
 }
@@ -209,6 +243,7 @@
     self->is_in_head_ = true;
     self->wants_continue_ = false;
     self->current_.is_last = http_should_keep_alive(raw) == 0;
+    self->current_.request.body_memory = std::move(self->body_memory_);
     (*self->on_request_)(std::exchange(self->current_, {}));
     return 0;
 }
--- a/net/request_parser.hpp
+++ b/net/request_parser.hpp
@@ -13,12 +13,14 @@
 // Memory: one incomplete request, within the bounds.
 
 #include "net/http_message.hpp"
+#include "net/memory_budget.hpp"
 #include "net/request_check.hpp"
 
 #include <http_parser.h>
 
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -37,7 +39,10 @@
 public:
     using request_callback = std::function<void(parsed_request)>;
 
-    explicit request_parser(request_bounds bounds);
+    // Counts bodies in `memory`, which may be null, from their head on if they state
+    // their length. A body for which there is no memory is refused with 503.
+    explicit request_parser(request_bounds bounds,
+                            std::shared_ptr<memory_budget> memory = {});
     request_parser(const request_parser&) = delete;
     request_parser& operator=(const request_parser&) = delete;
 
@@ -71,6 +76,7 @@
     static http_parser_settings make_settings();
 
     int refuse(int status, const char* text);
+    bool claim_body(std::size_t n);
     bool count_header_bytes(std::size_t n);
     void finish_header();
     bool has_bare_line_feed(std::string_view bytes);
@@ -78,6 +84,8 @@
     http_parser raw_{};
     http_parser_settings settings_;
     request_bounds bounds_;
+    std::shared_ptr<memory_budget> memory_;
+    std::shared_ptr<memory_claim> body_memory_; // of the current request
     const request_callback* on_request_ = nullptr;
     parsed_request current_;
     std::string header_name_;
