--- a/net/request_parser.cpp
+++ b/net/request_parser.cpp
@@ -16,6 +16,12 @@
 constexpr int stop_parsing = 1; // a callback's result that stops the parser
 constexpr std::uint64_t no_length = std::numeric_limits<std::uint64_t>::max();
 
+// How much of the "\r\n\r\n" at the end of a head the last bytes are.
+constexpr unsigned after_return = 1;
+constexpr unsigned after_line = 2;
+constexpr unsigned after_second_return = 3;
+constexpr unsigned after_blank_line = 4;
+
 request_parser* self_of(http_parser* raw)
 {
     return static_cast<request_parser*>(raw->data);
@@ -47,42 +53,73 @@
 
 void request_parser::feed(std::string_view bytes, const request_callback& on_request)
 {
-    if (refusal_ || bytes.empty())
+    on_request_ = &on_request;
+    while (!refusal_ && !bytes.empty())
     {
-        return;
+        bytes.remove_prefix(parse_part(bytes));
     }
-    if (is_in_head_ && has_bare_line_feed(bytes))
+    on_request_ = nullptr;
+}
+
+// Parses a part of one request: up to the end of its head, or of the request. Returns the
+// size of the part.
+std::size_t request_parser::parse_part(std::string_view bytes)
+{
+    const std::string_view part =
+        is_in_head_ ? bytes.substr(0, find_head_end(bytes)) : bytes;
+    if (refusal_)
     {
-        refuse(http_status::bad_request, "a line ends without a carriage return");
-        return;
+        return bytes.size();
     }
-    last_byte_ = bytes.back();
-    on_request_ = &on_request;
-    const std::size_t parsed_bytes =
-        http_parser_execute(&raw_, &settings_, bytes.data(), bytes.size());
-    on_request_ = nullptr;
-    const bool is_invalid = raw_.upgrade != 0 || HTTP_PARSER_ERRNO(&raw_) != HPE_OK;
-    if (!refusal_ && is_invalid && (parsed_bytes < bytes.size() || raw_.upgrade != 0))
+    const std::size_t n =
+        http_parser_execute(&raw_, &settings_, part.data(), part.size());
+    const http_errno ec = HTTP_PARSER_ERRNO(&raw_);
+    if (ec == HPE_PAUSED)
+    {
+        http_parser_pause(&raw_, 0);
+    }
+    const bool is_valid = ec == HPE_PAUSED || (ec == HPE_OK && n == part.size());
+    if (!refusal_ && (!is_valid || raw_.upgrade != 0))
     {
         refuse(http_status::bad_request, "not a request");
     }
+    return n;
 }
 
-// Checks only the head in which `bytes` begin, since a body may contain any bytes.
-bool request_parser::has_bare_line_feed(std::string_view bytes)
+// Returns the position behind the head's last byte, or the size of `bytes` if the head
+// goes on. Refuses a line that ends without a carriage return, which http_parser accepts.
+std::size_t request_parser::find_head_end(std::string_view bytes)
 {
-    const std::size_t end = bytes.find("\r\n\r\n");
-    const std::string_view head = bytes.substr(0, end);
-    char previous = last_byte_;
-    for (char c : head)
+    for (std::size_t n = 0; n < bytes.size(); ++n)
     {
-        if (c == '\n' && previous != '\r')
+        const char c = bytes[n];
+        const bool is_after_return =
+            blank_line_part_ == after_return || blank_line_part_ == after_second_return;
+        if (c == '\n' && !is_after_return)
+        {
+            refuse(http_status::bad_request, "a line ends without a carriage return");
+            return n;
+        }
+        if (c == '\n')
+        {
+            ++blank_line_part_;
+        }
+        else if (c == '\r')
+        {
+            blank_line_part_ =
+                blank_line_part_ == after_line ? after_second_return : after_return;
+        }
+        else
+        {
+            blank_line_part_ = 0;
+        }
+        if (blank_line_part_ == after_blank_line)
         {
-            return true;
+            blank_line_part_ = 0;
+            return n + 1;
         }
-        previous = c;
     }
-    return false;
+    return bytes.size();
 }
 
 bool request_parser::take_expect_continue()
@@ -245,6 +282,7 @@
     self->current_.is_last = http_should_keep_alive(raw) == 0;
     self->current_.request.body_memory = std::move(self->body_memory_);
     (*self->on_request_)(std::exchange(self->current_, {}));
+    http_parser_pause(raw, 1); // the next head is looked at first
     return 0;
 }
 
--- a/net/request_parser.hpp
+++ b/net/request_parser.hpp
@@ -79,7 +79,8 @@
     bool claim_body(std::size_t n);
     bool count_header_bytes(std::size_t n);
     void finish_header();
-    bool has_bare_line_feed(std::string_view bytes);
+    std::size_t parse_part(std::string_view bytes);
+    std::size_t find_head_end(std::string_view bytes);
 
     http_parser raw_{};
     http_parser_settings settings_;
@@ -96,7 +97,7 @@
     bool is_in_header_value_ = false; // the last piece of a header was of its value
     bool has_invalid_header_name_ = false;
     bool wants_continue_ = false;
-    char last_byte_ = 0;
+    unsigned blank_line_part_ = 0; // of the blank line at the end of the head
     std::optional<request_refusal> refusal_;
 };
 
--- a/net/testing/request_parser_test.cpp
+++ b/net/testing/request_parser_test.cpp
@@ -106,6 +106,10 @@
         it.feed("GET / HTTP/1.1\r\nHost: x");
         it.feed("\nOne: 1\r\n\r\n");
     }
+    SECTION("the same line ending, in the blank line")
+    {
+        it.feed("GET / HTTP/1.1\r\nHost: x\r\n\n");
+    }
     SECTION("a space in a header's name")
     {
         it.feed("GET / HTTP/1.1\r\nHost : x\r\n\r\n");
@@ -132,6 +136,39 @@
     CHECK(it.requests[0].request.body == inner);
 }
 
+// Guards against proper requests that are answered 400 (DENIED): line feeds in a body
+// were taken for those of the head if the end of the head came with the body.
+TEST_CASE("the end of a head is found wherever the bytes are divided")
+{
+    const std::string first =
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\na\nb\n";
+    const std::string second =
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+        "\r\n3\r\nc\nd\r\n0\r\n\r\n";
+    const std::string all = first + second + get;
+    for (std::size_t n = 0; n <= all.size(); ++n)
+    {
+        CAPTURE(n);
+        parser_fixture it;
+        it.feed(all.substr(0, n));
+        it.feed(all.substr(n));
+        REQUIRE(it.requests.size() == 3);
+        CHECK(it.requests[0].request.body == "a\nb\n");
+        CHECK(it.requests[1].request.body == "c\nd");
+        CHECK(it.refusal_status() == 0);
+    }
+}
+
+// Guards against requests that other parsers read differently: only the first head of
+// each read was looked at.
+TEST_CASE("each head is looked at for lines that end without a carriage return")
+{
+    parser_fixture it;
+    it.feed(get + "GET / HTTP/1.1\r\nHost: x\nOne: 1\r\n\r\n");
+    CHECK(it.requests.size() == 1);
+    CHECK(it.refusal_status() == 400);
+}
+
 TEST_CASE("a request that is too large is refused")
 {
     parser_fixture it;
