A slow request costs no earlier request its answer (LOST)

Change: the time counts from each request's own first byte; a request that takes too long is refused with 408, which is true as it was not passed on, behind the answers to earlier ones.

Measured: pipelined_server_test 'a request that takes too long is refused after the earlier answers' and 'the time of a request counts from its own first byte' failed on the code before, and pass.

--- a/net/http_status.hpp
+++ b/net/http_status.hpp
@@ -11,6 +11,7 @@
 constexpr int not_modified = 304;
 constexpr int bad_request = 400;
 constexpr int not_found = 404;
+constexpr int request_timeout = 408;
 constexpr int conflict = 409;
 constexpr int gone = 410;
 constexpr int precondition_failed = 412;
--- a/net/pipelined_connection.cpp
+++ b/net/pipelined_connection.cpp
@@ -212,6 +212,7 @@
     {
         return; // bytes after the last request are ignored
     }
+    has_completed_request_ = false;
     const bool was_inside = parser_.is_in_request();
     parser_.feed(std::string_view(buf, static_cast<std::size_t>(n)),
                  [this](parsed_request got) { on_request(std::move(got)); });
@@ -219,7 +220,8 @@
     {
         return;
     }
-    request_started_ = was_inside ? request_started_ : last_active_;
+    const bool is_same_request = was_inside && !has_completed_request_;
+    request_started_ = is_same_request ? request_started_ : last_active_;
     if (parser_.take_expect_continue() && pending_answers_.empty())
     {
         interim_bytes_ += "HTTP/1.1 100 Continue\r\n\r\n";
@@ -238,6 +240,7 @@
     {
         return;
     }
+    has_completed_request_ = true;
     auto pending = std::make_shared<pending_answer>();
     pending->is_last = got.is_last;
     pending->is_head = got.request.method == "HEAD";
@@ -455,13 +458,13 @@
 
 void pipelined_connection::close_if_timed_out(time_point now)
 {
-    const bool is_slow =
-        parser_.is_in_request() && now - request_started_ > options_.request_timeout;
+    const bool is_slow = accepts_requests_ && parser_.is_in_request() &&
+                         now - request_started_ > options_.request_timeout;
     const bool is_idle = pending_answers_.empty() && !parser_.is_in_request() &&
                          now - last_active_ > options_.common.idle_timeout;
     if (is_slow)
     {
-        disconnect();
+        refuse({http_status::request_timeout, "the request took too long"});
     }
     else if (is_idle)
     {
--- a/net/pipelined_connection.hpp
+++ b/net/pipelined_connection.hpp
@@ -75,8 +75,9 @@
     // discarded.
     void close_if_idle();
 
-    // Closes the connection if it has been idle for longer than idle_timeout, or a
-    // request has been incomplete for longer than request_timeout.
+    // Closes the connection if it has been idle for longer than idle_timeout. Refuses a
+    // request that has been incomplete for longer than request_timeout (408), after the
+    // answers to earlier ones.
     void close_if_timed_out(time_point now);
 
     // Closes the connection without calling on_disconnect callbacks.
@@ -126,6 +127,7 @@
     std::string interim_bytes_;    // bytes of interim answers (1xx)
     memory_claim unsent_;          // of the answers
     bool accepts_requests_ = true; // false after the last request of the connection
+    bool has_completed_request_ = false; // in the current read
     bool is_flush_scheduled_ = false;
     bool is_hangup_watched_ = false;
     time_point last_active_{};
--- a/net/testing/pipelined_server_test.cpp
+++ b/net/testing/pipelined_server_test.cpp
@@ -11,7 +11,8 @@
 // Holds each responder until the test answers.
 struct pipelined_fixture
 {
-    explicit pipelined_fixture(seconds idle_timeout = seconds(60))
+    explicit pipelined_fixture(seconds idle_timeout = seconds(60),
+                               seconds request_timeout = seconds(60))
         : loop(event_loop::create().value()),
           handler(
               [this](const http_request&, std::shared_ptr<http_responder> responder)
@@ -25,6 +26,7 @@
         options.common.address = endpoint("127.0.0.1:0");
         options.max_pipelined = 3;
         options.common.idle_timeout = idle_timeout;
+        options.request_timeout = request_timeout;
         server = create_pipelined_server(*loop, options, handler).value();
     }
 
@@ -221,6 +223,48 @@
     CHECK(it.held.size() == 2);
 }
 
+// Guards against answers that are lost (LOST) behind a request that its client never
+// completes.
+TEST_CASE("a request that takes too long is refused after the earlier answers")
+{
+    constexpr seconds request_timeout(1);
+    pipelined_fixture it(seconds(60), request_timeout);
+    raw_peer peer(it.server->bound());
+    peer.send(get + "GET / HTTP/1.1\r\n");
+    it.run_until([&] { return it.held.size() == 1; });
+    it.run_for(request_timeout + seconds(2));
+    it.answer(0, "first");
+    const std::string got = it.read_to_end(peer);
+    CHECK(got.starts_with("HTTP/1.1 200"));
+    CHECK(got.find("first") < got.find("HTTP/1.1 408"));
+    CHECK(it.held.size() == 1);
+}
+
+// Guards against answers that are lost (LOST): the time of each request counted from the
+// first byte of the first one, as long as each read ended within a request.
+TEST_CASE("the time of a request counts from its own first byte")
+{
+    constexpr seconds request_timeout(1);
+    constexpr int requests = 8; // all together take longer than the timeout
+    pipelined_fixture it(seconds(60), request_timeout);
+    raw_peer peer(it.server->bound());
+    const std::string begin = "GET / HTTP/1.1\r\n";
+    const std::string end = "Host: x\r\n\r\n";
+    peer.send(begin);
+    for (int n = 0; n < requests; ++n)
+    {
+        it.run_for(milliseconds(400));
+        peer.send(end + begin);
+        const auto arrived = static_cast<std::size_t>(n) + 1;
+        it.run_until(
+            [&] { return it.held.size() == arrived || it.server->connections() == 0; });
+        REQUIRE(it.held.size() == arrived);
+        it.answer(it.held.size() - 1, "answer");
+    }
+    CHECK(it.disconnected.empty());
+    CHECK(it.server->connections() == 1);
+}
+
 TEST_CASE("close_idle keeps connections with requests")
 {
     pipelined_fixture it;
