--- a/gateway/gateway_settings_reader.cpp
+++ b/gateway/gateway_settings_reader.cpp
@@ -10,8 +10,6 @@
 
 constexpr duration_range stop_bounds{milliseconds(100), seconds(600)};
 constexpr number_range processor_bounds{0.001, 1000};
-constexpr number_range memory_mb_bounds{16, 1e9};
-constexpr double bytes_per_mb = 1e6;
 constexpr integer_range seed_bounds{0, std::numeric_limits<std::int64_t>::max()};
 
 } // namespace
@@ -30,11 +28,6 @@
         root.milliseconds_or("stop_limit_ms", stop_bounds, settings.stop_limit);
     const double cores = root.number_or("processors", processor_bounds, 1);
     settings.processor_percent = static_cast<unsigned>(std::lround(100 * cores));
-    settings.memory_bytes = static_cast<std::size_t>(
-        bytes_per_mb *
-        root.number_or("memory_mb",
-                       memory_mb_bounds,
-                       static_cast<double>(settings.memory_bytes) / bytes_per_mb));
     settings.seed = static_cast<std::uint64_t>(root.integer_or("seed", seed_bounds, 0));
     if (settings.peer == settings.listen || settings.ready == settings.listen)
     {
