--- a/net/pipelined_connection.cpp
+++ b/net/pipelined_connection.cpp
@@ -3,6 +3,7 @@
 #include "net/answer_text.hpp"
 #include "net/http_status.hpp"
 #include "net/peer_closed.hpp"
+#include "net/pipelined_responder.hpp"
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -17,117 +18,10 @@
 {
 
 constexpr std::size_t read_buffer_bytes = std::size_t{16} * 1024;
-constexpr std::size_t max_unsent_bytes = std::size_t{16} * 1024 * 1024;
 constexpr const char* refusal_retry_after = "1"; // in seconds
 
 } // namespace
 
-// Answers one request. May outlive the connection.
-class pipelined_connection::responder : public http_responder
-{
-public:
-    responder(std::weak_ptr<pipelined_connection> connection,
-              std::shared_ptr<pending_answer> pending)
-        : connection_(std::move(connection)), pending_(std::move(pending))
-    {
-    }
-
-    ~responder() override
-    {
-        abort();
-    }
-
-    void respond(http_response answer) override
-    {
-        const std::shared_ptr<pipelined_connection> it = connection_.lock();
-        if (it && !pending_->is_decided)
-        {
-            it->answer(*pending_, answer);
-        }
-        pending_->is_decided = true;
-        drop_on_disconnect();
-    }
-
-    void start_stream(http_response head) override
-    {
-        const std::shared_ptr<pipelined_connection> it = connection_.lock();
-        if (it && !pending_->is_decided)
-        {
-            it->begin_stream(*pending_, head);
-        }
-        pending_->is_decided = true;
-    }
-
-    void add_piece(std::string_view piece) override
-    {
-        const std::shared_ptr<pipelined_connection> it = connection_.lock();
-        if (!it || !pending_->is_chunked || pending_->is_complete || piece.empty())
-        {
-            return;
-        }
-        append_chunk(pending_->bytes, piece);
-        it->count_unsent();
-        pending_->is_aborted = pending_->bytes.size() > max_unsent_bytes;
-        pending_->is_complete = pending_->is_aborted;
-        it->schedule_flush();
-    }
-
-    void end_stream() override
-    {
-        const std::shared_ptr<pipelined_connection> it = connection_.lock();
-        if (it && pending_->is_chunked && !pending_->is_complete)
-        {
-            append_last_chunk(pending_->bytes);
-            pending_->is_complete = true;
-            it->schedule_flush();
-        }
-        drop_on_disconnect();
-    }
-
-    void abort() override
-    {
-        const std::shared_ptr<pipelined_connection> it = connection_.lock();
-        if (it && !pending_->is_complete)
-        {
-            pending_->is_decided = true;
-            pending_->is_complete = true;
-            pending_->is_aborted = true;
-            it->schedule_flush();
-        }
-        drop_on_disconnect();
-    }
-
-    void on_disconnect(std::function<void()> fn) override
-    {
-        const std::shared_ptr<pipelined_connection> it = connection_.lock();
-        if (it && it->fd_ >= 0)
-        {
-            pending_->on_disconnect = std::move(fn);
-        }
-        else if (it)
-        {
-            it->loop_.post(std::move(fn));
-        }
-    }
-
-    bool is_disconnected() const override
-    {
-        const std::shared_ptr<pipelined_connection> it = connection_.lock();
-        return !it || it->fd_ < 0 || has_peer_closed(it->fd_);
-    }
-
-private:
-    // Destroyed at the end of the scope: its captures may hold the responder itself.
-    void drop_on_disconnect()
-    {
-        const std::function<void()> dropped =
-            std::exchange(pending_->on_disconnect, nullptr);
-    }
-
-    std::weak_ptr<pipelined_connection> connection_;
-    std::shared_ptr<pending_answer> pending_;
-};
-
 pipelined_connection::pipelined_connection(event_loop& loop,
                                            int fd,
                                            const pipelined_server_options& options,
@@ -247,7 +141,7 @@
     accepts_requests_ = !got.is_last;
     pending_answers_.push_back(pending);
     owner_.handle(std::move(got.request),
-                  std::make_shared<responder>(weak_from_this(), pending));
+                  std::make_shared<pipelined_responder>(weak_from_this(), pending));
 }
 
 void pipelined_connection::refuse(const request_refusal& why)
@@ -279,17 +173,37 @@
     }
     append_answer(it.bytes, response, it.is_head, it.is_last);
     it.is_complete = true;
-    count_unsent();
-    schedule_flush();
+    on_bytes_added();
 }
 
 void pipelined_connection::begin_stream(pending_answer& it, const http_response& response)
 {
     append_stream_head(it.bytes, response, it.is_last);
     it.is_chunked = true;
+    on_bytes_added();
+}
+
+void pipelined_connection::on_bytes_added()
+{
+    count_unsent();
     schedule_flush();
 }
 
+bool pipelined_connection::is_open() const
+{
+    return fd_ >= 0;
+}
+
+bool pipelined_connection::is_client_gone() const
+{
+    return fd_ < 0 || has_peer_closed(fd_);
+}
+
+void pipelined_connection::post(std::function<void()> fn)
+{
+    loop_.post(std::move(fn));
+}
+
 void pipelined_connection::schedule_flush()
 {
     if (!is_flush_scheduled_ && fd_ >= 0)
--- a/net/pipelined_connection.hpp
+++ b/net/pipelined_connection.hpp
@@ -4,7 +4,7 @@
 // order of the requests.
 
 #include "net/event_loop.hpp"
-#include "net/http_server.hpp"
+#include "net/pipelined_responder.hpp"
 #include "net/pipelined_server.hpp"
 #include "net/request_parser.hpp"
 
@@ -45,7 +45,8 @@
     virtual void on_connection_closed(pipelined_connection& it) = 0;
 };
 
-class pipelined_connection : public std::enable_shared_from_this<pipelined_connection>
+class pipelined_connection : public answer_queue,
+                             public std::enable_shared_from_this<pipelined_connection>
 {
 public:
     // Takes ownership of the descriptor, which must be non-blocking. `loop` and `owner`
@@ -54,7 +55,7 @@
                          int fd,
                          const pipelined_server_options& options,
                          pipelined_owner& owner);
-    ~pipelined_connection();
+    ~pipelined_connection() override;
     pipelined_connection(const pipelined_connection&) = delete;
     pipelined_connection& operator=(const pipelined_connection&) = delete;
 
@@ -84,28 +85,17 @@
     void abort();
 
 private:
-    class responder;
-
-    // The answer to one request, queued in the order of the requests.
-    struct pending_answer
-    {
-        std::string bytes;        // ready to be sent
-        bool is_decided = false;  // answered, aborted, or a stream was started
-        bool is_complete = false; // nothing is added any more
-        bool is_aborted = false;  // the connection closes after `bytes`
-        bool is_last = false;     // the connection closes after the answer
-        bool is_head = false;
-        bool is_chunked = false;
-        std::function<void()> on_disconnect;
-    };
-
     void update_read_watch();
     void notice_close_unread();
     void read_some();
     void on_request(parsed_request got);
     void refuse(const request_refusal& why);
-    void answer(pending_answer& it, const http_response& response);
-    void begin_stream(pending_answer& it, const http_response& response);
+    void answer(pending_answer& it, const http_response& response) override;
+    void begin_stream(pending_answer& it, const http_response& response) override;
+    void on_bytes_added() override;
+    bool is_open() const override;
+    bool is_client_gone() const override;
+    void post(std::function<void()> fn) override;
     void flush();
     void send_answers();
     void count_unsent();
@@ -124,9 +114,9 @@
     pipelined_owner& owner_;
     request_parser parser_;
     std::deque<std::shared_ptr<pending_answer>> pending_answers_;
-    std::string interim_bytes_;    // bytes of interim answers (1xx)
-    memory_claim unsent_;          // of the answers
-    bool accepts_requests_ = true; // false after the last request of the connection
+    std::string interim_bytes_;          // bytes of interim answers (1xx)
+    memory_claim unsent_;                // of the answers
+    bool accepts_requests_ = true;       // false after the last request of the connection
     bool has_completed_request_ = false; // in the current read
     bool is_flush_scheduled_ = false;
     bool is_hangup_watched_ = false;
