--- a/codec/reservation_codec.cpp
+++ b/codec/reservation_codec.cpp
@@ -1,6 +1,6 @@
 #include "codec/reservation_codec.hpp"
 
-#include <nlohmann/json.hpp>
+#include "codec/named_message.hpp"
 
 #include <cstdint>
 #include <limits>
@@ -46,21 +46,19 @@
 
 std::string encode_reservation(const reservation_message& message)
 {
-    std::string bytes;
-    std::visit([&](const auto& it) { nlohmann::json::to_msgpack(to_json(it), bytes); },
-               message);
-    return bytes;
+    return std::visit([](const auto& it) { return encode_named_message(to_json(it)); },
+                      message);
 }
 
 std::optional<reservation_message> decode_reservation(std::string_view bytes)
 {
-    if (bytes.size() > max_message_bytes)
+    const auto message = decode_named_message(bytes, max_message_bytes);
+    if (!message)
     {
         return std::nullopt;
     }
-    const nlohmann::json value = nlohmann::json::from_msgpack(bytes, true, false);
-    const bool has_numbers = value.is_array() && value.size() >= 3 &&
-                             value[0].is_string() && value[1].is_number_unsigned() &&
+    const nlohmann::json& value = *message;
+    const bool has_numbers = value.size() >= 3 && value[1].is_number_unsigned() &&
                              value[2].is_number_unsigned();
     if (!has_numbers)
     {
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -278,9 +278,7 @@
     {
         link_attempt_ = context_.links->attempt_started(to.expected_latency);
     }
-    exchange_options options;
-    options.timeout = time_left();
-    options.connect_timeout = std::min(connect_timeout, time_left());
+    exchange_options options = common_options(connect_timeout);
     options.allows_close_delimited = true;
     options.connection = connection_for(to.address);
     const std::weak_ptr<request_relay> weak = weak_from_this();
@@ -291,7 +289,6 @@
                !self->is_server_paused() && !self->is_token_missing() &&
                !self->is_permission_missing();
     };
-    options.is_own_answer = own_answer_check();
     exchange_ = context_.http.send(to.address,
                                    make_upstream_request(to, time_left()),
                                    options,
@@ -304,6 +301,16 @@
                                    });
 }
 
+// The options of any exchange of this request.
+exchange_options request_relay::common_options(duration connect_timeout) const
+{
+    exchange_options made;
+    made.timeout = time_left();
+    made.connect_timeout = std::min(connect_timeout, time_left());
+    made.is_own_answer = own_answer_check();
+    return made;
+}
+
 // Two attempts have the same id, so a late copy of the answer to the first one cannot be
 // told from the answer to the second one on the same connection.
 connection_choice request_relay::connection_for(const endpoint& to) const
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -161,6 +161,7 @@
     bool is_token_missing() const;
     void release_token();
     void send_to(const server_choice& to);
+    exchange_options common_options(duration connect_timeout) const;
     connection_choice connection_for(const endpoint& to) const;
     std::function<bool(const http_response&)> own_answer_check() const;
     http_request make_upstream_request(const server_choice& to, duration time_left) const;
--- a/gateway/request_relay_peer.cpp
+++ b/gateway/request_relay_peer.cpp
@@ -102,10 +102,7 @@
     tried_peers_.push_back(to);
     context_.log.request_forwarded(
         {request_id_, route_.name, service_}, to, why, context_.loop.now() - arrived_);
-    exchange_options options;
-    options.timeout = time_left();
-    options.connect_timeout = std::min(connect_timeout, time_left());
-    options.is_own_answer = own_answer_check();
+    exchange_options options = common_options(connect_timeout);
     const std::weak_ptr<request_relay> weak = weak_from_this();
     options.is_wanted = [weak]
     {
