--- a/gateway/order_sender.cpp
+++ b/gateway/order_sender.cpp
@@ -37,8 +37,9 @@
     {
         return is_answer_to(answer, id_header, id);
     };
-    auto ended = [this, to = order.address, id, id_header, is_release, done](
-                     const exchange_result& got)
+    auto ended =
+        [this, to = order.address, id, id_header, is_release, done = std::move(done)](
+            const exchange_result& got)
     {
         const order_result result = read_result(got, id_header, id);
         if (is_release || result.end != order_end::accepted)
