--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -25,6 +25,11 @@
 // The targets of forwarded requests are longer.
 constexpr std::size_t extra_peer_header_bytes = 128;
 
+const metric_name message_bytes_metric{"camphorrock_gateway_message_bytes",
+                                       "Memory that messages take."};
+const metric_name message_bytes_limit_metric{"camphorrock_gateway_message_bytes_limit",
+                                             "Memory that messages may take."};
+
 http_response make_status(int status)
 {
     http_response made;
@@ -287,6 +292,7 @@
     {
         return;
     }
+    publish_memory();
     value_or_handle(
         [&]() -> result<void>
         {
@@ -303,6 +309,15 @@
         });
 }
 
+void gateway::publish_memory()
+{
+    metrics_.get_gauge(message_bytes_limit_metric)
+        .set(static_cast<double>(memory_->limit_bytes()));
+    gauge& used = metrics_.get_gauge(message_bytes_metric);
+    metrics_.before_export([this, &used]
+                           { used.set(static_cast<double>(memory_->used_bytes())); });
+}
+
 int gateway::run()
 {
     log_.events().write(event_id::program_ready,
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -71,6 +71,7 @@
     void set_watch_sources();
     result<void> open_ports();
     void open_metrics();
+    void publish_memory();
     void keep_verdicts();
     result<Json::Value> lift_verdict(const Json::Value& params);
     void stop();
