--- a/gateway/gateway_stop.hpp
+++ b/gateway/gateway_stop.hpp
@@ -2,8 +2,7 @@
 
 // Stops serving clients, after SIGTERM.
 //
-//     gateway_stop stop(loop, client_server, client_handler, limit, [&] { loop.stop();
-//     });
+//     gateway_stop stop(loop, clients, requests, limit, [&] { loop.stop(); });
 //
 // In order:
 //   - at once: each connection is closed after its next answer, and each request is
@@ -11,8 +10,8 @@
 //   - after a while, in which the load balancer directs new clients elsewhere: idle
 //     connections are closed, no new ones are accepted, and requests that still arrive
 //     are refused as not run;
-//   - once no request and no connection is left, and at the limit: `on_stopped` is
-//   called.
+//   - once no request and no connection is left, at the limit at the latest: calls
+//     `on_stopped`.
 
 #include "gateway/client_handler.hpp"
 #include "net/event_loop.hpp"
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -38,8 +38,7 @@
     withdrawn,             // exchange_options::is_wanted returned false
     timed_out,             // the time ran out after bytes were sent
     connection_lost,       // the connection broke after bytes were sent, or in the answer
-    too_large, // the answer exceeded max_answer_bytes, max_head_bytes or the memory
-               // budget
+    too_large,             // the answer exceeded its bounds, or the memory budget
 };
 
 // "answered", "not_connected", ...; "cut" for connection_lost.
--- a/net/http_message.hpp
+++ b/net/http_message.hpp
@@ -71,7 +71,7 @@
         return shared_body ? *shared_body : body;
     }
 
-    // Makes copies of the request, which it is for, share the body.
+    // From now on, copies of the request share its body.
     void share_body()
     {
         shared_body = std::make_shared<const std::string>(std::exchange(body, {}));
--- a/net/testing/loop_fixture.hpp
+++ b/net/testing/loop_fixture.hpp
@@ -5,8 +5,7 @@
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
-#include "net/testing/raw_peer.hpp"
-#include "net/testing/run_until.hpp"
+#include "net/testing/read_peer.hpp"
 
 #include <functional>
 #include <memory>
@@ -84,27 +83,13 @@
     // Reads what a peer receives up to `mark`, or to the end of its connection.
     std::string read(raw_peer& peer, const std::string& mark)
     {
-        std::string got;
-        run_until(
-            [&]
-            {
-                got += peer.read_some();
-                return peer.is_ended() || got.find(mark) != std::string::npos;
-            });
-        return got;
+        return read_until(*loop, peer, mark);
     }
 
     // Reads what a peer receives up to the end of its connection.
     std::string read_to_end(raw_peer& peer)
     {
-        std::string got;
-        run_until(
-            [&]
-            {
-                got += peer.read_some();
-                return peer.is_ended();
-            });
-        return got;
+        return testing::read_to_end(*loop, peer);
     }
 
     scripted_handler handler;
--- a/net/testing/memory_budget_test.cpp
+++ b/net/testing/memory_budget_test.cpp
@@ -15,13 +15,6 @@
 constexpr std::size_t limit_bytes = std::size_t{4} << 20;
 constexpr std::size_t large_bytes = std::size_t{1} << 20;
 
-// Lets what was posted run.
-void run_posted(event_loop& loop)
-{
-    loop.post([&] { loop.stop(); });
-    loop.run();
-}
-
 // A server that answers each request with a head and a body without end.
 class endless_server
 {
@@ -100,14 +93,7 @@
 
     std::string read(raw_peer& peer, const std::string& mark)
     {
-        std::string got;
-        run_until(
-            [&]
-            {
-                got += peer.read_some();
-                return peer.is_ended() || got.find(mark) != std::string::npos;
-            });
-        return got;
+        return read_until(*loop, peer, mark);
     }
 
     static std::string head_of_post(std::size_t body_bytes)
@@ -160,14 +146,14 @@
     {
         larger->add(limit_bytes / 2);
         CHECK(evicted.empty());
-        run_posted(*loop);
+        run_for(*loop, duration::zero());
         CHECK(evicted == std::vector<std::string>{"larger"});
     }
     SECTION("claims that are small or cannot be given up stay")
     {
         large.reset();
         kept.add(limit_bytes);
-        run_posted(*loop);
+        run_for(*loop, duration::zero());
         CHECK(evicted.empty());
     }
 }
--- a/net/testing/pipelined_server_test.cpp
+++ b/net/testing/pipelined_server_test.cpp
@@ -44,33 +44,18 @@
 
     std::string read(raw_peer& peer, const std::string& mark)
     {
-        std::string got;
-        run_until(
-            [&]
-            {
-                got += peer.read_some();
-                return peer.is_ended() || got.find(mark) != std::string::npos;
-            });
-        return got;
+        return read_until(*loop, peer, mark);
     }
 
     // Runs the loop for a while.
     void run_for(duration time)
     {
-        const timer_handle end = loop->after(time, [this] { loop->stop(); });
-        loop->run();
+        testing::run_for(*loop, time);
     }
 
     std::string read_to_end(raw_peer& peer)
     {
-        std::string got;
-        run_until(
-            [&]
-            {
-                got += peer.read_some();
-                return peer.is_ended();
-            });
-        return got;
+        return testing::read_to_end(*loop, peer);
     }
 
     std::unique_ptr<event_loop> loop;
