A release is ended by an answer with Handover only, on the connection of the grants (OWNER)

Servers answer a release with Handover, which no answer to a grant has; that proves it on a connection that carried grants. On a new one, after an order without answer, any answer counts.

--- a/gateway/gateway_codec.hpp
+++ b/gateway/gateway_codec.hpp
@@ -42,6 +42,9 @@
     // The id of the server whose entry has the full store key `key`.
     virtual server_id server_id_of(const std::string& key) const = 0;
 
+    // False for an answer that a server gives to grants only.
+    virtual bool may_answer_release(const http_response& answer) const = 0;
+
     virtual http_request make_order(const key_order& order) const = 0;
     // An answer that no order can have is reported as order_end::no_answer, since the
     // server may have carried the order out.
--- a/gateway/order_sender.cpp
+++ b/gateway/order_sender.cpp
@@ -10,12 +10,19 @@
 constexpr duration connect_timeout = milliseconds(250);
 
 // A server need not name the order in its answer.
-bool is_answer_to(const http_response& answer,
-                  std::string_view id_header,
-                  const std::string& id)
+bool names_other_order(const http_response& answer,
+                       std::string_view id_header,
+                       const std::string& id)
 {
     const auto named = answer.headers.find(id_header);
-    return !named || *named == id;
+    return named && *named != id;
+}
+
+order_result make_failure(exchange_end end)
+{
+    order_result made;
+    made.end = is_unsent(end) ? order_end::not_sent : order_end::no_answer;
+    return made;
 }
 
 } // namespace
@@ -27,22 +34,28 @@
     http_request request = codec_.make_order(order);
     request.headers.set(id_header, id);
 
-    const bool is_release = order.kind == order_kind::release;
-    const bool is_alone = order.use_new_connection || is_release;
+    // On a new connection there are no answers to other orders.
+    const bool needs_proof =
+        order.kind == order_kind::release && !order.use_new_connection;
+    auto is_own = [this, id, id_header, needs_proof](const http_response& answer)
+    {
+        return !names_other_order(answer, id_header, id) &&
+               (!needs_proof || codec_.may_answer_release(answer));
+    };
     exchange_options options;
     options.timeout = order.timeout;
     options.connect_timeout = connect_timeout;
-    options.connection = is_alone ? connection_choice::fresh : connection_choice::pooled;
-    options.is_own_answer = [id, id_header](const http_response& answer)
-    {
-        return is_answer_to(answer, id_header, id);
-    };
+    options.connection =
+        order.use_new_connection ? connection_choice::fresh : connection_choice::pooled;
+    options.is_own_answer = is_own;
     auto ended =
-        [this, to = order.address, id, id_header, is_release, done = std::move(done)](
+        [this, to = order.address, kind = order.kind, is_own, done = std::move(done)](
             const exchange_result& got)
     {
-        const order_result result = read_result(got, id_header, id);
-        if (is_release || result.end != order_end::accepted)
+        const bool is_answered = got.end == exchange_end::answered && is_own(got.answer);
+        const order_result result =
+            is_answered ? codec_.read_order_answer(got.answer) : make_failure(got.end);
+        if (kind == order_kind::release || result.end != order_end::accepted)
         {
             http_.drop_connections(to);
         }
@@ -51,19 +64,4 @@
     http_.send(order.address, std::move(request), options, std::move(ended));
 }
 
-order_result order_sender::read_result(const exchange_result& got,
-                                       std::string_view id_header,
-                                       const std::string& id) const
-{
-    const bool is_answered =
-        got.end == exchange_end::answered && is_answer_to(got.answer, id_header, id);
-    if (is_answered)
-    {
-        return codec_.read_order_answer(got.answer);
-    }
-    order_result failed;
-    failed.end = is_unsent(got.end) ? order_end::not_sent : order_end::no_answer;
-    return failed;
-}
-
 } // namespace camphorrock
--- a/gateway/order_sender.hpp
+++ b/gateway/order_sender.hpp
@@ -4,9 +4,10 @@
 //
 // A server may write an answer once more, late, where the answer to a later order is
 // expected. So each order has an id, and an answer that names another one is skipped. As
-// answers need not name an order, none may be taken for another that means more: a
-// release has a connection to itself, and no connection is used on after a refusal. What
-// is left is an accepted grant's answer that is taken for that to a later grant.
+// answers need not name an order, none may be taken for another that means more: on a
+// connection that carried grants, a release is ended only by an answer that no grant
+// gets, and no connection is used on after a release or a refusal. What is left is an
+// accepted grant's answer that is taken for that to a later grant.
 
 #include "core/gateway/owners/key_orders.hpp"
 #include "gateway/gateway_codec.hpp"
@@ -14,8 +15,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <string>
-#include <string_view>
 
 namespace camphorrock
 {
@@ -38,10 +37,6 @@
     void send(const key_order& order, callback done);
 
 private:
-    order_result read_result(const exchange_result& got,
-                             std::string_view id_header,
-                             const std::string& id) const;
-
     http_client& http_;
     const gateway_codec& codec_;
     std::uint64_t last_number_ = 0; // of an order
