A refusal that may be a copy proves nothing to an unrepeatable request (REFUSED)

The form before gave each later attempt at an address a new connection.

Change: the connection is kept. A refusal on a reused connection, after an earlier attempt at the same address, ends an unrepeatable request as unknown (502). Its price: a 502 where a server really refuses twice on one connection.

kept_connection_test: the copy that comes late asked for 200, which only a connection of its own could give; it asks now for 502 and never for 'not run'. New: a second refusal on another connection is believed (503).

--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -280,7 +280,6 @@
     }
     exchange_options options = common_options(connect_timeout);
     options.allows_close_delimited = true;
-    options.connection = connection_for(to.address);
     const std::weak_ptr<request_relay> weak = weak_from_this();
     options.is_wanted = [weak]
     {
@@ -311,16 +310,6 @@
     return made;
 }
 
-// Two attempts have the same id, so a late copy of the answer to the first one cannot be
-// told from the answer to the second one on the same connection.
-connection_choice request_relay::connection_for(const endpoint& to) const
-{
-    const auto earlier = tried_addresses_.end() - 1; // the last one is this attempt's
-    return std::find(tried_addresses_.begin(), earlier, to) == earlier
-               ? connection_choice::pooled
-               : connection_choice::fresh;
-}
-
 // Empty for HEAD requests. An answer without an id cannot be told from one to another
 // request, so it is taken here; classify() does not trust it.
 std::function<bool(const http_response&)> request_relay::own_answer_check() const
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -17,7 +17,9 @@
 //   - a request goes by another gateway if this one cannot reach its server, but not if a
 //   server may have run it and it is not repeatable, nor if another gateway has forwarded
 //   it;
-//   - two attempts of a request never use the same connection to a server;
+//   - a refusal that may be a late copy of an earlier one proves nothing to a request
+//   that
+//     is not repeatable;
 //   - a request does not wait if the expected answer or the next owner of its key is
 //     already known to come too late.
 
@@ -162,11 +164,11 @@
     void release_token();
     void send_to(const server_choice& to);
     exchange_options common_options(duration connect_timeout) const;
-    connection_choice connection_for(const endpoint& to) const;
     std::function<bool(const http_response&)> own_answer_check() const;
     http_request make_upstream_request(const server_choice& to, duration time_left) const;
     void on_exchange_end(const exchange_result& got);
     attempt_end classify(const exchange_result& got) const;
+    bool may_be_copy(const exchange_result& got) const;
     bool is_valid_answer(const http_response& answer) const;
     static bool is_from_intended_server(attempt_end how);
     void note_server_state(const http_response& answer);
