The servers tried by a request are kept once, with their addresses

Two lists were filled and emptied side by side. The comment on copies of refusals is wrapped as it was meant.

--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -191,9 +191,11 @@
         return;
     }
     server_criteria criteria;
-    criteria.excluded = tried_;
-    criteria.excluded.insert(
-        criteria.excluded.end(), busy_servers_.begin(), busy_servers_.end());
+    criteria.excluded = busy_servers_;
+    for (const server_choice& it : tried_)
+    {
+        criteria.excluded.push_back(it.server);
+    }
     if (key_ && !require_owner(criteria))
     {
         return;
@@ -259,8 +261,7 @@
     {
         token_->is_used = true;
     }
-    tried_.push_back(to.server);
-    tried_addresses_.push_back(to.address);
+    tried_.push_back(to);
     service->pool.attempt_started(to.server);
     if (tried_.size() == 1)
     {
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -17,9 +17,8 @@
 //   - a request goes by another gateway if this one cannot reach its server, but not if a
 //   server may have run it and it is not repeatable, nor if another gateway has forwarded
 //   it;
-//   - a refusal that may be a late copy of an earlier one proves nothing to a request
-//   that
-//     is not repeatable;
+//   - a refusal that may be a copy of an earlier one proves nothing, unless the request
+//     is repeatable;
 //   - a request does not wait if the expected answer or the next owner of its key is
 //     already known to come too late.
 
@@ -246,8 +245,7 @@
     std::vector<endpoint> tried_peers_;              // in order
     server_choice sent_to_;                          // of the last attempt
     time_point sent_at_{};                           // of the last attempt
-    std::vector<server_id> tried_;                   // one for each attempt, in order
-    std::vector<endpoint> tried_addresses_;          // the same, their addresses
+    std::vector<server_choice> tried_;               // one for each attempt, in order
     key_owner sent_to_owner_;                        // of the last attempt with a key
     std::optional<owner_refusal> refusal_;           // the last one, if any
     unsigned possible_runs_ = 0;    // attempts that may have run the request
--- a/gateway/request_relay_attempt.cpp
+++ b/gateway/request_relay_attempt.cpp
@@ -89,9 +89,12 @@
 // one, on the connection that carried it, cannot be told from an answer to the last one.
 bool request_relay::may_be_copy(const exchange_result& got) const
 {
-    const auto last = tried_addresses_.end() - 1;
-    return got.is_connection_reused &&
-           std::find(tried_addresses_.begin(), last, *last) != last;
+    const auto last = tried_.end() - 1;
+    return got.is_connection_reused && std::any_of(tried_.begin(),
+                                                   last,
+                                                   [&](const server_choice& it) {
+                                                       return it.address == last->address;
+                                                   });
 }
 
 // A success must carry the server's signature, and no answer may be content-encoded: its
--- a/gateway/request_relay_server.cpp
+++ b/gateway/request_relay_server.cpp
@@ -25,7 +25,6 @@
         return;
     }
     tried_.pop_back();
-    tried_addresses_.pop_back();
     try_send();
 }
 
