--- a/net/testing/memory_budget_test.cpp
+++ b/net/testing/memory_budget_test.cpp
@@ -29,8 +29,7 @@
         return listener_.bound();
     }
 
-    // Answers `bytes` at once and ends the answer.
-    std::size_t body_bytes = 0; // 0: without end
+    std::size_t body_bytes = 0; // of each answer, sent at once; 0: without end
 
 private:
     void feed()
