attempt_failed says what the answer was, and whether it can be a copy

Change: fields status, not_run, reused, earlier (earlier attempts of the request at the same address). Its inputs are one struct in place of seven arguments.

--- a/gateway/gateway_log.cpp
+++ b/gateway/gateway_log.cpp
@@ -71,27 +71,28 @@
 
 void gateway_log::attempt_failed(const request_fields& request,
                                  const server_choice& to,
-                                 attempt_end how,
                                  const exchange_result& got,
-                                 std::string_view answer_id,
-                                 duration elapsed,
-                                 bool is_sent_again)
+                                 const failed_attempt& attempt)
 {
+    const std::string_view end = name_of(attempt.how);
     metrics_
-        .get_counter(
-            failed_attempts_metric,
-            {{"service", request.service.str()}, {"end", std::string(name_of(how))}})
+        .get_counter(failed_attempts_metric,
+                     {{"service", request.service.str()}, {"end", std::string(end)}})
         .add();
     events_.write(event_id::attempt_failed,
                   {{"request", request.id},
                    {"route", request.route},
                    {"server", to.server},
-                   {"end", name_of(how)},
+                   {"end", end},
                    {"exchange", name_of(got.end)},
                    {"refused", got.is_connection_refused},
-                   {"answer_id", answer_id},
-                   {"elapsed_us", elapsed},
-                   {"again", is_sent_again}});
+                   {"reused", got.is_connection_reused},
+                   {"status", got.answer.status},
+                   {"not_run", attempt.says_not_run},
+                   {"answer_id", attempt.answer_id},
+                   {"earlier", attempt.earlier_at_address},
+                   {"elapsed_us", attempt.elapsed},
+                   {"again", attempt.is_sent_again}});
 }
 
 void gateway_log::answer_forwarded(const request_fields& request,
--- a/gateway/gateway_log.hpp
+++ b/gateway/gateway_log.hpp
@@ -17,9 +17,11 @@
 #include "gateway/local_answer.hpp"
 #include "net/http_client.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace camphorrock
 {
@@ -49,6 +51,18 @@
     std::string fingerprint;
 };
 
+// An attempt that brought no answer to forward.
+struct failed_attempt
+{
+    attempt_end how = attempt_end::lost; // not `answered`
+    // The request's id in the answer; empty without one.
+    std::string_view answer_id;
+    bool says_not_run = false;          // the answer says that its request was not run
+    std::size_t earlier_at_address = 0; // attempts of the request, before this one
+    duration elapsed{};                 // since the attempt began
+    bool is_sent_again = false;         // the gateway tries to send the request again
+};
+
 // Why a request goes by another gateway.
 enum class forward_reason
 {
@@ -76,16 +90,11 @@
                          const server_choice& to,
                          unsigned attempt,
                          duration elapsed);
-    // An attempt ended as `how`, which is not attempt_end::answered. `got` is what its
-    // exchange brought, `answer_id` the request's id in an answer; empty without one.
-    // `is_sent_again` is true if the gateway tries to send the request again.
+    // `got` is what the attempt's exchange brought.
     void attempt_failed(const request_fields& request,
                         const server_choice& to,
-                        attempt_end how,
                         const exchange_result& got,
-                        std::string_view answer_id,
-                        duration elapsed,
-                        bool is_sent_again);
+                        const failed_attempt& attempt);
     // A server's answer was forwarded to the client.
     void answer_forwarded(const request_fields& request, int status, duration elapsed);
     // The gateway answered by itself.
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -168,6 +168,7 @@
     void on_exchange_end(const exchange_result& got);
     attempt_end classify(const exchange_result& got) const;
     bool may_be_copy(const exchange_result& got) const;
+    std::size_t earlier_attempts_at_address() const;
     bool is_valid_answer(const http_response& answer) const;
     static bool is_from_intended_server(attempt_end how);
     void note_server_state(const http_response& answer);
@@ -178,6 +179,8 @@
     void on_withdrawn();
     void on_no_choice(const std::optional<server_id>& owner);
     void on_attempt_failed(attempt_end how, const exchange_result& got);
+    void
+    log_failed_attempt(attempt_end how, const exchange_result& got, bool is_sent_again);
     const request_fingerprint& fingerprint();
     crash_standing standing();
     bool is_permitted(const server_id& server) const;
--- a/gateway/request_relay_attempt.cpp
+++ b/gateway/request_relay_attempt.cpp
@@ -89,12 +89,7 @@
 // one, on the connection that carried it, cannot be told from an answer to the last one.
 bool request_relay::may_be_copy(const exchange_result& got) const
 {
-    const auto last = tried_.end() - 1;
-    return got.is_connection_reused && std::any_of(tried_.begin(),
-                                                   last,
-                                                   [&](const server_choice& it) {
-                                                       return it.address == last->address;
-                                                   });
+    return got.is_connection_reused && earlier_attempts_at_address() > 0;
 }
 
 // A success must carry the server's signature, and no answer may be content-encoded: its
@@ -163,14 +158,7 @@
     // A key that was refused waits first; what is then sent is claimed at that time.
     const bool is_sent_again =
         how == attempt_end::not_owner ? may_retry(how) : claim_retry(how);
-    const wire_names& names = context_.codec.names();
-    context_.log.attempt_failed({request_id_, route_.name, service_},
-                                sent_to_,
-                                how,
-                                got,
-                                got.answer.headers.find(names.request_id).value_or(""),
-                                context_.loop.now() - sent_at_,
-                                is_sent_again);
+    log_failed_attempt(how, got, is_sent_again);
     const bool is_checked =
         got.end == exchange_end::connection_lost && context_.crashes != nullptr;
     if (is_checked)
@@ -209,6 +197,32 @@
     }
 }
 
+void request_relay::log_failed_attempt(attempt_end how,
+                                       const exchange_result& got,
+                                       bool is_sent_again)
+{
+    const wire_names& names = context_.codec.names();
+    failed_attempt ended;
+    ended.how = how;
+    ended.answer_id = got.answer.headers.find(names.request_id).value_or("");
+    ended.says_not_run = got.answer.headers.find(names.not_run).has_value();
+    ended.earlier_at_address = earlier_attempts_at_address();
+    ended.elapsed = context_.loop.now() - sent_at_;
+    ended.is_sent_again = is_sent_again;
+    context_.log.attempt_failed(
+        {request_id_, route_.name, service_}, sent_to_, got, ended);
+}
+
+// Attempts before the last one that went to the same address.
+std::size_t request_relay::earlier_attempts_at_address() const
+{
+    const auto last = tried_.end() - 1;
+    return static_cast<std::size_t>(std::count_if(
+        tried_.begin(),
+        last,
+        [&](const server_choice& it) { return it.address == last->address; }));
+}
+
 // True if the request may be sent again, if a retry budget allows it.
 bool request_relay::may_retry(attempt_end how) const
 {
