A status that only reads as 'not run' reaches no client of an unrepeatable request (REFUSED)

Cause: the gateway took the server's word from Not-Executed, and passed the status on without it. Class: a status is passed on as a promise that nobody made.

Repeatable requests get the status as before. The reason bad_answer, which nothing used, is gone.

--- a/ctl/request_trace.cpp
+++ b/ctl/request_trace.cpp
@@ -59,7 +59,10 @@
     {"crashes_servers",
      "servers crashed under it again and again, so it is sent to none; see the "
      "server_probed lines of all gateways, and lift-verdict"},
-    {"bad_answer", "the response was not a valid answer of a server to it"},
+    {"unproven_refusal",
+     "a server answered with a status that reads as \"not run\", without saying so; it "
+     "may "
+     "have run it"},
 };
 
 // Returns a field as text; empty if it is absent.
--- a/fakes/site/site_server.cpp
+++ b/fakes/site/site_server.cpp
@@ -161,6 +161,10 @@
     const bool is_failed =
         runs_.size() * faults_.fail_share >= 1 && faults_.fail_share > 0;
     made.status = is_failed ? http_status::server_error : http_status::ok;
+    if (faults_.status_after_run != 0)
+    {
+        made.status = faults_.status_after_run;
+    }
     made.headers.add("Request-Id", faults_.echoes_other_request_id ? "another" : id);
     if (!faults_.omits_signature)
     {
--- a/fakes/site/site_server.hpp
+++ b/fakes/site/site_server.hpp
@@ -33,6 +33,7 @@
 {
     // Answers 500 once the number of runs so far times fail_share is 1 or more; 0: never.
     double fail_share = 0;
+    int status_after_run = 0;     // if not 0, of each answer; none says Not-Executed
     bool loses_answers = false;   // runs the request, then cuts the connection
     bool is_unresponsive = false; // accepts requests and neither runs nor answers them
     bool omits_signature = false; // sends no Response-Signature
--- a/gateway/local_answer.cpp
+++ b/gateway/local_answer.cpp
@@ -31,7 +31,7 @@
     {local_answer_reason::timed_out, "timed_out"},
     {local_answer_reason::server_lost, "server_lost"},
     {local_answer_reason::crashes_servers, "crashes_servers"},
-    {local_answer_reason::bad_answer, "bad_answer"},
+    {local_answer_reason::unproven_refusal, "unproven_refusal"},
 }}};
 
 int status_of(local_answer_reason reason)
@@ -46,7 +46,7 @@
         return gateway_timeout;
     case local_answer_reason::server_lost:
     case local_answer_reason::crashes_servers:
-    case local_answer_reason::bad_answer:
+    case local_answer_reason::unproven_refusal:
         return bad_gateway;
     case local_answer_reason::stopping:
     case local_answer_reason::no_config:
@@ -85,6 +85,12 @@
     return status_of(reason) == http_status::unavailable;
 }
 
+bool promises_not_run(int status)
+{
+    return status == http_status::request_timeout || status == http_status::misdirected ||
+           status == http_status::too_many_requests || status == http_status::unavailable;
+}
+
 http_response make_local_answer(local_answer_reason reason,
                                 std::optional<duration> retry_after)
 {
--- a/gateway/local_answer.hpp
+++ b/gateway/local_answer.hpp
@@ -32,7 +32,7 @@
     timed_out,        // the deadline passed after it was sent; it may have been run
     server_lost,      // the answer was lost or invalid; the request may have been run
     crashes_servers,  // servers crash under the request; it is sent to none any more
-    bad_answer,       // the received answer is not a server's answer to this request
+    unproven_refusal, // a server's status reads as "not run", but it may have been run
 };
 
 // "no_route", "no_config", ...
@@ -41,6 +41,10 @@
 // True if the answer states that the request was not run and never will be.
 bool is_not_run(local_answer_reason reason);
 
+// True for a status by which a client knows that its request was not run and never will
+// be, so that also an unrepeatable one may be sent again.
+bool promises_not_run(int status);
+
 // `retry_after` is sent, in seconds, only with an answer that states that the request was
 // not run.
 http_response make_local_answer(local_answer_reason reason,
--- a/gateway/request_relay_answer.cpp
+++ b/gateway/request_relay_answer.cpp
@@ -31,8 +31,16 @@
 
 } // namespace
 
+// A server that refuses a request says "not run" in a header, which classify() reads. The
+// status alone doesn't prove it, but its client would take it for a proof.
 void request_relay::forward_answer(http_response answer)
 {
+    if (!route_.is_repeatable && promises_not_run(answer.status))
+    {
+        may_have_run_ = true;
+        answer_locally(local_answer_reason::unproven_refusal);
+        return;
+    }
     answer.headers.remove_connection_headers();
     context_.log.answer_forwarded({request_id_, route_.name, service_},
                                   answer.status,
