No two attempts of an unrepeatable request use one connection (TWICE, REFUSED)

Cause: all attempts of a request have one id, so on the connection of an earlier attempt its answer can't be told from a copy. Since a refusal there was taken for unknown, which is safe, but costs every caller whose server really refuses twice: a grant that is on its way for more than 0.1 s.

Change: a further attempt of an unrepeatable request at an address opens a connection, so what comes on it is its own answer, and is believed. may_be_copy() is gone.

kept_connection_test: 'a refusal that is written once more' accepted 502; it now asks for the second attempt's own answer, 200 or 503, in each of 8 cases. All 8 failed before. 'a second refusal is believed on a connection that carried no earlier attempt' is part of it.

--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -281,6 +281,7 @@
     }
     exchange_options options = common_options(connect_timeout);
     options.allows_close_delimited = true;
+    options.connection = next_connection();
     const std::weak_ptr<request_relay> weak = weak_from_this();
     options.is_wanted = [weak]
     {
@@ -311,6 +312,15 @@
     return made;
 }
 
+// All attempts of a request have the same id, so a late copy of the answer to an earlier
+// one could be taken for that to the next on the same connection. A repeatable request
+// loses nothing by it.
+connection_choice request_relay::next_connection() const
+{
+    const bool may_get_copy = !route_.is_repeatable && earlier_attempts_at_address() > 0;
+    return may_get_copy ? connection_choice::fresh : connection_choice::pooled;
+}
+
 // Empty for HEAD requests. An answer without an id cannot be told from one to another
 // request, so it is taken here; classify() does not trust it.
 std::function<bool(const http_response&)> request_relay::own_answer_check() const
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -19,8 +19,8 @@
 //   - a request goes by another gateway if this one cannot reach its server, but not if a
 //   server may have run it and it is not repeatable, nor if another gateway has forwarded
 //   it;
-//   - a refusal that may be a copy of an earlier one proves nothing, unless the request
-//     is repeatable;
+//   - no two attempts of an unrepeatable request use one connection: an answer that comes
+//     on it twice could not be told from that to the second one;
 //   - a request does not wait if the expected answer or the next owner of its key is
 //     already known to come too late.
 
@@ -165,11 +165,11 @@
     void release_token();
     void send_to(const server_choice& to);
     exchange_options common_options(duration connect_timeout) const;
+    connection_choice next_connection() const;
     std::function<bool(const http_response&)> own_answer_check() const;
     http_request make_upstream_request(const server_choice& to, duration time_left) const;
     void on_exchange_end(const exchange_result& got);
     attempt_end classify(const exchange_result& got) const;
-    bool may_be_copy(const exchange_result& got) const;
     std::size_t earlier_attempts_at_address() const;
     bool is_valid_answer(const http_response& answer) const;
     static bool is_from_intended_server(attempt_end how);
--- a/gateway/request_relay_attempt.cpp
+++ b/gateway/request_relay_attempt.cpp
@@ -64,11 +64,6 @@
         return attempt_end::lost;
     }
     const bool is_not_run = got.answer.headers.find(names.not_run).has_value();
-    const bool is_refusal = is_not_run || got.answer.status == http_status::misdirected;
-    if (is_refusal && !route_.is_repeatable && may_be_copy(got))
-    {
-        return attempt_end::lost;
-    }
     if (got.answer.status == http_status::misdirected)
     {
         return key_ ? attempt_end::not_owner : attempt_end::other_server;
@@ -85,13 +80,6 @@
                                                           : attempt_end::answered;
 }
 
-// All attempts of a request have the same id, so a late copy of the answer to an earlier
-// one, on the connection that carried it, cannot be told from an answer to the last one.
-bool request_relay::may_be_copy(const exchange_result& got) const
-{
-    return got.is_connection_reused && earlier_attempts_at_address() > 0;
-}
-
 // A success must carry the server's signature, and no answer may be content-encoded: its
 // body must be as the server made it.
 bool request_relay::is_valid_answer(const http_response& answer) const
