--- a/core/gateway/links/link_monitor.hpp
+++ b/core/gateway/links/link_monitor.hpp
@@ -9,13 +9,13 @@
 //     links.end_round({.asked = 4, .accepted = 0, .is_late = false}, now);
 //     if (links.state() == link_state::lost) ...
 //
-// Suspicion arises in two ways: attempts fail at several servers and none is reached in
-// between, or an attempt stays without an answer for long and no server has been reached
-// since it was sent. Either may have another cause, so a round of probes decides: the
-// operating system of a server accepts a connection also if the server is slow or full.
-// If one of the probes is accepted, the links are up, and what fails is the servers' own
-// affair. If none is, the links are lost until all probes of several rounds in a row are
-// accepted again.
+// Suspicion arises in three ways: attempts fail at several servers and none is reached in
+// between, an attempt stays without an answer for long and no server has been reached
+// since it was sent, or a server seems to have crashed under a request. Each may have
+// another cause, so a round of probes decides: the operating system of a server accepts a
+// connection also if the server is slow or full. If one of the probes is accepted, the
+// links are up, and what fails is the servers' own affair. If none is, the links are lost
+// until all probes of several rounds in a row are accepted again.
 //
 // A round that took much longer than its probes may take says nothing: this gateway's
 // own loop was late. It is repeated; after `max_late_rounds` the links count as up.
