421 without the server's word does not say 'not run' (TWICE)

A server ran it and answered 421 without Not-Executed; the gateway took the status for a refusal and sent the request to another server.

Change: for an unrepeatable request such an answer is lost: 502. attempt_failed gives status 0 where no answer came.

Ruled out: that servers of the users refuse so.

--- a/app/events.cpp
+++ b/app/events.cpp
@@ -101,14 +101,14 @@
               "request_sent_again",
               severity::info,
               "The gateway sends another attempt of a request to a further server."},
-    event_row{
-        event_id::attempt_failed,
-        "attempt_failed",
-        severity::info,
-        "An attempt returned no answer to forward to the client. Gives the status "
-        "that came and whether it says \"not run\", whether the connection had been "
-        "used before, how many earlier attempts of the request went to the same "
-        "address, and whether the request is sent again."},
+    event_row{event_id::attempt_failed,
+              "attempt_failed",
+              severity::info,
+              "An attempt returned no answer to forward to the client. Gives the status "
+              "that came (0: none) and whether it says \"not run\", whether the "
+              "connection had been "
+              "used before, how many earlier attempts of the request went to the same "
+              "address, and whether the request is sent again."},
     event_row{event_id::request_answered_here,
               "request_answered_here",
               severity::info,
--- a/gateway/gateway_log.cpp
+++ b/gateway/gateway_log.cpp
@@ -75,6 +75,7 @@
                                  const failed_attempt& attempt)
 {
     const std::string_view end = name_of(attempt.how);
+    const int status = got.end == exchange_end::answered ? got.answer.status : 0;
     metrics_
         .get_counter(failed_attempts_metric,
                      {{"service", request.service.str()}, {"end", std::string(end)}})
@@ -87,7 +88,7 @@
                    {"exchange", name_of(got.end)},
                    {"refused", got.is_connection_refused},
                    {"reused", got.is_connection_reused},
-                   {"status", got.answer.status},
+                   {"status", status},
                    {"not_run", attempt.says_not_run},
                    {"answer_id", attempt.answer_id},
                    {"earlier", attempt.earlier_at_address},
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -8,8 +8,8 @@
 //   - a request that is not repeatable is sent again only if it is certain that no server
 //     ran it: nothing was sent, or the server said that it did not run the request;
 //   - the answer says "not run" only if no attempt can have run the request; a server's
-//     status that reads so, without its word, is not passed on unless the request is
-//     repeatable;
+//     status that reads so, without its word, proves nothing and is not passed on unless
+//     the request is repeatable;
 //   - nothing is sent for a client that has left, also if the loop is late to handle
 //   that;
 //   - a cancelled attempt closes its connection, so that the server stops working on it;
--- a/gateway/request_relay_attempt.cpp
+++ b/gateway/request_relay_attempt.cpp
@@ -64,7 +64,12 @@
         return attempt_end::lost;
     }
     const bool is_not_run = got.answer.headers.find(names.not_run).has_value();
-    if (got.answer.status == http_status::misdirected)
+    const bool is_misdirected = got.answer.status == http_status::misdirected;
+    if (is_misdirected && !is_not_run && !route_.is_repeatable)
+    {
+        return attempt_end::lost;
+    }
+    if (is_misdirected)
     {
         return key_ ? attempt_end::not_owner : attempt_end::other_server;
     }
