--- /dev/null
+++ b/net/testing/answer_parser_test.cpp
@@ -0,0 +1,298 @@
+#include "net/answer_parser.hpp"
+#include "testing/test_headers.hpp"
+
+using namespace camphorrock;
+
+namespace
+{
+
+const std::string own = "Id: 2\r\n";
+const std::string other = "Id: 1\r\n";
+const std::string interim = "HTTP/1.1 100 Continue\r\nId: 2\r\n\r\n";
+
+std::string answer(const std::string& id, const std::string& body, int status = 200)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " Any\r\n" + id +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string chunked(const std::string& id, const std::string& chunks)
+{
+    return "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n\r\n" + chunks;
+}
+
+answer_rules make_rules()
+{
+    answer_rules made;
+    made.max_head_bytes = 4000;
+    made.max_answer_bytes = 8000;
+    made.is_own_answer = [](const http_response& it)
+    {
+        return it.headers.find("Id") == "2";
+    };
+    return made;
+}
+
+struct outcome
+{
+    answer_state state = answer_state::incomplete;
+    std::size_t used = 0; // meaningful for answers that are complete
+    http_response got;
+    bool is_connection_kept = false;
+};
+
+// Feeds the pieces one after the other, and the end of the connection if `has_end`.
+outcome parse(const std::vector<std::string>& pieces,
+              const answer_rules& rules = make_rules(),
+              bool has_end = false)
+{
+    memory_claim memory(nullptr);
+    answer_parser parser(rules, memory);
+    outcome made;
+    for (const std::string& it : pieces)
+    {
+        made.used += parser.feed(it);
+    }
+    if (has_end)
+    {
+        parser.feed_end();
+    }
+    made.state = parser.state();
+    made.is_connection_kept = parser.is_connection_kept();
+    made.got = parser.take_answer();
+    return made;
+}
+
+// Calls `check` with the text as a whole, and divided in two at each byte.
+template<class Check>
+void divide_at_every_byte(const std::string& text, Check check)
+{
+    for (std::size_t n = 0; n < text.size(); ++n)
+    {
+        INFO("divided after " << n << " bytes of " << text);
+        check(std::vector<std::string>{text.substr(0, n), text.substr(n)});
+    }
+}
+
+std::vector<std::string> single_bytes(const std::string& text)
+{
+    std::vector<std::string> made;
+    for (char it : text)
+    {
+        made.emplace_back(1, it);
+    }
+    return made;
+}
+
+} // namespace
+
+// Guards against answers that are lost: a copy of another request's refusal arrived in
+// one read with the own answer, and libcurl dropped the latter (issue 41).
+TEST_CASE("the own answer is found behind others, however the reads divide the bytes")
+{
+    const std::string last = answer(own, "new");
+    const std::string text =
+        GENERATE_COPY(as<std::string>(),
+                      last,
+                      answer(other, "old", 503) + last,
+                      answer(other, "", 421) + last,
+                      chunked(other, "3\r\nold\r\n0\r\nX: 1\r\n\r\n") + last,
+                      "HTTP/1.1 204 No Content\r\n" + other + "\r\n" + last,
+                      "HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n" + last,
+                      interim + answer(other, "old") + interim + last,
+                      answer(other, "old") + answer(other, "older") + last,
+                      "HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 2\r\n"
+                      "\r\nno" +
+                          last);
+    const std::string behind =
+        GENERATE(as<std::string>(), "", "HTTP/1.1 200 OK\r\n", "\r\n", "x");
+    auto check = [&](const std::vector<std::string>& pieces)
+    {
+        const outcome it = parse(pieces);
+        REQUIRE(it.state == answer_state::complete);
+        CHECK(it.used == text.size());
+        CHECK(it.got.status == 200);
+        CHECK(it.got.body == "new");
+        CHECK(it.got.headers.find("Id") == "2");
+        CHECK(it.is_connection_kept == (text == last));
+    };
+    divide_at_every_byte(text + behind, check);
+    check(single_bytes(text + behind));
+}
+
+TEST_CASE("an answer without a body ends with its head")
+{
+    answer_rules rules = make_rules();
+    const std::string head = GENERATE(as<std::string>(),
+                                      "HTTP/1.1 204 No Content\r\nId: 2\r\n\r\n",
+                                      "HTTP/1.1 304 No\r\nId: 2\r\n"
+                                      "Content-Length: 5\r\n\r\n",
+                                      "HTTP/1.1 200 OK\r\nId: 2\r\n"
+                                      "Content-Length: 5\r\n\r\n");
+    rules.is_head_request = true;
+    divide_at_every_byte(head + "12345",
+                         [&](const std::vector<std::string>& pieces)
+                         {
+                             const outcome it = parse(pieces, rules);
+                             CHECK(it.state == answer_state::complete);
+                             CHECK(it.used == head.size());
+                             CHECK(it.got.body.empty());
+                         });
+}
+
+TEST_CASE("an answer that is cut off at any byte is never complete")
+{
+    const std::string text = GENERATE(as<std::string>(),
+                                      answer(own, "new"),
+                                      interim + answer(own, "new"),
+                                      answer(other, "old") + answer(own, "new"),
+                                      chunked(own, "3\r\nnew\r\n0\r\n\r\n"),
+                                      chunked(own, "3\r\nnew\r\n0\r\nX: 1\r\n\r\n"));
+    for (std::size_t n = 0; n < text.size(); ++n)
+    {
+        INFO(text.substr(0, n));
+        CHECK(parse({text.substr(0, n)}).state == answer_state::incomplete);
+        CHECK(parse({text.substr(0, n)}, make_rules(), true).state ==
+              answer_state::invalid);
+    }
+    CHECK(parse({text}, make_rules(), true).state == answer_state::complete);
+}
+
+TEST_CASE("a body without a length or chunks is complete only if that is allowed")
+{
+    answer_rules rules = make_rules();
+    rules.allows_close_delimited = GENERATE(true, false);
+    const std::string id = GENERATE(as<std::string>(), "Id: 2\r\n", "Id: 1\r\n");
+    const outcome it = parse({"HTTP/1.1 200 OK\r\n" + id + "\r\nnew"}, rules, true);
+    const bool is_whole = rules.allows_close_delimited && id == own;
+    CHECK(it.state == (is_whole ? answer_state::complete : answer_state::invalid));
+    CHECK_FALSE(it.is_connection_kept);
+}
+
+TEST_CASE("bytes that are no answer are refused, however the reads divide them")
+{
+    const std::string text =
+        GENERATE(as<std::string>(),
+                 "what?\r\n\r\n",
+                 "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+                 "HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n",
+                 "HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+                 "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551617\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+                 chunked(own, "x\r\nnew\r\n0\r\n\r\n"),
+                 chunked(own, "10000000000000001\r\nnew\r\n0\r\n\r\n"),
+                 chunked(own, "2\r\nnew\r\n0\r\n\r\n"),
+                 answer(other, "old") + "old\r\n" + answer(own, "new"));
+    divide_at_every_byte(text,
+                         [](const std::vector<std::string>& pieces)
+                         { CHECK(parse(pieces).state == answer_state::invalid); });
+}
+
+TEST_CASE("an answer without an end is refused, and takes no more memory than its bounds")
+{
+    const answer_rules rules = make_rules();
+    const std::string begin = "HTTP/1.1 200 OK\r\n" + own;
+    struct row
+    {
+        std::string begin;
+        std::string piece;
+    };
+    const std::string many(100, 'x');
+    const row it = GENERATE_COPY(
+        row{"HTTP/1.1 200 ", many},
+        row{begin, many},
+        row{begin + "X: ", many},
+        row{begin + "X:", std::string(100, ' ')},
+        row{begin, "X: " + many + "\r\n"},
+        row{"", interim},
+        row{chunked(own, "0\r\n"), "X: " + many + "\r\n"},
+        row{chunked(own, "1;x="), many},
+        row{begin + "\r\n", many},
+        row{chunked(own, ""), "1\r\nx\r\n"},
+        row{"HTTP/1.1 200 OK\r\n" + own + "Content-Length: 10000000\r\n\r\n", many});
+    INFO(it.begin << " and " << it.piece);
+    constexpr std::size_t endless_bytes = std::size_t{10} << 20;
+    memory_claim memory(nullptr);
+    answer_parser parser(rules, memory);
+    parser.feed(it.begin);
+    std::size_t fed = 0;
+    while (parser.state() == answer_state::incomplete && fed < endless_bytes)
+    {
+        fed += parser.feed(it.piece);
+    }
+    CHECK(parser.state() == answer_state::too_large);
+    CHECK(memory.bytes() <= rules.max_answer_bytes + it.piece.size());
+    CHECK(parser.feed(it.piece) == 0);
+}
+
+TEST_CASE("a head of the default bound is accepted")
+{
+    answer_rules rules = make_rules();
+    rules.max_head_bytes = exchange_options().max_head_bytes;
+    rules.max_answer_bytes = exchange_options().max_answer_bytes;
+    const std::string value(rules.max_head_bytes - 100, 'x');
+    const outcome it = parse(
+        {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + own + "X: " + value + "\r\n\r\n"},
+        rules);
+    CHECK(it.state == answer_state::complete);
+    CHECK(it.got.headers.find("X") == value);
+}
+
+TEST_CASE("pieces of a streamed body are taken as they come, without a bound")
+{
+    answer_rules rules = make_rules();
+    rules.is_streamed = true;
+    memory_claim memory(nullptr);
+    answer_parser parser(rules, memory);
+    parser.feed(chunked(own, "4\r\none \r\n3\r\ntw"));
+    CHECK(parser.take_pieces() == "one tw");
+    CHECK(parser.take_pieces().empty());
+    const std::string many(2 * rules.max_answer_bytes, 'x');
+    parser.feed("o\r\n" + std::string("3e80\r\n") + many + "\r\n0\r\n\r\n");
+    CHECK(parser.state() == answer_state::complete);
+    CHECK(parser.take_pieces() == "o" + many);
+    CHECK(parser.take_answer().body.empty());
+}
+
+TEST_CASE("a text gives the same answer whole and in any reads")
+{
+    rc::prop("answers, changed in some bytes",
+             []
+             {
+                 static const std::vector<std::string> messages{
+                     answer(own, "new"),
+                     answer(other, "old", 503),
+                     interim,
+                     chunked(own, "3\r\nnew\r\n0\r\nX: 1\r\n\r\n"),
+                     chunked(other, "3;a=b\r\nold\r\n0\r\n\r\n"),
+                     "HTTP/1.0 200 OK\r\n" + own + "\r\nnew"};
+                 std::string text;
+                 for (int n = *rc::gen::inRange(1, 5); n > 0; --n)
+                 {
+                     text += *rc::gen::elementOf(messages);
+                 }
+                 for (int n = *rc::gen::inRange(0, 4); n > 0; --n)
+                 {
+                     const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+                     text[at] = *rc::gen::element('\r', '\n', ' ', ':', '0', 'f', 'x');
+                 }
+                 std::vector<std::string> pieces;
+                 for (std::size_t at = 0; at < text.size();)
+                 {
+                     const auto size = *rc::gen::inRange<std::size_t>(1, 40);
+                     pieces.push_back(text.substr(at, size));
+                     at += size;
+                 }
+                 const bool has_end = *rc::gen::arbitrary<bool>();
+                 const outcome whole = parse({text}, make_rules(), has_end);
+                 const outcome divided = parse(pieces, make_rules(), has_end);
+                 RC_ASSERT(whole.state == divided.state);
+                 const bool is_complete = whole.state == answer_state::complete;
+                 RC_ASSERT(!is_complete || whole.used == divided.used);
+                 RC_ASSERT(!is_complete || whole.got.body == divided.got.body);
+                 RC_ASSERT(!is_complete || whole.got.headers.find("Id") == "2");
+             });
+}
