--- a/bench/net_bench_main.cpp
+++ b/bench/net_bench_main.cpp
@@ -14,6 +14,7 @@
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
+#include "net/socket_client.hpp"
 
 #include <sys/resource.h>
 
@@ -35,6 +36,7 @@
     bool is_server = false;
     bool opens_fresh_connections = false;
     bool takes_fingerprints = false; // of each request, as while there are suspects
+    bool uses_libcurl = false;       // for requests, as for the store
     std::string listen = "127.0.0.1:0";
     std::string to;
     std::int64_t connections = 16;
@@ -202,7 +204,9 @@
     BOOST_LEAF_AUTO(loop, event_loop::create());
     http_client_options options;
     options.max_connections_per_endpoint = static_cast<long>(settings.connections);
-    BOOST_LEAF_AUTO(client, http_client::create(*loop, options));
+    BOOST_LEAF_AUTO(client,
+                    settings.uses_libcurl ? http_client::create(*loop, options)
+                                          : socket_client::create(*loop, options));
     closed_load(*loop, *client, settings).run();
     return exit_ok;
 }
@@ -219,6 +223,9 @@
     line.add_flag("--fresh",
                   settings.opens_fresh_connections,
                   "open a new connection for each request");
+    line.add_flag("--libcurl",
+                  settings.uses_libcurl,
+                  "send requests by libcurl, as to the store, not as to servers");
     line.add_option("--listen", settings.listen, "address to listen on");
     line.add_option("--to", settings.to, "address of the server to send requests to");
     line.add_option("--connections",
