--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "core/gateway/store/store_watchers.hpp"
 #include "net/http_status.hpp"
 #include "net/pipelined_server.hpp"
+#include "net/socket_client.hpp"
 
 #include <csignal>
 #include <utility>
@@ -135,6 +136,7 @@
     directory_agent_.reset();
     store_.reset();
     server_http_.reset();
+    order_http_.reset();
     control_http_.reset();
 }
 
@@ -149,9 +151,10 @@
     server_options.ack_timeout = server_unresponsive_limit;
     server_options.resets_on_close = true;
     server_options.shares_pool = true;
-    BOOST_LEAF_ASSIGN(server_http_, http_client::create(*loop_, server_options));
+    BOOST_LEAF_ASSIGN(server_http_, socket_client::create(*loop_, server_options));
     http_client_options control_options = server_options;
     control_options.ack_timeout = store_unresponsive_limit;
+    BOOST_LEAF_ASSIGN(order_http_, socket_client::create(*loop_, control_options));
     BOOST_LEAF_ASSIGN(control_http_, http_client::create(*loop_, control_options));
     BOOST_LEAF_ASSIGN(store_, make_store(*loop_, *control_http_, settings_.store));
 
@@ -166,7 +169,7 @@
         settings_.seed != 0 ? settings_.seed : std::random_device()();
     state_ = std::make_unique<gateway_state>(settings_, seed);
     state_->on_fleet_change([this] { schedule_watch_sources(); });
-    order_sender_ = std::make_unique<order_sender>(*control_http_, codec_);
+    order_sender_ = std::make_unique<order_sender>(*order_http_, codec_);
     rpc_ = std::make_unique<rpc_client>(*control_http_);
     directory_agent_ =
         std::make_unique<directory_agent>(*loop_, *store_, *state_, codec_, log_);
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -86,8 +86,9 @@
     gateway_log log_;
     std::unique_ptr<event_loop> loop_;
     std::shared_ptr<memory_budget> memory_;     // of all messages together
-    std::unique_ptr<http_client> server_http_;  // requests to servers
-    std::unique_ptr<http_client> control_http_; // store, orders, other gateways
+    std::unique_ptr<http_client> server_http_;  // requests, also by other gateways
+    std::unique_ptr<http_client> order_http_;   // orders to servers
+    std::unique_ptr<http_client> control_http_; // store, calls of other gateways
     std::unique_ptr<store_client> store_;
     std::unique_ptr<gateway_state> state_;
     std::unique_ptr<directory_agent> directory_agent_;
