--- a/fakes/site/site_main.cpp
+++ b/fakes/site/site_main.cpp
@@ -6,14 +6,12 @@
 #include "app/endpoint_text.hpp"
 #include "app/program.hpp"
 #include "app/query.hpp"
-#include "codec/json_text.hpp"
+#include "fakes/site/site_documents.hpp"
 #include "fakes/site/site_server.hpp"
 #include "fakes/site/site_store.hpp"
 #include "net/http_status.hpp"
 #include "net/pipelined_server.hpp"
 
-#include <json/value.h>
-
 #include <csignal>
 #include <map>
 
@@ -24,8 +22,7 @@
 
 constexpr double max_count = 1000;
 constexpr double max_restart_ms = 60000;
-constexpr const char* services[] = {"shelf", "diary"};
-constexpr const char* keyed_service = "diary";
+constexpr const char* services[] = {fakes::shelf_service, fakes::diary_service};
 constexpr int slots = 3;
 constexpr duration limit_window = seconds(4);
 constexpr duration limit_settling_time = seconds(3);
@@ -50,33 +47,6 @@
     time_point limited_at{}; // when its limit was last changed
 };
 
-Json::Value route_of(const std::string& prefix, const std::string& kind, const char* to)
-{
-    Json::Value made;
-    made["host"] = "camphorrock.example";
-    made["prefix"] = prefix;
-    made["kind"] = kind;
-    made["timeout"] = "2s";
-    made["target_latency"] = "500ms";
-    made["max_attempts"] = 2;
-    made["service"] = to;
-    return made;
-}
-
-std::string config_text()
-{
-    Json::Value made;
-    made["version"] = 1;
-    made["routes"]["look"] = route_of("/look/", "safe", "shelf");
-    made["routes"]["reserve"] = route_of("/reserve/", "unsafe", "shelf");
-    made["routes"]["visit"] = route_of("/visit/", "unsafe", "diary");
-    for (const char* it : services)
-    {
-        made["services"][it]["sharded"] = std::string(it) == keyed_service;
-    }
-    return write_json(made);
-}
-
 class site
 {
 public:
@@ -86,7 +56,7 @@
           restart_time_(milliseconds(static_cast<int>(args.restart_ms))),
           store_(loop, {.era = 1, .kv = {}})
     {
-        store_.put("op/config", config_text());
+        store_.put("op/config", fakes::site_config_text({}));
     }
 
     fakes::site_store& store()
@@ -98,7 +68,7 @@
     {
         fakes::site_server_options options;
         options.id = id;
-        options.is_keyed = service == keyed_service;
+        options.is_keyed = service == fakes::diary_service;
         options.slots = slots;
         options.work = work_;
         site_process made;
@@ -246,14 +216,10 @@
 
     void publish(const std::string& id, const site_process& it)
     {
-        Json::Value entry;
-        entry["service"] = it.service;
-        entry["address"] = it.port->bound().str();
-        entry["zone"] = "z";
-        entry["slots"] = slots;
-        entry["state"] = "ready";
-        entry["born"] = 1;
-        store_.put("servers/" + id, write_json(entry));
+        store_.put(
+            "servers/" + id,
+            fakes::site_entry_text(
+                {it.service, it.port->bound(), slots, fakes::site_entry_state::ready}));
     }
 
     event_loop& loop_;
--- a/fakes/site/site_server.cpp
+++ b/fakes/site/site_server.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 site_server::site_server(event_loop& loop, site_server_options options)
-    : loop_(loop), options_(std::move(options)),
+    : loop_(loop), options_(std::move(options)), random_(options_.seed),
       queue_(options_.slots, options_.max_queued)
 {
 }
@@ -101,6 +101,12 @@
         responder->respond(std::move(refusal));
         return;
     }
+    if (happens(faults_.refuse_share))
+    {
+        const int status = any_of_statuses(faults_.refuse_statuses);
+        responder->respond(make_refusal(request, status));
+        return;
+    }
     if (faults_.is_unresponsive)
     {
         unanswered_responders_.push_back(std::move(responder));
@@ -127,7 +133,9 @@
     it.is_running = true;
     runs_.push_back({header_value(it.request, "Request-Id"),
                      it.request.target,
-                     header_value(it.request, "Timeout-Remaining")});
+                     header_value(it.request, "Timeout-Remaining"),
+                     options_.id,
+                     loop_.now()});
     it.timer = loop_.after(options_.work, [this, ticket] { finish_run(ticket); });
 }
 
@@ -161,6 +169,10 @@
     const bool is_failed =
         runs_.size() * faults_.fail_share >= 1 && faults_.fail_share > 0;
     made.status = is_failed ? http_status::server_error : http_status::ok;
+    if (happens(faults_.run_status_share))
+    {
+        made.status = any_of_statuses(faults_.run_statuses);
+    }
     made.headers.add("Request-Id", faults_.echoes_other_request_id ? "another" : id);
     if (!faults_.omits_signature)
     {
@@ -210,11 +222,37 @@
             [this, request, arrived_at] { apply_order(request, arrived_at); }));
         return;
     }
+    if (faults_.order_time > duration::zero())
+    {
+        delayed_order_timers_.push_back(
+            loop_.after(faults_.order_time,
+                        [this, request, responder, arrived_at]
+                        { answer_order(request, responder, arrived_at); }));
+        return;
+    }
+    answer_order(request, responder, arrived_at);
+}
+
+void site_server::answer_order(const http_request& request,
+                               const std::shared_ptr<http_responder>& responder,
+                               time_point arrived_at)
+{
     http_response answer = apply_order(request, arrived_at);
     announce(answer);
     responder->respond(std::move(answer));
 }
 
+bool site_server::happens(double share)
+{
+    return share > 0 && std::bernoulli_distribution(share)(random_);
+}
+
+int site_server::any_of_statuses(const std::vector<int>& statuses)
+{
+    std::uniform_int_distribution<std::size_t> any(0, statuses.size() - 1);
+    return statuses[any(random_)];
+}
+
 http_response site_server::apply_order(const http_request& request, time_point arrived_at)
 {
     const Json::Value body =
--- a/fakes/site/site_server.hpp
+++ b/fakes/site/site_server.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,7 @@
     std::size_t slots = 3;
     std::size_t max_queued = 12;
     duration work = milliseconds(5); // service time of each request
+    std::uint64_t seed = 1;          // of the random choices of its faults
 };
 
 // Faults, which can be changed while the server runs.
@@ -42,6 +44,13 @@
     std::string names_limit; // if set, all answers name this limit of requests a second
     bool sets_content_encoding = false; // sends a Content-Encoding
     duration order_delay{}; // if not 0, orders get no answer and take effect after it
+    duration order_time{};  // if not 0, orders take effect and are answered after it
+    // Requests are refused as not run with this chance, with one of these statuses.
+    double refuse_share = 0;
+    std::vector<int> refuse_statuses{503};
+    // Answers to requests that ran have one of these statuses with this chance.
+    double run_status_share = 0;
+    std::vector<int> run_statuses{503};
     // Requests whose target begins with this crash the server at the end of their run;
     // empty: none. `on_crash` must end all its connections and stop listening.
     std::string crashes_on;
@@ -54,6 +63,8 @@
     std::string request_id;
     std::string target;
     std::string remaining_ms; // value of the Timeout-Remaining header
+    std::string server{};     // id of the server
+    time_point started_at{};
 };
 
 class site_server : public http_handler
@@ -123,6 +134,11 @@
     http_response apply_order(const http_request& request, time_point arrived_at);
     void start_run(slot_ticket ticket);
     void finish_run(slot_ticket ticket);
+    void answer_order(const http_request& request,
+                      const std::shared_ptr<http_responder>& responder,
+                      time_point arrived_at);
+    bool happens(double share);
+    int any_of_statuses(const std::vector<int>& statuses);
     // Removes the request; a running one frees its slot.
     void on_caller_disconnected(slot_ticket ticket);
     // Returns an answer that reports that the request was not run.
@@ -132,6 +148,7 @@
     event_loop& loop_;
     site_server_options options_;
     site_server_faults faults_;
+    std::mt19937_64 random_;
     slot_queue queue_;
     std::map<slot_ticket, work_item> items_;
     std::uint64_t last_ticket_ = 0;
