--- a/fakes/site/once_main.cpp
+++ b/fakes/site/once_main.cpp
@@ -34,6 +34,7 @@
     std::int64_t servers = 2;
     std::int64_t ids = 1;
     double take_over_ms = 0;
+    bool take_over_closes = false;
     double add_least_ms = 0;
     double add_most_ms = 0;
     double order_least_ms = 0;
@@ -80,6 +81,7 @@
     made.servers = static_cast<std::size_t>(args.servers);
     made.ids_at_address = static_cast<std::size_t>(args.ids);
     made.take_over = {ms_of(args.take_over_ms / 2), ms_of(args.take_over_ms)};
+    made.take_over_closes = args.take_over_closes;
     made.add = {ms_of(args.add_least_ms), ms_of(args.add_most_ms)};
     made.order = {ms_of(args.order_least_ms), ms_of(args.order_most_ms)};
     made.cut_period = ms_of(args.cut_ms);
@@ -161,6 +163,9 @@
     line.require_range("--ids", 1, max_count);
     line.add_option(
         "--take-over-ms", args.take_over_ms, "longest time of one of them there");
+    line.add_flag("--take-over-closes",
+                  args.take_over_closes,
+                  "the connections end when another server takes over");
     line.add_option(
         "--add-least-ms", args.add_least_ms, "least time between added servers");
     line.add_option("--add-most-ms",
--- a/fakes/site/once_trial.cpp
+++ b/fakes/site/once_trial.cpp
@@ -234,6 +234,10 @@
     for (trial_address& it : addresses_)
     {
         it.holder->current = (it.holder->current + 1) % it.holder->servers.size();
+        if (options_.take_over_closes && it.port)
+        {
+            it.port->close_connections();
+        }
     }
 }
 
--- a/fakes/site/once_trial.hpp
+++ b/fakes/site/once_trial.hpp
@@ -53,6 +53,7 @@
     // refuses requests for the others; `take_over` says for how long.
     std::size_t ids_at_address = 1;
     drawn_duration take_over;
+    bool take_over_closes = false; // connections end when another one takes over
     // A server is added so often, and the oldest one drains. Zero: never.
     drawn_duration add;
     drawn_duration order; // until an order is carried out and answered
--- a/fakes/site/repeating_port.cpp
+++ b/fakes/site/repeating_port.cpp
@@ -281,6 +281,11 @@
 repeating_port::~repeating_port()
 {
     acceptor_.reset();
+    close_connections();
+}
+
+void repeating_port::close_connections()
+{
     while (!connections_.empty())
     {
         const std::shared_ptr<repeating_connection> first = *connections_.begin();
--- a/fakes/site/repeating_port.hpp
+++ b/fakes/site/repeating_port.hpp
@@ -66,6 +66,9 @@
         return acceptor_->bound();
     }
 
+    // Ends all connections, as a server does that ends. New ones are accepted.
+    void close_connections();
+
     const std::vector<refusal_copy>& copies() const
     {
         return copies_;
--- a/fakes/testing/repeating_port_test.cpp
+++ b/fakes/testing/repeating_port_test.cpp
@@ -155,6 +155,22 @@
     CHECK(fixture.port->copies().empty());
 }
 
+TEST_CASE("connections that the port closes end, with their requests, and new ones work")
+{
+    port_fixture fixture({}, seconds(3600));
+    raw_peer caller(fixture.port->bound());
+    caller.send(port_fixture::grant());
+    read_until(*fixture.loop, caller, "\r\n\r\n");
+    caller.send(port_fixture::request("r1"));
+    run_until(*fixture.loop, [&] { return fixture.server.runs().size() == 1; });
+    fixture.port->close_connections();
+    CHECK(read_to_end(*fixture.loop, caller).empty());
+    CHECK(fixture.server.cancelled() == 1);
+    raw_peer other(fixture.port->bound());
+    other.send(port_fixture::grant());
+    CHECK(read_until(*fixture.loop, other, "\r\n\r\n").starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("bytes that are no request end the connection")
 {
     port_fixture fixture;
