--- a/net/curl_exchange.cpp
+++ b/net/curl_exchange.cpp
@@ -2,14 +2,11 @@
 
 #include "net/http_status.hpp"
 #include "net/request_text.hpp"
-#include "net/socket_address.hpp"
 #include "net/socket_options.hpp"
 
-#include <fcntl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <cerrno>
 #include <utility>
 
@@ -53,14 +50,6 @@
 {
 }
 
-curl_exchange::~curl_exchange()
-{
-    if (skipped_socket_ >= 0)
-    {
-        ::close(skipped_socket_);
-    }
-}
-
 void curl_exchange::set_options(const endpoint& to,
                                 seconds max_idle,
                                 endpoint_connections& connections,
@@ -367,12 +356,6 @@
     if (trim(line).empty())
     {
         has_final_headers_ = answer_.status >= first_final_status;
-        const bool is_skipped = has_final_headers_ && options_.is_own_answer &&
-                                !options_.is_own_answer(answer_);
-        if (is_skipped)
-        {
-            skip_answer();
-        }
     }
     else if (colon != std::string_view::npos)
     {
@@ -381,55 +364,6 @@
     }
 }
 
-// libcurl takes the first answer for that of the request, and closes its descriptor of
-// the connection after it. The next answer is read from a duplicate. It must not have
-// been read by libcurl together with the first one: libcurl drops such bytes, and says so
-// in its debug messages, which are relied on only for an answer with a length.
-void curl_exchange::skip_answer()
-{
-    const bool has_length = answer_.headers.find("Content-Length") &&
-                            !answer_.headers.find("Transfer-Encoding");
-    if (!has_length)
-    {
-        return;
-    }
-    forbid_reuse();
-    curl_easy_setopt(easy_.get(), CURLOPT_DEBUGFUNCTION, &curl_exchange::on_debug);
-    curl_easy_setopt(easy_.get(), CURLOPT_DEBUGDATA, this);
-    curl_easy_setopt(easy_.get(), CURLOPT_VERBOSE, 1L);
-    const auto fd =
-        std::find_if(connections_->connected.begin(),
-                     connections_->connected.end(),
-                     [&](int it) { return local_port_of(it) == local_port_; });
-    if (fd != connections_->connected.end())
-    {
-        skipped_socket_ = fcntl(*fd, F_DUPFD_CLOEXEC, 0);
-    }
-}
-
-int curl_exchange::on_debug(
-    CURL*, curl_infotype type, char* data, std::size_t n, void* self)
-{
-    auto* it = static_cast<curl_exchange*>(self);
-    if (type == CURLINFO_TEXT)
-    {
-        it->has_debug_text_ = true;
-        it->has_dropped_bytes_ = it->has_dropped_bytes_ ||
-                                 std::string_view(data, n).starts_with("Excess found");
-    }
-    return 0;
-}
-
-std::optional<int> curl_exchange::take_socket()
-{
-    const bool is_next_whole = has_debug_text_ && !has_dropped_bytes_;
-    if (skipped_socket_ < 0 || !is_next_whole)
-    {
-        return std::nullopt;
-    }
-    return std::exchange(skipped_socket_, -1);
-}
-
 // An answer that states neither length nor encoding ends where the connection closes, so
 // its body may be truncated.
 bool curl_exchange::is_answer_whole() const
--- a/net/curl_exchange.hpp
+++ b/net/curl_exchange.hpp
@@ -54,7 +54,6 @@
                   exchange_options options,
                   memory_claim& memory);
 
-    ~curl_exchange();
     curl_exchange(const curl_exchange&) = delete;
     curl_exchange& operator=(const curl_exchange&) = delete;
 
@@ -112,16 +111,6 @@
     // The result of an exchange that is ended by exchange_options::timeout.
     exchange_result time_out() const;
 
-    // After an answer that was not the request's own: the socket, from which the next
-    // answer can be read from its first byte on, and which the caller must close. Empty
-    // after any other end, or if the first bytes are lost.
-    std::optional<int> take_socket();
-
-    const exchange_options& options() const
-    {
-        return options_;
-    }
-
     // The part of a streamed body that arrived since the last call.
     std::string take_pieces();
 
@@ -136,7 +125,6 @@
     on_body(const char* data, std::size_t size, std::size_t n, void* self);
     static int on_request(void* self, char*, char*, int, int local_port);
     static curl_socket_t on_open_socket(void* self, curlsocktype, curl_sockaddr* address);
-    static int on_debug(CURL*, curl_infotype type, char* data, std::size_t n, void* self);
     static int on_close_socket(void* connections, curl_socket_t fd);
 
     std::optional<exchange_end> reason_not_to_send() const;
@@ -146,7 +134,6 @@
     bool count_answer_bytes(std::size_t n);
     void add_header_line(std::string_view line);
     bool is_answer_whole() const;
-    void skip_answer();
 
     exchange_id id_;
     curl_easy easy_;
@@ -169,9 +156,6 @@
     bool is_reused_ = false;
     int local_port_ = 0;
     int opened_socket_ = -1;
-    int skipped_socket_ = -1; // a duplicate, after an answer that is to be skipped
-    bool has_debug_text_ = false;
-    bool has_dropped_bytes_ = false; // libcurl read more than the answer to be skipped
 };
 
 } // namespace camphorrock
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -1,14 +1,12 @@
 #include "net/http_client.hpp"
 
 #include "core/base/enum_names.hpp"
-#include "net/answer_reader.hpp"
 #include "net/curl_exchange.hpp"
 #include "net/curl_pool.hpp"
 #include "net/request_text.hpp"
 #include "net/socket_address.hpp"
 
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <deque>
@@ -41,13 +39,11 @@
     curl_exchange curl;
     endpoint to;
     std::shared_ptr<endpoint_connections> connections; // of the endpoint
-    // Null until it is started, and once it is read by `reader`.
-    std::shared_ptr<curl_pool> pool;
+    std::shared_ptr<curl_pool> pool;                   // null until it is started
     http_client::callback done;
     curl_exchange::piece_callback on_piece;
     time_point started{};
     timer_handle time_limit;
-    std::unique_ptr<answer_reader> reader{}; // set after an answer that was skipped
 };
 
 // True if the exchange uses, or is about to use, the connection.
@@ -153,18 +149,8 @@
         {
             return;
         }
-        client_exchange& exchange = *it->second;
-        const std::optional<int> socket = exchange.curl.take_socket();
-        if (socket && code == CURLE_OK)
-        {
-            read_next_answer(exchange, *socket);
-            return;
-        }
-        if (socket)
-        {
-            ::close(*socket);
-        }
-        finish(exchange.curl.id(), exchange.curl.finish(code));
+        curl_exchange& exchange = it->second->curl;
+        finish(exchange.id(), exchange.finish(code));
     }
 
     void on_libcurl_returned() override
@@ -266,19 +252,6 @@
         }
     }
 
-    // libcurl has ended the exchange with an answer that is not its own.
-    void read_next_answer(client_exchange& it, int socket)
-    {
-        leave_pool(it);
-        it.reader =
-            std::make_unique<answer_reader>(loop_,
-                                            socket,
-                                            it.curl.options(),
-                                            *it.memory,
-                                            [this, id = it.curl.id()](exchange_result got)
-                                            { finish(id, std::move(got)); });
-    }
-
     void leave_pool(client_exchange& it)
     {
         if (it.pool)
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
-// An HTTP/1.1 client on the program's event loop, using libcurl's multi interface.
+// An HTTP/1.1 client on the program's event loop. http_client::create() makes one that
+// uses libcurl's multi interface, net/socket_client.hpp one for servers whose bytes may
+// come where they are not expected.
 //
 //     exchange_id id = client.send(server, request, {.timeout = milliseconds(200)},
 //                                  [&](exchange_result got) { ... });
@@ -79,9 +81,8 @@
     std::function<bool()> is_wanted{};
     // Asked once the headers of an answer are complete. Returns false for an answer to an
     // earlier request, which a server may send once more: it is skipped, and the next one
-    // on the connection is read. Where its first bytes are lost, the exchange ends with
-    // the answer that should be skipped. Empty: the first answer is the request's own.
-    // Not for HEAD requests.
+    // on the connection is read. Only socket_client does so; with libcurl, the exchange
+    // ends with the first answer. Empty: the first answer is the request's own.
     std::function<bool(const http_response&)> is_own_answer{};
 };
 
