Keys move only once no grant of an earlier assigner can be carried out late

A new assigner moved keys on the answer to a release. A grant of its predecessor that got no answer was carried out seconds later, and the old owner held them again.

Cause: only the predecessor knows which of its grants got no answer, and its successor took none for granted. The same for an assigner that goes on after a restore of the store.

Change: an owner keeps its range, renewed and served, until the predecessor's longest grant must have expired. A gateway that has resigned tells the next assigner when its grants, and those without an answer, expire (keys.ended), which ends the wait early, also that for silent owners. The record and the messages of the build before stay as they are; it refuses keys.ended. Balancing takes no ranges off an owner with a rate limit while they are moved off one after the other: all moves came together after the wait (limited_owner_test, 12 orders for 6 allowed).

New: statements of predecessors in the fuzz, key_messages_test, key_agent_test "it tells the next one".

--- a/app/events.cpp
+++ b/app/events.cpp
@@ -285,6 +285,11 @@
               severity::info,
               "The assigner of keys ends its lease so that another gateway can take "
               "over."},
+    event_row{event_id::keys_predecessor_ended,
+              "keys_predecessor_ended",
+              severity::info,
+              "The last assigner told this one when its grants without an answer "
+              "expire."},
     event_row{event_id::grant_accepted,
               "grant_accepted",
               severity::debug,
--- a/app/events.hpp
+++ b/app/events.hpp
@@ -83,6 +83,7 @@
     keys_written = 313,
     order_ended = 314,
     keys_handed_over = 315,
+    keys_predecessor_ended = 316,
 
     grant_accepted = 501,
     grant_refused = 502,
--- a/codec/key_messages.cpp
+++ b/codec/key_messages.cpp
@@ -4,6 +4,8 @@
 #include "codec/json_text.hpp"
 #include "codec/json_writer.hpp"
 
+#include <algorithm>
+
 namespace camphorrock
 {
 namespace
@@ -146,6 +148,21 @@
     fields.optional("update", it.update);
 }
 
+template<class Fields, is_type<assigner_term_end> Message>
+void describe(Fields& fields, Message& it)
+{
+    fields.required("writer", it.writer);
+    fields.required("term", it.term);
+    fields.required("grants_ms", it.grants_left);
+    fields.required("unanswered_ms", it.unanswered_grants_left);
+}
+
+template<class Fields, is_type<keys_ended_reply> Message>
+void describe(Fields& fields, Message& it)
+{
+    fields.required("is_assigner", it.is_assigner);
+}
+
 template<class Fields, is_type<assigner_holder> Message>
 void describe(Fields& fields, Message& it)
 {
@@ -210,6 +227,31 @@
     return read;
 }
 
+Json::Value write_term_end(const assigner_term_end& value)
+{
+    return write_described(value);
+}
+
+result<assigner_term_end> read_term_end(const Json::Value& value)
+{
+    BOOST_LEAF_AUTO(read, read_described<assigner_term_end>(value));
+    if (std::min(read.grants_left, read.unanswered_grants_left) < duration::zero())
+    {
+        return fail(error_code::invalid_argument, "a time that is left is negative");
+    }
+    return read;
+}
+
+Json::Value write_keys_ended_reply(const keys_ended_reply& value)
+{
+    return write_described(value);
+}
+
+result<keys_ended_reply> read_keys_ended_reply(const Json::Value& value)
+{
+    return read_described<keys_ended_reply>(value);
+}
+
 std::string assigner_holder_text(const assigner_holder& value)
 {
     return write_json(write_described(value));
--- a/codec/key_messages.hpp
+++ b/codec/key_messages.hpp
@@ -2,11 +2,13 @@
 
 // The JSON forms of key assignments and of the calls between gateways about them:
 //
-//   keys.report   gateway -> assigner   keys_report -> keys_reply
-//   keys.update   assigner -> gateway   keys_update -> {}
+//   keys.report   gateway -> assigner         keys_report -> keys_reply
+//   keys.update   assigner -> gateway         keys_update -> {}
+//   keys.ended    last assigner -> next one   assigner_term_end -> keys_ended_reply
 
 #include "core/base/result.hpp"
 #include "core/gateway/fleet/gateway_groups.hpp"
+#include "core/gateway/owners/assigner_term_end.hpp"
 #include "core/gateway/owners/assignment_delta.hpp"
 #include "core/gateway/owners/key_assignment.hpp"
 
@@ -63,6 +65,13 @@
     bool operator==(const keys_reply&) const = default;
 };
 
+struct keys_ended_reply
+{
+    bool is_assigner = false; // false: the statement had no effect
+
+    bool operator==(const keys_ended_reply&) const = default;
+};
+
 // The functions below that read fail with invalid_argument: with the path of the first
 // fault, or if the key ranges of a service are not sorted, overlap, or exceed
 // last_shard_key.
@@ -81,6 +90,13 @@
 Json::Value write_keys_reply(const keys_reply& value);
 result<keys_reply> read_keys_reply(const Json::Value& value);
 
+// Reading fails also if a time that is left is negative.
+Json::Value write_term_end(const assigner_term_end& value);
+result<assigner_term_end> read_term_end(const Json::Value& value);
+
+Json::Value write_keys_ended_reply(const keys_ended_reply& value);
+result<keys_ended_reply> read_keys_ended_reply(const Json::Value& value);
+
 // The gateway that holds the assigner role: the value of the role's key in the store.
 struct assigner_holder
 {
--- a/core/gateway/owners/key_assigner.cpp
+++ b/core/gateway/owners/key_assigner.cpp
@@ -42,8 +42,8 @@
             range_state made;
             made.range = range;
             made.range.is_moving = false;
-            made.latest_grant_end = predecessor_grants_end_;
-            made.previous_grant_end = predecessor_grants_end_;
+            made.predecessor_grant_end = predecessor_grants_end_;
+            made.predecessor_unanswered_end = predecessor_grants_end_;
             made.last_accepted_at = now;
             row.key_ranges.push_back(std::move(made));
         }
@@ -54,7 +54,9 @@
     if (is_older)
     {
         begin_uncertainty(now);
+        return;
     }
+    predecessor_ = assigner_term_end{record.writer, record.version.term, {}, {}};
 }
 
 void key_assigner::lease_renewed(time_point sent)
@@ -91,6 +93,50 @@
            now < *last_renewal_sent_at_ + options_.authority_ttl - authority_margin;
 }
 
+std::optional<assigner_term_end> key_assigner::term_end(time_point now) const
+{
+    if (is_first_record_pending_)
+    {
+        return std::nullopt;
+    }
+    time_point last = now;
+    time_point last_unanswered = now;
+    for (const keyed_service& row : services_)
+    {
+        for (const range_state& it : row.key_ranges)
+        {
+            last = std::max(last, it.grants_end());
+            last_unanswered = std::max(last_unanswered, it.unanswered_grants_end());
+        }
+    }
+    return assigner_term_end{self_,
+                             version_.term,
+                             std::chrono::ceil<milliseconds>(last - now),
+                             std::chrono::ceil<milliseconds>(last_unanswered - now)};
+}
+
+bool key_assigner::predecessor_ended(const assigner_term_end& got, time_point now)
+{
+    const bool is_predecessor = predecessor_ && predecessor_->writer == got.writer &&
+                                predecessor_->term == got.term;
+    if (!is_predecessor)
+    {
+        return false;
+    }
+    const time_point last = now + got.grants_left;
+    const time_point last_unanswered = now + got.unanswered_grants_left;
+    for (keyed_service& row : services_)
+    {
+        for (range_state& it : row.key_ranges)
+        {
+            it.predecessor_grant_end = std::min(it.predecessor_grant_end, last);
+            it.predecessor_unanswered_end =
+                std::min(it.predecessor_unanswered_end, last_unanswered);
+        }
+    }
+    return true;
+}
+
 key_assigner::keyed_service& key_assigner::service_row(const service_name& name)
 {
     for (keyed_service& it : services_)
@@ -230,7 +276,7 @@
     if (it.target)
     {
         const bool needs_release =
-            it.release_epoch && !it.is_released && it.latest_grant_end > now;
+            it.release_epoch && !it.is_released && it.grants_end() > now;
         if (needs_release)
         {
             orders.push_back(make_order(row, it, *owner, order_kind::release, view, now));
@@ -344,6 +390,8 @@
         it->is_unresponsive = true;
         it->latest_grant_end = now;
         it->unanswered_grant_end = now;
+        it->predecessor_unanswered_end = now;
+        it->predecessor_grant_end = now;
         it->next_order_at = now + unresponsive_retry_pause;
         break;
     case order_end::rejected:
@@ -377,8 +425,8 @@
         return false;
     }
     const bool is_same_server = *it.target == it.range.owner;
-    const bool is_release_safe = it.is_released && now >= it.unanswered_grant_end;
-    return is_same_server || is_release_safe || now >= it.latest_grant_end;
+    const bool is_release_safe = it.is_released && now >= it.unanswered_grants_end();
+    return is_same_server || is_release_safe || now >= it.grants_end();
 }
 
 // A settled range has an owner that accepts its orders, and nothing about it is changing.
@@ -569,6 +617,8 @@
         it.latest_grant_end = {};
         it.previous_grant_end = {};
         it.unanswered_grant_end = {};
+        it.predecessor_unanswered_end = {};
+        it.predecessor_grant_end = {};
     }
 }
 
@@ -579,6 +629,10 @@
     const time_point unanswered =
         part.order ? part.latest_grant_end : part.unanswered_grant_end;
     whole.unanswered_grant_end = std::max(whole.unanswered_grant_end, unanswered);
+    whole.predecessor_grant_end =
+        std::max(whole.predecessor_grant_end, part.predecessor_grant_end);
+    whole.predecessor_unanswered_end =
+        std::max(whole.predecessor_unanswered_end, part.predecessor_unanswered_end);
 }
 
 void key_assigner::record_not_written()
--- a/core/gateway/owners/key_assigner.hpp
+++ b/core/gateway/owners/key_assigner.hpp
@@ -10,10 +10,13 @@
 //     assigner.order_ended(id, result, now);
 //     if (std::optional<key_assignment> next = assigner.next_record(now)) write(*next);
 //     assigner.record_written(now);
+//     assigner.predecessor_ended(it, now);             // if the predecessor says so
 //
 // Safety. A key range gets a new owner only after one of the following:
 //   - The old owner acknowledged a release whose epoch is above those of all its grants,
-//     and every grant that it did not answer has expired.
+//     and every grant that it did not answer has expired: those of this assigner, and
+//     those of its predecessors. A server may carry out a grant without an answer after
+//     newer orders.
 //   - Every grant that may have reached the old owner has expired. The expiry is counted
 //     from the end of the order that carried the grant, for a clock that may run slow by
 //     `drift`.
@@ -23,8 +26,15 @@
 // grant. Epochs come from a range that the record reserves, so no two assigners use the
 // same epoch. Orders are sent only until `authority_ttl` after the last successful
 // renewal of the lease was sent. A new assigner assumes that every owner in the record
-// holds a grant from the predecessor until the predecessor's last possible grant has
-// expired. Renewing the same grant to the same owner is always safe.
+// holds a grant from the predecessor, and has another one that it did not answer, until
+// the predecessor's last possible grant has expired. Renewing the same grant to the same
+// owner is always safe.
+//
+// What a predecessor has granted is known to itself alone, as it may have lost the store
+// before. While a grant without an answer may be in force, its owner keeps the range: it
+// serves the keys, and a release would not free them. A predecessor that has resigned
+// tells when its grants expire, and those without an answer (term_end), which ends these
+// waits early.
 //
 // If the store comes back from a copy (see store_era), its record may be older than
 // grants that are in force. The first record of the new era is written only when no such
@@ -37,12 +47,14 @@
 //
 // Memory: one row a key range, at most `max_ranges` a service; the samples of key_load.
 
+#include "core/gateway/owners/assigner_term_end.hpp"
 #include "core/gateway/owners/key_assignment.hpp"
 #include "core/gateway/owners/key_load.hpp"
 #include "core/gateway/owners/key_orders.hpp"
 #include "core/gateway/servers/server_directory.hpp"
 #include "core/gateway/store/store_era.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -131,6 +143,16 @@
 
     bool has_authority(time_point now) const;
 
+    // What this assigner tells its successor if it sends no further orders. Empty if it
+    // has written no record in this era of the store: it then has sent no orders that
+    // follow it.
+    std::optional<assigner_term_end> term_end(time_point now) const;
+
+    // The statement of a gateway that has resigned, whenever it arrives. Returns false,
+    // and has no effect, unless it is that of the writer of the record with which this
+    // assigner started, about that record's term.
+    bool predecessor_ended(const assigner_term_end& got, time_point now);
+
     // Counts a request for a key that reached any gateway.
     void add_load(const service_name& service, shard_key key, time_point now);
 
@@ -178,15 +200,31 @@
         std::optional<order_id> order;   // in flight
         // A grant without an answer may be in force until then.
         time_point unanswered_grant_end{};
-        time_point previous_grant_end{}; // latest_grant_end before the order in flight
-        std::string handover;            // the last owner's state, for the first grant
-        std::optional<server_id> target; // the new owner, while the range is moving
+        // The same for the grants of earlier assigners.
+        time_point predecessor_unanswered_end{};
+        time_point predecessor_grant_end{}; // as latest_grant_end, for earlier assigners
+        time_point previous_grant_end{};    // latest_grant_end before the order in flight
+        std::string handover;               // the last owner's state, for the first grant
+        std::optional<server_id> target;    // the new owner, while the range is moving
         server_incarnation target_incarnation;
         std::optional<epoch> release_epoch;
         time_point moved_at{};
         // False after the store came back from a copy, until the owner is certain.
         bool is_owner_certain = true;
 
+        // No grant is in force from then on.
+        time_point grants_end() const
+        {
+            return std::max(latest_grant_end, predecessor_grant_end);
+        }
+
+        // No grant without an answer is in force from then on.
+        time_point unanswered_grants_end() const
+        {
+            const time_point own = order ? latest_grant_end : unanswered_grant_end;
+            return std::max(own, predecessor_unanswered_end);
+        }
+
         // Nobody serves the range: what has the owner's address neither carries out
         // orders nor takes requests for the keys.
         bool is_disowned() const
@@ -255,6 +293,7 @@
     double affordable_ranges(double limit) const;
     void plan(keyed_service& row, const assigner_view& view, time_point now);
     void plan_initial(keyed_service& row, std::vector<server_load>& loads);
+    bool is_freed_by_release(const range_state& it, time_point now) const;
     bool
     is_orphan(const range_state& it, const assigner_view& view, time_point now) const;
     void split_orphans(keyed_service& row,
@@ -347,6 +386,9 @@
     std::optional<time_point> last_renewal_sent_at_;
     unsigned failed_renewals_ = 0; // since the last one that succeeded
     time_point predecessor_grants_end_{};
+    // Who wrote the record with which this assigner started, and in which term. Empty if
+    // a later record may have been lost.
+    std::optional<assigner_term_end> predecessor_;
     bool goes_on_ = false; // begin_era() was called, and no record was written since
     // When every grant of an earlier era of the store has expired.
     time_point earlier_grants_end_{};
--- a/core/gateway/owners/key_assigner_era.cpp
+++ b/core/gateway/owners/key_assigner_era.cpp
@@ -11,6 +11,7 @@
 // authority until now, and their last orders may be under way.
 void key_assigner::begin_uncertainty(time_point now)
 {
+    predecessor_.reset();
     confirms_from_ = now + options_.authority_ttl + options_.order_timeout;
     earlier_grants_end_ = confirms_from_ + worst_case_hold_time(options_.long_hold_time);
     for (keyed_service& row : services_)
@@ -18,6 +19,8 @@
         for (range_state& it : row.key_ranges)
         {
             it.is_owner_certain = false;
+            it.predecessor_grant_end = earlier_grants_end_;
+            it.predecessor_unanswered_end = earlier_grants_end_;
         }
     }
 }
--- a/core/gateway/owners/key_assigner_plan.cpp
+++ b/core/gateway/owners/key_assigner_plan.cpp
@@ -147,7 +147,16 @@
     count_change();
 }
 
-// True if the owner has ended or is leaving, or does not answer and can hold no grant.
+// False while a grant of an earlier assigner that got no answer may be carried out after
+// a release; the owner then keeps the keys. True a plan before, as the owner's work on
+// the keys has to end, too.
+bool key_assigner::is_freed_by_release(const range_state& it, time_point now) const
+{
+    return now + options_.plan_period >= it.predecessor_unanswered_end;
+}
+
+// True if the owner has ended, or is leaving and a release frees its keys, or does not
+// answer and can hold no grant.
 bool key_assigner::is_orphan(const range_state& it,
                              const assigner_view& view,
                              time_point now) const
@@ -155,11 +164,12 @@
     const known_server* owner = view.servers->find(it.range.owner);
     const bool is_other_incarnation =
         owner != nullptr && owner->entry.incarnation != it.range.incarnation;
-    if (owner == nullptr || is_other_incarnation || owner->is_leaving(now))
+    if (owner == nullptr || is_other_incarnation)
     {
         return true;
     }
-    return it.is_unresponsive && now >= it.latest_grant_end;
+    const bool is_left = owner->is_leaving(now) && is_freed_by_release(it, now);
+    return is_left || (it.is_unresponsive && now >= it.grants_end());
 }
 
 // Splits the ranges of a server that leaves, so that its keys go to several other
@@ -365,6 +375,12 @@
                                             return std::pair(a.is_limited, a.ratio()) <
                                                    std::pair(b.is_limited, b.ratio());
                                         });
+    // relieve_limited() moves these ranges one after the other, which costs fewer orders.
+    const bool is_relieved_already = most->is_limited && most->range_count > 1;
+    if (is_relieved_already)
+    {
+        return false;
+    }
     if (least->range_count == 0 && may_split(row, loads))
     {
         const double half = std::max(1.0, (most->load - least->load) / 2);
@@ -479,7 +495,7 @@
                               const server_id& owner,
                               time_point now) const
 {
-    return it.range.owner == owner && is_settled(it) &&
+    return it.range.owner == owner && is_settled(it) && is_freed_by_release(it, now) &&
            now - it.moved_at >= min_move_interval;
 }
 
--- a/core/gateway/owners/testing/key_assigner_test.cpp
+++ b/core/gateway/owners/testing/key_assigner_test.cpp
@@ -325,6 +325,25 @@
         CHECK(second.now - started_at > milliseconds(1500 + 9800));
         CHECK(second.now - started_at < seconds(13));
     }
+    // Guards against keys of a lost server that nobody serves for 11 s after each change
+    // of the assigner.
+    SECTION("or after all that the predecessor says it has granted has expired")
+    {
+        second.answer = [](const key_order& it)
+        {
+            const bool is_lost = it.server == server_id("s0");
+            return order_result{is_lost ? order_end::not_sent : order_end::accepted, ""};
+        };
+        const time_point started_at = second.now;
+        const assigner_term_end said{instance_id("g1"), 1, seconds(3), {}};
+        CHECK(second.assigner.predecessor_ended(said, second.now));
+        while (second.owner(0) == "s0" && second.now < started_at + seconds(20))
+        {
+            second.run(milliseconds(10));
+        }
+        CHECK(second.now - started_at >= seconds(3));
+        CHECK(second.now - started_at < seconds(4));
+    }
     SECTION("it uses epochs above the limit of the predecessor")
     {
         second.run(milliseconds(200));
@@ -332,6 +351,114 @@
     }
 }
 
+// Guards against two owners of a key: a grant of the predecessor that got no answer may
+// be carried out after a release that the new assigner sent.
+TEST_CASE(
+    "an assigner takes no keys from an owner while a predecessor's grant may be late")
+{
+    const duration longest_wait = seconds(12);
+    assigner_fixture first(3);
+    first.run(seconds(3));
+    assigner_fixture second(3, first.records.back());
+    listed_server leaving = second.directory.find(server_id("s0"))->entry;
+    leaving.is_draining = true;
+    second.directory.put(leaving, second.now);
+    const time_point started_at = second.now;
+    // Returns for how long s0 served the keys.
+    auto run_until_moved = [&]
+    {
+        duration served{};
+        while ((second.owner(0) == "s0" || second.owner(0).empty()) &&
+               second.now < started_at + seconds(20))
+        {
+            second.run(milliseconds(10));
+            const bool is_served = second.owner(0) == "s0" &&
+                                   second.held_until[server_id("s0")] > second.now;
+            served += is_served ? milliseconds(10) : milliseconds(0);
+        }
+        return served;
+    };
+
+    SECTION("until each of them has expired; the owner serves the keys meanwhile")
+    {
+        const duration served = run_until_moved();
+        CHECK(second.now - started_at > milliseconds(1500 + 9800));
+        CHECK(second.now - started_at < longest_wait);
+        CHECK(second.now - started_at - served < milliseconds(400));
+    }
+    SECTION("until then, if the predecessor says when they have expired")
+    {
+        second.run(seconds(1));
+        const assigner_term_end said{instance_id("g1"), 1, seconds(3), seconds(3)};
+        CHECK(second.assigner.predecessor_ended(said, second.now));
+        run_until_moved();
+        CHECK(second.now - started_at >= seconds(4));
+        CHECK(second.now - started_at < milliseconds(4200));
+    }
+    SECTION("a statement about another term, or of another gateway, has no effect")
+    {
+        for (const auto& [writer, term] : {std::pair("g1", 2), std::pair("g2", 1)})
+        {
+            const assigner_term_end said{
+                instance_id(writer), static_cast<std::uint64_t>(term), {}, {}};
+            CHECK_FALSE(second.assigner.predecessor_ended(said, second.now));
+        }
+        run_until_moved();
+        CHECK(second.now - started_at > milliseconds(1500 + 9800));
+    }
+}
+
+TEST_CASE("an assigner that resigns says how long its grants may still be carried out")
+{
+    assigner_fixture fixture(3);
+
+    SECTION("nothing before it has written a record")
+    {
+        CHECK_FALSE(fixture.assigner.term_end(fixture.now));
+    }
+    SECTION("not at all if each grant was answered")
+    {
+        fixture.run(seconds(3));
+        const auto said = fixture.assigner.term_end(fixture.now);
+        REQUIRE(said);
+        CHECK(said->writer == instance_id("g1"));
+        CHECK(said->term == fixture.records.back().version.term);
+        CHECK(said->unanswered_grants_left == duration::zero());
+        CHECK(said->grants_left > milliseconds(2500 - 600));
+        CHECK(said->grants_left < milliseconds(2600));
+    }
+    SECTION("until a grant that got no answer has expired, by a slow clock")
+    {
+        fixture.run(seconds(3));
+        fixture.answer = [](const key_order&)
+        {
+            return order_result{order_end::no_answer, {}};
+        };
+        fixture.run(milliseconds(600));
+        const auto said = fixture.assigner.term_end(fixture.now);
+        REQUIRE(said);
+        CHECK(said->unanswered_grants_left > milliseconds(2550 - 100));
+    }
+    SECTION("until a grant that is under way has expired")
+    {
+        fixture.run(seconds(3));
+        fixture.answers_orders = false;
+        fixture.run(milliseconds(600));
+        const auto said = fixture.assigner.term_end(fixture.now);
+        REQUIRE(said);
+        CHECK(said->unanswered_grants_left > milliseconds(2500 - 600));
+    }
+    SECTION("until those of its own predecessor have expired")
+    {
+        fixture.run(seconds(3));
+        assigner_fixture second(3, fixture.records.back());
+        second.run(seconds(1));
+        const auto said = second.assigner.term_end(second.now);
+        REQUIRE(said);
+        CHECK(said->unanswered_grants_left > milliseconds(1500 + 9800 - 1100));
+    }
+}
+
 TEST_CASE("adjacent hot keys are spread over several servers")
 {
     assigner_fixture fixture(4);
--- a/core/gateway/owners/testing/owner_fuzz_test.cpp
+++ b/core/gateway/owners/testing/owner_fuzz_test.cpp
@@ -87,12 +87,14 @@
 }
 
 // Guards against an assigner that started from a copy of the store and, after the next
-// restore, goes on as if it knew all grants: this seed showed it.
+// restore, goes on as if it knew all grants: these seeds showed it.
 TEST_CASE("an assigner that started from a copy does not go on after the next restore")
 {
     owner_simulation_options options;
     options.restore_fraction = 0.0006;
-    owner_simulation simulation(options, 2105);
+    const std::uint64_t seed = GENERATE(2105, 4089);
+    CAPTURE(seed);
+    owner_simulation simulation(options, seed);
     run(simulation, 20000);
     CHECK(simulation.restores() > 1);
 }
@@ -123,3 +125,31 @@
         }
     }
 }
+
+// Guards against two owners of a key where an assigner moves keys early, as its
+// predecessor has said when its grants without an answer expire.
+TEST_CASE("no two servers hold a key while assigners tell their successors of grants")
+{
+    owner_simulation_options options;
+    options.lost_statements = 0.5;
+    options.restore_fraction = GENERATE(0.0, 0.0006);
+    for (std::uint64_t n = 0; n < 8; ++n)
+    {
+        const std::uint64_t seed = first_seed() + 300 + n;
+        DYNAMIC_SECTION("seed " << seed)
+        {
+            owner_simulation simulation(options, seed);
+            run(simulation, steps_per_seed());
+            // Each restore of the store is followed by a wait without new grants.
+            CHECK(simulation.grants() > (options.restore_fraction > 0 ? 0 : 100));
+            CHECK((simulation.statements() > 0 || options.restore_fraction > 0));
+
+            AND_THEN("all keys are held again after all faults have ended")
+            {
+                simulation.end_faults();
+                run(simulation, 6000);
+                CHECK(simulation.held_keys() == last_shard_key + 1);
+            }
+        }
+    }
+}
--- a/core/gateway/owners/testing/owner_simulation.cpp
+++ b/core/gateway/owners/testing/owner_simulation.cpp
@@ -21,7 +21,7 @@
 } // namespace
 
 owner_simulation::owner_simulation(owner_simulation_options options, std::uint64_t seed)
-    : options_(options), random_(seed)
+    : options_(options), random_(seed), statement_random_(seed)
 {
     for (unsigned n = 0; n < options_.servers; ++n)
     {
@@ -91,6 +91,7 @@
         break;
     case 3: // the assigner process is killed and restarts
         some.role.reset();
+        some.term_end.reset();
         break;
     case 4: // the server crashes; it restarts under its id, before or after its entry
             // expires
@@ -172,7 +173,7 @@
     const bool is_elected = !lease_holder_ || lease_holder_ == n;
     if (!is_elected || !may_go_on(it))
     {
-        it.role.reset();
+        resign(n);
         return;
     }
     lease_holder_ = n;
@@ -219,6 +220,7 @@
     {
         lease_holder_.reset();
     }
+    deliver_statements();
     for (std::size_t n = 0; n < assigners_.size(); ++n)
     {
         if (now_ >= assigners_[n].frozen_until)
@@ -229,10 +231,66 @@
     return check_invariants();
 }
 
+void owner_simulation::resign(std::size_t n)
+{
+    assigner& it = assigners_[n];
+    if (const std::optional<assigner_term_end> said = it.role->term_end(now_))
+    {
+        it.term_end = said;
+        it.term_ended_at = now_;
+    }
+    it.role.reset();
+}
+
+// Sends the statement about the assigner's last term to each of the others, which may get
+// it long after.
+void owner_simulation::tell_successor(std::size_t n)
+{
+    std::uniform_real_distribution<double> any(0, 1);
+    const assigner& from = assigners_[n];
+    if (!from.term_end || any(statement_random_) > 0.1)
+    {
+        return;
+    }
+    assigner_term_end said = *from.term_end;
+    const duration since = now_ - from.term_ended_at;
+    said.grants_left = std::max(duration::zero(), said.grants_left - since);
+    said.unanswered_grants_left =
+        std::max(duration::zero(), said.unanswered_grants_left - since);
+    if (any(statement_random_) < options_.lost_statements)
+    {
+        return;
+    }
+    constexpr double longest_delay_s = 3;
+    const std::chrono::duration<double> delay(longest_delay_s * any(statement_random_));
+    statements_under_way_.push_back(
+        {now_ + std::chrono::duration_cast<duration>(delay), said});
+}
+
+void owner_simulation::deliver_statements()
+{
+    std::erase_if(statements_under_way_,
+                  [&](const statement& sent)
+                  {
+                      if (sent.at > now_)
+                      {
+                          return false;
+                      }
+                      for (assigner& to : assigners_)
+                      {
+                          const bool is_taken =
+                              to.role && to.role->predecessor_ended(sent.said, now_);
+                          statements_ += is_taken ? 1 : 0;
+                      }
+                      return true;
+                  });
+}
+
 void owner_simulation::run_assigner(std::size_t n)
 {
     assigner& it = assigners_[n];
     notice_era(n);
+    tell_successor(n);
     if (is_store_reachable(it))
     {
         std::vector<listed_server> listed;
@@ -248,7 +306,7 @@
         // The watch of the lease reports its end with a delay.
         if (it.role && lease_holder_ != n && chance(0.1))
         {
-            it.role.reset();
+            resign(n);
         }
     }
     if (!it.role)
@@ -353,7 +411,7 @@
             {
                 if (is_same_role)
                 {
-                    writer.role.reset();
+                    resign(n);
                 }
                 return;
             }
@@ -411,7 +469,7 @@
                               {
                                   if (servers_[to].entry.incarnation == incarnation)
                                   {
-                                      execute_order(servers_[to], order, arrived_at);
+                                      execute_late(servers_[to], order, arrived_at);
                                   }
                               });
                  });
@@ -469,18 +527,40 @@
     {
         return {order_end::accepted, "state"};
     }
+    hold(to, order, arrived_at);
+    return {order_end::accepted, {}};
+}
+
+// A grant without an answer may be carried out after newer orders, whatever epochs the
+// server has seen meanwhile.
+void owner_simulation::execute_late(server& to,
+                                    const key_order& order,
+                                    time_point arrived_at)
+{
+    if (order.kind == order_kind::release)
+    {
+        execute_order(to, order, arrived_at);
+        return;
+    }
+    if (to.is_up)
+    {
+        hold(to, order, arrived_at);
+    }
+}
+
+void owner_simulation::hold(server& at, const key_order& order, time_point arrived_at)
+{
     const auto slow_hold_time =
         static_cast<double>(order.hold_time.count()) * (1 + options_.drift);
     const time_point until =
         arrived_at + duration(static_cast<duration::rep>(slow_hold_time));
     if (until <= now_)
     {
-        return {order_end::accepted, {}}; // the grant expired before it was carried out
+        return; // the grant expired before it was carried out
     }
-    to.held_ranges.push_back({order.keys, order.at, until});
+    at.held_ranges.push_back({order.keys, order.at, until});
     ++grants_;
-    track_owner(to, order);
-    return {order_end::accepted, {}};
+    track_owner(at, order);
 }
 
 void owner_simulation::track_owner(const server& at, const key_order& order)
--- a/core/gateway/owners/testing/owner_simulation.hpp
+++ b/core/gateway/owners/testing/owner_simulation.hpp
@@ -3,8 +3,9 @@
 // A simulation of key assigners in their environment: servers that carry out grants and
 // releases, a store with a record and a lease, which at times comes back from a copy that
 // is some seconds old, and a network that delays, reorders and
-// loses messages. After each step it checks that no two servers hold the same key, and
-// that a key's epoch rises with each change of its owner. Slow.
+// loses messages. A grant that is not answered is carried out later, also after newer
+// orders with higher epochs. After each step it checks that no two servers hold the same
+// key, and that a key's epoch rises with each change of its owner. Slow.
 
 #include "core/gateway/owners/key_assigner.hpp"
 
@@ -29,7 +30,10 @@
     double restore_fraction = 0;     // of steps in which the store comes back from a copy
     double rejected_fraction = 0.01; // of grants, rejected without effect
     double fault_fraction = 0.002;   // of steps that begin a fault
-    unsigned limited_servers = 0;    // that name a rate limit, for half of each 20 s
+    // Of an assigner that has resigned to its successor; the others arrive up to 3 s
+    // later.
+    double lost_statements = 1;
+    unsigned limited_servers = 0; // that name a rate limit, for half of each 20 s
     key_assigner_options assigner;
 };
 
@@ -55,6 +59,12 @@
         return restores_;
     }
 
+    // The number of statements that a successor took into account.
+    unsigned statements() const
+    {
+        return statements_;
+    }
+
     unsigned moves() const
     {
         return moves_;
@@ -89,6 +99,9 @@
         std::unique_ptr<key_assigner> role;
         std::uint64_t record_revision = 0;
         store_era era; // that the assigner knows of
+        // Of its last term, and when that ended; lost if its process was killed.
+        std::optional<assigner_term_end> term_end;
+        time_point term_ended_at{};
         time_point lease_sent{};
         time_point frozen_until{};
         time_point store_unreachable_until{};
@@ -106,6 +119,13 @@
         time_point lease_until{};
     };
 
+    // What an assigner has said about its last term, which arrives at a later time.
+    struct statement
+    {
+        time_point at{};
+        assigner_term_end said;
+    };
+
     // An action that is due at a later time.
     struct event
     {
@@ -122,12 +142,17 @@
     void restore_store();
     void notice_era(std::size_t n);
     bool may_go_on(const assigner& it) const;
+    void resign(std::size_t n);
+    void tell_successor(std::size_t n);
+    void deliver_statements();
     void run_assigner(std::size_t n);
     void try_acquire_lease(std::size_t n);
     void renew_lease(std::size_t n);
     void write_record(std::size_t n);
     void send_order(std::size_t n, const key_order& order);
     order_result execute_order(server& to, const key_order& order, time_point arrived_at);
+    void execute_late(server& to, const key_order& order, time_point arrived_at);
+    void hold(server& at, const key_order& order, time_point arrived_at);
     void track_owner(const server& at, const key_order& order);
     std::optional<std::string> check_invariants();
     bool is_store_reachable(const assigner& it) const;
@@ -135,11 +160,15 @@
 
     owner_simulation_options options_;
     std::mt19937_64 random_;
+    // Of the statements alone, so that they leave the other faults of a seed as they are.
+    std::mt19937_64 statement_random_;
     time_point now_{seconds(100)};
     std::vector<server> servers_;
     std::vector<assigner> assigners_;
     std::vector<event> events_;
     std::uint64_t last_event_ = 0;
+    // Apart from events_, which are carried out in an order that random_ gives.
+    std::vector<statement> statements_under_way_;
 
     key_assignment record_;
     std::uint64_t record_revision_ = 0; // given out again after a restore
@@ -155,6 +184,7 @@
     std::optional<std::string> violation_;
     unsigned grants_ = 0;
     unsigned moves_ = 0;
+    unsigned statements_ = 0;
     bool has_ended_faults_ = false;
 };
 
--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -17,6 +17,8 @@
 // The next tick publishes what came too early.
 constexpr duration max_publish_period = tick_period;
 constexpr duration retry_pause = milliseconds(200);
+// The next assigner assumes that grants of earlier ones are in force for less than this.
+constexpr duration term_end_kept = seconds(30);
 // By the first check, the other gateways have reported to the new assigner.
 constexpr duration hand_over_check_period = seconds(2);
 
@@ -34,6 +36,11 @@
     return latest;
 }
 
+std::int64_t whole_ms(duration of)
+{
+    return std::chrono::ceil<milliseconds>(of).count();
+}
+
 key_assigner_options options_of(const gateway_settings& settings)
 {
     key_assigner_options options;
@@ -150,6 +157,10 @@
         published_changes_ = 0;
         assigner_ = std::make_unique<key_assigner>(
             options_of(settings), latest_known(record), settings.id, now, era);
+        if (const std::optional<assigner_term_end> own = last_term_end())
+        {
+            assigner_->predecessor_ended(*own, now);
+        }
     }
     assigner_->lease_renewed(lease_call_sent_at_);
     has_revoked_lease_ = false;
@@ -158,7 +169,8 @@
         {{"term", std::max(record.version.term + 1, first_number_of(era))},
          {"record_revision", at.value},
          {"era", era.value},
-         {"goes_on", goes_on}});
+         {"goes_on", goes_on},
+         {"predecessor", record.writer}});
     if (context_.on_elected)
     {
         context_.on_elected();
@@ -509,12 +521,56 @@
     is_reclaiming_ = false;
     if (assigner_)
     {
-        context_.log.events().write(event_id::keys_resigned, {{"reason", reason}});
+        const time_point now = context_.loop.now();
+        const std::optional<assigner_term_end> said = assigner_->term_end(now);
+        // Without a record there were no orders, and what was said before still holds.
+        if (said)
+        {
+            last_term_end_ = said;
+            last_term_ended_at_ = now;
+        }
+        const duration left = said ? said->unanswered_grants_left : duration::zero();
+        context_.log.events().write(event_id::keys_resigned,
+                                    {{"reason", reason},
+                                     {"term", said ? said->term : 0},
+                                     {"unanswered_ms", whole_ms(left)}});
         assigner_.reset();
         record_in_flight_.reset();
     }
 }
 
+std::optional<assigner_term_end> assigner_role::last_term_end() const
+{
+    const duration since = context_.loop.now() - last_term_ended_at_;
+    if (!last_term_end_ || since > term_end_kept)
+    {
+        return std::nullopt;
+    }
+    auto left_of = [&](duration left)
+    {
+        return std::max<duration>(duration::zero(),
+                                  std::chrono::ceil<milliseconds>(left - since));
+    };
+    assigner_term_end said = *last_term_end_;
+    said.grants_left = left_of(said.grants_left);
+    said.unanswered_grants_left = left_of(said.unanswered_grants_left);
+    return said;
+}
+
+void assigner_role::on_term_end(const assigner_term_end& got)
+{
+    if (assigner_ && assigner_->predecessor_ended(got, context_.loop.now()))
+    {
+        context_.log.events().write(
+            event_id::keys_predecessor_ended,
+            {{"predecessor", got.writer},
+             {"term", got.term},
+             {"grants_ms", whole_ms(got.grants_left)},
+             {"unanswered_ms", whole_ms(got.unanswered_grants_left)}});
+        post_tick();
+    }
+}
+
 void assigner_role::add_load(const service_name& service, shard_key key)
 {
     if (assigner_)
--- a/gateway/assigner_role.hpp
+++ b/gateway/assigner_role.hpp
@@ -90,6 +90,12 @@
     // effect unless this gateway is the assigner.
     void add_refusal(const service_name& service, shard_key key);
 
+    // What this gateway tells the next assigner about its own last term. Empty if there
+    // was none, or it is so long ago that no grant of it can be in force.
+    std::optional<assigner_term_end> last_term_end() const;
+    // The statement of the last assigner. No effect unless this gateway is the assigner.
+    void on_term_end(const assigner_term_end& got);
+
     // Resigns if this gateway holds the role, and takes part in no further election.
     void shut_down();
 
@@ -172,6 +178,9 @@
     std::optional<key_assignment> record_in_flight_;
     std::uint64_t published_changes_ = 0; // key_assigner::changes() when last published
     time_point last_published_at_{};
+    // Of this gateway's last term, and when that ended.
+    std::optional<assigner_term_end> last_term_end_;
+    time_point last_term_ended_at_{};
     bool is_renewal_in_flight_ = false;
     bool is_tick_posted_ = false;
 
--- a/gateway/key_agent.cpp
+++ b/gateway/key_agent.cpp
@@ -40,6 +40,8 @@
                [this](const Json::Value& params) { return handle_report(params); });
     server.add("keys.update",
                [this](const Json::Value& params) { return handle_update(params); });
+    server.add("keys.ended",
+               [this](const Json::Value& params) { return handle_term_end(params); });
     schedule_report(context_.loop.now() + min_report_period);
     record_poll_timer_ =
         context_.loop.every(record_poll_period, [this] { poll_record(); });
@@ -137,6 +139,8 @@
 // them and still renew its lease.
 void key_agent::on_holder_changed()
 {
+    term_end_known_to_.reset();
+    send_term_end();
     const bool is_small =
         !context_.state.gateways().empty() && context_.state.groups().is_single_group();
     if (is_small)
@@ -148,8 +152,50 @@
     schedule_report(context_.loop.now() + duration(spread % report_period().count()));
 }
 
+// Repeated with each report until the assigner has answered. Until then it moves no keys
+// that this gateway may have granted. A build without the method refuses the call.
+void key_agent::send_term_end()
+{
+    const std::optional<endpoint> to = role_.holder();
+    const std::optional<assigner_term_end> said = role_.last_term_end();
+    const bool is_due = to && said && *to != context_.state.settings().peer &&
+                        term_end_known_to_ != to && !is_term_end_in_flight_;
+    if (!is_due)
+    {
+        return;
+    }
+    is_term_end_in_flight_ = true;
+    rpc_.call(*to,
+              "keys.ended",
+              write_term_end(*said),
+              report_timeout,
+              [this, to, alive = std::weak_ptr<const bool>(alive_)](const rpc_result& got)
+              {
+                  if (!alive.expired())
+                  {
+                      on_term_end_reply(*to, got);
+                  }
+              });
+}
+
+void key_agent::on_term_end_reply(const endpoint& to, const rpc_result& got)
+{
+    is_term_end_in_flight_ = false;
+    const keys_ended_reply reply =
+        got.end != rpc_end::answered
+            ? keys_ended_reply()
+            : value_or_handle([&] { return read_keys_ended_reply(got.value); },
+                              [](const error&) { return keys_ended_reply(); });
+    const bool is_known = reply.is_assigner || got.end == rpc_end::refused;
+    if (is_known && role_.holder() == to)
+    {
+        term_end_known_to_ = to;
+    }
+}
+
 void key_agent::send_report()
 {
+    send_term_end();
     const gateway_settings& settings = context_.state.settings();
     const bool is_assigner = role_.is_assigner() || role_.holder() == settings.peer;
     if (is_assigner || !role_.holder())
@@ -271,6 +317,13 @@
     return Json::Value(Json::objectValue);
 }
 
+result<Json::Value> key_agent::handle_term_end(const Json::Value& params)
+{
+    BOOST_LEAF_AUTO(got, read_term_end(params));
+    role_.on_term_end(got);
+    return write_keys_ended_reply({role_.is_assigner()});
+}
+
 keys_update key_agent::update_since(assignment_version known_version) const
 {
     keys_update update;
--- a/gateway/key_agent.hpp
+++ b/gateway/key_agent.hpp
@@ -3,7 +3,8 @@
 // Keeps this gateway's assignment of keys to servers up to date: reports the requests for
 // keys to the assigner, and receives assignments in the assigner's messages or, while the
 // assigner does not respond, from the record in the store. While this gateway is itself
-// the assigner, it sends the assignments to the other gateways.
+// the assigner, it sends the assignments to the other gateways; after that it tells the
+// next assigner which of its grants may still be carried out.
 
 #include "codec/key_messages.hpp"
 #include "core/gateway/owners/assignment_delta.hpp"
@@ -54,6 +55,8 @@
     };
 
     void send_report();
+    void send_term_end();
+    void on_term_end_reply(const endpoint& to, const rpc_result& got);
     void schedule_report(time_point at);
     void schedule_prompt_report();
     void on_holder_changed();
@@ -62,6 +65,7 @@
     void on_report_reply(const endpoint& to, const rpc_result& got);
     result<Json::Value> handle_report(const Json::Value& params);
     result<Json::Value> handle_update(const Json::Value& params);
+    result<Json::Value> handle_term_end(const Json::Value& params);
     void publish(const key_assignment& assignment);
     void send_update(const endpoint& to);
     void poll_record();
@@ -81,6 +85,9 @@
     time_point last_report_sent_{};  // when it was sent
     time_point next_report_at_{};
     time_point last_assigner_reply_{}; // when it arrived
+    bool is_term_end_in_flight_ = false;
+    // The assigner that knows how this gateway's last term as the assigner ended.
+    std::optional<endpoint> term_end_known_to_;
     assigner_role role_;
     timer_handle report_timer_;
     timer_handle record_poll_timer_;
