A target below the expected latency refuses nothing while slots are free

Cause: a request was refused if its answer was expected after 1.1 of the target, also where nobody waited. An estimate changes only by answers, so once all servers of a service were expected to be slower, nothing was sent that could have shown otherwise.

Change: latency_limit() decides. While at most one would wait, a server without attempts for 0.5 to 1 s (drawn for each attempt, so that many gateways differ) gets a probe whatever is expected. With a longer queue, below one request for each slot, the probes of a server are as many times rarer as there are gateways; an owner of keys gets none then. An estimate without an answer for 3 s moves to the mean time of its service, half of the way a second, and the next answer weighs as much as it has moved.

--- /dev/null
+++ b/core/gateway/servers/latency_limit.cpp
@@ -0,0 +1,34 @@
+#include "core/gateway/servers/latency_limit.hpp"
+
+#include <algorithm>
+
+namespace camphorrock
+{
+namespace
+{
+
+// Where the service time alone uses the target up, a queue of this part of it keeps the
+// slots busy.
+constexpr int service_time_per_queueing = 2;
+
+} // namespace
+
+duration latency_limit(const server_choice& to, const answer_terms& terms)
+{
+    const bool would_one_wait_at_most = to.load <= to.slots;
+    if (would_one_wait_at_most)
+    {
+        return terms.time_left;
+    }
+    const duration with_queue =
+        to.expected_service + to.expected_service / service_time_per_queueing;
+    return std::min(terms.time_left, std::max(terms.target, with_queue));
+}
+
+bool is_worth_sending(const server_choice& to, duration limit)
+{
+    const bool is_probe = to.evidence.is_probe_due && limit > duration::zero();
+    return to.expected_latency <= limit || is_probe;
+}
+
+} // namespace camphorrock
--- a/core/gateway/servers/server_pool.cpp
+++ b/core/gateway/servers/server_pool.cpp
@@ -73,6 +73,9 @@
         else
         {
             made.average_service_us = mean_service_us_;
+            made.estimated_at = now;
+            made.tested_at = now;
+            made.probe_after = options_.first_probe_after;
         }
         made.entry = server->entry;
         made.is_usable = server->is_usable();
@@ -93,7 +96,6 @@
         }
     }
     rows_ = std::move(updated);
-    static_cast<void>(now);
 }
 
 bool server_pool::is_eligible(const row& it,
@@ -140,12 +142,26 @@
     return now < it.suspended_until || (is_on_probation && it.own_requests > 0);
 }
 
+double server_pool::estimate_decay(const row& it, time_point now) const
+{
+    const double decayed_us = to_us(now - it.estimated_at - options_.estimate_valid_for);
+    const double half_lives = decayed_us / to_us(options_.estimate_half_life);
+    return 1 - std::exp2(-std::max(0.0, half_lives));
+}
+
+double server_pool::estimated_service_us(const row& it, time_point now) const
+{
+    return it.average_service_us +
+           estimate_decay(it, now) * (mean_service_us_ - it.average_service_us);
+}
+
 double server_pool::expected_service_us(const row& it, time_point now) const
 {
     const bool is_warming_up = now < it.warm_up_end;
-    return is_warming_up ? std::max(it.average_service_us,
-                                    options_.warm_up_factor * mean_service_us_)
-                         : it.average_service_us;
+    const double estimated_us = estimated_service_us(it, now);
+    return is_warming_up
+               ? std::max(estimated_us, options_.warm_up_factor * mean_service_us_)
+               : estimated_us;
 }
 
 unsigned server_pool::load_of(const row& it, unsigned requests, time_point now) const
@@ -273,28 +289,63 @@
         }
     }
     best = best != nullptr ? best : first_to_return;
-    return best != nullptr ? std::optional(make_choice(*best, criteria, now))
+    return best != nullptr ? std::optional(make_choice(*best, criteria, random, now))
                            : std::nullopt;
 }
 
 server_choice server_pool::make_choice(const row& it,
                                        const server_criteria& criteria,
+                                       std::minstd_rand& random,
                                        time_point now) const
 {
     const unsigned estimate = it.own_requests + it.remote_requests;
     const unsigned load = load_of(it, criteria.owner_load.value_or(estimate), now);
-    const double latency_us =
-        expected_queueing_us(it, load, now) + expected_service_us(it, now);
-    return {
-        it.entry.id, it.entry.incarnation, it.entry.address, from_us(latency_us), load};
+    const double service_us = expected_service_us(it, now);
+    const double latency_us = expected_queueing_us(it, load, now) + service_us;
+    return {it.entry.id,
+            it.entry.incarnation,
+            it.entry.address,
+            from_us(latency_us),
+            load,
+            from_us(service_us),
+            it.entry.slots,
+            {it.answers, now - it.estimated_at, is_probe_due(it, load, criteria, now)},
+            draw_probe_after(random)};
+}
+
+bool server_pool::is_probe_due(const row& it,
+                               unsigned load,
+                               const server_criteria& criteria,
+                               time_point now) const
+{
+    if (load <= it.entry.slots)
+    {
+        return now >= it.tested_at + it.probe_after;
+    }
+    const bool may_lengthen_queue = !criteria.owner && load < 2 * it.entry.slots;
+    return may_lengthen_queue && now >= it.tested_at + it.probe_after * gateways_;
 }
 
-void server_pool::attempt_started(const server_id& server)
+duration server_pool::draw_probe_after(std::minstd_rand& random) const
 {
-    auto it = rows_.find(server);
+    std::uniform_int_distribution<duration::rep> draw(options_.first_probe_after.count(),
+                                                      options_.last_probe_after.count());
+    return duration(draw(random));
+}
+
+void server_pool::note_test(row& it, const server_choice& to, time_point now)
+{
+    it.tested_at = now;
+    it.probe_after = to.probe_after;
+}
+
+void server_pool::attempt_started(const server_choice& to, time_point now)
+{
+    auto it = rows_.find(to.server);
     if (it != rows_.end())
     {
         ++it->second.own_requests;
+        note_test(it->second, to, now);
     }
 }
 
@@ -322,7 +373,8 @@
         it.failures = 0;
         it.suspended_until = {};
         update_failure_rate(it, 0, now);
-        update_service_time(it, elapsed, to.load);
+        update_service_time(it, elapsed, to.load, now);
+        note_test(it, to, now);
         break;
     case attempt_end::shed:
         it.full_until = now + options_.full_duration;
@@ -355,10 +407,17 @@
     }
 }
 
-void server_pool::update_service_time(row& it, duration elapsed, unsigned load)
+void server_pool::update_service_time(row& it,
+                                      duration elapsed,
+                                      unsigned load,
+                                      time_point now)
 {
     const double sample = to_us(elapsed) / (1.0 + queueing_factor(load, it.entry.slots));
-    it.average_service_us += options_.smoothing * (sample - it.average_service_us);
+    const double estimated_us = estimated_service_us(it, now);
+    const double smoothing = std::max(options_.smoothing, estimate_decay(it, now));
+    it.average_service_us = estimated_us + smoothing * (sample - estimated_us);
+    it.estimated_at = now;
+    ++it.answers;
     const double mean_smoothing = options_.smoothing / std::max<double>(1, rows_.size());
     mean_service_us_ += mean_smoothing * (sample - mean_service_us_);
 }
@@ -398,6 +457,7 @@
     {
         it.remote_requests = loads.requests_at(id, gateways);
     }
+    gateways_ = std::max(1U, gateways);
     const unsigned mean_load = mean_in_group_load();
     for (auto& [id, it] : rows_)
     {
--- a/core/gateway/servers/server_pool.hpp
+++ b/core/gateway/servers/server_pool.hpp
@@ -5,7 +5,7 @@
 // report, the service times, and the attempts that fail.
 //
 //     std::optional<server_choice> to = pool.choose(criteria, random, now);
-//     pool.attempt_started(to->server);
+//     pool.attempt_started(*to, now);
 //     pool.attempt_ended(*to, attempt_end::answered, elapsed, now);
 //
 // The expected latency at a server is the service time of the request plus the queueing
@@ -23,6 +23,20 @@
 //   - `failure_penalty` of the mean time, multiplied by the server's failure rate, so
 //     that a server that fails some of its attempts is used when the others are busy.
 //
+// The service time of a server is known from its answers only, and a server that is
+// expected to be slow may get no request that could show otherwise. So an estimate that
+// has not been renewed for `estimate_valid_for` moves to the service's mean time, half of
+// the way in each `estimate_half_life`, and the next answer weighs as much as it has
+// moved. And a choice says whether a probe of the server is due, which is sent whatever
+// is expected (core/gateway/servers/latency_limit.hpp):
+//   - if at most one request would wait, at a random time between `first_probe_after` and
+//     `last_probe_after` since the last attempt, so that many gateways do not probe at
+//     the same moment;
+//   - if more would, but fewer than one for each slot, after as many times as long as
+//     there are gateways, since the queue is known from the requests in flight, and the
+//     probes of all gateways lengthen it. An owner of keys, which all gateways of a large
+//     fleet use, gets no such probes.
+//
 // A server that is unreachable or has lost its address to another one, or fails
 // `failures_to_suspend` consecutive attempts, is suspended for a time that doubles with
 // each further failure. It then returns on probation: it gets one request at a time until
@@ -77,6 +91,10 @@
 {
     double smoothing = 0.1; // weight of the newest sample in a moving average
     duration initial_mean_time = milliseconds(100); // before the first answer
+    duration estimate_valid_for = seconds(3);
+    duration estimate_half_life = seconds(1); // of the difference to the mean time
+    duration first_probe_after = milliseconds(500);
+    duration last_probe_after = seconds(1);
     double service_time_weight = 0.3;
     double remote_zone_penalty = 0.35;  // fraction of the service's mean time
     double out_of_group_penalty = 0.35; // fraction of the service's mean time
@@ -107,6 +125,14 @@
     std::optional<unsigned> owner_load = {};
 };
 
+// What an expected latency rests on.
+struct latency_evidence
+{
+    unsigned answers = 0;      // of this incarnation, to this gateway
+    duration age{};            // since the latest of them, or since the server was listed
+    bool is_probe_due = false; // the request may be sent whatever is expected
+};
+
 struct server_choice
 {
     server_id server;
@@ -114,6 +140,10 @@
     endpoint address;
     duration expected_latency{}; // until the answer
     unsigned load = 0; // requests in flight there before this one, of all gateways
+    duration expected_service{}; // the part of expected_latency without the queueing time
+    unsigned slots = 0;
+    latency_evidence evidence{};
+    duration probe_after{}; // without a further attempt, a probe is due after it
 };
 
 // Until a server gets requests again, and what it waits for.
@@ -131,7 +161,7 @@
     server_pool(data_centre here, server_pool_options options = {});
 
     // Sets the servers of the pool's service, usable or not, from the directory. Keeps
-    // the statistics of servers whose incarnation is unchanged. `now` is not used.
+    // the statistics of servers whose incarnation is unchanged.
     void update(const std::vector<const known_server*>& servers, time_point now);
 
     // Returns nullopt if no server may be chosen.
@@ -139,8 +169,8 @@
                                         std::minstd_rand& random,
                                         time_point now) const;
 
-    // An attempt was sent to the server.
-    void attempt_started(const server_id& server);
+    // An attempt was sent. `to` is what choose() returned for it.
+    void attempt_started(const server_choice& to, time_point now);
 
     // An attempt ended. `to` is what choose() returned for it; `elapsed` is the time
     // since the attempt started.
@@ -215,6 +245,10 @@
         unsigned own_requests = 0;               // requests in flight of this gateway
         unsigned remote_requests = 0;  // requests in flight of other gateways, estimated
         double average_service_us = 0; // moving average of the service time
+        time_point estimated_at{};     // when the average was last renewed or set
+        time_point tested_at{};        // when the last attempt was sent or answered
+        duration probe_after{};        // after tested_at, a probe is due
+        unsigned answers = 0;          // that the average rests on
         bool was_unreachable = false;  // the latest failure was that it was unreachable
         unsigned failures = 0;         // consecutive
         double failure_rate = 0;       // moving average as of failure_rate_at
@@ -241,22 +275,35 @@
     void note_key_refusal(row& it, time_point now);
     // Raised to that of a full server while the row counts as one.
     unsigned load_of(const row& it, unsigned requests, time_point now) const;
+    // The moving average, moved to the mean time by its age.
+    double estimated_service_us(const row& it, time_point now) const;
     double expected_service_us(const row& it, time_point now) const;
+    // By how much the moving average has moved to the mean time: from 0 to 1.
+    double estimate_decay(const row& it, time_point now) const;
+    bool is_probe_due(const row& it,
+                      unsigned load,
+                      const server_criteria& criteria,
+                      time_point now) const;
+    duration draw_probe_after(std::minstd_rand& random) const;
+    static void note_test(row& it, const server_choice& to, time_point now);
     double expected_queueing_us(const row& it, unsigned load, time_point now) const;
-    void update_service_time(row& it, duration elapsed, unsigned load);
+    void update_service_time(row& it, duration elapsed, unsigned load, time_point now);
     void note_failed_attempt(row& it, bool is_unreachable, time_point now);
     // The failure rate of the row, decayed until `now`.
     double failure_rate(const row& it, time_point now) const;
     // `failure` is 1 for a failed attempt and 0 for an answered one.
     void update_failure_rate(row& it, double failure, time_point now);
     double cost_us(const row& it, time_point now) const;
-    server_choice
-    make_choice(const row& it, const server_criteria& criteria, time_point now) const;
+    server_choice make_choice(const row& it,
+                              const server_criteria& criteria,
+                              std::minstd_rand& random,
+                              time_point now) const;
 
     data_centre here_;
     server_pool_options options_;
     std::map<server_id, row> rows_;
     double mean_service_us_; // moving average of the service time over all servers
+    unsigned gateways_ = 1;  // that use the in-group servers
 };
 
 } // namespace camphorrock
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request_relay.hpp"
 
 #include "core/base/number_text.hpp"
+#include "core/gateway/servers/latency_limit.hpp"
 #include "net/http_status.hpp"
 
 #include <algorithm>
@@ -154,8 +155,8 @@
     return true;
 }
 
-// An answer that comes later than the target is worth little to the client, and a request
-// that waits at a server delays the requests behind it too.
+// Above it, a request that would wait at a server is refused: an answer later than the
+// target is worth less to the client, and the wait delays the requests behind it too.
 duration request_relay::max_expected_latency() const
 {
     return route_.target_latency * max_latency_percent / 100;
@@ -212,7 +213,8 @@
         on_no_choice(criteria.owner);
         return;
     }
-    if (to->expected_latency > std::min(time_left(), max_expected_latency()))
+    const duration limit = latency_limit(*to, {time_left(), max_expected_latency()});
+    if (!is_worth_sending(*to, limit))
     {
         rejected_estimate_ = to->expected_latency;
         give_up(local_answer_reason::overloaded);
@@ -262,7 +264,7 @@
         token_->is_used = true;
     }
     tried_.push_back(to);
-    service->pool.attempt_started(to.server);
+    service->pool.attempt_started(to, now);
     if (tried_.size() == 1)
     {
         service->budget.record_first_attempt(now);
