A refusal names its estimate, the estimate's age and answers, and the limit

Change: request_answered_here carries limit_us, estimate_age_us and estimate_answers; the sentence of `ctl request` names them. A log of the build before, which has no such fields, gives the sentence without them. camphorrock_gateway_stale_refusals_total counts refusals without a queue, by an estimate that no attempt could have corrected for over a second; it stays 0 in the simulations of latency_limit_test.

--- a/core/gateway/servers/latency_limit.cpp
+++ b/core/gateway/servers/latency_limit.cpp
@@ -10,13 +10,18 @@
 // Where the service time alone uses the target up, a queue of this part of it keeps the
 // slots busy.
 constexpr int service_time_per_queueing = 2;
+constexpr duration longest_untested = seconds(1);
+
+bool would_one_wait_at_most(const server_choice& to)
+{
+    return to.load <= to.slots;
+}
 
 } // namespace
 
 duration latency_limit(const server_choice& to, const answer_terms& terms)
 {
-    const bool would_one_wait_at_most = to.load <= to.slots;
-    if (would_one_wait_at_most)
+    if (would_one_wait_at_most(to))
     {
         return terms.time_left;
     }
@@ -31,4 +36,15 @@
     return to.expected_latency <= limit || is_probe;
 }
 
+rejected_latency make_rejected_latency(const server_choice& to, duration limit)
+{
+    return {to.expected_latency, limit, to.evidence, !would_one_wait_at_most(to)};
+}
+
+bool is_stale(const rejected_latency& it)
+{
+    return !it.has_queue && it.limit > duration::zero() &&
+           it.evidence.untested > longest_untested;
+}
+
 } // namespace camphorrock
--- a/core/gateway/servers/latency_limit.hpp
+++ b/core/gateway/servers/latency_limit.hpp
@@ -31,4 +31,20 @@
 // True if the request is to be sent.
 bool is_worth_sending(const server_choice& to, duration limit);
 
+// An expected latency by which a request was refused.
+struct rejected_latency
+{
+    duration expected{}; // zero if no request was refused by it
+    duration limit{};    // see latency_limit()
+    latency_evidence evidence{};
+    bool has_queue = false; // more than one request would have waited
+};
+
+// Describes a choice that is not worth sending under `limit`.
+rejected_latency make_rejected_latency(const server_choice& to, duration limit);
+
+// True if, without a queue and before the deadline, the request was refused by an
+// estimate that no attempt could have corrected for over a second.
+bool is_stale(const rejected_latency& it);
+
 } // namespace camphorrock
--- a/core/gateway/servers/server_pool.cpp
+++ b/core/gateway/servers/server_pool.cpp
@@ -309,7 +309,10 @@
             load,
             from_us(service_us),
             it.entry.slots,
-            {it.answers, now - it.estimated_at, is_probe_due(it, load, criteria, now)},
+            {it.answers,
+             now - it.estimated_at,
+             now - it.tested_at,
+             is_probe_due(it, load, criteria, now)},
             draw_probe_after(random)};
 }
 
--- a/core/gateway/servers/server_pool.hpp
+++ b/core/gateway/servers/server_pool.hpp
@@ -130,6 +130,7 @@
 {
     unsigned answers = 0;      // of this incarnation, to this gateway
     duration age{};            // since the latest of them, or since the server was listed
+    duration untested{};       // since the latest attempt was sent or answered
     bool is_probe_due = false; // the request may be sent whatever is expected
 };
 
--- a/core/gateway/servers/testing/latency_limit_test.cpp
+++ b/core/gateway/servers/testing/latency_limit_test.cpp
@@ -93,6 +93,26 @@
     }
 }
 
+TEST_CASE("a refusal without a queue is stale after a second without an attempt")
+{
+    server_choice to = choice_of(milliseconds(900), 3);
+    to.evidence.untested = milliseconds(1001);
+    CHECK(is_stale(make_rejected_latency(to, milliseconds(800))));
+
+    SECTION("not before, and not if it came too late for any server")
+    {
+        CHECK_FALSE(is_stale(make_rejected_latency(to, milliseconds(-1))));
+        to.evidence.untested = seconds(1);
+        CHECK_FALSE(is_stale(make_rejected_latency(to, milliseconds(800))));
+    }
+    SECTION("a queue is known from the requests in flight")
+    {
+        to = choice_of(milliseconds(900), 4);
+        to.evidence.untested = seconds(2);
+        CHECK_FALSE(is_stale(make_rejected_latency(to, milliseconds(800))));
+    }
+}
+
 TEST_CASE("an estimate that is not renewed moves to the service's mean time")
 {
     one_server it;
@@ -236,6 +256,7 @@
         const latency_counts got = it.run(seconds(length_s));
         CAPTURE(options.clients, options.gateways, got.refused, got.timed_out);
         CHECK(got.answered > 0.9 * capacity);
+        CHECK(got.stale == 0);
     }
 }
 
@@ -252,7 +273,7 @@
     CAPTURE(options.clients, options.gateways, factor);
     CHECK(it.run(seconds(3)).refused == 0);
     it.set_work(options.work * factor);
-    it.run(seconds(18));
+    CHECK(it.run(seconds(18)).stale == 0);
     it.set_work(options.work);
     it.run(seconds(2));
     const latency_counts after = it.run(seconds(10));
--- a/core/gateway/servers/testing/latency_simulation.cpp
+++ b/core/gateway/servers/testing/latency_simulation.cpp
@@ -56,6 +56,7 @@
     if (!is_worth_sending(to, limit))
     {
         ++counts_.refused;
+        counts_.stale += is_stale(make_rejected_latency(to, limit)) ? 1 : 0;
         send_after(client, options_.refusal_wait);
         return;
     }
--- a/core/gateway/servers/testing/latency_simulation.hpp
+++ b/core/gateway/servers/testing/latency_simulation.hpp
@@ -37,6 +37,7 @@
 {
     unsigned answered = 0;
     unsigned refused = 0; // by a gateway, at once
+    unsigned stale = 0;   // of those, by an estimate that is_stale()
     unsigned shed = 0;    // by a server without room
     unsigned timed_out = 0;
 };
--- a/ctl/request_trace.cpp
+++ b/ctl/request_trace.cpp
@@ -45,7 +45,7 @@
     {"no_key", "it names no key, and its service is keyed"},
     {"no_server", "no server of its service was known as ready"},
     {"no_owner", "no server owned its key, or the key was being moved, for too long"},
-    {"overloaded", "the servers' queues were too long for an answer before its deadline"},
+    {"overloaded", "no server that could run it was expected to answer in time"},
     {"paused", "the servers that could run it asked for pauses; see server_paused"},
     {"limited",
      "the servers that could run it had reached their rate limits; see token_decided"},
@@ -74,6 +74,25 @@
     return std::find(first, last, name) != last;
 }
 
+std::string milliseconds_text(const Json::Value& us)
+{
+    return std::to_string(us.asInt64() / 1000) + " ms";
+}
+
+// Names what an expected latency rested on; empty for another reason, and for the log of
+// a build that did not write it.
+std::string estimate_text(const Json::Value& fields)
+{
+    if (field_text(fields, "reason") != "overloaded" || !fields["limit_us"].isIntegral())
+    {
+        return "";
+    }
+    return ": " + milliseconds_text(fields["expected_us"]) + " expected, " +
+           milliseconds_text(fields["limit_us"]) + " allowed; the estimate rested on " +
+           field_text(fields, "estimate_answers") + " answers, the latest " +
+           milliseconds_text(fields["estimate_age_us"]) + " before";
+}
+
 std::string outcome_cause(const log_line& last)
 {
     if (last.name == "request_answered_here")
@@ -84,7 +103,8 @@
         {
             if (it.reason == reason)
             {
-                return std::string(it.text) + (is_not_run ? "; it was not run" : "");
+                return std::string(it.text) + estimate_text(last.fields) +
+                       (is_not_run ? "; it was not run" : "");
             }
         }
         return reason;
--- a/ctl/testing/request_trace_test.cpp
+++ b/ctl/testing/request_trace_test.cpp
@@ -52,6 +52,27 @@
         CHECK(got->context[0].time == "01");
         CHECK(got->context[1].name == "server_gone");
     }
+    SECTION(
+        "of a request that was refused by an expected latency, it names the estimate, "
+        "its age, its answers and the limit")
+    {
+        const std::vector<log_line> refused = {
+            make_line("01",
+                      "g1",
+                      event_id::request_answered_here,
+                      {{"request", "r1"},
+                       {"reason", "overloaded"},
+                       {"not_run", true},
+                       {"expected_us", 337180},
+                       {"limit_us", 290000},
+                       {"estimate_age_us", 2100},
+                       {"estimate_answers", 12U}}),
+        };
+        CHECK(trace_request("r1", refused)->cause ==
+              "no server that could run it was expected to answer in time: 337 ms "
+              "expected, 290 ms allowed; the estimate rested on 12 answers, the latest 2 "
+              "ms before; it was not run");
+    }
     SECTION("of a request that a rate limit kept back, it shows the limit and the token")
     {
         const std::vector<log_line> limited = {
--- a/gateway/gateway_log.cpp
+++ b/gateway/gateway_log.cpp
@@ -16,6 +16,9 @@
                                  "Servers' answers passed on."};
 const metric_name local_answers_metric{"camphorrock_gateway_own_answers_total",
                                        "Answers of the gateway itself, by reason."};
+const metric_name stale_refusals_metric{
+    "camphorrock_gateway_stale_refusals_total",
+    "Requests refused without a queue, by an estimate untested for over a second."};
 const metric_name clients_gone_metric{"camphorrock_gateway_clients_gone_total",
                                       "Requests whose client left before the answer."};
 const metric_name orders_metric{"camphorrock_gateway_orders_total",
@@ -111,6 +114,9 @@
 {
     metrics_.get_counter(local_answers_metric, {{"reason", std::string(name_of(reason))}})
         .add();
+    const bool is_stale_refusal =
+        reason == local_answer_reason::overloaded && is_stale(inputs.rejected);
+    metrics_.get_counter(stale_refusals_metric).add(is_stale_refusal ? 1 : 0);
     events_.write(
         event_id::request_answered_here,
         {{"request", request.id},
@@ -122,7 +128,10 @@
          {"server", inputs.last_server},
          {"elapsed_us", inputs.elapsed},
          {"left_us", inputs.time_left},
-         {"expected_us", inputs.expected_latency},
+         {"expected_us", inputs.rejected.expected},
+         {"limit_us", inputs.rejected.limit},
+         {"estimate_age_us", inputs.rejected.evidence.age},
+         {"estimate_answers", inputs.rejected.evidence.answers},
          {"wait_us", inputs.wait},
          {"config", inputs.config.value},
          {"keys_term", inputs.assignment.term},
--- a/gateway/gateway_log.hpp
+++ b/gateway/gateway_log.hpp
@@ -12,6 +12,7 @@
 #include "core/gateway/links/link_monitor.hpp"
 #include "core/gateway/owners/key_orders.hpp"
 #include "core/gateway/retry/crash_messages.hpp"
+#include "core/gateway/servers/latency_limit.hpp"
 #include "core/gateway/servers/server_pool.hpp"
 #include "gateway/forward_protocol.hpp"
 #include "gateway/local_answer.hpp"
@@ -35,11 +36,11 @@
 // The inputs by which the gateway decided to answer a request itself.
 struct local_answer_inputs
 {
-    unsigned attempts = 0;       // sent to servers so far
-    server_id last_server;       // of the last attempt; empty without one
-    duration elapsed{};          // since the request arrived
-    duration time_left{};        // until its deadline; negative after it
-    duration expected_latency{}; // the estimate that was too long; zero if none was
+    unsigned attempts = 0;     // sent to servers so far
+    server_id last_server;     // of the last attempt; empty without one
+    duration elapsed{};        // since the request arrived
+    duration time_left{};      // until its deadline; negative after it
+    rejected_latency rejected; // by which the request was refused, if it was
     duration
         wait{}; // until a server that may run it takes requests again; zero if one does
     config_version config;         // in force
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -1,7 +1,6 @@
 #include "gateway/request_relay.hpp"
 
 #include "core/base/number_text.hpp"
-#include "core/gateway/servers/latency_limit.hpp"
 #include "net/http_status.hpp"
 
 #include <algorithm>
@@ -216,7 +215,7 @@
     const duration limit = latency_limit(*to, {time_left(), max_expected_latency()});
     if (!is_worth_sending(*to, limit))
     {
-        rejected_estimate_ = to->expected_latency;
+        rejected_ = make_rejected_latency(*to, limit);
         give_up(local_answer_reason::overloaded);
         return;
     }
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -250,8 +250,7 @@
     std::optional<owner_refusal> refusal_;           // the last one, if any
     unsigned possible_runs_ = 0;    // attempts that may have run the request
     unsigned attempts_not_run_ = 0; // failed attempts that did not run the request
-    // The expected latency that was too long; zero if none was.
-    duration rejected_estimate_{};
+    rejected_latency rejected_;     // the last one, if any
     // Until a server that may run the request takes requests again; zero if one does.
     duration pause_left_{};
     bool may_have_run_ = false;
--- a/gateway/request_relay_answer.cpp
+++ b/gateway/request_relay_answer.cpp
@@ -50,7 +50,7 @@
     const int spread =
         static_cast<int>(context_.state.random()() % retry_after_spread_ms);
     const duration excess = std::max<duration>(
-        rejected_estimate_ - route_.target_latency / 2, duration::zero());
+        rejected_.expected - route_.target_latency / 2, duration::zero());
     return min_retry_after + milliseconds(spread) + excess + pause_left_;
 }
 
@@ -61,7 +61,7 @@
     inputs.last_server = sent_to_.server;
     inputs.elapsed = context_.loop.now() - arrived_;
     inputs.time_left = time_left();
-    inputs.expected_latency = rejected_estimate_;
+    inputs.rejected = rejected_;
     inputs.wait = pause_left_;
     inputs.config = context_.state.config().version;
     inputs.assignment = context_.state.assignment().version;
