An owner that was slow gets keys again without answers that say it is fast

An owner that was slow loses its keys to the others.

Cause: the assigner divides keys by capacities, which rest on the answers to its own gateway. A server without keys gets no requests, so its capacity stayed at that of the last slow answers, and it got no keys.

--- a/core/gateway/servers/server_pool.cpp
+++ b/core/gateway/servers/server_pool.cpp
@@ -513,7 +513,7 @@
            now < it->second.suspended_until;
 }
 
-double server_pool::capacity(const server_id& server) const
+double server_pool::capacity(const server_id& server, time_point now) const
 {
     auto it = rows_.find(server);
     if (it == rows_.end())
@@ -522,7 +522,8 @@
     }
     // A few answers are weak evidence about one server, so its average is moved halfway
     // to the mean of the service.
-    const double estimated_us = (it->second.average_service_us + mean_service_us_) / 2;
+    const double estimated_us =
+        (estimated_service_us(it->second, now) + mean_service_us_) / 2;
     return 1e6 * std::max(1U, it->second.entry.slots) / std::max(estimated_us, 1.0);
 }
 
--- a/core/gateway/servers/server_pool.hpp
+++ b/core/gateway/servers/server_pool.hpp
@@ -226,7 +226,7 @@
     bool is_server_unreachable(const server_id& server, time_point now) const;
 
     // Returns the estimated throughput of the server in requests per second.
-    double capacity(const server_id& server) const;
+    double capacity(const server_id& server, time_point now) const;
 
     // Returns the number of this gateway's requests in flight at the server.
     unsigned in_flight(const server_id& server) const;
--- a/core/gateway/servers/testing/server_pool_test.cpp
+++ b/core/gateway/servers/testing/server_pool_test.cpp
@@ -197,11 +197,36 @@
             fixture.pool.attempt_ended(
                 to, attempt_end::answered, to.expected_latency, fixture.now);
         }
-        CHECK(fixture.pool.capacity(server_id("a")) ==
+        CHECK(fixture.pool.capacity(server_id("a"), fixture.now) ==
               Approx(3e6 / static_cast<double>(alone.count())).epsilon(0.02));
     }
 }
 
+// Guards against an owner that loses its keys for good after it was slow: without keys it
+// gets no requests, whose answers would show that it is fast again.
+TEST_CASE("the capacity of a server without answers returns to that of its service")
+{
+    pool_fixture fixture;
+    fixture.add("a", here);
+    fixture.add("b", here);
+    for (int n = 0; n < 30; ++n)
+    {
+        fixture.end("a", attempt_end::answered, seconds(1));
+    }
+    for (int n = 0; n < 200; ++n)
+    {
+        fixture.end("b", attempt_end::answered);
+    }
+    const auto capacity = [&](const char* id)
+    {
+        return fixture.pool.capacity(server_id(id), fixture.now);
+    };
+    REQUIRE(capacity("a") < 0.5 * capacity("b"));
+    fixture.now += seconds(10);
+    fixture.end("b", attempt_end::answered);
+    CHECK(capacity("a") > 0.95 * capacity("b"));
+}
+
 TEST_CASE("a pool follows changes of the directory")
 {
     pool_fixture fixture;
--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -341,7 +341,7 @@
                                   const listed_server& server) const
 {
     const service_state* it = context_.state.find_service(service);
-    return it == nullptr ? 1.0 : it->pool.capacity(server.id);
+    return it == nullptr ? 1.0 : it->pool.capacity(server.id, context_.loop.now());
 }
 
 // Orders do not wait for tokens: a key must not lose its owner. They leave the fewer
