--- a/core/gateway/servers/testing/server_pool_test.cpp
+++ b/core/gateway/servers/testing/server_pool_test.cpp
@@ -49,10 +49,17 @@
         {
             return "none";
         }
-        pool.attempt_started(to->server);
+        pool.attempt_started(*to, now);
         return to->server.str();
     }
 
+    void start(const char* id)
+    {
+        server_choice to;
+        to.server = server_id(id);
+        pool.attempt_started(to, now);
+    }
+
     void end(const char* id, attempt_end how, duration elapsed = milliseconds(100))
     {
         server_choice to;
@@ -117,7 +124,7 @@
         fixture.now += milliseconds(301);
         for (int n = 0; n < 12; ++n)
         {
-            fixture.pool.attempt_started(server_id("b"));
+            fixture.start("b");
         }
         CHECK(fixture.place() == "a");
         CHECK(fixture.place() == "b");
@@ -190,11 +197,36 @@
             fixture.pool.attempt_ended(
                 to, attempt_end::answered, to.expected_latency, fixture.now);
         }
-        CHECK(fixture.pool.capacity(server_id("a")) ==
+        CHECK(fixture.pool.capacity(server_id("a"), fixture.now) ==
               Approx(3e6 / static_cast<double>(alone.count())).epsilon(0.02));
     }
 }
 
+// Guards against an owner that loses its keys for good after it was slow: without keys it
+// gets no requests, whose answers would show that it is fast again.
+TEST_CASE("the capacity of a server without answers returns to that of its service")
+{
+    pool_fixture fixture;
+    fixture.add("a", here);
+    fixture.add("b", here);
+    for (int n = 0; n < 30; ++n)
+    {
+        fixture.end("a", attempt_end::answered, seconds(1));
+    }
+    for (int n = 0; n < 200; ++n)
+    {
+        fixture.end("b", attempt_end::answered);
+    }
+    const auto capacity = [&](const char* id)
+    {
+        return fixture.pool.capacity(server_id(id), fixture.now);
+    };
+    REQUIRE(capacity("a") < 0.5 * capacity("b"));
+    fixture.now += seconds(10);
+    fixture.end("b", attempt_end::answered);
+    CHECK(capacity("a") > 0.95 * capacity("b"));
+}
+
 TEST_CASE("a pool follows changes of the directory")
 {
     pool_fixture fixture;
@@ -332,7 +364,7 @@
     const server_criteria owner{{}, server_id("s")};
     auto refuse = [&]
     {
-        fixture.pool.attempt_started(server_id("s"));
+        fixture.start("s");
         fixture.end("s", attempt_end::not_owner);
     };
     refuse();
@@ -345,7 +377,7 @@
     {
         fixture.now += milliseconds(100);
         CHECK(fixture.choose(owner));
-        fixture.pool.attempt_started(server_id("s"));
+        fixture.start("s");
         CHECK_FALSE(fixture.choose(owner));
 
         AND_THEN("an accepted request ends the suspicion")
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -154,8 +154,8 @@
     return true;
 }
 
-// An answer that comes later than the target is worth little to the client, and a request
-// that waits at a server delays the requests behind it too.
+// Above it, a request that would wait at a server is refused: an answer later than the
+// target is worth less to the client, and the wait delays the requests behind it too.
 duration request_relay::max_expected_latency() const
 {
     return route_.target_latency * max_latency_percent / 100;
@@ -212,9 +212,10 @@
         on_no_choice(criteria.owner);
         return;
     }
-    if (to->expected_latency > std::min(time_left(), max_expected_latency()))
+    const duration limit = latency_limit(*to, {time_left(), max_expected_latency()});
+    if (!is_worth_sending(*to, limit))
     {
-        rejected_estimate_ = to->expected_latency;
+        rejected_ = make_rejected_latency(*to, limit);
         give_up(local_answer_reason::overloaded);
         return;
     }
@@ -262,7 +263,7 @@
         token_->is_used = true;
     }
     tried_.push_back(to);
-    service->pool.attempt_started(to.server);
+    service->pool.attempt_started(to, now);
     if (tried_.size() == 1)
     {
         service->budget.record_first_attempt(now);
