Behind a HEAD request, an answer that may have a body is not skipped

The copy of an earlier answer that arrives there may have a body or none, so where the own answer begins is not certain: the exchange ends as lost. A copy without a body is skipped.

--- a/net/answer_parser.cpp
+++ b/net/answer_parser.cpp
@@ -231,6 +231,14 @@
     return has_no_body() || is_chunked || raw_.content_length != no_length;
 }
 
+// Behind a HEAD request, another one's answer may have a body where the own one has none.
+bool answer_parser::is_skippable() const
+{
+    const bool is_chunked = (raw_.flags & F_CHUNKED) != 0;
+    const bool has_length = raw_.content_length != no_length && raw_.content_length > 0;
+    return !rules_.is_head_request || (!is_chunked && !has_length);
+}
+
 int answer_parser::on_headers_end(http_parser* raw)
 {
     answer_parser* self = self_of(raw);
--- a/net/answer_parser.hpp
+++ b/net/answer_parser.hpp
@@ -10,7 +10,8 @@
 //
 // Skips interim answers (1xx), and final ones that exchange_options::is_own_answer
 // rejects: each up to its end, wherever the reads divide the bytes. Refuses, besides what
-// libhttp-parser refuses: an HTTP version other than 1.x, and an upgrade.
+// libhttp-parser refuses: an HTTP version other than 1.x, an upgrade and, behind a HEAD
+// request, an answer that is to be skipped and may have a body or none.
 //
 // Invariant: bytes behind the end of the own answer are never used.
 //
@@ -107,6 +108,7 @@
     int refuse(answer_state why);
     bool has_no_body() const;
     bool is_framed() const;
+    bool is_skippable() const;
 
     http_parser raw_{};
     answer_rules rules_;
--- a/net/testing/answer_parser_test.cpp
+++ b/net/testing/answer_parser_test.cpp
@@ -144,6 +144,17 @@
                          });
 }
 
+TEST_CASE("behind a HEAD request, an answer that may have a body is not skipped")
+{
+    answer_rules rules = make_rules();
+    rules.is_head_request = true;
+    const std::string last = "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 5\r\n\r\n";
+    CHECK(parse({answer(other, "old") + last}, rules).state == answer_state::invalid);
+    CHECK(parse({chunked(other, "0\r\n\r\n") + last}, rules).state ==
+          answer_state::invalid);
+    CHECK(parse({answer(other, "") + last}, rules).state == answer_state::complete);
+}
+
 TEST_CASE("an answer that is cut off at any byte is never complete")
 {
     const std::string text = GENERATE(as<std::string>(),
