--- a/fakes/site/once_count.cpp
+++ b/fakes/site/once_count.cpp
@@ -69,6 +69,7 @@
         made.not_answered_and_ran += it.end != caller_end::answered && count > 0 ? 1 : 0;
         made.ran_twice += count > 1 ? 1 : 0;
         made.refused_and_ran += is_refused && count > 0 ? 1 : 0;
+        made.unread += is_unread ? 1 : 0;
         made.unread_and_ran += is_unread && count > 0 ? 1 : 0;
         if (count > 1 || ((is_refused || is_unread) && count > 0))
         {
@@ -90,6 +91,7 @@
            " other=" + std::to_string(of.answered_other) +
            " mixed_up=" + std::to_string(of.mixed_up) +
            " not_answered=" + std::to_string(of.not_answered) +
+           " unread=" + std::to_string(of.unread) +
            " not_answered_and_ran=" + std::to_string(of.not_answered_and_ran);
 }
 
--- a/fakes/site/once_count.hpp
+++ b/fakes/site/once_count.hpp
@@ -27,6 +27,7 @@
     std::size_t answered_other = 0;
     std::size_t mixed_up = 0; // answered with the id of another request
     std::size_t not_answered = 0;
+    std::size_t unread = 0; // those of them behind an answer that closes its connection
     std::size_t not_answered_and_ran = 0; // breaks no promise of the answer
     std::vector<std::string> broken; // ids of the requests that count as the first three
 
--- a/fakes/testing/once_count_test.cpp
+++ b/fakes/testing/once_count_test.cpp
@@ -80,6 +80,8 @@
     CHECK(count_once({ended("a", caller_end::unread)}, {}).is_kept());
     const once_count got = count_once({ended("a", caller_end::unread)}, {run_of("a")});
     CHECK(got.unread_and_ran == 1);
+    CHECK(got.unread == 1);
+    CHECK(got.not_answered == 1);
     CHECK_FALSE(got.is_kept());
 }
 
