--- a/fakes/site/site_store.cpp
+++ b/fakes/site/site_store.cpp
@@ -6,6 +6,7 @@
 #include "net/http_status.hpp"
 #include "store/base64.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace camphorrock::fakes
@@ -118,10 +119,15 @@
 
 void site_store::compact()
 {
-    compact_revision_ = kv_.revision();
+    drop_history();
     polls_.clear();
 }
 
+void site_store::drop_history()
+{
+    compact_revision_ = kv_.revision();
+}
+
 void site_store::keep_copy()
 {
     copy_ = kv_;
@@ -370,16 +376,17 @@
 
 bool site_store::answer_poll(poll& it)
 {
+    const std::uint64_t after = std::max(it.after_revision, compact_revision_);
     const std::optional<std::vector<kv_event>> events =
-        kv_.events_since(it.after_revision + 1, prefix_range(it.prefix));
-    if (!events)
+        kv_.events_since(after + 1, prefix_range(it.prefix));
+    if (events && events->empty() && loop_.now() < it.deadline)
     {
-        respond(*it.responder, make_status_response(http_status::gone));
-        return true;
+        return false;
     }
-    if (events->empty() && loop_.now() < it.deadline)
+    if (!events || it.after_revision < compact_revision_)
     {
-        return false;
+        respond(*it.responder, make_status_response(http_status::gone));
+        return true;
     }
     Json::Value body(Json::objectValue);
     body["events"] = Json::Value(Json::arrayValue);
--- a/fakes/site/site_store.hpp
+++ b/fakes/site/site_store.hpp
@@ -65,6 +65,10 @@
     // 410, and the connections of pending polls are aborted.
     void compact();
 
+    // The same, but pending polls are not aborted: those from before it hear nothing, and
+    // get 410 at the next change of their prefix or at their deadline.
+    void drop_history();
+
     // Keeps a copy of the store. restore() brings the store back from it: what was
     // written since is gone, leases too, its revisions are given out again, and the era
     // rises.
