--- a/app/events.cpp
+++ b/app/events.cpp
@@ -238,6 +238,11 @@
               severity::info,
               "The gateway sends a request for another gateway, which cannot reach its "
               "servers."},
+    event_row{event_id::watch_answered,
+              "watch_answered",
+              severity::debug,
+              "A watch of the store was answered, or got no answer; gives whom it asked, "
+              "from which revision, and the revision and the changes that it got."},
     event_row{event_id::elected,
               "elected",
               severity::info,
--- a/app/events.hpp
+++ b/app/events.hpp
@@ -71,6 +71,7 @@
     request_forwarded = 248,
     forward_ended = 249,
     forward_taken = 250,
+    watch_answered = 251,
 
     elected = 301,
     lease_lost = 302,
