A query that crashes servers does not condemn the other queries of its path

What callers saw: after three crashes under one query of a path, with no answer of that path in between, all other queries of it were refused with 502 (crashes_servers) for 24 hours, although they crash nothing.

Cause: a crash counts for the whole request and for the request without query and key, and the worse one decides. A condemned path is sent no more, so no answer of another query could clear it.

Change: the path is condemned only if the last two crashes were under different requests. Otherwise it stays a suspect: another query of it is sent with the fleet's permission, one at a time, and its answer clears the path. A request that comes back with another query each time is still condemned at its third crash. What a row was told by another gateway counts as before.

--- a/core/gateway/retry/crash_counter.cpp
+++ b/core/gateway/retry/crash_counter.cpp
@@ -94,7 +94,7 @@
     row& it = row_of(fingerprint);
     if (crashes > it.crashes)
     {
-        it = {crashes, now, {}, now};
+        it = {crashes, now, {}, now, 0};
         changed_.insert(fingerprint);
     }
 }
@@ -105,7 +105,11 @@
                                 time_point now)
 {
     row& it = row_of(fingerprint);
-    const unsigned crashes = crashes_after(it, report, was_permitted, now);
+    const unsigned counted = crashes_after(it, report, was_permitted, now);
+    const unsigned limit = may_condemn(it, fingerprint, report.request)
+                               ? counted
+                               : std::max(it.crashes, crashes_to_condemn - 1);
+    const unsigned crashes = std::min(counted, limit);
     const bool is_adopted = it.crashes > 0 && it.last_crashed.str().empty();
     if (crashes == it.crashes && !is_adopted)
     {
@@ -115,9 +119,17 @@
     it.last_crash_at = now - report.ended_ago;
     it.last_crashed = report.server;
     it.changed_at = now;
+    it.last_request = report.request.whole;
     changed_.insert(fingerprint);
 }
 
+bool crash_counter::may_condemn(const row& it,
+                                std::uint64_t fingerprint,
+                                const request_fingerprint& request)
+{
+    return fingerprint == request.whole || it.last_request != request.whole;
+}
+
 unsigned crash_counter::crashes_after(const row& it,
                                       const trial_report& report,
                                       bool was_permitted,
--- a/core/gateway/retry/crash_counter.hpp
+++ b/core/gateway/retry/crash_counter.hpp
@@ -15,7 +15,9 @@
 //     `min_crash_gap` later than the last one. Crashes of one moment, such as the loss of
 //     a rack, raise the number to two at most;
 //   - an answer of any server clears the request.
-// A request is condemned at `crashes_to_condemn`.
+// A request is condemned at `crashes_to_condemn`. Its path, without query and key, is so
+// only if the last two crashes were under different requests: if one query of it crashes
+// servers, the others are suspects, and the first answer to one of them clears the path.
 //
 // Memory: at most `max_rows` fingerprints of about 100 bytes, the ones without news for
 // the longest time are dropped first; one row for each attempt that is permitted. A call
@@ -82,6 +84,7 @@
         time_point last_crash_at{};
         server_id last_crashed; // the server; empty if another gateway knew of the crash
         time_point changed_at{};
+        std::uint64_t last_request = 0; // that crashed it, whole; 0 as for last_crashed
     };
 
     struct trial
@@ -101,6 +104,10 @@
                            const trial_report& report,
                            bool was_permitted,
                            time_point now) const;
+    // True if a crash under the request may condemn the row's fingerprint.
+    static bool may_condemn(const row& it,
+                            std::uint64_t fingerprint,
+                            const request_fingerprint& request);
     row& row_of(std::uint64_t fingerprint);
     duration retention_of(const row& it) const;
 
--- a/core/gateway/retry/testing/crash_counter_test.cpp
+++ b/core/gateway/retry/testing/crash_counter_test.cpp
@@ -182,3 +182,41 @@
     CHECK(known == 50); // two fingerprints each
     CHECK(it.crashes("/999") == 1);
 }
+
+// Guards against a path that is refused for a day because one query of it crashes
+// servers: none of its other queries would be sent, whose answers would show that they do
+// not.
+TEST_CASE("a query that crashes servers does not condemn the others of its path")
+{
+    counter_fixture it;
+    const auto crash = [&](const char* target, const char* server, std::uint64_t id)
+    {
+        it.now += seconds(1);
+        REQUIRE(it.ask(target, server, id) == trial_answer::run);
+        it.end(target, server, id, trial_end::crashed);
+    };
+    it.make_suspect("/a?bad", "s1");
+    crash("/a?bad", "s2", 1);
+
+    SECTION("after its third crash, another one is sent, and its answer clears the path")
+    {
+        crash("/a?bad", "s3", 2);
+        CHECK(it.ask("/a?bad", "s4", 3) == trial_answer::condemned);
+        CHECK(it.ask("/a?good", "s4", 4) == trial_answer::run);
+        it.end("/a?good", "s4", 4, trial_end::completed);
+        CHECK(it.ask("/a?other", "s4", 5) == trial_answer::cleared);
+        CHECK(it.ask("/a?bad", "s4", 6) == trial_answer::condemned);
+    }
+    SECTION("a third crash under another query condemns the path")
+    {
+        crash("/a?worse", "s3", 2);
+        CHECK(it.ask("/a?good", "s4", 3) == trial_answer::condemned);
+
+        AND_THEN("a further crash takes nothing back")
+        {
+            it.now += seconds(1);
+            it.make_suspect("/a?worse", "s4");
+            CHECK(it.ask("/a?good", "s5", 4) == trial_answer::condemned);
+        }
+    }
+}
