--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -252,6 +252,10 @@
 
 void request_relay::send_to(const server_choice& to)
 {
+    if (exchange_)
+    {
+        return; // several events may ask for an attempt; there is one at a time
+    }
     service_state* service = context_.state.find_service(service_);
     const time_point now = context_.loop.now();
     is_waiting_for_owner_ = false;
