Behind a HEAD request, an answer that may have a body is refused, as promised

Seen by reading: a copy of another request's answer behind a HEAD request was skipped by its head alone, so a whole answer in its body that bears the own id was taken for the own one. The check for it, is_skippable(), had no caller. Its test passed all the same, since the bodies that it used are no answers and were refused as such.

The parser now refuses such an answer at the end of its head, and the exchange ends as lost. An answer that states neither length nor chunks is refused too, since its body may last until the connection ends; 204 and 304, which have none, are skipped still.

The test's bodies are whole answers with the own id now, divided at every byte; the old cases stay.

--- a/net/answer_parser.cpp
+++ b/net/answer_parser.cpp
@@ -216,13 +216,17 @@
     is_in_value_ = false;
 }
 
-bool answer_parser::has_no_body() const
+bool answer_parser::has_bodiless_status() const
 {
-    return is_interim_ || rules_.is_head_request ||
-           answer_.status == http_status::no_content ||
+    return answer_.status == http_status::no_content ||
            answer_.status == http_status::not_modified;
 }
 
+bool answer_parser::has_no_body() const
+{
+    return is_interim_ || rules_.is_head_request || has_bodiless_status();
+}
+
 // An answer that states neither length nor chunks ends where its connection does, so its
 // body may be truncated.
 bool answer_parser::is_framed() const
@@ -231,12 +235,13 @@
     return has_no_body() || is_chunked || raw_.content_length != no_length;
 }
 
-// Behind a HEAD request, another one's answer may have a body where the own one has none.
+// Behind a HEAD request, another one's answer may have a body where the own one has none;
+// also one that states neither length nor chunks.
 bool answer_parser::is_skippable() const
 {
     const bool is_chunked = (raw_.flags & F_CHUNKED) != 0;
-    const bool has_length = raw_.content_length != no_length && raw_.content_length > 0;
-    return !rules_.is_head_request || (!is_chunked && !has_length);
+    const bool is_empty = !is_chunked && raw_.content_length == 0;
+    return !rules_.is_head_request || is_empty || has_bodiless_status();
 }
 
 int answer_parser::on_headers_end(http_parser* raw)
@@ -255,6 +260,11 @@
     const answer_rules& rules = self->rules_;
     self->is_skipped_ =
         !self->is_interim_ && rules.is_own_answer && !rules.is_own_answer(self->answer_);
+    if (self->is_skipped_ && !self->is_skippable())
+    {
+        self->refuse(answer_state::invalid);
+        return refuse_answer;
+    }
     self->is_connection_kept_ =
         self->is_framed() && http_should_keep_alive(raw) != 0 && !self->has_skipped_;
     if (self->has_no_body())
--- a/net/answer_parser.hpp
+++ b/net/answer_parser.hpp
@@ -106,6 +106,7 @@
     bool count_head(std::size_t n);
     bool count_answer(std::size_t n);
     int refuse(answer_state why);
+    bool has_bodiless_status() const;
     bool has_no_body() const;
     bool is_framed() const;
     bool is_skippable() const;
--- a/net/testing/answer_parser_test.cpp
+++ b/net/testing/answer_parser_test.cpp
@@ -144,15 +144,49 @@
                          });
 }
 
+// Guards against an answer in the body of another one being taken for the own: the body
+// of a copy that answers a GET request was read as what follows on its head.
 TEST_CASE("behind a HEAD request, an answer that may have a body is not skipped")
 {
     answer_rules rules = make_rules();
     rules.is_head_request = true;
     const std::string last = "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 5\r\n\r\n";
-    CHECK(parse({answer(other, "old") + last}, rules).state == answer_state::invalid);
-    CHECK(parse({chunked(other, "0\r\n\r\n") + last}, rules).state ==
-          answer_state::invalid);
-    CHECK(parse({answer(other, "") + last}, rules).state == answer_state::complete);
+
+    SECTION("though its body is a whole answer that bears the own id")
+    {
+        const std::string first = GENERATE_COPY(
+            as<std::string>(),
+            answer(other, last),
+            answer(other, last, 503),
+            chunked(other, last),
+            "HTTP/1.1 200 OK\r\nConnection: close\r\n" + other + "\r\n" + last);
+        divide_at_every_byte(
+            first + last,
+            [&](const std::vector<std::string>& pieces)
+            { CHECK(parse(pieces, rules).state == answer_state::invalid); });
+    }
+    SECTION("and one that can't have any is")
+    {
+        const std::string first =
+            GENERATE_COPY(as<std::string>(),
+                          answer(other, ""),
+                          "HTTP/1.1 204 No Content\r\n" + other + "\r\n",
+                          "HTTP/1.1 304 No\r\nContent-Length: 7\r\n\r\n");
+        divide_at_every_byte(first + last,
+                             [&](const std::vector<std::string>& pieces)
+                             {
+                                 const outcome it = parse(pieces, rules);
+                                 CHECK(it.state == answer_state::complete);
+                                 CHECK(it.used == first.size() + last.size());
+                                 CHECK(it.got.headers.find("Id") == "2");
+                             });
+    }
+    SECTION("also if its body is no answer")
+    {
+        CHECK(parse({answer(other, "old") + last}, rules).state == answer_state::invalid);
+        CHECK(parse({chunked(other, "0\r\n\r\n") + last}, rules).state ==
+              answer_state::invalid);
+    }
 }
 
 TEST_CASE("an answer that is cut off at any byte is never complete")
