A connection that carried a HEAD request is not kept

Seen by reading: a late copy of the answer to a HEAD request states the length of a body that it doesn't have. Before the own answer of a GET or POST on the same connection, it was skipped together with that many bytes of the own answer, and the rest of the own body could be read as an answer.

No byte tells such a copy from an answer with a body, so the connection ends with the answer to a HEAD request, whichever length it states. Each HEAD request costs a connection.

The test failed before: the next request was sent on the same connection, behind both forms of the answer.

--- a/net/answer_parser.cpp
+++ b/net/answer_parser.cpp
@@ -265,8 +265,8 @@
         self->refuse(answer_state::invalid);
         return refuse_answer;
     }
-    self->is_connection_kept_ =
-        self->is_framed() && http_should_keep_alive(raw) != 0 && !self->has_skipped_;
+    self->is_connection_kept_ = self->is_framed() && http_should_keep_alive(raw) != 0 &&
+                                !self->has_skipped_ && !rules.is_head_request;
     if (self->has_no_body())
     {
         return skip_body;
--- a/net/answer_parser.hpp
+++ b/net/answer_parser.hpp
@@ -71,7 +71,8 @@
     }
 
     // Whether the connection may carry another request after the own answer. False after
-    // answers that were skipped: another copy may follow.
+    // answers that were skipped: another copy may follow. False after a HEAD request: a
+    // copy of its answer would be skipped with a body that it doesn't have.
     bool is_connection_kept() const
     {
         return is_connection_kept_;
--- a/net/socket_connection.hpp
+++ b/net/socket_connection.hpp
@@ -113,7 +113,7 @@
     std::string take_pieces();
 
     // True after an own answer that was whole, behind which nothing came, to a request
-    // that had been sent in full when it began.
+    // other than HEAD that had been sent in full when it began.
     bool is_reusable() const;
 
     // Ends the exchange, so that the connection can be kept for another one.
--- a/net/testing/socket_client_test.cpp
+++ b/net/testing/socket_client_test.cpp
@@ -188,6 +188,22 @@
     CHECK(it.is_next_elsewhere());
 }
 
+// Guards against a part of a body being taken for an answer: a late copy of the answer to
+// a HEAD request states the length of a body that it doesn't have, so the copy was
+// skipped with as many bytes of the next request's own answer.
+TEST_CASE("a connection that carried a HEAD request is not used again")
+{
+    answers_fixture it;
+    it.start({}, {"HEAD", "/a", {}, ""});
+    run_until(*it.loop, [&] { return (it.connection = it.server.accept()) != nullptr; });
+    read_until(*it.loop, *it.connection, "\r\n\r\n");
+    it.reply({GENERATE(as<std::string>(),
+                       "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 5\r\n\r\n",
+                       "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 0\r\n\r\n")});
+    CHECK(it.end().end == exchange_end::answered);
+    CHECK(it.is_next_elsewhere());
+}
+
 TEST_CASE("after an answer that is not its own, an exchange ends")
 {
     answers_fixture it;
