An idle connection is not used right before its server may close it

Seen by reading: an idle connection was used up to the exact time of the server's Keep-Alive header. If the server closed it in that moment, the request was lost, and one that can't be repeated failed for its caller.

The connection is now used up to a second before that time, and for at least half of a short one.

The test failed before: half a second after "timeout=1", the next request was sent on the same connection.

--- a/net/socket_client.cpp
+++ b/net/socket_client.cpp
@@ -90,6 +90,10 @@
     return exchange_end::connection_lost;
 }
 
+// A connection is not used within this time before its server may close it: a request
+// that is on its way when that happens is lost, and some can't be repeated.
+constexpr seconds keep_alive_margin{1};
+
 // How long the server keeps the connection, by "Keep-Alive: timeout=5".
 std::optional<seconds> keep_alive_time(const http_response& answer)
 {
@@ -106,6 +110,13 @@
     return value ? std::optional(seconds(*value)) : std::nullopt;
 }
 
+// How long a connection that its server keeps for `kept` is used: at least for half of
+// it.
+duration usable_time(duration kept)
+{
+    return std::max<duration>(kept - keep_alive_margin, kept / 2);
+}
+
 class pooling_client : public socket_client, private socket_connection_owner
 {
 public:
@@ -429,9 +440,9 @@
         {
             return;
         }
-        const seconds kept = std::min(
-            options_.max_idle, keep_alive_time(answer).value_or(options_.max_idle));
-        it.idle_until = loop_.now() + kept;
+        const std::optional<seconds> kept = keep_alive_time(answer);
+        const duration used = kept ? usable_time(*kept) : options_.max_idle;
+        it.idle_until = loop_.now() + std::min<duration>(options_.max_idle, used);
         it.io->begin_idle();
         pool.idle.push_back(std::move(it));
     }
--- a/net/testing/socket_client_test.cpp
+++ b/net/testing/socket_client_test.cpp
@@ -204,6 +204,30 @@
     CHECK(it.is_next_elsewhere());
 }
 
+// Guards against requests that are lost: one that can't be repeated was sent on an idle
+// connection in the moment in which its server closed it.
+TEST_CASE("a connection is not used again shortly before its server closes it")
+{
+    answers_fixture it;
+    it.send();
+
+    SECTION("after half of the time that the server states, if it is short")
+    {
+        it.reply({"HTTP/1.1 200 OK\r\nId: 2\r\nKeep-Alive: timeout=1\r\n"
+                  "Content-Length: 0\r\n\r\n"});
+        CHECK(it.end().end == exchange_end::answered);
+        run_for(*it.loop, milliseconds(500));
+        CHECK(it.is_next_elsewhere());
+    }
+    SECTION("and it is used again long before")
+    {
+        it.reply({"HTTP/1.1 200 OK\r\nId: 2\r\nKeep-Alive: timeout=3600\r\n"
+                  "Content-Length: 0\r\n\r\n"});
+        CHECK(it.end().end == exchange_end::answered);
+        CHECK_FALSE(it.is_next_elsewhere());
+    }
+}
+
 TEST_CASE("after an answer that is not its own, an exchange ends")
 {
     answers_fixture it;
