Keys that were to move back are released before they move elsewhere

Two servers could own a key for up to 2.5 s. While the release of a range was unanswered, its target left, so the range was to move back to its owner, and the plan counted that as the owner's release. If the record of the move back failed (or the store came back from a copy) and the owner left, too, the next target got the keys at once, although the owner had released nothing.

is_released now says only what the owner has answered. The flag kept the owner from getting another release meanwhile; that is now a condition of its own.

Before the change the new test fails in two sections: the keys move before the owner's last grant has expired, and without another release.

--- a/core/gateway/owners/key_assigner.cpp
+++ b/core/gateway/owners/key_assigner.cpp
@@ -275,8 +275,9 @@
     }
     if (it.target)
     {
-        const bool needs_release =
-            it.release_epoch && !it.is_released && it.grants_end() > now;
+        const bool is_moving_back = *it.target == it.range.owner;
+        const bool needs_release = it.release_epoch && !is_moving_back &&
+                                   !it.is_released && it.grants_end() > now;
         if (needs_release)
         {
             orders.push_back(make_order(row, it, *owner, order_kind::release, view, now));
--- a/core/gateway/owners/key_assigner_plan.cpp
+++ b/core/gateway/owners/key_assigner_plan.cpp
@@ -281,10 +281,11 @@
     const known_server* owner = view.servers->find(it.range.owner);
     if (is_same_incarnation(owner, it.range.incarnation) && !owner->is_leaving(now))
     {
-        // Move back to the owner, with an epoch above that of the release.
+        // Move back to the owner, with an epoch above that of the release. The owner may
+        // not have answered that, so is_released stays: the record may fail, and the
+        // target be replaced again.
         it.target = it.range.owner;
         it.target_incarnation = it.range.incarnation;
-        it.is_released = true;
         return;
     }
     for (const known_server* other : view.servers->servers_of(row.name))
--- a/core/gateway/owners/testing/assigner_fixture.hpp
+++ b/core/gateway/owners/testing/assigner_fixture.hpp
@@ -13,7 +13,7 @@
 
 inline const service_name valves("valves");
 
-// An assigner whose store completes every write at once, and servers that answer each
+// An assigner whose store answers every write at once, and servers that answer each
 // order with the result of `answer`.
 struct assigner_fixture
 {
@@ -82,6 +82,11 @@
             publish();
             if (const auto next = assigner.next_record(now))
             {
+                if (!accepts_records)
+                {
+                    assigner.record_not_written();
+                    continue;
+                }
                 records.push_back(*next);
                 publish();
                 assigner.record_written(now);
@@ -120,7 +125,8 @@
     };
     std::function<void()> load;
     bool is_renewing = true;
-    bool answers_orders = true; // false: orders stay in flight
+    bool answers_orders = true;  // false: orders stay in flight
+    bool accepts_records = true; // false: writes of records fail
     std::deque<key_order> orders;
     std::vector<time_point> order_times; // of each of `orders`
     std::vector<key_assignment> records;
--- a/core/gateway/owners/testing/key_assigner_test.cpp
+++ b/core/gateway/owners/testing/key_assigner_test.cpp
@@ -295,6 +295,109 @@
     }
 }
 
+// Guards against two owners of a key: a move back to the owner counted as a release by
+// it, and still did when the record of the move back failed and the keys moved elsewhere.
+TEST_CASE("keys that were to move back to their owner move elsewhere only once released")
+{
+    assigner_fixture fixture(2);
+    fixture.run(seconds(3));
+    REQUIRE(fixture.owner(0) == "s0");
+    auto drain = [&](const char* id)
+    {
+        listed_server entry = fixture.directory.find(server_id(id))->entry;
+        entry.is_draining = true;
+        fixture.directory.put(entry, fixture.now);
+    };
+    fixture.load = [&]
+    {
+        fixture.assigner.add_load(valves, shard_key{100}, fixture.now);
+        fixture.assigner.add_load(valves, shard_key{200}, fixture.now);
+    };
+    bool answers_releases = false;
+    std::vector<key_order> releases;
+    fixture.answer = [&](const key_order& it)
+    {
+        const bool is_release = it.kind == order_kind::release;
+        if (is_release)
+        {
+            releases.push_back(it);
+        }
+        const bool is_answered = !is_release || answers_releases;
+        return order_result{is_answered ? order_end::accepted : order_end::no_answer, ""};
+    };
+    fixture.add_server("s2"); // gets a part of the keys of s0
+    while (releases.empty() && fixture.now < time_point(seconds(120)))
+    {
+        fixture.run(milliseconds(10));
+    }
+    REQUIRE_FALSE(releases.empty());
+    REQUIRE(releases.front().server == server_id("s0"));
+    const unsigned key = releases.front().keys.first;
+    time_point held_by_s0_until{};
+    for (std::size_t n = 0; n < fixture.orders.size(); ++n)
+    {
+        const key_order& it = fixture.orders[n];
+        const bool is_held = it.kind == order_kind::grant &&
+                             it.server == server_id("s0") &&
+                             it.keys.contains(shard_key{key});
+        held_by_s0_until =
+            is_held ? fixture.order_times[n] + it.hold_time : held_by_s0_until;
+    }
+    fixture.accepts_records = false;
+    drain("s2");
+    fixture.run(milliseconds(310));
+    const time_point left_at = fixture.now;
+    auto run_until_moved = [&]
+    {
+        while (fixture.records.back().find(valves, shard_key{key})->owner ==
+                   server_id("s0") &&
+               fixture.now < left_at + seconds(10))
+        {
+            fixture.run(milliseconds(10));
+        }
+        CHECK(fixture.records.back().find(valves, shard_key{key})->owner ==
+              server_id("s1"));
+    };
+
+    SECTION("or once the owner's last grant has expired, if no release is answered")
+    {
+        drain("s0");
+        fixture.run(milliseconds(310));
+        fixture.accepts_records = true;
+        run_until_moved();
+        CHECK(fixture.now > held_by_s0_until);
+    }
+    SECTION("at once after the answer to a release")
+    {
+        drain("s0");
+        fixture.run(milliseconds(310));
+        fixture.accepts_records = true;
+        answers_releases = true;
+        const std::size_t before = releases.size();
+        run_until_moved();
+        CHECK(fixture.now < held_by_s0_until);
+        CHECK(std::any_of(releases.begin() + static_cast<std::ptrdiff_t>(before),
+                          releases.end(),
+                          [&](const key_order& it)
+                          { return it.keys.contains(shard_key{key}); }));
+    }
+    SECTION("they stay, with a higher epoch and no other release, if the owner stays")
+    {
+        const std::size_t before = releases.size();
+        fixture.run(milliseconds(500));
+        CHECK(std::none_of(releases.begin() + static_cast<std::ptrdiff_t>(before),
+                           releases.end(),
+                           [&](const key_order& it)
+                           { return it.keys.contains(shard_key{key}); }));
+        fixture.accepts_records = true;
+        fixture.run(milliseconds(100));
+        const assigned_key_range* it =
+            fixture.records.back().find(valves, shard_key{key});
+        CHECK(it->owner == server_id("s0"));
+        CHECK(it->grant_epoch > releases.front().at);
+    }
+}
+
 TEST_CASE("an assigner takes over from its predecessor's record")
 {
     assigner_fixture first(3);
