What ends late in a gateway's last term as assigner has no effect on the next

A gateway that lost the role and was elected again could take the answer to an order of its last term for that to an order of the present one: each key_assigner numbers its orders from 1, and the callback asked only whether there is an assigner. A grant that may be in force could so count as not sent. Likewise, the end of an earlier write of the record was taken for that of the write in flight, and orders followed a record that the store may not have; in one term, too, after the store came back from a copy.

The callbacks of orders now check that their assigner still exists, those of writes and of reading them back that their write is still in flight.

--- a/core/gateway/owners/key_orders.hpp
+++ b/core/gateway/owners/key_orders.hpp
@@ -12,7 +12,7 @@
 namespace camphorrock
 {
 
-// Identifies an order until it ends; never reused.
+// Identifies an order of one assigner; never reused by it.
 struct order_id
 {
     std::uint64_t value = 0;
--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -155,7 +155,7 @@
     else
     {
         published_changes_ = 0;
-        assigner_ = std::make_unique<key_assigner>(
+        assigner_ = std::make_shared<key_assigner>(
             options_of(settings), latest_known(record), settings.id, now, era);
         if (const std::optional<assigner_term_end> own = last_term_end())
         {
@@ -270,21 +270,20 @@
     for (const key_order& order : assigner_->tick(view, context_.loop.now()))
     {
         account_for_limit(order);
-        context_.orders.send(order,
-                             [this, order, alive = std::weak_ptr<const bool>(alive_)](
-                                 const order_result& got)
-                             {
-                                 if (!alive.expired() && assigner_)
-                                 {
-                                     context_.log.order_ended(order, got);
-                                     note_link(order, got);
-                                     note_leaving(order, got);
-                                     note_limit(order, got);
-                                     assigner_->order_ended(
-                                         order.id, got, context_.loop.now());
-                                     post_tick();
-                                 }
-                             });
+        context_.orders.send(
+            order,
+            [this, order, of = std::weak_ptr(assigner_)](const order_result& got)
+            {
+                if (!of.expired())
+                {
+                    context_.log.order_ended(order, got);
+                    note_link(order, got);
+                    note_leaving(order, got);
+                    note_limit(order, got);
+                    assigner_->order_ended(order.id, got, context_.loop.now());
+                    post_tick();
+                }
+            });
     }
     write_record();
     publish_changes();
@@ -380,19 +379,20 @@
     {
         return;
     }
-    record_in_flight_ = assigner_->next_record(context_.loop.now());
-    if (!record_in_flight_)
+    std::optional<key_assignment> next = assigner_->next_record(context_.loop.now());
+    if (!next)
     {
         return;
     }
+    record_in_flight_ = std::make_shared<const key_assignment>(std::move(*next));
     context_.store.compare_and_swap(
         record_key_of(context_.store.era()),
         record_revision_,
         key_assignment_text(*record_in_flight_),
         store_lease{},
-        [this, alive = std::weak_ptr<const bool>(alive_)](const store_write& got)
+        [this, of = std::weak_ptr(record_in_flight_)](const store_write& got)
         {
-            if (!alive.expired() && assigner_)
+            if (!of.expired())
             {
                 on_record_write(got);
             }
@@ -401,10 +401,6 @@
 
 void assigner_role::on_record_write(const store_write& got)
 {
-    if (!record_in_flight_)
-    {
-        return; // the store has come back from a copy since the write was sent
-    }
     switch (got.end)
     {
     case store_end::done:
@@ -444,18 +440,18 @@
 {
     context_.store.get(
         record_key_of(context_.store.era()),
-        [this, alive = std::weak_ptr<const bool>(alive_)](const store_read& got)
+        [this, of = std::weak_ptr(record_in_flight_)](const store_read& got)
         {
-            if (alive.expired() || !assigner_ || !record_in_flight_)
+            if (of.expired())
             {
                 return;
             }
             if (got.end != store_end::done)
             {
                 retry_timer_ = context_.loop.after(retry_pause,
-                                                   [this]
+                                                   [this, of]
                                                    {
-                                                       if (assigner_ && record_in_flight_)
+                                                       if (!of.expired())
                                                        {
                                                            read_back_record();
                                                        }
@@ -484,9 +480,9 @@
                 record_revision_,
                 text,
                 store_lease{},
-                [this, alive](const store_write& retry_result)
+                [this, of](const store_write& retry_result)
                 {
-                    if (!alive.expired() && assigner_)
+                    if (!of.expired())
                     {
                         const bool is_done = retry_result.end == store_end::done;
                         is_done ? on_record_write(retry_result) : read_back_record();
--- a/gateway/assigner_role.hpp
+++ b/gateway/assigner_role.hpp
@@ -170,12 +170,15 @@
     time_point lease_call_sent_at_{};
     store_revision holder_revision_;
 
-    std::unique_ptr<key_assigner> assigner_;
+    // Owned here alone. The callback of an order checks by a weak pointer that the
+    // order's assigner still exists: a later one gives the same ids to other orders.
+    std::shared_ptr<key_assigner> assigner_;
     store_revision record_revision_;
     // The record of an earlier era, to be deleted once there is one of the present era.
     std::optional<store_entry> older_record_;
-    // The record that is being written; empty if no write is in flight.
-    std::optional<key_assignment> record_in_flight_;
+    // The record that is being written; null if no write is in flight. Owned here alone:
+    // callbacks check by a weak pointer that they concern this write and no earlier one.
+    std::shared_ptr<const key_assignment> record_in_flight_;
     std::uint64_t published_changes_ = 0; // key_assigner::changes() when last published
     time_point last_published_at_{};
     // Of this gateway's last term, and when that ended.
@@ -190,7 +193,7 @@
     timer_handle tick_timer_;
     timer_handle retry_timer_;
     timer_handle hand_over_timer_;
-    // Expires with this object; pending callbacks of the store and of orders check it.
+    // Expires with this object; other pending callbacks check it.
     std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
     std::unique_ptr<store_reader> holder_reader_;
 };
