--- a/core/gateway/servers/latency_limit.cpp
+++ b/core/gateway/servers/latency_limit.cpp
@@ -12,16 +12,17 @@
 constexpr int service_time_per_queueing = 2;
 constexpr duration longest_untested = seconds(1);
 
-bool would_one_wait_at_most(const server_choice& to)
+// More than one request would wait.
+bool has_queue(const server_choice& to)
 {
-    return to.load <= to.slots;
+    return to.load > to.slots;
 }
 
 } // namespace
 
 duration latency_limit(const server_choice& to, const answer_terms& terms)
 {
-    if (would_one_wait_at_most(to))
+    if (!has_queue(to))
     {
         return terms.time_left;
     }
@@ -38,7 +39,7 @@
 
 rejected_latency make_rejected_latency(const server_choice& to, duration limit)
 {
-    return {to.expected_latency, limit, to.evidence, !would_one_wait_at_most(to)};
+    return {to.expected_latency, limit, to.evidence, has_queue(to)};
 }
 
 bool is_stale(const rejected_latency& it)
--- a/core/gateway/servers/latency_limit.hpp
+++ b/core/gateway/servers/latency_limit.hpp
@@ -8,9 +8,8 @@
 //
 // Invariants:
 //   - what is expected after the client's deadline is not sent, unless a probe is due;
-//   - the target limits the queue, not the service time: while a slot is free, or only
-//   one
-//     request would wait, refusing shortens no queue, so the deadline alone decides;
+//   - the target limits the queue, not the service time: while at most one request would
+//     wait, refusing shortens no queue, so the deadline alone decides;
 //   - while at most one request would wait, no expected latency keeps requests from a
 //     server for longer than `server_pool_options::last_probe_after`.
 
--- a/net/answer_parser.hpp
+++ b/net/answer_parser.hpp
@@ -5,8 +5,11 @@
 //
 //     answer_parser parser(rules, memory);
 //     const std::size_t used = parser.feed(bytes);   // less than all: excess bytes
-//     parser.feed_end();                             // the connection was closed in
-//     order if (parser.state() == answer_state::complete) take(parser.take_answer());
+//     parser.feed_end();                             // the other side closed in order
+//     if (parser.state() == answer_state::complete)
+//     {
+//         take(parser.take_answer());
+//     }
 //
 // Skips interim answers (1xx), and final ones that exchange_options::is_own_answer
 // rejects: each up to its end, wherever the reads divide the bytes. Refuses, besides what
