--- a/app/events.cpp
+++ b/app/events.cpp
@@ -106,9 +106,8 @@
               severity::info,
               "An attempt returned no answer to forward to the client. Gives the status "
               "that came (0: none) and whether it says \"not run\", whether the "
-              "connection had been "
-              "used before, how many earlier attempts of the request went to the same "
-              "address, and whether the request is sent again."},
+              "connection had been used before, how many earlier attempts of the request "
+              "went to the same address, and whether the request is sent again."},
     event_row{event_id::request_answered_here,
               "request_answered_here",
               severity::info,
--- a/ctl/request_trace.cpp
+++ b/ctl/request_trace.cpp
@@ -61,8 +61,7 @@
      "server_probed lines of all gateways, and lift-verdict"},
     {"unproven_refusal",
      "a server answered with a status that reads as \"not run\", without saying so; it "
-     "may "
-     "have run it"},
+     "may have run it"},
 };
 
 // Returns a field as text; empty if it is absent.
