The limits of connections stand once for both HTTP clients

socket_client had written again what libcurl's client did: the map of limits that were set, and the default beside it. Both use connection_limits. Behaviour is unchanged.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "net/http_client.hpp"
 
 #include "core/base/enum_names.hpp"
+#include "net/connection_limits.hpp"
 #include "net/curl_exchange.hpp"
 #include "net/curl_pool.hpp"
 #include "net/request_text.hpp"
@@ -61,7 +62,8 @@
 {
 public:
     curl_client(event_loop& loop, http_client_options options)
-        : loop_(loop), options_(std::move(options))
+        : loop_(loop), options_(std::move(options)),
+          limits_({static_cast<std::size_t>(options_.max_connections_per_endpoint)})
     {
         idle_sweep_ = loop_.every(options_.max_idle, [this] { close_idle_pools(); });
     }
@@ -118,14 +120,7 @@
     void limit_connections(const endpoint& to,
                            std::optional<connection_limit> limit) override
     {
-        if (limit)
-        {
-            limits_[to] = *limit;
-        }
-        else
-        {
-            limits_.erase(to);
-        }
+        limits_.set(to, limit);
         const std::shared_ptr<endpoint_connections> connections = connections_of(to);
         auto it = own_pools_.find(to);
         if (it == own_pools_.end())
@@ -266,7 +261,7 @@
     bool has_own_pool(const endpoint& to) const
     {
         return !options_.shares_pool || unshared_endpoints_.contains(to) ||
-               limits_.contains(to);
+               limits_.has_own(to);
     }
 
     // Moves the endpoint's next exchanges to a pool of its own. Shuts down its idle
@@ -302,16 +297,6 @@
         }
     }
 
-    connection_limit limit_of(const endpoint& to) const
-    {
-        auto it = limits_.find(to);
-        if (it != limits_.end())
-        {
-            return it->second;
-        }
-        return {static_cast<std::size_t>(options_.max_connections_per_endpoint)};
-    }
-
     // The connections point to the result until they are closed.
     std::shared_ptr<endpoint_connections> connections_of(const endpoint& to)
     {
@@ -320,7 +305,7 @@
         {
             connections = std::make_shared<endpoint_connections>();
         }
-        connections->limit = limit_of(to);
+        connections->limit = limits_.of(to);
         return connections;
     }
 
@@ -468,7 +453,7 @@
     event_loop& loop_;
     http_client_options options_;
     std::uint64_t last_id_ = 0;
-    std::unordered_map<endpoint, connection_limit> limits_;
+    connection_limits limits_;
     std::unordered_map<endpoint, std::shared_ptr<endpoint_connections>> connections_;
     std::unordered_set<endpoint>
         unshared_endpoints_; // left the shared pool for one of their own
--- a/net/socket_client.cpp
+++ b/net/socket_client.cpp
@@ -1,6 +1,7 @@
 #include "net/socket_client.hpp"
 
 #include "core/base/number_text.hpp"
+#include "net/connection_limits.hpp"
 #include "net/live_count.hpp"
 #include "net/request_text.hpp"
 #include "net/socket_address.hpp"
@@ -121,7 +122,8 @@
 {
 public:
     pooling_client(event_loop& loop, http_client_options options)
-        : loop_(loop), options_(std::move(options))
+        : loop_(loop), options_(std::move(options)),
+          limits_({static_cast<std::size_t>(options_.max_connections_per_endpoint)})
     {
         idle_sweep_ = loop_.every(options_.max_idle, [this] { close_expired(); });
     }
@@ -166,16 +168,9 @@
     void limit_connections(const endpoint& to,
                            std::optional<connection_limit> limit) override
     {
-        if (limit)
-        {
-            limits_[to] = *limit;
-        }
-        else
-        {
-            limits_.erase(to);
-        }
+        limits_.set(to, limit);
         socket_pool& pool = pool_of(to);
-        pool.limit = limit_of(to);
+        pool.limit = limits_.of(to);
         if (*pool.total > pool.limit.pooled)
         {
             drop(pool);
@@ -514,14 +509,6 @@
         }
     }
 
-    connection_limit limit_of(const endpoint& to) const
-    {
-        auto it = limits_.find(to);
-        return it != limits_.end() ? it->second
-                                   : connection_limit{static_cast<std::size_t>(
-                                         options_.max_connections_per_endpoint)};
-    }
-
     // The pool stays until close_expired() finds it unused.
     socket_pool& pool_of(const endpoint& to)
     {
@@ -529,7 +516,7 @@
         if (is_new)
         {
             it->second.to = to;
-            it->second.limit = limit_of(to);
+            it->second.limit = limits_.of(to);
         }
         return it->second;
     }
@@ -555,7 +542,7 @@
     event_loop& loop_;
     http_client_options options_;
     std::uint64_t last_id_ = 0;
-    std::unordered_map<endpoint, connection_limit> limits_;
+    connection_limits limits_;
     std::unordered_map<endpoint, socket_pool> pools_;
     std::unordered_map<std::uint64_t, std::unique_ptr<socket_exchange>> exchanges_;
     std::vector<socket_pool*> scheduled_;
