The assigner tells for what keys wait (317 keys_waiting)

Each second the assigner writes, for each service and reason, how many ranges and keys wait, and the range with the longest wait.

--- a/app/events.cpp
+++ b/app/events.cpp
@@ -297,6 +297,11 @@
               severity::info,
               "The last assigner told this one when its grants without an answer "
               "expire."},
+    event_row{event_id::keys_waiting,
+              "keys_waiting",
+              severity::info,
+              "Keys that no server can serve, or whose owner leaves, and what they wait "
+              "for."},
     event_row{event_id::grant_accepted,
               "grant_accepted",
               severity::debug,
--- a/app/events.hpp
+++ b/app/events.hpp
@@ -85,6 +85,7 @@
     order_ended = 314,
     keys_handed_over = 315,
     keys_predecessor_ended = 316,
+    keys_waiting = 317,
 
     grant_accepted = 501,
     grant_refused = 502,
--- a/core/gateway/owners/key_assigner.cpp
+++ b/core/gateway/owners/key_assigner.cpp
@@ -599,7 +599,7 @@
         return;
     }
     const bool is_other_owner = written.owner != it.range.owner;
-    it.unanswered_grant_end = it.order ? it.latest_grant_end : it.unanswered_grant_end;
+    it.unanswered_grant_end = it.own_unanswered_grants_end();
     it.range = written;
     it.target.reset();
     it.release_epoch.reset();
@@ -627,9 +627,8 @@
 void key_assigner::merge(range_state& whole, const range_state& part)
 {
     whole.latest_grant_end = std::max(whole.latest_grant_end, part.latest_grant_end);
-    const time_point unanswered =
-        part.order ? part.latest_grant_end : part.unanswered_grant_end;
-    whole.unanswered_grant_end = std::max(whole.unanswered_grant_end, unanswered);
+    whole.unanswered_grant_end =
+        std::max(whole.unanswered_grant_end, part.own_unanswered_grants_end());
     whole.predecessor_grant_end =
         std::max(whole.predecessor_grant_end, part.predecessor_grant_end);
     whole.predecessor_unanswered_end =
--- a/core/gateway/owners/key_assigner.hpp
+++ b/core/gateway/owners/key_assigner.hpp
@@ -51,6 +51,7 @@
 #include "core/gateway/owners/key_assignment.hpp"
 #include "core/gateway/owners/key_load.hpp"
 #include "core/gateway/owners/key_orders.hpp"
+#include "core/gateway/owners/key_wait.hpp"
 #include "core/gateway/servers/server_directory.hpp"
 #include "core/gateway/store/store_era.hpp"
 
@@ -175,6 +176,10 @@
     // The assignment that gateways route by: the record, and which keys are moving.
     key_assignment published() const;
 
+    // The keys that no server can serve, or whose owner leaves, by what they wait for. A
+    // row for each service and reason. O(key ranges).
+    std::vector<waiting_keys> waiting(const assigner_view& view, time_point now) const;
+
     // A number that grows with each change of published().
     std::uint64_t changes() const
     {
@@ -221,8 +226,13 @@
         // No grant without an answer is in force from then on.
         time_point unanswered_grants_end() const
         {
-            const time_point own = order ? latest_grant_end : unanswered_grant_end;
-            return std::max(own, predecessor_unanswered_end);
+            return std::max(own_unanswered_grants_end(), predecessor_unanswered_end);
+        }
+
+        // The same for the grants of this assigner.
+        time_point own_unanswered_grants_end() const
+        {
+            return order ? latest_grant_end : unanswered_grant_end;
         }
 
         // Nobody serves the range: what has the owner's address neither carries out
@@ -364,6 +374,9 @@
     void hasten_slow_renewals(time_point now);
     duration worst_case_hold_time(duration hold_time) const;
     epoch allocate_epoch();
+    std::optional<key_wait>
+    wait_of(const range_state& it, const assigner_view& view, time_point now) const;
+    static time_point end_of(key_wait reason, const range_state& it);
     void begin_uncertainty(time_point now);
     static void settle_uncertain(keyed_service& row);
     void confirm_owner(range_state& it, const sent_order& sent);
--- a/core/gateway/owners/testing/key_assigner_test.cpp
+++ b/core/gateway/owners/testing/key_assigner_test.cpp
@@ -562,6 +562,56 @@
     }
 }
 
+// Guards against refusals that nobody can explain: a gateway sees only that a key has no
+// owner, and the assigner alone knows for what it waits.
+TEST_CASE("an assigner tells for what the keys of a lost or leaving server wait")
+{
+    assigner_fixture first(3);
+    first.run(seconds(3));
+    assigner_fixture second(3, first.records.back());
+    second.run(milliseconds(100));
+    CHECK(second.assigner.waiting(second.view, second.now).empty());
+
+    SECTION("for a grant of its predecessor, if the server does not answer")
+    {
+        second.answer = [](const key_order& it)
+        {
+            const bool is_lost = it.server == server_id("s0");
+            return order_result{is_lost ? order_end::not_sent : order_end::accepted, ""};
+        };
+        second.run(seconds(1));
+        const auto got = second.assigner.waiting(second.view, second.now);
+        REQUIRE(got.size() == 1);
+        CHECK(got[0].reason == key_wait::predecessor_grant);
+        CHECK(got[0].longest.owner == server_id("s0"));
+        CHECK(got[0].keys == got[0].longest.keys.width());
+        CHECK(got[0].longest_left > seconds(8));
+    }
+    SECTION("for one of these that may be carried out late, if the server leaves")
+    {
+        listed_server leaving = second.directory.find(server_id("s0"))->entry;
+        leaving.is_draining = true;
+        second.directory.put(leaving, second.now);
+        second.run(seconds(1));
+        const auto got = second.assigner.waiting(second.view, second.now);
+        REQUIRE(got.size() == 1);
+        CHECK(got[0].reason == key_wait::predecessor_unanswered);
+    }
+    SECTION("for its own grant, once those of the predecessor have expired")
+    {
+        second.run(seconds(12));
+        second.answer = [](const key_order& it)
+        {
+            const bool is_lost = it.server == server_id("s0");
+            return order_result{is_lost ? order_end::no_answer : order_end::accepted, ""};
+        };
+        second.run(seconds(1));
+        const auto got = second.assigner.waiting(second.view, second.now);
+        REQUIRE(got.size() == 1);
+        CHECK(got[0].reason == key_wait::own_grant);
+    }
+}
+
 TEST_CASE("adjacent hot keys are spread over several servers")
 {
     assigner_fixture fixture(4);
--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -21,6 +21,7 @@
 constexpr duration term_end_kept = seconds(30);
 // By the first check, the other gateways have reported to the new assigner.
 constexpr duration hand_over_check_period = seconds(2);
+constexpr duration waiting_report_period = seconds(1);
 
 // The record of the latest era; null if there is none.
 const store_entry* latest_record(const std::vector<store_entry>& all)
@@ -176,6 +177,8 @@
         context_.on_elected();
     }
     tick_timer_ = context_.loop.every(tick_period, [this] { tick(); });
+    waiting_timer_ =
+        context_.loop.every(waiting_report_period, [this] { report_waiting_keys(); });
     hand_over_timer_ =
         context_.loop.every(hand_over_check_period, [this] { check_hand_over(); });
     tick();
@@ -250,24 +253,41 @@
     }
 }
 
-void assigner_role::tick()
+assigner_view assigner_role::view() const
 {
-    if (!assigner_)
-    {
-        return;
-    }
-    assigner_view view;
-    view.servers = &context_.state.servers();
-    view.keyed_services = context_.state.keyed_services();
-    view.capacity = [this](const service_name& service, const listed_server& server)
+    assigner_view made;
+    made.servers = &context_.state.servers();
+    made.keyed_services = context_.state.keyed_services();
+    made.capacity = [this](const service_name& service, const listed_server& server)
     {
         return capacity_of(service, server);
     };
-    view.limit = [this](const listed_server& server)
+    made.limit = [this](const listed_server& server)
     {
         return limit_of(server);
     };
-    for (const key_order& order : assigner_->tick(view, context_.loop.now()))
+    return made;
+}
+
+void assigner_role::report_waiting_keys()
+{
+    if (!assigner_)
+    {
+        return;
+    }
+    for (const waiting_keys& it : assigner_->waiting(view(), context_.loop.now()))
+    {
+        context_.log.keys_waiting(it);
+    }
+}
+
+void assigner_role::tick()
+{
+    if (!assigner_)
+    {
+        return;
+    }
+    for (const key_order& order : assigner_->tick(view(), context_.loop.now()))
     {
         account_for_limit(order);
         context_.orders.send(
@@ -513,6 +533,7 @@
     renew_timer_.reset();
     renewal_retry_timer_.reset();
     tick_timer_.reset();
+    waiting_timer_.reset();
     hand_over_timer_.reset();
     is_reclaiming_ = false;
     if (assigner_)
--- a/gateway/assigner_role.hpp
+++ b/gateway/assigner_role.hpp
@@ -140,6 +140,8 @@
     void on_renewal(const store_lease_grant& got, const store_lease& of, time_point sent);
     void tick();
     void post_tick();
+    assigner_view view() const;
+    void report_waiting_keys();
     void note_leaving(const key_order& order, const order_result& got);
     void note_limit(const key_order& order, const order_result& got);
     std::optional<double> limit_of(const listed_server& server) const;
@@ -191,6 +193,7 @@
     timer_handle renew_timer_;
     timer_handle renewal_retry_timer_;
     timer_handle tick_timer_;
+    timer_handle waiting_timer_;
     timer_handle retry_timer_;
     timer_handle hand_over_timer_;
     // Expires with this object; other pending callbacks check it.
--- a/gateway/gateway_log.cpp
+++ b/gateway/gateway_log.cpp
@@ -181,6 +181,20 @@
     }
 }
 
+void gateway_log::keys_waiting(const waiting_keys& waiting)
+{
+    events_.write(event_id::keys_waiting,
+                  {{"service", waiting.service},
+                   {"reason", name_of(waiting.reason)},
+                   {"ranges", waiting.ranges},
+                   {"keys", waiting.keys},
+                   {"longest_us", waiting.longest_left},
+                   {"server", waiting.longest.owner},
+                   {"first", waiting.longest.keys.first},
+                   {"last", waiting.longest.keys.last},
+                   {"epoch", waiting.longest.grant_epoch}});
+}
+
 void gateway_log::server_leaving(const server_id& server, std::string_view source)
 {
     metrics_.get_counter(servers_leaving_metric).add();
--- a/gateway/gateway_log.hpp
+++ b/gateway/gateway_log.hpp
@@ -11,6 +11,7 @@
 #include "core/gateway/limits/token_counter.hpp"
 #include "core/gateway/links/link_monitor.hpp"
 #include "core/gateway/owners/key_orders.hpp"
+#include "core/gateway/owners/key_wait.hpp"
 #include "core/gateway/retry/crash_messages.hpp"
 #include "core/gateway/servers/latency_limit.hpp"
 #include "core/gateway/servers/server_pool.hpp"
@@ -106,6 +107,7 @@
     void config_in_force(const gateway_config& config, std::uint64_t revision);
     // Counts every order; logs releases, and grants that were not accepted.
     void order_ended(const key_order& order, const order_result& got);
+    void keys_waiting(const waiting_keys& waiting);
     // An answer of the server announced that it leaves. `source` names what was answered:
     // a request's id, or the kind of an order.
     void server_leaving(const server_id& server, std::string_view source);
