Owners prove that a killed assigner gave no long grants

Cause: a successor counts with a grant of 9.8 s at its predecessor's last moment, which only a predecessor that lives can deny. Class: to be safe against something rare, everybody waits for it each time, as nothing shows that it did not happen.

The successor renews with the record's epochs; owners that accept these have seen no notice. A restarted gateway says since when it runs (keys.restarted), so the wait counts from there. Builds that do not know the statement leave none, and are waited for as before.

--- a/app/events.cpp
+++ b/app/events.cpp
@@ -302,6 +302,15 @@
               severity::info,
               "Keys that no server can serve, or whose owner leaves, and what they wait "
               "for."},
+    event_row{event_id::keys_predecessor_bounded,
+              "keys_predecessor_bounded",
+              severity::info,
+              "Owners of keys have proved that the last assigner gave no long grants."},
+    event_row{event_id::keys_predecessor_restarted,
+              "keys_predecessor_restarted",
+              severity::info,
+              "The gateway that was the last assigner has started again, and sent no "
+              "orders since."},
     event_row{event_id::grant_accepted,
               "grant_accepted",
               severity::debug,
--- a/app/events.hpp
+++ b/app/events.hpp
@@ -86,6 +86,8 @@
     keys_handed_over = 315,
     keys_predecessor_ended = 316,
     keys_waiting = 317,
+    keys_predecessor_bounded = 318,
+    keys_predecessor_restarted = 319,
 
     grant_accepted = 501,
     grant_refused = 502,
--- a/codec/key_messages.cpp
+++ b/codec/key_messages.cpp
@@ -157,6 +157,22 @@
     fields.required("unanswered_ms", it.unanswered_grants_left);
 }
 
+template<class Fields, is_type<assigner_restart> Message>
+void describe(Fields& fields, Message& it)
+{
+    fields.required("writer", it.writer);
+    fields.required("term", it.term);
+    fields.required("started_ms", it.started_ago);
+}
+
+template<class Fields, is_type<grant_bound> Message>
+void describe(Fields& fields, Message& it)
+{
+    fields.required("writer", it.writer);
+    fields.required("term", it.term);
+    fields.required("hold_ms", it.hold_time);
+}
+
 template<class Fields, is_type<keys_ended_reply> Message>
 void describe(Fields& fields, Message& it)
 {
@@ -242,6 +258,21 @@
     return read;
 }
 
+Json::Value write_assigner_restart(const assigner_restart& value)
+{
+    return write_described(value);
+}
+
+result<assigner_restart> read_assigner_restart(const Json::Value& value)
+{
+    BOOST_LEAF_AUTO(read, read_described<assigner_restart>(value));
+    if (read.started_ago < duration::zero())
+    {
+        return fail(error_code::invalid_argument, "the time since the start is negative");
+    }
+    return read;
+}
+
 Json::Value write_keys_ended_reply(const keys_ended_reply& value)
 {
     return write_described(value);
@@ -252,6 +283,22 @@
     return read_described<keys_ended_reply>(value);
 }
 
+std::string grant_bound_text(const grant_bound& value)
+{
+    return write_json(write_described(value));
+}
+
+result<grant_bound> parse_grant_bound(std::string_view text)
+{
+    BOOST_LEAF_AUTO(value, parse_json(text));
+    BOOST_LEAF_AUTO(read, read_described<grant_bound>(value));
+    if (read.hold_time <= duration::zero())
+    {
+        return fail(error_code::invalid_argument, "a hold time is not positive");
+    }
+    return read;
+}
+
 std::string assigner_holder_text(const assigner_holder& value)
 {
     return write_json(write_described(value));
--- a/codec/key_messages.hpp
+++ b/codec/key_messages.hpp
@@ -5,11 +5,14 @@
 //   keys.report   gateway -> assigner         keys_report -> keys_reply
 //   keys.update   assigner -> gateway         keys_update -> {}
 //   keys.ended    last assigner -> next one   assigner_term_end -> keys_ended_reply
+//   keys.restarted  a gateway whose process wrote the record and was restarted
+//                   -> assigner               assigner_restart -> keys_ended_reply
 
 #include "core/base/result.hpp"
 #include "core/gateway/fleet/gateway_groups.hpp"
 #include "core/gateway/owners/assigner_term_end.hpp"
 #include "core/gateway/owners/assignment_delta.hpp"
+#include "core/gateway/owners/grant_notice.hpp"
 #include "core/gateway/owners/key_assignment.hpp"
 
 #include <json/value.h>
@@ -94,6 +97,9 @@
 Json::Value write_term_end(const assigner_term_end& value);
 result<assigner_term_end> read_term_end(const Json::Value& value);
 
+Json::Value write_assigner_restart(const assigner_restart& value);
+result<assigner_restart> read_assigner_restart(const Json::Value& value);
+
 Json::Value write_keys_ended_reply(const keys_ended_reply& value);
 result<keys_ended_reply> read_keys_ended_reply(const Json::Value& value);
 
@@ -106,6 +112,9 @@
     bool operator==(const assigner_holder&) const = default;
 };
 
+std::string grant_bound_text(const grant_bound& value);
+result<grant_bound> parse_grant_bound(std::string_view text);
+
 std::string assigner_holder_text(const assigner_holder& value);
 result<assigner_holder> parse_assigner_holder(std::string_view text);
 
--- a/codec/testing/key_messages_test.cpp
+++ b/codec/testing/key_messages_test.cpp
@@ -37,3 +37,37 @@
             read_text(R"({"writer":"g1","term":7,"grants_ms":-1,"unanswered_ms":0})"));
     }
 }
+
+TEST_CASE("what a restarted gateway says of an earlier process is read as it was written")
+{
+    const assigner_restart said{instance_id("g1"), 7, milliseconds(900)};
+    auto read = [](std::string_view text)
+    {
+        return value_or_handle(
+            [&]() -> result<std::optional<assigner_restart>>
+            {
+                BOOST_LEAF_AUTO(value, parse_json(text));
+                BOOST_LEAF_AUTO(got, read_assigner_restart(value));
+                return std::optional(got);
+            },
+            [](const error&) { return std::optional<assigner_restart>(); });
+    };
+    CHECK(read(write_json(write_assigner_restart(said))) == said);
+    CHECK(read(R"({"writer":"g1","term":7,"started_ms":900})") == said);
+    CHECK_FALSE(read(R"({"writer":"g1","term":7,"started_ms":-1})"));
+}
+
+TEST_CASE("the bound of an assigner's grants is read as it was written")
+{
+    const grant_bound bound{instance_id("g1"), 7, milliseconds(2500)};
+    auto read = [](std::string_view text)
+    {
+        return value_or_handle([&]() -> result<std::optional<grant_bound>>
+                               { return parse_grant_bound(text); },
+                               [](const error&) { return std::optional<grant_bound>(); });
+    };
+    CHECK(read(grant_bound_text(bound)) == bound);
+    CHECK(read(R"({"writer":"g1","term":7,"hold_ms":2500})") == bound);
+    CHECK_FALSE(read(R"({"writer":"g1","term":7,"hold_ms":0})"));
+    CHECK_FALSE(read("none"));
+}
--- a/core/gateway/owners/assigner_term_end.hpp
+++ b/core/gateway/owners/assigner_term_end.hpp
@@ -23,4 +23,16 @@
     bool operator==(const assigner_term_end&) const = default;
 };
 
+// What a gateway tells the assigner if an earlier process of its own wrote the record.
+// That process sent no orders after this one started.
+struct assigner_restart
+{
+    instance_id writer;
+    std::uint64_t term = 0; // of the record's version
+    // Since the start of this process; in whole milliseconds, rounded down.
+    duration started_ago{};
+
+    bool operator==(const assigner_restart&) const = default;
+};
+
 } // namespace camphorrock
--- a/core/gateway/owners/key_assigner.cpp
+++ b/core/gateway/owners/key_assigner.cpp
@@ -23,7 +23,8 @@
                            const key_assignment& record,
                            instance_id self,
                            time_point now,
-                           store_era era)
+                           store_era era,
+                           const std::optional<grant_bound>& bound)
     : options_(options),
       self_(std::move(self)), version_{std::max(record.version.term + 1,
                                                 first_number_of(era)),
@@ -32,7 +33,8 @@
           std::max<std::uint64_t>({record.epoch_limit.value, first_number_of(era), 1})},
       epoch_limit_{next_epoch_.value + options.epoch_block},
       predecessor_grants_end_(now + options.authority_ttl +
-                              worst_case_hold_time(options.long_hold_time))
+                              worst_case_hold_time(options.long_hold_time)),
+      predecessor_orders_end_(now + options.authority_ttl)
 {
     for (const service_key_ranges& service : record.services)
     {
@@ -57,6 +59,13 @@
         return;
     }
     predecessor_ = assigner_term_end{record.writer, record.version.term, {}, {}};
+    const bool is_of_predecessor =
+        bound && bound->writer == record.writer && bound->term == record.version.term;
+    if (is_of_predecessor)
+    {
+        predecessor_bound_ = bound;
+        predecessor_check_.emplace(record);
+    }
 }
 
 void key_assigner::lease_renewed(time_point sent)
@@ -196,7 +205,8 @@
 
 duration key_assigner::current_hold_time(time_point now) const
 {
-    return is_store_available(now) ? options_.hold_time : options_.long_hold_time;
+    return is_store_available(now) || !may_give_long_grants() ? options_.hold_time
+                                                              : options_.long_hold_time;
 }
 
 epoch key_assigner::allocate_epoch()
@@ -217,6 +227,8 @@
     {
         hasten_slow_renewals(now);
     }
+    check_predecessor_notice(view, now);
+    update_notice(now);
     for (const service_name& name : view.keyed_services)
     {
         keyed_service& row = service_row(name);
@@ -316,10 +328,17 @@
     }
     else
     {
-        made.at = it.range.grant_epoch;
-        const duration period = renew_period(row, owner, view);
+        made.at = it.order_epoch();
+        duration period = renew_period(row, owner, view);
+        if (period > options_.grant_renew_period)
+        {
+            last_longer_grant_at_ = now;
+            needs_longer_grants_ = bound_term_.has_value();
+            period = bound_term_ ? options_.grant_renew_period : period;
+        }
         it.renewal_delay = period - options_.grant_renew_period;
         made.hold_time = std::max(current_hold_time(now), hold_time_for(period));
+        has_exceeded_bound_ = has_exceeded_bound_ || made.hold_time > options_.hold_time;
         made.handover = it.handover;
         made.timeout = options_.order_timeout;
         it.next_order_at = now + period;
@@ -370,6 +389,7 @@
         if (is_grant)
         {
             confirm_owner(*it, sent);
+            note_renewal(*it, sent);
             it->handover.clear();
             it->latest_grant_end = std::max(
                 it->previous_grant_end, now + worst_case_hold_time(sent.order.hold_time));
@@ -384,7 +404,7 @@
         it->is_unresponsive = false;
         it->is_rejecting = false;
         it->last_accepted_at = now;
-        it->needs_higher_epoch = is_grant;
+        it->needs_higher_epoch = is_grant && sent.order.at == it->order_epoch();
         it->latest_grant_end = it->previous_grant_end;
         break;
     case order_end::other_server:
@@ -452,6 +472,12 @@
     {
         return is_first_record_allowed(now);
     }
+    const bool is_notice_over = notice_.is_begun() && may_move(now) &&
+                                now - last_trouble_at_ >= options_.notice_record_delay;
+    if (is_notice_over || (needs_longer_grants_ && bound_term_))
+    {
+        return true;
+    }
     if (next_epoch_.value + min_spare_epochs >= epoch_limit_.value)
     {
         return true;
@@ -475,7 +501,8 @@
 
 bool key_assigner::is_merge_due(const keyed_service& row, time_point now) const
 {
-    if (now < row.next_merge_at)
+    // The predecessor's owners prove something with the grants of its record only.
+    if (now < row.next_merge_at || predecessor_check_)
     {
         return false;
     }
@@ -491,7 +518,10 @@
 
 std::optional<key_assignment> key_assigner::next_record(time_point now)
 {
-    if (pending_record_ || !has_authority(now) || !is_record_due(now))
+    // A record would end a notice before enough owners have accepted it.
+    const bool is_notice_under_way = notice_.is_begun() && !may_move(now);
+    if (pending_record_ || is_notice_under_way || !has_authority(now) ||
+        !is_record_due(now))
     {
         return std::nullopt;
     }
@@ -503,7 +533,9 @@
     }
     count_change();
     made.version = version_;
+    made.version.term += is_bound_exceeded() ? 1 : 0;
     made.epoch_limit = epoch{next_epoch_.value + options_.epoch_block};
+    notice_.end();
     pending_record_ = made;
     return made;
 }
@@ -518,6 +550,7 @@
     {
         assigned_key_range range = it.range;
         range.is_moving = false;
+        range.grant_epoch = it.order_epoch();
         const bool is_merged =
             !is_first_record_pending_ && last != nullptr && can_merge(*last, it);
         last = &it;
@@ -554,6 +587,13 @@
     is_first_record_pending_ = false;
     goes_on_ = false;
     epoch_limit_ = pending_record_->epoch_limit;
+    if (pending_record_->version.term != version_.term)
+    {
+        version_.term = pending_record_->version.term;
+        bound_term_.reset();
+        has_exceeded_bound_ = false;
+        needs_longer_grants_ = false;
+    }
     for (keyed_service& row : services_)
     {
         adopt(row, *pending_record_->find_service(row.name), now);
@@ -594,8 +634,11 @@
                          const assigned_key_range& written,
                          time_point now)
 {
-    if (written.grant_epoch == it.range.grant_epoch)
+    const bool is_after_notice =
+        written.owner == it.range.owner && written.grant_epoch == it.notice_epoch;
+    if (written.grant_epoch == it.range.grant_epoch || is_after_notice)
     {
+        it.range.grant_epoch = written.grant_epoch;
         return;
     }
     const bool is_other_owner = written.owner != it.range.owner;
--- a/core/gateway/owners/key_assigner.hpp
+++ b/core/gateway/owners/key_assigner.hpp
@@ -11,6 +11,7 @@
 //     if (std::optional<key_assignment> next = assigner.next_record(now)) write(*next);
 //     assigner.record_written(now);
 //     assigner.predecessor_ended(it, now);             // if the predecessor says so
+//     if (std::optional<grant_bound> next = assigner.next_bound(now)) write(*next);
 //
 // Safety. A key range gets a new owner only after one of the following:
 //   - The old owner acknowledged a release whose epoch is above those of all its grants,
@@ -34,7 +35,10 @@
 // before. While a grant without an answer may be in force, its owner keeps the range: it
 // serves the keys, and a release would not free them. A predecessor that has resigned
 // tells when its grants expire, and those without an answer (term_end), which ends these
-// waits early.
+// waits early. One that was killed does not; but if it has stated a grant_bound, its
+// owners prove that it gave no long grants (see grant_notice.hpp), and these waits are
+// short. Before this assigner exceeds its own bound it gives a notice, or writes a record
+// of a new term, which has no bound yet.
 //
 // If the store comes back from a copy (see store_era), its record may be older than
 // grants that are in force. The first record of the new era is written only when no such
@@ -48,6 +52,7 @@
 // Memory: one row a key range, at most `max_ranges` a service; the samples of key_load.
 
 #include "core/gateway/owners/assigner_term_end.hpp"
+#include "core/gateway/owners/grant_notice.hpp"
 #include "core/gateway/owners/key_assignment.hpp"
 #include "core/gateway/owners/key_load.hpp"
 #include "core/gateway/owners/key_orders.hpp"
@@ -93,6 +98,12 @@
     unsigned ranges_per_server = 5;   // balancing splits no range beyond it
     // Adjacent ranges of one owner are merged at most once in this time.
     duration merge_period = seconds(1);
+    // From the last sign of trouble with the store to a record with the epochs of a
+    // notice, after which a successor can again tell whether there was one.
+    duration notice_record_delay = seconds(1);
+    // For which no bound is stated after a server's limit asked for longer grants.
+    duration bound_pause = seconds(30);
+    duration bound_retry_period = seconds(1);
     // From the first listed server to the first assignment, so that more can be listed.
     duration initial_wait = seconds(1);
     unsigned max_moves = 8; // for balance, in one pass over a service
@@ -124,12 +135,13 @@
 {
 public:
     // `record` is the content of the store, or an empty record; `era` is that of the
-    // store when it was read.
+    // store when it was read, and `bound` the last statement of a bound there.
     key_assigner(key_assigner_options options,
                  const key_assignment& record,
                  instance_id self,
                  time_point now,
-                 store_era era = {});
+                 store_era era = {},
+                 const std::optional<grant_bound>& bound = {});
 
     // The store has come back from a copy, and this assigner was elected again while it
     // had authority, before any record was written in that era.
@@ -154,6 +166,21 @@
     // assigner started, about that record's term.
     bool predecessor_ended(const assigner_term_end& got, time_point now);
 
+    // The statement of a gateway that has started again. Returns false, and has no
+    // effect, unless its earlier process wrote the record with which this assigner
+    // started, in that term, and has stated a bound.
+    bool predecessor_restarted(const assigner_restart& got, time_point now);
+
+    // True once it is proved that the predecessor has kept its bound.
+    bool has_proved_bound() const
+    {
+        return predecessor_bound_ && !predecessor_check_;
+    }
+
+    // The bound to write. Empty if it is stated, or does not hold yet.
+    std::optional<grant_bound> next_bound(time_point now);
+    void bound_written(const grant_bound& bound);
+
     // Counts a request for a key that reached any gateway.
     void add_load(const service_name& service, shard_key key, time_point now);
 
@@ -199,6 +226,9 @@
         bool is_rejecting = false;    // the owner rejected the last order
         bool is_refused =
             false; // a request for a key of it, since the last accepted order
+        // Of the last notice that covers the range; its grants have this epoch if it is
+        // above that of the record.
+        epoch notice_epoch;
         bool needs_higher_epoch = false; // the owner refused the grant's epoch as stale
         bool is_release_sent = false;    // since the move started
         bool is_released = false;        // the owner acknowledged the release
@@ -223,6 +253,11 @@
             return std::max(latest_grant_end, predecessor_grant_end);
         }
 
+        epoch order_epoch() const
+        {
+            return std::max(range.grant_epoch, notice_epoch);
+        }
+
         // No grant without an answer is in force from then on.
         time_point unanswered_grants_end() const
         {
@@ -377,6 +412,16 @@
     std::optional<key_wait>
     wait_of(const range_state& it, const assigner_view& view, time_point now) const;
     static time_point end_of(key_wait reason, const range_state& it);
+    void update_notice(time_point now);
+    void begin_notice(time_point now);
+    bool is_notice_complete() const;
+    bool may_give_long_grants() const;
+    bool is_bound_exceeded() const;
+    bool is_bound_true(time_point now) const;
+    void hasten_grants(time_point now);
+    void note_renewal(const range_state& it, const sent_order& sent);
+    void check_predecessor_notice(const assigner_view& view, time_point now);
+    void limit_predecessor_grants(duration hold_time);
     void begin_uncertainty(time_point now);
     static void settle_uncertain(keyed_service& row);
     void confirm_owner(range_state& it, const sent_order& sent);
@@ -394,11 +439,31 @@
     epoch epoch_limit_;
     std::vector<keyed_service> services_;
     bool was_store_available_ = true; // at the last tick
+    grant_notice notice_;
+    bool is_notice_complete_ = false; // at the last tick
+    bool gave_long_grants_ = false;   // at the last tick
+    time_point
+        last_trouble_at_{}; // when the store was last not likely to accept a record
+    // The term for which this assigner has stated a bound; the statement may not have
+    // arrived yet.
+    std::optional<std::uint64_t> bound_term_;
+    bool is_bound_written_ = false;
+    time_point next_bound_at_{};
+    bool has_exceeded_bound_ = false;  // a grant was longer, after a notice
+    bool needs_longer_grants_ = false; // a server's limit asks for them
+    time_point last_longer_grant_at_{};
     std::map<order_id, sent_order> orders_;
     order_id last_order_id_;
     std::optional<time_point> last_renewal_sent_at_;
     unsigned failed_renewals_ = 0; // since the last one that succeeded
     time_point predecessor_grants_end_{};
+    // The predecessor sends no more orders from then on.
+    time_point predecessor_orders_end_{};
+    // Empty if the predecessor has stated no bound.
+    std::optional<grant_bound> predecessor_bound_;
+    // Empty without a bound, and once the check has ended.
+    std::optional<notice_check> predecessor_check_;
+    time_point next_check_at_{};
     // Who wrote the record with which this assigner started, and in which term. Empty if
     // a later record may have been lost.
     std::optional<assigner_term_end> predecessor_;
--- a/core/gateway/owners/key_assigner_era.cpp
+++ b/core/gateway/owners/key_assigner_era.cpp
@@ -12,6 +12,8 @@
 void key_assigner::begin_uncertainty(time_point now)
 {
     predecessor_.reset();
+    predecessor_bound_.reset();
+    predecessor_check_.reset();
     confirms_from_ = now + options_.authority_ttl + options_.order_timeout;
     earlier_grants_end_ = confirms_from_ + worst_case_hold_time(options_.long_hold_time);
     for (keyed_service& row : services_)
@@ -34,6 +36,8 @@
     // An assigner that has written no record may itself have started from a copy.
     goes_on_ = goes_on_ || !is_first_record_pending_;
     is_first_record_pending_ = true;
+    notice_.end();
+    bound_term_.reset();
     begin_uncertainty(now);
     count_change();
 }
--- /dev/null
+++ b/core/gateway/owners/key_assigner_notice.cpp
@@ -0,0 +1,197 @@
+// The part of key_assigner for long grants: notices of them, the bound without a notice,
+// and what the predecessor's owners prove.
+
+#include "core/gateway/owners/key_assigner.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorrock
+{
+namespace
+{
+
+constexpr duration check_period = milliseconds(100); // of the predecessor's owners
+
+} // namespace
+
+// Begins a notice as soon as a renewal of the lease is late or has failed, so that it is
+// complete by the time that the store counts as unavailable.
+void key_assigner::update_notice(time_point now)
+{
+    const bool is_trouble = !may_move(now);
+    last_trouble_at_ = is_trouble ? now : last_trouble_at_;
+    const bool needs_notice = is_trouble && bound_term_ && !notice_.is_begun() &&
+                              !is_first_record_pending_ && next_epoch_ < epoch_limit_;
+    if (needs_notice)
+    {
+        begin_notice(now);
+    }
+    is_notice_complete_ = notice_.is_begun() && is_notice_complete();
+    const bool gives_long = !is_store_available(now) && may_give_long_grants();
+    if (gives_long && !gave_long_grants_)
+    {
+        hasten_grants(now);
+    }
+    gave_long_grants_ = gives_long;
+}
+
+void key_assigner::begin_notice(time_point now)
+{
+    const epoch at = allocate_epoch();
+    notice_.begin(at);
+    for (keyed_service& row : services_)
+    {
+        for (range_state& it : row.key_ranges)
+        {
+            it.notice_epoch = it.target || it.needs_higher_epoch ? it.notice_epoch : at;
+        }
+    }
+    hasten_grants(now);
+}
+
+// The record in the store is the last one that was written, or the one that is being
+// written; the successor may start with either.
+bool key_assigner::is_notice_complete() const
+{
+    std::set<owner_incarnation> owners;
+    for (const keyed_service& row : services_)
+    {
+        for (const range_state& it : row.key_ranges)
+        {
+            owners.insert({it.range.owner, it.range.incarnation});
+        }
+    }
+    return notice_.is_complete(owners) &&
+           (!pending_record_ || notice_.is_complete(owners_of(*pending_record_)));
+}
+
+bool key_assigner::may_give_long_grants() const
+{
+    return !bound_term_ || is_notice_complete_;
+}
+
+// True if the next record must be of a new term, which has no bound.
+bool key_assigner::is_bound_exceeded() const
+{
+    return bound_term_ && (has_exceeded_bound_ || needs_longer_grants_);
+}
+
+// True if no grant of this or an earlier assigner ends later than one of hold_time that
+// is sent now.
+bool key_assigner::is_bound_true(time_point now) const
+{
+    const time_point end =
+        now + options_.order_timeout + worst_case_hold_time(options_.hold_time);
+    const bool has_long_grants =
+        std::any_of(services_.begin(),
+                    services_.end(),
+                    [&](const keyed_service& row)
+                    {
+                        return std::any_of(row.key_ranges.begin(),
+                                           row.key_ranges.end(),
+                                           [&](const range_state& it)
+                                           { return it.grants_end() > end; });
+                    });
+    const bool has_no_limits = last_longer_grant_at_ == time_point() ||
+                               now - last_longer_grant_at_ >= options_.bound_pause;
+    return !has_long_grants && has_no_limits && now >= predecessor_orders_end_;
+}
+
+std::optional<grant_bound> key_assigner::next_bound(time_point now)
+{
+    const bool is_stated = bound_term_ && (is_bound_written_ || has_exceeded_bound_);
+    const bool may_state = !is_stated && !is_first_record_pending_ && !pending_record_ &&
+                           has_authority(now) && may_move(now) && now >= next_bound_at_;
+    if (!may_state || !is_bound_true(now))
+    {
+        return std::nullopt;
+    }
+    next_bound_at_ = now + options_.bound_retry_period;
+    bound_term_ = version_.term;
+    is_bound_written_ = false;
+    has_exceeded_bound_ = false;
+    return grant_bound{self_, version_.term, options_.hold_time};
+}
+
+void key_assigner::bound_written(const grant_bound& bound)
+{
+    is_bound_written_ = is_bound_written_ || bound_term_ == bound.term;
+}
+
+void key_assigner::hasten_grants(time_point now)
+{
+    for (keyed_service& row : services_)
+    {
+        for (range_state& it : row.key_ranges)
+        {
+            it.next_order_at = it.target ? it.next_order_at : now;
+        }
+    }
+}
+
+// The owner accepted a grant, perhaps with the epoch of a notice, or one of the
+// predecessor's record.
+void key_assigner::note_renewal(const range_state& it, const sent_order& sent)
+{
+    notice_.accepted({it.range.owner, it.range.incarnation}, sent.order.at);
+    if (predecessor_check_)
+    {
+        assigned_key_range granted = it.range;
+        granted.grant_epoch = sent.order.at;
+        granted.keys = sent.order.keys;
+        predecessor_check_->accepted(sent.service, granted, sent.sent_at);
+    }
+}
+
+void key_assigner::check_predecessor_notice(const assigner_view& view, time_point now)
+{
+    if (!predecessor_check_ || now < next_check_at_)
+    {
+        return;
+    }
+    next_check_at_ = now + check_period;
+    if (predecessor_check_->excludes_notice(predecessor_orders_end_, *view.servers, now))
+    {
+        predecessor_check_.reset();
+        limit_predecessor_grants(predecessor_bound_->hold_time);
+    }
+    else if (now >= predecessor_grants_end_)
+    {
+        predecessor_check_.reset();
+        predecessor_bound_.reset();
+    }
+}
+
+// No grant of an earlier assigner has a longer hold time.
+void key_assigner::limit_predecessor_grants(duration hold_time)
+{
+    const time_point end = predecessor_orders_end_ + worst_case_hold_time(hold_time);
+    for (keyed_service& row : services_)
+    {
+        for (range_state& it : row.key_ranges)
+        {
+            it.predecessor_grant_end = std::min(it.predecessor_grant_end, end);
+            it.predecessor_unanswered_end = std::min(it.predecessor_unanswered_end, end);
+        }
+    }
+}
+
+bool key_assigner::predecessor_restarted(const assigner_restart& got, time_point now)
+{
+    const bool is_predecessor = predecessor_bound_ &&
+                                predecessor_bound_->writer == got.writer &&
+                                predecessor_bound_->term == got.term;
+    if (!is_predecessor)
+    {
+        return false;
+    }
+    // An order of the process that ended may have been under way.
+    predecessor_orders_end_ =
+        std::min(predecessor_orders_end_, now - got.started_ago + options_.order_timeout);
+    limit_predecessor_grants(has_proved_bound() ? predecessor_bound_->hold_time
+                                                : options_.long_hold_time);
+    return true;
+}
+
+} // namespace camphorrock
--- a/core/gateway/owners/testing/assigner_fixture.hpp
+++ b/core/gateway/owners/testing/assigner_fixture.hpp
@@ -17,8 +17,10 @@
 // order with the result of `answer`.
 struct assigner_fixture
 {
-    explicit assigner_fixture(unsigned servers, const key_assignment& record = {})
-        : assigner({}, record, instance_id("g1"), now)
+    explicit assigner_fixture(unsigned servers,
+                              const key_assignment& record = {},
+                              const std::optional<grant_bound>& bound = {})
+        : assigner({}, record, instance_id("g1"), now, {}, bound)
     {
         for (unsigned n = 0; n < servers; ++n)
         {
@@ -80,6 +82,12 @@
                 }
             }
             publish();
+            const std::optional<grant_bound> bound = assigner.next_bound(now);
+            if (bound)
+            {
+                bounds.push_back(*bound);
+                assigner.bound_written(*bound);
+            }
             if (const auto next = assigner.next_record(now))
             {
                 if (!accepts_records)
@@ -130,6 +138,7 @@
     std::deque<key_order> orders;
     std::vector<time_point> order_times; // of each of `orders`
     std::vector<key_assignment> records;
+    std::vector<grant_bound> bounds;            // that were stated
     std::map<server_id, time_point> held_until; // end of the last accepted grant
     std::uint64_t published_changes = 0;
     key_assignment last_published;
--- a/core/gateway/owners/testing/owner_fuzz_test.cpp
+++ b/core/gateway/owners/testing/owner_fuzz_test.cpp
@@ -92,6 +92,7 @@
 {
     owner_simulation_options options;
     options.restore_fraction = 0.0006;
+    options.has_bounds = false; // as when the seeds showed it
     const std::uint64_t seed = GENERATE(2105, 4089);
     CAPTURE(seed);
     owner_simulation simulation(options, seed);
@@ -153,3 +154,33 @@
         }
     }
 }
+
+// Guards against two owners of a key where an assigner gives the keys of a lost server
+// away early, as its predecessor's owners prove that there were no long grants, or as the
+// predecessor's gateway has started again.
+TEST_CASE("no two servers hold a key while killed assigners leave bounds of their grants")
+{
+    owner_simulation_options options;
+    options.servers = GENERATE(4u, 6u, 9u);
+    options.fault_fraction = 0.004;
+    options.renewal_period = milliseconds(400);
+    options.combined_fraction = 0.5;
+    unsigned proofs = 0;
+    unsigned restarts = 0;
+    for (std::uint64_t n = 0; n < 8; ++n)
+    {
+        const std::uint64_t seed = first_seed() + 500 + n;
+        CAPTURE(seed, options.servers);
+        owner_simulation simulation(options, seed);
+        run(simulation, 2 * steps_per_seed());
+        proofs += simulation.proved_bounds();
+        restarts += simulation.restarts();
+
+        // All keys are held again after all faults have ended.
+        simulation.end_faults();
+        run(simulation, 6000);
+        CHECK(simulation.held_keys() == last_shard_key + 1);
+    }
+    CHECK(proofs > 0);
+    CHECK(restarts > 0);
+}
--- a/core/gateway/owners/testing/owner_simulation.cpp
+++ b/core/gateway/owners/testing/owner_simulation.cpp
@@ -10,6 +10,8 @@
 
 constexpr duration step_duration = milliseconds(10);
 constexpr unsigned tracked_key_spacing = 512; // between the keys whose owner is tracked
+constexpr duration heartbeat_period = milliseconds(870); // of a server
+constexpr duration max_aside_latency = milliseconds(60);
 
 const service_name service("valves");
 
@@ -30,6 +32,7 @@
         made.entry.incarnation.started_ms = 1;
         made.entry.service = service;
         made.entry.slots = 3;
+        made.written_entry = made.entry;
         servers_.push_back(made);
     }
     for (unsigned n = 0; n < options_.assigners; ++n)
@@ -56,6 +59,16 @@
     events_.push_back({now_ + delay, ++last_event_, std::move(action)});
 }
 
+void owner_simulation::schedule_aside(duration delay, std::function<void()> action)
+{
+    events_aside_.push_back({now_ + delay, ++last_event_, std::move(action)});
+}
+
+double owner_simulation::any_fraction()
+{
+    return std::uniform_real_distribution<double>(0, 1)(statement_random_);
+}
+
 void owner_simulation::end_faults()
 {
     has_ended_faults_ = true;
@@ -69,6 +82,7 @@
     for (server& it : servers_)
     {
         it.is_listed = it.is_up;
+        it.cut_off_until = now_;
         it.entry.is_draining = false;
     }
 }
@@ -77,6 +91,11 @@
 {
     assigner& some = assigners_[random_() % assigners_.size()];
     server& at = servers_[random_() % servers_.size()];
+    if (any_fraction() < options_.combined_fraction)
+    {
+        begin_combined_fault();
+        return;
+    }
     switch (random_() % 8)
     {
     case 0:
@@ -92,6 +111,7 @@
     case 3: // the assigner process is killed and restarts
         some.role.reset();
         some.term_end.reset();
+        some.restarted_at = now_;
         break;
     case 4: // the server crashes; it restarts under its id, before or after its entry
             // expires
@@ -123,10 +143,58 @@
     }
 }
 
+// The cut-off server keeps what it was granted, and the killed assigner alone knew what
+// that was.
+void owner_simulation::begin_combined_fault()
+{
+    store_unavailable_until_ =
+        now_ + milliseconds(300 + static_cast<int>(2500 * any_fraction()));
+    const auto in_outage = [this]
+    {
+        return milliseconds(static_cast<int>(2000 * any_fraction()));
+    };
+    const auto n =
+        static_cast<std::size_t>(any_fraction() * static_cast<double>(servers_.size()));
+    const duration cut_at = in_outage();
+    schedule_aside(cut_at,
+                   [this, n]
+                   {
+                       servers_[n].cut_off_until = now_ + seconds(13);
+                       servers_[n].is_listed = false;
+                   });
+    schedule_aside(cut_at + seconds(13),
+                   [this, n] { servers_[n].is_listed = servers_[n].is_up; });
+    schedule_aside(in_outage(),
+                   [this]
+                   {
+                       if (lease_holder_)
+                       {
+                           assigner& it = assigners_[*lease_holder_];
+                           it.role.reset();
+                           it.term_end.reset();
+                           it.restarted_at = now_;
+                       }
+                   });
+    // One of the others forgets what it was told.
+    const std::size_t other = (n + 1) % servers_.size();
+    schedule_aside(in_outage(),
+                   [this, other]
+                   {
+                       server& it = servers_[other];
+                       if (it.is_up)
+                       {
+                           it.held_ranges.clear();
+                           it.accepted_epochs.clear();
+                           ++it.entry.incarnation.started_ms;
+                       }
+                   });
+}
+
 void owner_simulation::keep_copy()
 {
     constexpr duration max_age = seconds(8);
-    copies_.push_back({now_, record_, record_revision_, lease_holder_, lease_until_});
+    copies_.push_back(
+        {now_, record_, record_revision_, lease_holder_, lease_until_, bound_});
     if (now_ - copies_.front().at > max_age)
     {
         copies_.erase(copies_.begin());
@@ -140,6 +208,7 @@
     const store_content& copy = copies_[random_() % copies_.size()];
     record_ = copy.record;
     record_revision_ = copy.record_revision;
+    bound_ = copy.bound;
     lease_holder_ = copy.lease_holder;
     lease_until_ = now_ + options_.assigner.authority_ttl;
     ++era_.value;
@@ -221,6 +290,25 @@
         lease_holder_.reset();
     }
     deliver_statements();
+    std::vector<event> due_aside;
+    std::erase_if(events_aside_,
+                  [&](const event& it)
+                  {
+                      const bool is_due = it.at <= now_;
+                      if (is_due)
+                      {
+                          due_aside.push_back(it);
+                      }
+                      return is_due;
+                  });
+    for (const event& it : due_aside)
+    {
+        it.action();
+    }
+    for (server& it : servers_)
+    {
+        beat(it);
+    }
     for (std::size_t n = 0; n < assigners_.size(); ++n)
     {
         if (now_ >= assigners_[n].frozen_until)
@@ -267,6 +355,80 @@
         {now_ + std::chrono::duration_cast<duration>(delay), said});
 }
 
+// A server writes its entry at once while it is new to the store, and with each
+// heartbeat.
+void owner_simulation::beat(server& it)
+{
+    const bool is_due = !options_.has_bounds || now_ >= it.next_heartbeat_at;
+    const bool is_cut_off = now_ < store_unavailable_until_ || now_ < it.cut_off_until;
+    if (!it.is_up || !is_due || is_cut_off)
+    {
+        return;
+    }
+    it.written_entry = it.entry;
+    it.next_heartbeat_at = now_ + heartbeat_period;
+}
+
+// A write without an answer may take effect seconds later.
+void owner_simulation::state_bound(std::size_t n)
+{
+    assigner& it = assigners_[n];
+    const std::optional<grant_bound> bound =
+        options_.has_bounds ? it.role->next_bound(now_) : std::nullopt;
+    if (!bound || !is_store_reachable(it))
+    {
+        return;
+    }
+    const bool is_late = any_fraction() < options_.late_fraction;
+    const duration longest = is_late ? duration(seconds(4)) : max_aside_latency;
+    const auto delay =
+        duration(static_cast<duration::rep>(any_fraction() * longest.count()));
+    schedule_aside(delay,
+                   [this, n, bound = *bound, role = it.role.get(), is_late]
+                   {
+                       bound_ = bound;
+                       assigner& writer = assigners_[n];
+                       if (!is_late && writer.role.get() == role)
+                       {
+                           writer.role->bound_written(bound);
+                       }
+                   });
+}
+
+void owner_simulation::count_proof(assigner& it)
+{
+    const bool has_proof = it.role && it.role->has_proved_bound();
+    proved_bounds_ += has_proof && !it.had_proof ? 1 : 0;
+    it.had_proof = has_proof;
+}
+
+// The process that was restarted tells the others that it was not running before.
+void owner_simulation::tell_restart(std::size_t n)
+{
+    assigner& it = assigners_[n];
+    const bool is_predecessor = record_.writer == instance_id(it.name) && !it.role;
+    if (!options_.has_bounds || !it.restarted_at || !is_predecessor ||
+        !is_store_reachable(it) || any_fraction() > 0.1)
+    {
+        return;
+    }
+    constexpr double longest_delay_s = 3;
+    const std::chrono::duration<double> delay(longest_delay_s * any_fraction());
+    schedule_aside(std::chrono::duration_cast<duration>(delay),
+                   [this,
+                    said = assigner_restart{instance_id(it.name),
+                                            record_.version.term,
+                                            now_ - *it.restarted_at}]
+                   {
+                       for (assigner& to : assigners_)
+                       {
+                           const bool is_taken =
+                               to.role && to.role->predecessor_restarted(said, now_);
+                           restarts_ += is_taken ? 1 : 0;
+                       }
+                   });
+}
+
 void owner_simulation::deliver_statements()
 {
     std::erase_if(statements_under_way_,
@@ -291,6 +453,7 @@
     assigner& it = assigners_[n];
     notice_era(n);
     tell_successor(n);
+    tell_restart(n);
     if (is_store_reachable(it))
     {
         std::vector<listed_server> listed;
@@ -298,7 +461,7 @@
         {
             if (at.is_listed)
             {
-                listed.push_back(at.entry);
+                listed.push_back(at.written_entry);
             }
         }
         it.servers.replace(listed, duration::zero(), now_);
@@ -320,7 +483,7 @@
         const auto any = static_cast<unsigned>(random_() % (last_shard_key + 1));
         it.role->add_load(service, shard_key{chance(0.5) ? hot : any}, now_);
     }
-    if (chance(0.025))
+    if (is_renewal_due(it))
     {
         renew_lease(n);
     }
@@ -340,6 +503,11 @@
         send_order(n, order);
     }
     write_record(n);
+    if (it.role)
+    {
+        state_bound(n);
+    }
+    count_proof(it);
 }
 
 void owner_simulation::try_acquire_lease(std::size_t n)
@@ -354,11 +522,23 @@
     lease_until_ = now_ + options_.assigner.authority_ttl;
     it.record_revision = record_revision_;
     it.role = std::make_unique<key_assigner>(
-        options_.assigner, record_, instance_id(it.name), now_, era_);
+        options_.assigner, record_, instance_id(it.name), now_, era_, bound_);
+    it.restarted_at.reset();
     it.era = era_;
     it.role->lease_renewed(now_);
 }
 
+bool owner_simulation::is_renewal_due(assigner& it)
+{
+    if (options_.renewal_period == duration::zero())
+    {
+        return chance(0.025);
+    }
+    const bool is_due = now_ >= it.next_renewal_at;
+    it.next_renewal_at = is_due ? now_ + options_.renewal_period : it.next_renewal_at;
+    return is_due;
+}
+
 void owner_simulation::renew_lease(std::size_t n)
 {
     const time_point sent_at = now_;
@@ -441,8 +621,8 @@
             it.role->order_ended(id, got, now_);
         }
     };
-    const bool is_unreachable =
-        assigners_[n].unreachable_server == to || !servers_[to].is_up;
+    const bool is_unreachable = assigners_[n].unreachable_server == to ||
+                                !servers_[to].is_up || now_ < servers_[to].cut_off_until;
     if (is_unreachable)
     {
         const bool is_sent = chance(0.5);
--- a/core/gateway/owners/testing/owner_simulation.hpp
+++ b/core/gateway/owners/testing/owner_simulation.hpp
@@ -4,8 +4,9 @@
 // releases, a store with a record and a lease, which at times comes back from a copy that
 // is some seconds old, and a network that delays, reorders and
 // loses messages. A grant that is not answered is carried out later, also after newer
-// orders with higher epochs. After each step it checks that no two servers hold the same
-// key, and that a key's epoch rises with each change of its owner. Slow.
+// orders with higher epochs. A server's entry is written with each heartbeat, so it may
+// be that of an earlier incarnation. After each step it checks that no two servers hold
+// the same key, and that a key's epoch rises with each change of its owner. Slow.
 
 #include "core/gateway/owners/key_assigner.hpp"
 
@@ -33,6 +34,13 @@
     // Of an assigner that has resigned to its successor; the others arrive up to 3 s
     // later.
     double lost_statements = 1;
+    // Of the statements of bounds (see grant_notice.hpp), and of restarted assigners.
+    bool has_bounds = true;
+    // Of faults, in which the store is away, its assigner is killed and a server that
+    // lives is cut off, one soon after the other.
+    double combined_fraction = 0;
+    // Between two renewals of the lease; zero: at random, 0.4 s on average.
+    duration renewal_period{};
     unsigned limited_servers = 0; // that name a rate limit, for half of each 20 s
     key_assigner_options assigner;
 };
@@ -65,6 +73,17 @@
         return statements_;
     }
 
+    // The number of bounds that were proved, and of restarts that a successor took into
+    // account.
+    unsigned proved_bounds() const
+    {
+        return proved_bounds_;
+    }
+    unsigned restarts() const
+    {
+        return restarts_;
+    }
+
     unsigned moves() const
     {
         return moves_;
@@ -84,8 +103,11 @@
     struct server
     {
         listed_server entry;
+        listed_server written_entry; // at the last heartbeat
+        time_point next_heartbeat_at{};
         bool is_up = true;
         bool is_listed = true;
+        time_point cut_off_until{}; // from the store and from all assigners
         time_point listed_until{};
         std::vector<held_range> held_ranges;
         // Of all orders carried out; an order with a lower epoch is stale. `until` is
@@ -102,7 +124,10 @@
         // Of its last term, and when that ended; lost if its process was killed.
         std::optional<assigner_term_end> term_end;
         time_point term_ended_at{};
-        time_point lease_sent{};
+        // When its process was last killed and restarted, until a successor knows.
+        std::optional<time_point> restarted_at;
+        bool had_proof = false; // of its predecessor's bound, at the last step
+        time_point next_renewal_at{};
         time_point frozen_until{};
         time_point store_unreachable_until{};
         std::optional<std::size_t> unreachable_server;
@@ -117,6 +142,7 @@
         std::uint64_t record_revision = 0;
         std::optional<std::size_t> lease_holder;
         time_point lease_until{};
+        std::optional<grant_bound> bound;
     };
 
     // What an assigner has said about its last term, which arrives at a later time.
@@ -135,9 +161,17 @@
     };
 
     void schedule(duration delay, std::function<void()> action);
+    // The same, without an effect on the luck of what is scheduled otherwise.
+    void schedule_aside(duration delay, std::function<void()> action);
+    double any_fraction();
+    void beat(server& it);
+    void state_bound(std::size_t n);
+    void count_proof(assigner& it);
+    void tell_restart(std::size_t n);
     duration random_duration(duration from, duration to);
     bool chance(double probability);
     void begin_fault();
+    void begin_combined_fault();
     void keep_copy();
     void restore_store();
     void notice_era(std::size_t n);
@@ -147,6 +181,7 @@
     void deliver_statements();
     void run_assigner(std::size_t n);
     void try_acquire_lease(std::size_t n);
+    bool is_renewal_due(assigner& it);
     void renew_lease(std::size_t n);
     void write_record(std::size_t n);
     void send_order(std::size_t n, const key_order& order);
@@ -169,9 +204,11 @@
     std::uint64_t last_event_ = 0;
     // Apart from events_, which are carried out in an order that random_ gives.
     std::vector<statement> statements_under_way_;
+    std::vector<event> events_aside_;
 
     key_assignment record_;
     std::uint64_t record_revision_ = 0; // given out again after a restore
+    std::optional<grant_bound> bound_;
     store_era era_{1};
     std::vector<store_content> copies_; // of the last seconds, the oldest first
     unsigned restores_ = 0;
@@ -185,6 +222,8 @@
     unsigned grants_ = 0;
     unsigned moves_ = 0;
     unsigned statements_ = 0;
+    unsigned proved_bounds_ = 0;
+    unsigned restarts_ = 0;
     bool has_ended_faults_ = false;
 };
 
--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -61,7 +61,7 @@
                              std::function<void(const key_assignment&)> on_published,
                              std::function<void()> on_holder)
     : context_(std::move(context)), on_published_(std::move(on_published)),
-      on_holder_(std::move(on_holder))
+      on_holder_(std::move(on_holder)), created_at_(context_.loop.now())
 {
     holder_reader_ = std::make_unique<store_reader>(
         context_.loop,
@@ -82,6 +82,32 @@
 
 assigner_role::~assigner_role() = default;
 
+// The bound only shortens waits, so an assigner starts without it if it cannot be read.
+void assigner_role::on_bound_read(const store_read& got)
+{
+    stated_bound_.reset();
+    bound_revision_ = {};
+    if (got.end == store_end::done && !got.entries.empty())
+    {
+        bound_revision_ = got.entries.front().revision;
+        stated_bound_ =
+            value_or_handle([&]() -> result<std::optional<grant_bound>>
+                            { return parse_grant_bound(got.entries.front().value); },
+                            [](const error&) { return std::optional<grant_bound>(); });
+    }
+    store_page page;
+    context_.store.get_prefix(
+        keys_record_key,
+        page,
+        [this, alive = std::weak_ptr<const bool>(alive_)](const store_read& record)
+        {
+            if (!alive.expired())
+            {
+                on_record(record);
+            }
+        });
+}
+
 void assigner_role::on_record(const store_read& got)
 {
     if (!is_elected_)
@@ -156,12 +182,23 @@
     else
     {
         published_changes_ = 0;
-        assigner_ = std::make_shared<key_assigner>(
-            options_of(settings), latest_known(record), settings.id, now, era);
+        assigner_ = std::make_shared<key_assigner>(options_of(settings),
+                                                   latest_known(record),
+                                                   settings.id,
+                                                   now,
+                                                   era,
+                                                   stated_bound_);
+        has_logged_proof_ = false;
         if (const std::optional<assigner_term_end> own = last_term_end())
         {
             assigner_->predecessor_ended(*own, now);
         }
+        note_writer(record);
+        has_been_assigner_ = true;
+        if (const std::optional<assigner_restart> own = restart())
+        {
+            assigner_->predecessor_restarted(*own, now);
+        }
     }
     assigner_->lease_renewed(lease_call_sent_at_);
     has_revoked_lease_ = false;
@@ -171,7 +208,10 @@
          {"record_revision", at.value},
          {"era", era.value},
          {"goes_on", goes_on},
-         {"predecessor", record.writer}});
+         {"predecessor", record.writer},
+         {"bounded",
+          stated_bound_ && stated_bound_->writer == record.writer &&
+              stated_bound_->term == record.version.term}});
     if (context_.on_elected)
     {
         context_.on_elected();
@@ -306,9 +346,57 @@
             });
     }
     write_record();
+    write_bound();
+    note_proof();
     publish_changes();
 }
 
+void assigner_role::write_bound()
+{
+    const std::optional<grant_bound> bound =
+        is_reclaiming_ ? std::nullopt : assigner_->next_bound(context_.loop.now());
+    if (!bound)
+    {
+        return;
+    }
+    context_.store.compare_and_swap(
+        bound_key,
+        bound_revision_,
+        grant_bound_text(*bound),
+        store_lease{},
+        [this, bound = *bound, of = std::weak_ptr(assigner_)](const store_write& got)
+        {
+            if (!of.expired())
+            {
+                on_bound_write(bound, got);
+            }
+        });
+}
+
+// A write that failed is repeated, on the condition of what the key holds now.
+void assigner_role::on_bound_write(const grant_bound& bound, const store_write& got)
+{
+    if (got.end == store_end::done)
+    {
+        bound_revision_ = got.revision;
+        assigner_->bound_written(bound);
+    }
+    else if (got.end == store_end::conflict)
+    {
+        bound_revision_ = got.current ? got.current->revision : store_revision{};
+    }
+}
+
+void assigner_role::note_proof()
+{
+    if (!has_logged_proof_ && assigner_->has_proved_bound())
+    {
+        has_logged_proof_ = true;
+        context_.log.events().write(event_id::keys_predecessor_bounded,
+                                    {{"hold_ms", whole_ms(stated_bound_->hold_time)}});
+    }
+}
+
 // A release may stay without an answer for long, since the server ends its work first.
 void assigner_role::note_link(const key_order& order, const order_result& got)
 {
@@ -588,6 +676,38 @@
     }
 }
 
+void assigner_role::note_writer(const key_assignment& record)
+{
+    if (!has_been_assigner_ && record.writer == context_.state.settings().id)
+    {
+        earlier_term_ = record.version.term;
+    }
+}
+
+std::optional<assigner_restart> assigner_role::restart() const
+{
+    if (!earlier_term_)
+    {
+        return std::nullopt;
+    }
+    const duration ago = context_.loop.now() - created_at_;
+    return assigner_restart{context_.state.settings().id,
+                            *earlier_term_,
+                            std::chrono::floor<milliseconds>(ago)};
+}
+
+void assigner_role::on_restart(const assigner_restart& got)
+{
+    if (assigner_ && assigner_->predecessor_restarted(got, context_.loop.now()))
+    {
+        context_.log.events().write(event_id::keys_predecessor_restarted,
+                                    {{"predecessor", got.writer},
+                                     {"term", got.term},
+                                     {"started_ms", whole_ms(got.started_ago)}});
+        post_tick();
+    }
+}
+
 void assigner_role::add_load(const service_name& service, shard_key key)
 {
     if (assigner_)
--- a/gateway/assigner_role.hpp
+++ b/gateway/assigner_role.hpp
@@ -45,6 +45,10 @@
 // The store key that names the holder of the role, with the holder's lease.
 constexpr const char* holder_key = "camphorrock/assigner";
 
+// The store key of the bound that the assigner has stated of its grants. Not under the
+// prefix of the records, since builds that do not know it read all of these.
+constexpr const char* bound_key = "camphorrock/grant-bound";
+
 // What the assigner's role uses of its gateway.
 struct assigner_role_context
 {
@@ -96,6 +100,15 @@
     // The statement of the last assigner. No effect unless this gateway is the assigner.
     void on_term_end(const assigner_term_end& got);
 
+    // What this gateway tells the assigner if an earlier process of its own wrote the
+    // record. Empty if it knows of no such record.
+    std::optional<assigner_restart> restart() const;
+    // The record was read.
+    void note_writer(const key_assignment& record);
+    // The statement of a restarted gateway. No effect unless this gateway is the
+    // assigner.
+    void on_restart(const assigner_restart& got);
+
     // Resigns if this gateway holds the role, and takes part in no further election.
     void shut_down();
 
@@ -132,6 +145,7 @@
     bool may_go_on(const key_assignment& record) const;
     key_assignment latest_known(const key_assignment& record) const;
     void on_elected();
+    void on_bound_read(const store_read& got);
     void on_record(const store_read& got);
     void start_assigner(const key_assignment& record, store_revision at);
 
@@ -147,6 +161,9 @@
     std::optional<double> limit_of(const listed_server& server) const;
     double capacity_of(const service_name& service, const listed_server& server) const;
     void account_for_limit(const key_order& order);
+    void write_bound();
+    void on_bound_write(const grant_bound& bound, const store_write& got);
+    void note_proof();
     void write_record();
     void on_record_write(const store_write& got);
     void read_back_record();
@@ -181,6 +198,14 @@
     // The record that is being written; null if no write is in flight. Owned here alone:
     // callbacks check by a weak pointer that they concern this write and no earlier one.
     std::shared_ptr<const key_assignment> record_in_flight_;
+    // The last bound that an assigner has stated, as read on the election.
+    std::optional<grant_bound> stated_bound_;
+    store_revision bound_revision_;
+    bool has_logged_proof_ = false; // that the predecessor kept its bound
+    // The term of the record that an earlier process of this gateway wrote.
+    std::optional<std::uint64_t> earlier_term_;
+    bool has_been_assigner_ = false; // this process
+    time_point created_at_{};
     std::uint64_t published_changes_ = 0; // key_assigner::changes() when last published
     time_point last_published_at_{};
     // Of this gateway's last term, and when that ended.
--- a/gateway/assigner_role_campaign.cpp
+++ b/gateway/assigner_role_campaign.cpp
@@ -238,15 +238,13 @@
         return;
     }
     renew_timer_ = context_.loop.every(renew_period, [this] { renew_lease(); });
-    store_page page;
-    context_.store.get_prefix(
-        keys_record_key,
-        page,
+    context_.store.get(
+        bound_key,
         [this, alive = std::weak_ptr<const bool>(alive_)](const store_read& got)
         {
             if (!alive.expired())
             {
-                on_record(got);
+                on_bound_read(got);
             }
         });
 }
--- a/gateway/key_agent.cpp
+++ b/gateway/key_agent.cpp
@@ -42,6 +42,8 @@
                [this](const Json::Value& params) { return handle_update(params); });
     server.add("keys.ended",
                [this](const Json::Value& params) { return handle_term_end(params); });
+    server.add("keys.restarted",
+               [this](const Json::Value& params) { return handle_restart(params); });
     schedule_report(context_.loop.now() + min_report_period);
     record_poll_timer_ =
         context_.loop.every(record_poll_period, [this] { poll_record(); });
@@ -158,7 +160,9 @@
 {
     const std::optional<endpoint> to = role_.holder();
     const std::optional<assigner_term_end> said = role_.last_term_end();
-    const bool is_due = to && said && *to != context_.state.settings().peer &&
+    const std::optional<assigner_restart> restart = role_.restart();
+    const bool is_due = to && (said || restart) &&
+                        *to != context_.state.settings().peer &&
                         term_end_known_to_ != to && !is_term_end_in_flight_;
     if (!is_due)
     {
@@ -166,8 +170,8 @@
     }
     is_term_end_in_flight_ = true;
     rpc_.call(*to,
-              "keys.ended",
-              write_term_end(*said),
+              said ? "keys.ended" : "keys.restarted",
+              said ? write_term_end(*said) : write_assigner_restart(*restart),
               report_timeout,
               [this, to, alive = std::weak_ptr<const bool>(alive_)](const rpc_result& got)
               {
@@ -324,6 +328,13 @@
     return write_keys_ended_reply({role_.is_assigner()});
 }
 
+result<Json::Value> key_agent::handle_restart(const Json::Value& params)
+{
+    BOOST_LEAF_AUTO(got, read_assigner_restart(params));
+    role_.on_restart(got);
+    return write_keys_ended_reply({role_.is_assigner()});
+}
+
 keys_update key_agent::update_since(assignment_version known_version) const
 {
     keys_update update;
@@ -451,6 +462,8 @@
                 {
                     BOOST_LEAF_AUTO(record,
                                     parse_key_assignment(got.entries.front().value));
+                    role_.note_writer(record);
+                    send_term_end();
                     adopt(record);
                     return {};
                 },
--- a/gateway/key_agent.hpp
+++ b/gateway/key_agent.hpp
@@ -66,6 +66,7 @@
     result<Json::Value> handle_report(const Json::Value& params);
     result<Json::Value> handle_update(const Json::Value& params);
     result<Json::Value> handle_term_end(const Json::Value& params);
+    result<Json::Value> handle_restart(const Json::Value& params);
     void publish(const key_assignment& assignment);
     void send_update(const endpoint& to);
     void poll_record();
