A bound of grants says how long earlier grants may be in force

An assigner that was lost before its own waits were over had stated no bound, so its successor waited 11.5 s for it, whatever was known.

Cause: a bound could be stated only once it held for earlier terms, too. Class: what is known in part is not said at all.

Change: the bound is stated with the first record, and says until when grants of earlier terms may be in force; it is stated again when that has become half as long.

Test: grant_bound_test "also if that one has itself just taken over from another that was killed".

--- a/codec/key_messages.cpp
+++ b/codec/key_messages.cpp
@@ -171,6 +171,7 @@
     fields.required("writer", it.writer);
     fields.required("term", it.term);
     fields.required("hold_ms", it.hold_time);
+    fields.required("earlier_ms", it.earlier_left);
 }
 
 template<class Fields, is_type<keys_ended_reply> Message>
@@ -292,9 +293,9 @@
 {
     BOOST_LEAF_AUTO(value, parse_json(text));
     BOOST_LEAF_AUTO(read, read_described<grant_bound>(value));
-    if (read.hold_time <= duration::zero())
+    if (read.hold_time <= duration::zero() || read.earlier_left < duration::zero())
     {
-        return fail(error_code::invalid_argument, "a hold time is not positive");
+        return fail(error_code::invalid_argument, "a time of a bound is not valid");
     }
     return read;
 }
--- a/codec/testing/key_messages_test.cpp
+++ b/codec/testing/key_messages_test.cpp
@@ -59,7 +59,7 @@
 
 TEST_CASE("the bound of an assigner's grants is read as it was written")
 {
-    const grant_bound bound{instance_id("g1"), 7, milliseconds(2500)};
+    const grant_bound bound{instance_id("g1"), 7, milliseconds(2500), milliseconds(40)};
     auto read = [](std::string_view text)
     {
         return value_or_handle([&]() -> result<std::optional<grant_bound>>
@@ -67,7 +67,8 @@
                                [](const error&) { return std::optional<grant_bound>(); });
     };
     CHECK(read(grant_bound_text(bound)) == bound);
-    CHECK(read(R"({"writer":"g1","term":7,"hold_ms":2500})") == bound);
-    CHECK_FALSE(read(R"({"writer":"g1","term":7,"hold_ms":0})"));
+    CHECK(read(R"({"writer":"g1","term":7,"hold_ms":2500,"earlier_ms":40})") == bound);
+    CHECK_FALSE(read(R"({"writer":"g1","term":7,"hold_ms":0,"earlier_ms":40})"));
+    CHECK_FALSE(read(R"({"writer":"g1","term":7,"hold_ms":2500,"earlier_ms":-1})"));
     CHECK_FALSE(read("none"));
 }
--- a/core/gateway/owners/grant_notice.hpp
+++ b/core/gateway/owners/grant_notice.hpp
@@ -41,14 +41,16 @@
 namespace camphorrock
 {
 
-// What an assigner states in the store about the grants of one of its terms: none has a
-// longer hold time, and none of an earlier term ends later than such a grant would,
-// unless it has given a notice.
+// What an assigner states in the store about its grants of one term and those of earlier
+// ones. Its own have no longer hold time, unless it has given a notice.
 struct grant_bound
 {
     instance_id writer;     // of the record
     std::uint64_t term = 0; // of the record's version
     duration hold_time{};   // in whole milliseconds
+    // No grant of an earlier term is in force after this time, from the statement on; in
+    // whole milliseconds, rounded up.
+    duration earlier_left{};
 
     bool operator==(const grant_bound&) const = default;
 };
--- a/core/gateway/owners/key_assigner.cpp
+++ b/core/gateway/owners/key_assigner.cpp
@@ -34,7 +34,7 @@
       epoch_limit_{next_epoch_.value + options.epoch_block},
       predecessor_grants_end_(now + options.authority_ttl +
                               worst_case_hold_time(options.long_hold_time)),
-      predecessor_orders_end_(now + options.authority_ttl)
+      predecessor_orders_end_(now + options.authority_ttl), bound_stated_by_(now)
 {
     for (const service_key_ranges& service : record.services)
     {
@@ -205,8 +205,8 @@
 
 duration key_assigner::current_hold_time(time_point now) const
 {
-    return is_store_available(now) || !may_give_long_grants() ? options_.hold_time
-                                                              : options_.long_hold_time;
+    return is_store_down(now) && may_give_long_grants() ? options_.long_hold_time
+                                                        : options_.hold_time;
 }
 
 epoch key_assigner::allocate_epoch()
--- a/core/gateway/owners/key_assigner.hpp
+++ b/core/gateway/owners/key_assigner.hpp
@@ -101,6 +101,9 @@
     // From the last sign of trouble with the store to a record with the epochs of a
     // notice, after which a successor can again tell whether there was one.
     duration notice_record_delay = seconds(1);
+    // For the first answers of other gateways that are asked whether the store answers.
+    duration store_check_time = milliseconds(150);
+    duration other_answer_validity = milliseconds(500);
     // For which no bound is stated after a server's limit asked for longer grants.
     duration bound_pause = seconds(30);
     duration bound_retry_period = seconds(1);
@@ -156,6 +159,15 @@
 
     bool has_authority(time_point now) const;
 
+    // True while renewals of the lease are late or fail: the caller asks other gateways
+    // whether the store answers them, and says so by the functions below. As long as it
+    // does, only this gateway is cut off: it gives no long grants, since another one will
+    // be elected.
+    bool needs_store_check(time_point now) const;
+    void store_check_begun(time_point now);
+    // The store answered another gateway, at `at` or later.
+    void store_answered_other(time_point at);
+
     // What this assigner tells its successor if it sends no further orders. Empty if it
     // has written no record in this era of the store: it then has sent no orders that
     // follow it.
@@ -404,6 +416,9 @@
                           const known_server& owner,
                           const assigner_view& view) const;
     bool is_store_available(time_point now) const;
+    bool is_cut_off_alone(time_point now) const;
+    bool is_store_check_open(time_point now) const;
+    bool is_store_down(time_point now) const;
     duration current_hold_time(time_point now) const;
     duration hold_time_for(duration period) const;
     void hasten_slow_renewals(time_point now);
@@ -412,12 +427,16 @@
     std::optional<key_wait>
     wait_of(const range_state& it, const assigner_view& view, time_point now) const;
     static time_point end_of(key_wait reason, const range_state& it);
+    void note_trouble(time_point now);
     void update_notice(time_point now);
     void begin_notice(time_point now);
     bool is_notice_complete() const;
     bool may_give_long_grants() const;
     bool is_bound_exceeded() const;
-    bool is_bound_true(time_point now) const;
+    duration short_grant_time() const;
+    bool are_own_grants_short(time_point now) const;
+    duration earlier_grants_left(time_point now) const;
+    bool is_bound_stated(duration earlier_left) const;
     void hasten_grants(time_point now);
     void note_renewal(const range_state& it, const sent_order& sent);
     void check_predecessor_notice(const assigner_view& view, time_point now);
@@ -442,12 +461,15 @@
     grant_notice notice_;
     bool is_notice_complete_ = false; // at the last tick
     bool gave_long_grants_ = false;   // at the last tick
-    time_point
-        last_trouble_at_{}; // when the store was last not likely to accept a record
-    // The term for which this assigner has stated a bound; the statement may not have
+    // Since when the store has not been likely to accept a record; empty if it is.
+    std::optional<time_point> trouble_since_;
+    time_point last_trouble_at_{};
+    std::optional<time_point> store_check_begun_at_; // since trouble_since_
+    time_point other_answered_at_{}; // when the store last answered another gateway
     // arrived yet.
     std::optional<std::uint64_t> bound_term_;
     bool is_bound_written_ = false;
+    duration stated_earlier_left_{};
     time_point next_bound_at_{};
     bool has_exceeded_bound_ = false;  // a grant was longer, after a notice
     bool needs_longer_grants_ = false; // a server's limit asks for them
@@ -461,6 +483,7 @@
     time_point predecessor_orders_end_{};
     // Empty if the predecessor has stated no bound.
     std::optional<grant_bound> predecessor_bound_;
+    time_point bound_stated_by_{}; // the predecessor stated it at this time or before
     // Empty without a bound, and once the check has ended.
     std::optional<notice_check> predecessor_check_;
     time_point next_check_at_{};
--- a/core/gateway/owners/key_assigner_notice.cpp
+++ b/core/gateway/owners/key_assigner_notice.cpp
@@ -15,20 +15,67 @@
 
 } // namespace
 
+bool key_assigner::needs_store_check(time_point now) const
+{
+    return has_authority(now) && !may_move(now);
+}
+
+void key_assigner::store_check_begun(time_point now)
+{
+    store_check_begun_at_ = store_check_begun_at_.value_or(now);
+}
+
+void key_assigner::store_answered_other(time_point at)
+{
+    other_answered_at_ = std::max(other_answered_at_, at);
+}
+
+bool key_assigner::is_cut_off_alone(time_point now) const
+{
+    return trouble_since_ && other_answered_at_ >= *trouble_since_ &&
+           now - other_answered_at_ < options_.other_answer_validity;
+}
+
+bool key_assigner::is_store_check_open(time_point now) const
+{
+    return store_check_begun_at_ &&
+           now < *store_check_begun_at_ + options_.store_check_time;
+}
+
+// True if the store answers nobody, as far as known.
+bool key_assigner::is_store_down(time_point now) const
+{
+    return !is_store_available(now) && !is_cut_off_alone(now) &&
+           !is_store_check_open(now);
+}
+
+void key_assigner::note_trouble(time_point now)
+{
+    if (may_move(now))
+    {
+        trouble_since_.reset();
+        store_check_begun_at_.reset();
+        return;
+    }
+    trouble_since_ = trouble_since_.value_or(now);
+    last_trouble_at_ = now;
+}
+
 // Begins a notice as soon as a renewal of the lease is late or has failed, so that it is
 // complete by the time that the store counts as unavailable.
 void key_assigner::update_notice(time_point now)
 {
-    const bool is_trouble = !may_move(now);
-    last_trouble_at_ = is_trouble ? now : last_trouble_at_;
-    const bool needs_notice = is_trouble && bound_term_ && !notice_.is_begun() &&
+    note_trouble(now);
+    const bool may_be_down =
+        trouble_since_ && !is_cut_off_alone(now) && !is_store_check_open(now);
+    const bool needs_notice = may_be_down && bound_term_ && !notice_.is_begun() &&
                               !is_first_record_pending_ && next_epoch_ < epoch_limit_;
     if (needs_notice)
     {
         begin_notice(now);
     }
     is_notice_complete_ = notice_.is_begun() && is_notice_complete();
-    const bool gives_long = !is_store_available(now) && may_give_long_grants();
+    const bool gives_long = is_store_down(now) && may_give_long_grants();
     if (gives_long && !gave_long_grants_)
     {
         hasten_grants(now);
@@ -77,46 +124,82 @@
     return bound_term_ && (has_exceeded_bound_ || needs_longer_grants_);
 }
 
-// True if no grant of this or an earlier assigner ends later than one of hold_time that
-// is sent now.
-bool key_assigner::is_bound_true(time_point now) const
+// The longest time for which a grant of hold_time that is sent now may be in force.
+duration key_assigner::short_grant_time() const
 {
-    const time_point end =
-        now + options_.order_timeout + worst_case_hold_time(options_.hold_time);
-    const bool has_long_grants =
-        std::any_of(services_.begin(),
-                    services_.end(),
-                    [&](const keyed_service& row)
-                    {
-                        return std::any_of(row.key_ranges.begin(),
-                                           row.key_ranges.end(),
-                                           [&](const range_state& it)
-                                           { return it.grants_end() > end; });
-                    });
-    const bool has_no_limits = last_longer_grant_at_ == time_point() ||
-                               now - last_longer_grant_at_ >= options_.bound_pause;
-    return !has_long_grants && has_no_limits && now >= predecessor_orders_end_;
+    return options_.order_timeout + worst_case_hold_time(options_.hold_time);
+}
+
+// True if this assigner has given no grant that ends later than one of hold_time that is
+// sent now, and gives none soon.
+bool key_assigner::are_own_grants_short(time_point now) const
+{
+    const time_point end = now + short_grant_time();
+    for (const keyed_service& row : services_)
+    {
+        for (const range_state& it : row.key_ranges)
+        {
+            if (it.latest_grant_end > end)
+            {
+                return false;
+            }
+        }
+    }
+    return last_longer_grant_at_ == time_point() ||
+           now - last_longer_grant_at_ >= options_.bound_pause;
+}
+
+// Until the last grant of an earlier assigner must have expired; in whole milliseconds.
+duration key_assigner::earlier_grants_left(time_point now) const
+{
+    time_point end = now;
+    for (const keyed_service& row : services_)
+    {
+        for (const range_state& it : row.key_ranges)
+        {
+            end = std::max(end, it.predecessor_grant_end);
+        }
+    }
+    return std::chrono::ceil<milliseconds>(end - now);
+}
+
+// A bound is stated again when the wait for earlier grants has become much shorter.
+bool key_assigner::is_bound_stated(duration earlier_left) const
+{
+    if (!bound_term_ || !is_bound_written_)
+    {
+        return false;
+    }
+    const duration wanted = std::max(short_grant_time(), stated_earlier_left_ / 2);
+    return stated_earlier_left_ <= short_grant_time() || earlier_left > wanted;
 }
 
 std::optional<grant_bound> key_assigner::next_bound(time_point now)
 {
-    const bool is_stated = bound_term_ && (is_bound_written_ || has_exceeded_bound_);
-    const bool may_state = !is_stated && !is_first_record_pending_ && !pending_record_ &&
-                           has_authority(now) && may_move(now) && now >= next_bound_at_;
-    if (!may_state || !is_bound_true(now))
+    const bool may_state = !is_bound_exceeded() && !is_first_record_pending_ &&
+                           !pending_record_ && has_authority(now) && may_move(now) &&
+                           now >= next_bound_at_;
+    if (!may_state || !are_own_grants_short(now))
+    {
+        return std::nullopt;
+    }
+    const duration earlier_left = earlier_grants_left(now);
+    if (is_bound_stated(earlier_left))
     {
         return std::nullopt;
     }
     next_bound_at_ = now + options_.bound_retry_period;
+    has_exceeded_bound_ = false;
     bound_term_ = version_.term;
     is_bound_written_ = false;
-    has_exceeded_bound_ = false;
-    return grant_bound{self_, version_.term, options_.hold_time};
+    stated_earlier_left_ = earlier_left;
+    return grant_bound{self_, version_.term, options_.hold_time, earlier_left};
 }
 
 void key_assigner::bound_written(const grant_bound& bound)
 {
-    is_bound_written_ = is_bound_written_ || bound_term_ == bound.term;
+    is_bound_written_ = is_bound_written_ || (bound_term_ == bound.term &&
+                                              stated_earlier_left_ == bound.earlier_left);
 }
 
 void key_assigner::hasten_grants(time_point now)
@@ -163,10 +246,12 @@
     }
 }
 
-// No grant of an earlier assigner has a longer hold time.
+// The predecessor has given no grant with a longer hold time.
 void key_assigner::limit_predecessor_grants(duration hold_time)
 {
-    const time_point end = predecessor_orders_end_ + worst_case_hold_time(hold_time);
+    const time_point end =
+        std::max(predecessor_orders_end_ + worst_case_hold_time(hold_time),
+                 bound_stated_by_ + predecessor_bound_->earlier_left);
     for (keyed_service& row : services_)
     {
         for (range_state& it : row.key_ranges)
@@ -186,9 +271,11 @@
     {
         return false;
     }
+    const time_point ended = now - got.started_ago;
+    bound_stated_by_ = std::min(bound_stated_by_, ended);
     // An order of the process that ended may have been under way.
     predecessor_orders_end_ =
-        std::min(predecessor_orders_end_, now - got.started_ago + options_.order_timeout);
+        std::min(predecessor_orders_end_, ended + options_.order_timeout);
     limit_predecessor_grants(has_proved_bound() ? predecessor_bound_->hold_time
                                                 : options_.long_hold_time);
     return true;
--- a/core/gateway/owners/testing/grant_bound_test.cpp
+++ b/core/gateway/owners/testing/grant_bound_test.cpp
@@ -49,7 +49,7 @@
     first.run(seconds(4));
     REQUIRE(first.bounds.size() == 1);
     const grant_bound bound = first.bounds.front();
-    CHECK(bound == grant_bound{instance_id("g1"), 1, short_hold});
+    CHECK(bound == grant_bound{instance_id("g1"), 1, short_hold, {}});
     assigner_fixture second(5, first.records.back(), bound);
 
     SECTION("within 5 s if other owners prove that there was no long grant")
@@ -92,17 +92,38 @@
     SECTION("nor if the bound is that of another term")
     {
         assigner_fixture third(
-            5, first.records.back(), grant_bound{instance_id("g1"), 2, short_hold});
+            5, first.records.back(), grant_bound{instance_id("g1"), 2, short_hold, {}});
         lose_first_server(third);
         CHECK(time_until_moved(third) > longest_wait);
     }
-    SECTION("it states a bound of its own once that is true, which may be soon again")
+    SECTION("also if that one has itself just taken over from another that was killed")
     {
         second.run(seconds(1));
-        CHECK(second.bounds.empty());
-        second.run(seconds(4));
         REQUIRE(second.bounds.size() == 1);
-        CHECK(second.bounds.front().term == 2);
+        const grant_bound next = second.bounds.back();
+        CHECK(next.term == 2);
+        CHECK(next.earlier_left > seconds(10));
+
+        AND_THEN("it waits for what may be left of earlier grants")
+        {
+            assigner_fixture third(5, second.records.back(), next);
+            lose_first_server(third);
+            CHECK(time_until_moved(third) >= next.earlier_left);
+        }
+        AND_THEN("it waits less if that one had the proof already")
+        {
+            second.run(seconds(4));
+            const grant_bound last = second.bounds.back();
+            CHECK(last.earlier_left < seconds(3));
+            assigner_fixture third(5, second.records.back(), last);
+            lose_first_server(third);
+            CHECK(time_until_moved(third) < seconds(5));
+        }
+    }
+    SECTION("it states its own bound again only when earlier grants are gone sooner")
+    {
+        second.run(seconds(20));
+        CHECK(second.bounds.size() <= 4);
     }
 }
 
