An assigner that alone is cut off from the store gives no long grants

What callers saw: after an assigner was cut off from the store, keys of servers that left or crashed were unserved for 10 s, though another assigner was elected after 1.5 s.

Cause: an assigner took its own path to the store for the store, and gave long grants, for which its successor must wait.

Change: store.check asks three other gateways whether the store answers them; they read from it before they say so. While it does, no notice and no long grants. Without an answer within 0.15 s all is as before. Builds that do not know the call refuse it.

--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -22,6 +22,7 @@
 // By the first check, the other gateways have reported to the new assigner.
 constexpr duration hand_over_check_period = seconds(2);
 constexpr duration waiting_report_period = seconds(1);
+constexpr duration store_check_period = milliseconds(50);
 
 // The record of the latest era; null if there is none.
 const store_entry* latest_record(const std::vector<store_entry>& all)
@@ -327,6 +328,7 @@
     {
         return;
     }
+    check_store();
     for (const key_order& order : assigner_->tick(view(), context_.loop.now()))
     {
         account_for_limit(order);
@@ -351,6 +353,28 @@
     publish_changes();
 }
 
+void assigner_role::check_store()
+{
+    const time_point now = context_.loop.now();
+    const bool is_due = context_.others != nullptr && assigner_->needs_store_check(now) &&
+                        now - last_store_check_at_ >= store_check_period;
+    if (!is_due)
+    {
+        return;
+    }
+    last_store_check_at_ = now;
+    assigner_->store_check_begun(now);
+    context_.others->ask(
+        [this, of = std::weak_ptr(assigner_)](time_point answered_at)
+        {
+            if (!of.expired())
+            {
+                assigner_->store_answered_other(answered_at);
+                post_tick();
+            }
+        });
+}
+
 void assigner_role::write_bound()
 {
     const std::optional<grant_bound> bound =
--- a/gateway/assigner_role.hpp
+++ b/gateway/assigner_role.hpp
@@ -24,6 +24,7 @@
 #include "gateway/limit_agent.hpp"
 #include "gateway/link_agent.hpp"
 #include "gateway/order_sender.hpp"
+#include "gateway/store_check.hpp"
 #include "gateway/store_reader.hpp"
 #include "net/event_loop.hpp"
 #include "store/store_client.hpp"
@@ -60,6 +61,7 @@
     limit_agent* limits = nullptr; // null: orders do not count against servers' limits
     link_agent* links = nullptr;   // null: links to servers are not watched
     std::function<void()> on_elected{}; // called when this gateway starts to assign
+    store_check* others = nullptr;      // null: no other gateway is asked about the store
 };
 
 class assigner_role
@@ -161,6 +163,7 @@
     std::optional<double> limit_of(const listed_server& server) const;
     double capacity_of(const service_name& service, const listed_server& server) const;
     void account_for_limit(const key_order& order);
+    void check_store();
     void write_bound();
     void on_bound_write(const grant_bound& bound, const store_write& got);
     void note_proof();
@@ -213,6 +216,7 @@
     time_point last_term_ended_at_{};
     bool is_renewal_in_flight_ = false;
     bool is_tick_posted_ = false;
+    time_point last_store_check_at_{};
 
     timer_handle campaign_timer_;
     timer_handle renew_timer_;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -130,6 +130,7 @@
     forward_handler_.reset();
     client_handler_.reset();
     key_agent_.reset();
+    store_check_.reset();
     load_agent_.reset();
     link_agent_.reset();
     verdict_store_.reset();
@@ -177,6 +178,8 @@
     BOOST_LEAF_ASSIGN(load_agent_,
                       load_agent::create(*loop_, *state_, log_, *link_agent_));
     keep_verdicts();
+    store_check_ =
+        std::make_unique<store_check>(*loop_, *store_, *state_, *rpc_, rpc_methods_);
     key_agent_ = std::make_unique<key_agent>(
         assigner_role_context{*loop_,
                               *store_,
@@ -190,7 +193,8 @@
                                   verdict_store_->load(
                                       [this](const std::vector<suspect_row>& verdicts)
                                       { load_agent_->crashes().restore(verdicts); });
-                              }},
+                              },
+                              store_check_.get()},
         *rpc_,
         rpc_methods_);
     relay_context_ = std::make_unique<relay_context>(
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -19,6 +19,7 @@
 #include "gateway/key_agent.hpp"
 #include "gateway/link_agent.hpp"
 #include "gateway/load_agent.hpp"
+#include "gateway/store_check.hpp"
 #include "gateway/verdict_store.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_server.hpp"
@@ -95,6 +96,7 @@
     std::unique_ptr<order_sender> order_sender_;
     std::unique_ptr<rpc_client> rpc_;
     rpc_server rpc_methods_;
+    std::unique_ptr<store_check> store_check_;
     std::unique_ptr<key_agent> key_agent_;
     std::unique_ptr<load_agent> load_agent_;
     std::unique_ptr<link_agent> link_agent_;
