The keys of an owner that answers no grant move

Cause: each grant without an answer extended the time for which the owner may hold its keys, so that time never ended. Class: asking whether a wait is over prolongs it.

Change: from the first unanswered grant on, repeated ones end when that one does, as long as another server could take the range; then the range moves. If none could, or the store may not take a record, the owner is asked as before. Such an owner gets no long grants.

Tests: key_assigner_test "within 7 s if it answers no grant, though its entry stays" failed before (the owner had not changed); "not if it leaves half of them unanswered", "not if no other server answers either".

--- a/core/gateway/owners/key_assigner.cpp
+++ b/core/gateway/owners/key_assigner.cpp
@@ -14,6 +14,8 @@
 // After an accepted order, a refused key does not cause another grant for this long.
 constexpr duration regrant_pause = milliseconds(50);
 constexpr duration unresponsive_retry_pause = milliseconds(250);
+// A shorter grant to an owner that does not answer is not worth an order.
+constexpr duration min_silent_hold_time = milliseconds(100);
 // With no more than this many reserved epochs left, a record is written to reserve more.
 constexpr std::uint64_t min_spare_epochs = 100;
 
@@ -209,6 +211,25 @@
                                                         : options_.hold_time;
 }
 
+// Of the next grant to an owner that did not answer the last ones. The range moves when
+// these have expired, so they must end at some time; but if no other server can take the
+// range now, the owner is still asked. Empty for an owner that answers, and if the range
+// cannot move.
+std::optional<duration> key_assigner::silent_hold_time(const keyed_service& row,
+                                                       const range_state& it,
+                                                       time_point now) const
+{
+    if (!it.silent_grant_end || !row.has_responsive_server || !may_move(now))
+    {
+        return std::nullopt;
+    }
+    const time_point end = std::max(*it.silent_grant_end, it.predecessor_grant_end);
+    const duration left = end - now - options_.order_timeout - options_.expiry_margin;
+    const auto by_slow_clock = static_cast<double>(left.count()) / (1.0 + options_.drift);
+    return std::min(options_.hold_time,
+                    duration(static_cast<duration::rep>(by_slow_clock)));
+}
+
 epoch key_assigner::allocate_epoch()
 {
     return epoch{next_epoch_.value++};
@@ -296,7 +317,10 @@
         }
         return;
     }
-    if (!it.needs_higher_epoch)
+    const bool is_given_up =
+        silent_hold_time(row, it, now).value_or(min_silent_hold_time) <
+        min_silent_hold_time;
+    if (!it.needs_higher_epoch && !is_given_up)
     {
         orders.push_back(make_order(row, it, *owner, order_kind::grant, view, now));
     }
@@ -338,6 +362,10 @@
         }
         it.renewal_delay = period - options_.grant_renew_period;
         made.hold_time = std::max(current_hold_time(now), hold_time_for(period));
+        if (it.silent_grant_end)
+        {
+            made.hold_time = silent_hold_time(row, it, now).value_or(options_.hold_time);
+        }
         has_exceeded_bound_ = has_exceeded_bound_ || made.hold_time > options_.hold_time;
         made.handover = it.handover;
         made.timeout = options_.order_timeout;
@@ -383,6 +411,7 @@
     {
     case order_end::accepted:
         it->is_unresponsive = false;
+        it->silent_grant_end.reset();
         it->is_rejecting = false;
         it->is_refused = false;
         it->last_accepted_at = now;
@@ -402,6 +431,7 @@
         break;
     case order_end::stale:
         it->is_unresponsive = false;
+        it->silent_grant_end.reset();
         it->is_rejecting = false;
         it->last_accepted_at = now;
         it->needs_higher_epoch = is_grant && sent.order.at == it->order_epoch();
@@ -428,6 +458,10 @@
             now + (is_grant ? it->renewal_delay / 4 : release_retry_pause);
         it->unanswered_grant_end =
             is_grant ? it->latest_grant_end : it->unanswered_grant_end;
+        if (is_grant)
+        {
+            it->silent_grant_end = it->silent_grant_end.value_or(it->latest_grant_end);
+        }
         break;
     }
     note_disowned(*it, was_disowned);
@@ -650,6 +684,7 @@
     it.is_released = false;
     it.needs_higher_epoch = false;
     it.is_unresponsive = false;
+    it.silent_grant_end.reset();
     it.is_rejecting = false;
     it.is_refused = false;
     it.order.reset();
--- a/core/gateway/owners/key_assigner.hpp
+++ b/core/gateway/owners/key_assigner.hpp
@@ -249,6 +249,9 @@
         time_point unanswered_grant_end{};
         // The same for the grants of earlier assigners.
         time_point predecessor_unanswered_end{};
+        // Since a grant got no answer, until the owner answers one: its grants are not
+        // extended beyond this time while the range can move.
+        std::optional<time_point> silent_grant_end;
         time_point predecessor_grant_end{}; // as latest_grant_end, for earlier assigners
         time_point previous_grant_end{};    // latest_grant_end before the order in flight
         std::string handover;               // the last owner's state, for the first grant
@@ -299,6 +302,7 @@
         time_point next_balance_at{};
         time_point next_merge_at{};
         std::optional<time_point> first_server_at; // when a server was first listed
+        bool has_responsive_server = false;        // at the last plan
     };
 
     struct server_load
@@ -420,6 +424,9 @@
     bool is_store_check_open(time_point now) const;
     bool is_store_down(time_point now) const;
     duration current_hold_time(time_point now) const;
+    std::optional<duration> silent_hold_time(const keyed_service& row,
+                                             const range_state& it,
+                                             time_point now) const;
     duration hold_time_for(duration period) const;
     void hasten_slow_renewals(time_point now);
     duration worst_case_hold_time(duration hold_time) const;
--- a/core/gateway/owners/key_assigner_plan.cpp
+++ b/core/gateway/owners/key_assigner_plan.cpp
@@ -90,6 +90,10 @@
     }
     row.load.expire(now);
     std::vector<server_load> loads = server_loads(row, view, now);
+    row.has_responsive_server =
+        std::any_of(loads.begin(),
+                    loads.end(),
+                    [](const server_load& it) { return !it.is_unresponsive; });
     if (loads.empty())
     {
         return;
--- a/core/gateway/owners/testing/key_assigner_test.cpp
+++ b/core/gateway/owners/testing/key_assigner_test.cpp
@@ -193,6 +193,46 @@
         CHECK(fixture.now - lost_at < seconds(4));
         CHECK(fixture.owner(0) != lost);
     }
+    // Guards against keys that nobody serves for as long as their owner is cut off from
+    // the gateways but still writes its entry: each grant without an answer extended the
+    // wait.
+    SECTION("within 7 s if it answers no grant, though its entry stays")
+    {
+        fixture.answer = [](const key_order& it)
+        {
+            const bool is_lost = it.server == server_id("s0");
+            return order_result{is_lost ? order_end::no_answer : order_end::accepted, ""};
+        };
+        fixture.run(seconds(7));
+        CHECK(fixture.owner(0) != "s0");
+        CHECK_FALSE(fixture.owner(0).empty());
+    }
+    SECTION("not if it leaves half of them unanswered")
+    {
+        unsigned turn = 0;
+        fixture.answer = [&](const key_order& it)
+        {
+            const bool is_lost = it.server == server_id("s0") && ++turn % 2 == 0;
+            return order_result{is_lost ? order_end::no_answer : order_end::accepted, ""};
+        };
+        fixture.run(seconds(7));
+        CHECK(fixture.owner(0) == "s0");
+    }
+    SECTION("not if no other server answers either, and its grants stay in force")
+    {
+        fixture.answer = [](const key_order&)
+        {
+            return order_result{order_end::no_answer, ""};
+        };
+        fixture.run(seconds(7));
+        CHECK(fixture.owner(0) == "s0");
+        fixture.answer = [](const key_order&)
+        {
+            return order_result{order_end::accepted, ""};
+        };
+        fixture.run(seconds(1));
+        CHECK(fixture.held_until[server_id("s0")] > fixture.now);
+    }
     SECTION("within 1 s if another server has its address")
     {
         fixture.answer = [&](const key_order& it)
