An assigner pushes assignments only to gateways that have reported to it

What callers saw: right after an election no key moved, and requests went by other gateways for a moment: the new assigner's orders did not leave within 0.25 s, it took all servers for lost (246 links_lost) and handed the role over.

Cause: a gateway that was elected again pushed the full assignment (about 40 KB) at once to each gateway that had reported in its earlier term: 195 of them fill its link of 200 Mbit/s for 0.3 s. Class: a burst of one's own is taken for the network's fault.

Change: a gateway gets the full assignment in the reply to its first report (these are spread), and only what follows is pushed. A gateway that misses a step reports at once.

Test: key_agent_test "an assigner that is elected again sends the assignment to those that report" failed before (1 full update, 0 wanted).

--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -176,6 +176,7 @@
     const bool goes_on = may_go_on(record);
     record_revision_ = at;
     record_in_flight_.reset();
+    elected_at_ = now;
     if (goes_on)
     {
         assigner_->begin_era(era, now);
--- a/gateway/assigner_role.hpp
+++ b/gateway/assigner_role.hpp
@@ -90,6 +90,12 @@
         return assigner_ != nullptr;
     }
 
+    // When this gateway last became the assigner.
+    time_point elected_at() const
+    {
+        return elected_at_;
+    }
+
     // Counts a request for the key. No effect unless this gateway is the assigner.
     void add_load(const service_name& service, shard_key key);
     // Records that a server refused the key although it is assigned to that server. No
@@ -179,6 +185,7 @@
     std::function<void()> on_holder_;
 
     std::optional<endpoint> holder_;
+    time_point elected_at_{};
     bool is_elected_ = false; // this gateway wrote the holder key, as far as known
     bool is_shut_down_ = false;
     bool is_campaigning_ = false;
--- a/gateway/key_agent.cpp
+++ b/gateway/key_agent.cpp
@@ -274,7 +274,6 @@
     reporter& from = place->second;
     from.last_report_at = now;
     from.sender = got.sender;
-    from.known_version = std::max(from.known_version, got.version);
     for (const key_requests& it : got.services)
     {
         for (unsigned key : it.keys)
@@ -300,6 +299,8 @@
         reply.gateways = context_.state.gateways();
     }
     reply.update = update_since(got.version);
+    // If the reply is lost, the next report says so.
+    from.known_version = context_.state.assignment().version;
     return write_keys_reply(reply);
 }
 
@@ -364,6 +365,13 @@
             adopt(*next);
         }
     }
+    const bool is_step_missing =
+        !update.steps.empty() &&
+        context_.state.assignment().version < update.steps.back().version;
+    if (is_step_missing)
+    {
+        schedule_prompt_report();
+    }
     for (const key_assignment& it : update.full_assignment)
     {
         adopt(it);
@@ -395,7 +403,11 @@
 {
     reporter& it = reporters_[to];
     const assignment_version version = context_.state.assignment().version;
-    if (it.is_update_in_flight || it.known_version >= version || !role_.is_assigner())
+    // Gateways that have not reported yet get the full assignment in the reply, one after
+    // the other: all at once, it would keep this gateway's link from the orders.
+    const bool has_reported = it.last_report_at >= role_.elected_at();
+    if (!has_reported || it.is_update_in_flight || it.known_version >= version ||
+        !role_.is_assigner())
     {
         return;
     }
