Fewer owners than before exclude a notice of long grants

What callers saw: with a third of the owners gone, the proof that a killed assigner gave no long grants failed, and keys of lost servers waited 11.5 s; they added up, so the next proof failed, too.

Change: a notice needs two thirds of the owners (three fifths before), so more than half suffice to exclude it (three fifths before); they still share a fifth. An owner that left after it had accepted the old epochs counts.

Price: with a third of the owners silent, no long grants are given when the store goes away.

--- a/core/gateway/owners/grant_notice.cpp
+++ b/core/gateway/owners/grant_notice.cpp
@@ -100,13 +100,14 @@
     std::size_t without_notice = 0;
     for (const auto& [owner, ranges] : owners_)
     {
-        const bool is_same =
-            is_same_incarnation(servers.find(owner.id), owner.incarnation);
+        const known_server* known = servers.find(owner.id);
+        const bool has_restarted =
+            known != nullptr && known->entry.incarnation != owner.incarnation;
         const bool is_proved =
-            is_same && is_renewed(ranges, orders_end, now - registration_time);
+            !has_restarted && is_renewed(ranges, orders_end, now - registration_time);
         without_notice += is_proved ? 1 : 0;
     }
-    return !owners_.empty() && without_notice >= notice_quorum(owners_.size());
+    return !owners_.empty() && without_notice >= exclusion_quorum(owners_.size());
 }
 
 } // namespace camphorrock
--- a/core/gateway/owners/grant_notice.hpp
+++ b/core/gateway/owners/grant_notice.hpp
@@ -6,12 +6,12 @@
 //
 // An assigner first states in the store that its grants are short (grant_bound). From
 // then on it gives a longer grant only after a notice: it renews grants with an epoch
-// above those of its record, and waits until three fifths of the record's owners have
+// above those of its record, and waits until two thirds of the record's owners have
 // accepted such a renewal (grant_notice). A server refuses an epoch below one that it has
 // seen, so the notice outlasts the assigner.
 //
 // The successor renews the record's grants with the record's epochs. An owner that
-// accepts these has seen no notice. Once three fifths of the owners have, no notice was
+// accepts these has seen no notice. Once more than half of the owners have, no notice was
 // complete, and no grant is longer than the bound says (notice_check).
 //
 //     notice_check check(record);
@@ -20,7 +20,7 @@
 //
 // An owner's renewals count if they were sent at `orders_end` or later, when the
 // predecessor sent no more orders. A server that restarts under its id has forgotten the
-// epochs that it saw, so an owner counts only if its entry is of the same incarnation
+// epochs that it saw, so an owner does not count if another incarnation of it is known
 // registration_time after the renewals. At least a fifth of the owners are among those
 // that a complete notice needs and among those that exclude it, so the proof holds also
 // if fewer restart within that time without an entry.
@@ -66,11 +66,17 @@
 
 std::set<owner_incarnation> owners_of(const key_assignment& assignment);
 
-// The number of owners that must have accepted a notice before it is complete, and that
-// must have seen none before it is excluded.
+// The number of owners that must have accepted a notice before it is complete.
 constexpr std::size_t notice_quorum(std::size_t owners)
 {
-    return (3 * owners + 4) / 5;
+    return (2 * owners + 2) / 3;
+}
+
+// The number of owners that must have seen no notice before it is excluded.
+constexpr std::size_t exclusion_quorum(std::size_t owners)
+{
+    const std::size_t shared = (owners + 4) / 5;
+    return owners - notice_quorum(owners) + shared;
 }
 
 // Within this time a server that starts again has written its entry, and a gateway has
