An assigner asks the last one for what it has granted

Cause: the last assigner was to tell the next one, and learns of it from the store alone. Class: who must speak waits for news that only the other side has.

Change: keys.end_term: the assigner asks the last holder of the role until it answers, ten times at most. One without authority resigns, says what it has granted, and reports to the one that asked. Builds that do not know the call refuse it.

--- a/codec/key_messages.cpp
+++ b/codec/key_messages.cpp
@@ -56,6 +56,15 @@
     return {};
 }
 
+result<void> check(const assigner_term_end& value)
+{
+    if (std::min(value.grants_left, value.unanswered_grants_left) < duration::zero())
+    {
+        return fail(error_code::invalid_argument, "a time that is left is negative");
+    }
+    return {};
+}
+
 } // namespace
 
 template<class Fields, is_type<assigned_key_range> Message>
@@ -157,6 +166,18 @@
     fields.required("unanswered_ms", it.unanswered_grants_left);
 }
 
+template<class Fields, is_type<keys_end_term> Message>
+void describe(Fields& fields, Message& it)
+{
+    fields.required("assigner", it.assigner);
+}
+
+template<class Fields, is_type<keys_end_reply> Message>
+void describe(Fields& fields, Message& it)
+{
+    fields.optional("said", it.said);
+}
+
 template<class Fields, is_type<assigner_restart> Message>
 void describe(Fields& fields, Message& it)
 {
@@ -252,9 +273,31 @@
 result<assigner_term_end> read_term_end(const Json::Value& value)
 {
     BOOST_LEAF_AUTO(read, read_described<assigner_term_end>(value));
-    if (std::min(read.grants_left, read.unanswered_grants_left) < duration::zero())
+    BOOST_LEAF_CHECK(check(read));
+    return read;
+}
+
+Json::Value write_keys_end_term(const keys_end_term& value)
+{
+    return write_described(value);
+}
+
+result<keys_end_term> read_keys_end_term(const Json::Value& value)
+{
+    return read_described<keys_end_term>(value);
+}
+
+Json::Value write_keys_end_reply(const keys_end_reply& value)
+{
+    return write_described(value);
+}
+
+result<keys_end_reply> read_keys_end_reply(const Json::Value& value)
+{
+    BOOST_LEAF_AUTO(read, read_described<keys_end_reply>(value));
+    for (const assigner_term_end& it : read.said)
     {
-        return fail(error_code::invalid_argument, "a time that is left is negative");
+        BOOST_LEAF_CHECK(check(it));
     }
     return read;
 }
--- a/codec/key_messages.hpp
+++ b/codec/key_messages.hpp
@@ -5,6 +5,7 @@
 //   keys.report   gateway -> assigner         keys_report -> keys_reply
 //   keys.update   assigner -> gateway         keys_update -> {}
 //   keys.ended    last assigner -> next one   assigner_term_end -> keys_ended_reply
+//   keys.end_term   assigner -> the last one  keys_end_term -> keys_end_reply
 //   keys.restarted  a gateway whose process wrote the record and was restarted
 //                   -> assigner               assigner_restart -> keys_ended_reply
 
@@ -75,6 +76,22 @@
     bool operator==(const keys_ended_reply&) const = default;
 };
 
+// The assigner asks for what the last one says of its term.
+struct keys_end_term
+{
+    endpoint assigner; // the peer address of the one that asks
+
+    bool operator==(const keys_end_term&) const = default;
+};
+
+struct keys_end_reply
+{
+    // At most one; none while it may still send orders.
+    std::vector<assigner_term_end> said;
+
+    bool operator==(const keys_end_reply&) const = default;
+};
+
 // The functions below that read fail with invalid_argument: with the path of the first
 // fault, or if the key ranges of a service are not sorted, overlap, or exceed
 // last_shard_key.
@@ -97,6 +114,11 @@
 Json::Value write_term_end(const assigner_term_end& value);
 result<assigner_term_end> read_term_end(const Json::Value& value);
 
+Json::Value write_keys_end_term(const keys_end_term& value);
+result<keys_end_term> read_keys_end_term(const Json::Value& value);
+Json::Value write_keys_end_reply(const keys_end_reply& value);
+result<keys_end_reply> read_keys_end_reply(const Json::Value& value);
+
 Json::Value write_assigner_restart(const assigner_restart& value);
 result<assigner_restart> read_assigner_restart(const Json::Value& value);
 
--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -687,6 +687,22 @@
     return said;
 }
 
+std::optional<assigner_term_end> assigner_role::end_term(const endpoint& successor)
+{
+    if (assigner_ && assigner_->has_authority(context_.loop.now()))
+    {
+        return std::nullopt;
+    }
+    if (assigner_)
+    {
+        is_elected_ = false;
+        resign("another gateway has been elected");
+        holder_ = successor;
+        on_holder_();
+    }
+    return last_term_end();
+}
+
 void assigner_role::on_term_end(const assigner_term_end& got)
 {
     if (assigner_ && assigner_->predecessor_ended(got, context_.loop.now()))
--- a/gateway/assigner_role.hpp
+++ b/gateway/assigner_role.hpp
@@ -108,6 +108,17 @@
     // The statement of the last assigner. No effect unless this gateway is the assigner.
     void on_term_end(const assigner_term_end& got);
 
+    // The gateway that asks has been elected: resigns if this gateway is an assigner that
+    // has lost its authority. Returns last_term_end(), or nothing as long as it may still
+    // send orders.
+    std::optional<assigner_term_end> end_term(const endpoint& successor);
+    // The gateway that held the role last, as far as known: the predecessor of this one
+    // while it is the assigner.
+    const std::optional<endpoint>& last_holder() const
+    {
+        return last_holder_;
+    }
+
     // What this gateway tells the assigner if an earlier process of its own wrote the
     // record. Empty if it knows of no such record.
     std::optional<assigner_restart> restart() const;
@@ -185,6 +196,7 @@
     std::function<void()> on_holder_;
 
     std::optional<endpoint> holder_;
+    std::optional<endpoint> last_holder_; // another gateway
     time_point elected_at_{};
     bool is_elected_ = false; // this gateway wrote the holder key, as far as known
     bool is_shut_down_ = false;
--- a/gateway/assigner_role_campaign.cpp
+++ b/gateway/assigner_role_campaign.cpp
@@ -61,6 +61,7 @@
     const bool is_other = read.id != context_.state.settings().id;
     if (is_other)
     {
+        last_holder_ = read.peer;
         is_elected_ = false;
         resign("another gateway holds the role");
     }
--- a/gateway/key_agent.cpp
+++ b/gateway/key_agent.cpp
@@ -25,6 +25,10 @@
 // fleet.
 constexpr duration min_assigner_timeout = milliseconds(1500);
 constexpr std::size_t max_pending_keys = 4096;
+constexpr duration predecessor_timeout = milliseconds(300); // for its answer
+constexpr duration predecessor_pause = milliseconds(100);   // between two questions
+// A predecessor's authority has ended after some of them.
+constexpr unsigned max_predecessor_questions = 10;
 
 } // namespace
 
@@ -44,6 +48,8 @@
                [this](const Json::Value& params) { return handle_term_end(params); });
     server.add("keys.restarted",
                [this](const Json::Value& params) { return handle_restart(params); });
+    server.add("keys.end_term",
+               [this](const Json::Value& params) { return handle_end_term(params); });
     schedule_report(context_.loop.now() + min_report_period);
     record_poll_timer_ =
         context_.loop.every(record_poll_period, [this] { poll_record(); });
@@ -143,6 +149,12 @@
 {
     term_end_known_to_.reset();
     send_term_end();
+    predecessor_timer_.reset();
+    if (role_.holder() == context_.state.settings().peer)
+    {
+        predecessor_questions_ = 0;
+        ask_predecessor();
+    }
     const bool is_small =
         !context_.state.gateways().empty() && context_.state.groups().is_single_group();
     if (is_small)
@@ -336,6 +348,57 @@
     return write_keys_ended_reply({role_.is_assigner()});
 }
 
+result<Json::Value> key_agent::handle_end_term(const Json::Value& params)
+{
+    BOOST_LEAF_AUTO(got, read_keys_end_term(params));
+    keys_end_reply reply;
+    if (const std::optional<assigner_term_end> said = role_.end_term(got.assigner))
+    {
+        reply.said.push_back(*said);
+    }
+    return write_keys_end_reply(reply);
+}
+
+// A predecessor that is cut off from the store does not hear that its term has ended.
+void key_agent::ask_predecessor()
+{
+    const std::optional<endpoint> to = role_.last_holder();
+    if (!to || ++predecessor_questions_ > max_predecessor_questions)
+    {
+        return;
+    }
+    rpc_.call(*to,
+              "keys.end_term",
+              write_keys_end_term({context_.state.settings().peer}),
+              predecessor_timeout,
+              [this, alive = std::weak_ptr<const bool>(alive_)](const rpc_result& got)
+              {
+                  if (!alive.expired())
+                  {
+                      on_end_reply(got);
+                  }
+              });
+}
+
+void key_agent::on_end_reply(const rpc_result& got)
+{
+    const keys_end_reply reply =
+        got.end != rpc_end::answered
+            ? keys_end_reply()
+            : value_or_handle([&] { return read_keys_end_reply(got.value); },
+                              [](const error&) { return keys_end_reply(); });
+    for (const assigner_term_end& it : reply.said)
+    {
+        role_.on_term_end(it);
+    }
+    const bool is_known = !reply.said.empty() && role_.is_assigner();
+    if (!is_known && got.end != rpc_end::refused)
+    {
+        predecessor_timer_ =
+            context_.loop.after(predecessor_pause, [this] { ask_predecessor(); });
+    }
+}
+
 keys_update key_agent::update_since(assignment_version known_version) const
 {
     keys_update update;
--- a/gateway/key_agent.hpp
+++ b/gateway/key_agent.hpp
@@ -67,6 +67,9 @@
     result<Json::Value> handle_update(const Json::Value& params);
     result<Json::Value> handle_term_end(const Json::Value& params);
     result<Json::Value> handle_restart(const Json::Value& params);
+    result<Json::Value> handle_end_term(const Json::Value& params);
+    void ask_predecessor();
+    void on_end_reply(const rpc_result& got);
     void publish(const key_assignment& assignment);
     void send_update(const endpoint& to);
     void poll_record();
@@ -92,6 +95,8 @@
     assigner_role role_;
     timer_handle report_timer_;
     timer_handle record_poll_timer_;
+    timer_handle predecessor_timer_;
+    unsigned predecessor_questions_ = 0; // since this gateway was elected
     // Expires with this object; pending callbacks of the store and of calls check it.
     std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
 };
