The next assigner knows the fleet of the last one

Cause: a new assigner told the gateways a fleet of those that had reported to it so far. For two seconds a fleet of 195 believed that it was of fewer than 17 gateways, and expected to hear of changes of servers within 1.1 s (1.7 s in a large fleet); front-kgn-e-15 heard of this one after 1.26 s. Class: a part that is known is taken for the whole.

Change: an assigner begins with the fleet that it knows from the last one. A gateway that does not report leaves it after 5.85 s, as before.

Test: key_agent_test "the next assigner knows the fleet of the last one" failed before (2 gateways of 3).

--- a/gateway/key_agent.cpp
+++ b/gateway/key_agent.cpp
@@ -285,6 +285,7 @@
     const auto [place, is_new] = reporters_.try_emplace(got.sender.peer);
     reporter& from = place->second;
     from.last_report_at = now;
+    from.has_reported = true;
     from.sender = got.sender;
     for (const key_requests& it : got.services)
     {
@@ -452,8 +453,27 @@
     }
 }
 
+// The fleet is what the last assigner knew, until gateways do not report for long. A part
+// of it would make the others believe that they are few.
+void key_agent::begin_term()
+{
+    term_began_at_ = role_.elected_at();
+    reporters_.clear();
+    for (const fleet_gateway& it : context_.state.gateways())
+    {
+        if (it.peer != context_.state.settings().peer)
+        {
+            reporters_[it.peer] = {it, term_began_at_, false, false, {}};
+        }
+    }
+}
+
 void key_agent::publish(const key_assignment& assignment)
 {
+    if (term_began_at_ != role_.elected_at())
+    {
+        begin_term();
+    }
     adopt(assignment);
     history_.add_assignment(assignment);
     for (const auto& [peer, it] : reporters_)
@@ -468,8 +488,7 @@
     const assignment_version version = context_.state.assignment().version;
     // Gateways that have not reported yet get the full assignment in the reply, one after
     // the other: all at once, it would keep this gateway's link from the orders.
-    const bool has_reported = it.last_report_at >= role_.elected_at();
-    if (!has_reported || it.is_update_in_flight || it.known_version >= version ||
+    if (!it.has_reported || it.is_update_in_flight || it.known_version >= version ||
         !role_.is_assigner())
     {
         return;
--- a/gateway/key_agent.hpp
+++ b/gateway/key_agent.hpp
@@ -48,7 +48,8 @@
     struct reporter
     {
         fleet_gateway sender;
-        time_point last_report_at{};
+        time_point last_report_at{}; // or when this gateway became the assigner
+        bool has_reported = false;   // since then
         bool is_update_in_flight = false;
         // By its last report, or by a later update that it has acknowledged.
         assignment_version known_version;
@@ -70,6 +71,7 @@
     result<Json::Value> handle_end_term(const Json::Value& params);
     void ask_predecessor();
     void on_end_reply(const rpc_result& got);
+    void begin_term();
     void publish(const key_assignment& assignment);
     void send_update(const endpoint& to);
     void poll_record();
@@ -83,6 +85,7 @@
     rpc_client& rpc_;
     std::vector<key_requests> pending_requests_; // for the next report
     std::map<endpoint, reporter> reporters_;
+    time_point term_began_at_{}; // the last one in which this gateway is the assigner
     assignment_history history_; // of the assignments that this gateway has published
     bool is_report_in_flight_ = false;
     bool is_report_pending_ = false; // another one is due after the one in flight
