The assigner's files by job: orders, record, terms

Their parts for orders, the record and what gateways say of ended terms stand in files of their own. No function changed, but for has_spare_epochs(), which stood twice, and whole_ms(), which two files use.

--- a/core/base/time.hpp
+++ b/core/base/time.hpp
@@ -6,6 +6,7 @@
 // durations are sent over the network.
 
 #include <chrono>
+#include <cstdint>
 
 namespace camphorrock
 {
@@ -27,4 +28,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// In milliseconds, rounded up.
+constexpr std::int64_t whole_ms(duration of)
+{
+    return std::chrono::ceil<milliseconds>(of).count();
+}
+
 } // namespace camphorrock
--- a/core/gateway/owners/key_assigner.hpp
+++ b/core/gateway/owners/key_assigner.hpp
@@ -431,6 +431,7 @@
     void hasten_slow_renewals(time_point now);
     duration worst_case_hold_time(duration hold_time) const;
     epoch allocate_epoch();
+    bool has_spare_epochs() const;
     std::optional<key_wait>
     wait_of(const range_state& it, const assigner_view& view, time_point now) const;
     static time_point end_of(key_wait reason, const range_state& it);
--- a/gateway/assigner_role.cpp
+++ b/gateway/assigner_role.cpp
@@ -17,12 +17,9 @@
 // The next tick publishes what came too early.
 constexpr duration max_publish_period = tick_period;
 constexpr duration retry_pause = milliseconds(200);
-// The next assigner assumes that grants of earlier ones are in force for less than this.
-constexpr duration term_end_kept = seconds(30);
 // By the first check, the other gateways have reported to the new assigner.
 constexpr duration hand_over_check_period = seconds(2);
 constexpr duration waiting_report_period = seconds(1);
-constexpr duration store_check_period = milliseconds(50);
 
 // The record of the latest era; null if there is none.
 const store_entry* latest_record(const std::vector<store_entry>& all)
@@ -38,11 +35,6 @@
     return latest;
 }
 
-std::int64_t whole_ms(duration of)
-{
-    return std::chrono::ceil<milliseconds>(of).count();
-}
-
 key_assigner_options options_of(const gateway_settings& settings)
 {
     key_assigner_options options;
@@ -83,32 +75,6 @@
 
 assigner_role::~assigner_role() = default;
 
-// The bound only shortens waits, so an assigner starts without it if it cannot be read.
-void assigner_role::on_bound_read(const store_read& got)
-{
-    stated_bound_.reset();
-    bound_revision_ = {};
-    if (got.end == store_end::done && !got.entries.empty())
-    {
-        bound_revision_ = got.entries.front().revision;
-        stated_bound_ =
-            value_or_handle([&]() -> result<std::optional<grant_bound>>
-                            { return parse_grant_bound(got.entries.front().value); },
-                            [](const error&) { return std::optional<grant_bound>(); });
-    }
-    store_page page;
-    context_.store.get_prefix(
-        keys_record_key,
-        page,
-        [this, alive = std::weak_ptr<const bool>(alive_)](const store_read& record)
-        {
-            if (!alive.expired())
-            {
-                on_record(record);
-            }
-        });
-}
-
 void assigner_role::on_record(const store_read& got)
 {
     if (!is_elected_)
@@ -354,158 +320,6 @@
     publish_changes();
 }
 
-void assigner_role::check_store()
-{
-    const time_point now = context_.loop.now();
-    const bool is_due = context_.others != nullptr && assigner_->needs_store_check(now) &&
-                        now - last_store_check_at_ >= store_check_period;
-    if (!is_due)
-    {
-        return;
-    }
-    last_store_check_at_ = now;
-    assigner_->store_check_begun(now);
-    context_.others->ask(
-        [this, of = std::weak_ptr(assigner_)](time_point answered_at)
-        {
-            if (!of.expired())
-            {
-                assigner_->store_answered_other(answered_at);
-                post_tick();
-            }
-        });
-}
-
-void assigner_role::write_bound()
-{
-    const std::optional<grant_bound> bound =
-        is_reclaiming_ ? std::nullopt : assigner_->next_bound(context_.loop.now());
-    if (!bound)
-    {
-        return;
-    }
-    context_.store.compare_and_swap(
-        bound_key,
-        bound_revision_,
-        grant_bound_text(*bound),
-        store_lease{},
-        [this, bound = *bound, of = std::weak_ptr(assigner_)](const store_write& got)
-        {
-            if (!of.expired())
-            {
-                on_bound_write(bound, got);
-            }
-        });
-}
-
-// A write that failed is repeated, on the condition of what the key holds now.
-void assigner_role::on_bound_write(const grant_bound& bound, const store_write& got)
-{
-    if (got.end == store_end::done)
-    {
-        bound_revision_ = got.revision;
-        assigner_->bound_written(bound);
-    }
-    else if (got.end == store_end::conflict)
-    {
-        bound_revision_ = got.current ? got.current->revision : store_revision{};
-    }
-}
-
-void assigner_role::note_proof()
-{
-    if (!has_logged_proof_ && assigner_->has_proved_bound())
-    {
-        has_logged_proof_ = true;
-        context_.log.events().write(event_id::keys_predecessor_bounded,
-                                    {{"hold_ms", whole_ms(stated_bound_->hold_time)}});
-    }
-}
-
-// A release may stay without an answer for long, since the server ends its work first.
-void assigner_role::note_link(const key_order& order, const order_result& got)
-{
-    const bool is_unreached =
-        got.end == order_end::not_sent ||
-        (got.end == order_end::no_answer && order.kind == order_kind::grant);
-    const attempt_evidence evidence = got.status != 0 ? attempt_evidence::reached
-                                      : is_unreached  ? attempt_evidence::unreached
-                                                      : attempt_evidence::none;
-    if (context_.links != nullptr)
-    {
-        context_.links->order_ended(evidence, order.server);
-    }
-}
-
-// A server that leaves must hand its keys over, also if its entry does not say so yet.
-void assigner_role::note_leaving(const key_order& order, const order_result& got)
-{
-    const known_server* server = context_.state.servers().find(order.server);
-    const bool is_news =
-        got.is_leaving && got.end != order_end::other_server && server != nullptr &&
-        context_.state.announce_leaving(
-            order.server, server->entry.incarnation, context_.loop.now());
-    if (is_news)
-    {
-        context_.log.server_leaving(order.server, name_of(order.kind));
-    }
-}
-
-// The answer to an order may leave a limit out that the server still has, so that ends
-// none.
-void assigner_role::note_limit(const key_order& order, const order_result& got)
-{
-    const known_server* server = context_.state.servers().find(order.server);
-    const bool says_limit = got.limit.is_present && got.end != order_end::other_server;
-    if (!says_limit || server == nullptr)
-    {
-        return;
-    }
-    const limit_change change = context_.state.observe_limit(
-        order.server, server->entry.incarnation, got.limit, context_.loop.now());
-    if (change == limit_change::none)
-    {
-        return;
-    }
-    context_.log.server_limit_changed(
-        order.server, change, got.limit.rate.value_or(0), name_of(order.kind));
-    if (context_.limits != nullptr)
-    {
-        context_.limits->on_limits_changed();
-    }
-}
-
-std::optional<double> assigner_role::limit_of(const listed_server& server) const
-{
-    return context_.state.limits().rate_of(
-        server.id, server.incarnation, context_.loop.now());
-}
-
-double assigner_role::capacity_of(const service_name& service,
-                                  const listed_server& server) const
-{
-    const service_state* it = context_.state.find_service(service);
-    return it == nullptr ? 1.0 : it->pool.capacity(server.id, context_.loop.now());
-}
-
-// Orders do not wait for tokens: a key must not lose its owner. They leave the fewer
-// tokens to requests.
-void assigner_role::account_for_limit(const key_order& order)
-{
-    const known_server* server = context_.state.servers().find(order.server);
-    const std::optional<double> limit =
-        server == nullptr ? std::nullopt : limit_of(server->entry);
-    if (!limit)
-    {
-        return;
-    }
-    context_.log.sent_to_limited(order.server, name_of(order.kind));
-    if (context_.limits != nullptr)
-    {
-        context_.limits->spend(order.server, *limit);
-    }
-}
-
 void assigner_role::write_record()
 {
     if (record_in_flight_ || is_reclaiming_)
@@ -669,86 +483,6 @@
     }
 }
 
-std::optional<assigner_term_end> assigner_role::last_term_end() const
-{
-    const duration since = context_.loop.now() - last_term_ended_at_;
-    if (!last_term_end_ || since > term_end_kept)
-    {
-        return std::nullopt;
-    }
-    auto left_of = [&](duration left)
-    {
-        return std::max<duration>(duration::zero(),
-                                  std::chrono::ceil<milliseconds>(left - since));
-    };
-    assigner_term_end said = *last_term_end_;
-    said.grants_left = left_of(said.grants_left);
-    said.unanswered_grants_left = left_of(said.unanswered_grants_left);
-    return said;
-}
-
-std::optional<assigner_term_end> assigner_role::end_term(const endpoint& successor)
-{
-    if (assigner_ && assigner_->has_authority(context_.loop.now()))
-    {
-        return std::nullopt;
-    }
-    if (assigner_)
-    {
-        is_elected_ = false;
-        resign("another gateway has been elected");
-        holder_ = successor;
-        on_holder_();
-    }
-    return last_term_end();
-}
-
-void assigner_role::on_term_end(const assigner_term_end& got)
-{
-    if (assigner_ && assigner_->predecessor_ended(got, context_.loop.now()))
-    {
-        context_.log.events().write(
-            event_id::keys_predecessor_ended,
-            {{"predecessor", got.writer},
-             {"term", got.term},
-             {"grants_ms", whole_ms(got.grants_left)},
-             {"unanswered_ms", whole_ms(got.unanswered_grants_left)}});
-        post_tick();
-    }
-}
-
-void assigner_role::note_writer(const key_assignment& record)
-{
-    if (!has_been_assigner_ && record.writer == context_.state.settings().id)
-    {
-        earlier_term_ = record.version.term;
-    }
-}
-
-std::optional<assigner_restart> assigner_role::restart() const
-{
-    if (!earlier_term_)
-    {
-        return std::nullopt;
-    }
-    const duration ago = context_.loop.now() - created_at_;
-    return assigner_restart{context_.state.settings().id,
-                            *earlier_term_,
-                            std::chrono::floor<milliseconds>(ago)};
-}
-
-void assigner_role::on_restart(const assigner_restart& got)
-{
-    if (assigner_ && assigner_->predecessor_restarted(got, context_.loop.now()))
-    {
-        context_.log.events().write(event_id::keys_predecessor_restarted,
-                                    {{"predecessor", got.writer},
-                                     {"term", got.term},
-                                     {"started_ms", whole_ms(got.started_ago)}});
-        post_tick();
-    }
-}
-
 void assigner_role::add_load(const service_name& service, shard_key key)
 {
     if (assigner_)
