The assigner's limits of earlier grants, its match of the predecessor and its hastened grants stand once

Found by reading the whole change: hasten_grants() repeated the loop of lease_renewal_failed(); predecessor_ended() and the proof lowered the ends of earlier grants in two loops; the writer and term of the predecessor were compared in three places; store_check had the bound's key as a text of its own; the simulation took due events out of its two lists by two copies of a loop. Each stands once now. Behaviour is as it was: the tests of owners, bounds and notices pass with the same assertions.

--- a/core/gateway/owners/key_assigner.cpp
+++ b/core/gateway/owners/key_assigner.cpp
@@ -55,9 +55,7 @@
         return;
     }
     predecessor_ = assigner_term_end{record.writer, record.version.term, {}, {}};
-    const bool is_of_predecessor =
-        bound && bound->writer == record.writer && bound->term == record.version.term;
-    if (is_of_predecessor)
+    if (bound && is_predecessor(bound->writer, bound->term))
     {
         predecessor_bound_ = bound;
         predecessor_check_.emplace(record);
@@ -77,13 +75,7 @@
     {
         return;
     }
-    for (keyed_service& row : services_)
-    {
-        for (range_state& it : row.key_ranges)
-        {
-            it.next_order_at = it.target ? it.next_order_at : now;
-        }
-    }
+    hasten_grants(now);
 }
 
 bool key_assigner::is_store_available(time_point now) const
@@ -122,24 +114,30 @@
 
 bool key_assigner::predecessor_ended(const assigner_term_end& got, time_point now)
 {
-    const bool is_predecessor = predecessor_ && predecessor_->writer == got.writer &&
-                                predecessor_->term == got.term;
-    if (!is_predecessor)
+    if (!is_predecessor(got.writer, got.term))
     {
         return false;
     }
-    const time_point last = now + got.grants_left;
-    const time_point last_unanswered = now + got.unanswered_grants_left;
+    limit_predecessor_ends(now + got.grants_left, now + got.unanswered_grants_left);
+    return true;
+}
+
+bool key_assigner::is_predecessor(const instance_id& writer, std::uint64_t term) const
+{
+    return predecessor_ && predecessor_->writer == writer && predecessor_->term == term;
+}
+
+void key_assigner::limit_predecessor_ends(time_point grant_end, time_point unanswered_end)
+{
     for (keyed_service& row : services_)
     {
         for (range_state& it : row.key_ranges)
         {
-            it.predecessor_grant_end = std::min(it.predecessor_grant_end, last);
+            it.predecessor_grant_end = std::min(it.predecessor_grant_end, grant_end);
             it.predecessor_unanswered_end =
-                std::min(it.predecessor_unanswered_end, last_unanswered);
+                std::min(it.predecessor_unanswered_end, unanswered_end);
         }
     }
-    return true;
 }
 
 key_assigner::keyed_service& key_assigner::service_row(const service_name& name)
--- a/core/gateway/owners/key_assigner.hpp
+++ b/core/gateway/owners/key_assigner.hpp
@@ -448,7 +448,11 @@
     void hasten_grants(time_point now);
     void note_renewal(const range_state& it, const sent_order& sent);
     void check_predecessor_notice(const assigner_view& view, time_point now);
+    bool is_predecessor(const instance_id& writer, std::uint64_t term) const;
     void limit_predecessor_grants(duration hold_time);
+    // No grant of an earlier assigner is in force after `grant_end`, and none without an
+    // answer after `unanswered_end`.
+    void limit_predecessor_ends(time_point grant_end, time_point unanswered_end);
     void begin_uncertainty(time_point now);
     static void settle_uncertain(keyed_service& row);
     void confirm_owner(range_state& it, const sent_order& sent);
--- a/core/gateway/owners/key_assigner_notice.cpp
+++ b/core/gateway/owners/key_assigner_notice.cpp
@@ -252,22 +252,12 @@
     const time_point end =
         std::max(predecessor_orders_end_ + worst_case_hold_time(hold_time),
                  bound_stated_by_ + predecessor_bound_->earlier_left);
-    for (keyed_service& row : services_)
-    {
-        for (range_state& it : row.key_ranges)
-        {
-            it.predecessor_grant_end = std::min(it.predecessor_grant_end, end);
-            it.predecessor_unanswered_end = std::min(it.predecessor_unanswered_end, end);
-        }
-    }
+    limit_predecessor_ends(end, end);
 }
 
 bool key_assigner::predecessor_restarted(const assigner_restart& got, time_point now)
 {
-    const bool is_predecessor = predecessor_bound_ &&
-                                predecessor_bound_->writer == got.writer &&
-                                predecessor_bound_->term == got.term;
-    if (!is_predecessor)
+    if (!predecessor_bound_ || !is_predecessor(got.writer, got.term))
     {
         return false;
     }
--- a/core/gateway/owners/testing/owner_simulation.cpp
+++ b/core/gateway/owners/testing/owner_simulation.cpp
@@ -257,6 +257,24 @@
     return now_ >= store_unavailable_until_ && now_ >= it.store_unreachable_until;
 }
 
+// Removes and returns the events whose time has come.
+std::vector<owner_simulation::event>
+owner_simulation::take_due(std::vector<event>& from) const
+{
+    std::vector<event> due;
+    std::erase_if(from,
+                  [&](const event& it)
+                  {
+                      const bool is_due = it.at <= now_;
+                      if (is_due)
+                      {
+                          due.push_back(it);
+                      }
+                      return is_due;
+                  });
+    return due;
+}
+
 std::optional<std::string> owner_simulation::step()
 {
     now_ += step_duration;
@@ -269,17 +287,7 @@
     {
         restore_store();
     }
-    std::vector<event> due;
-    std::erase_if(events_,
-                  [&](const event& it)
-                  {
-                      const bool is_due = it.at <= now_;
-                      if (is_due)
-                      {
-                          due.push_back(it);
-                      }
-                      return is_due;
-                  });
+    std::vector<event> due = take_due(events_);
     std::shuffle(due.begin(), due.end(), random_);
     for (const event& it : due)
     {
@@ -290,18 +298,7 @@
         lease_holder_.reset();
     }
     deliver_statements();
-    std::vector<event> due_aside;
-    std::erase_if(events_aside_,
-                  [&](const event& it)
-                  {
-                      const bool is_due = it.at <= now_;
-                      if (is_due)
-                      {
-                          due_aside.push_back(it);
-                      }
-                      return is_due;
-                  });
-    for (const event& it : due_aside)
+    for (const event& it : take_due(events_aside_))
     {
         it.action();
     }
--- a/core/gateway/owners/testing/owner_simulation.hpp
+++ b/core/gateway/owners/testing/owner_simulation.hpp
@@ -163,6 +163,7 @@
     void schedule(duration delay, std::function<void()> action);
     // The same, without an effect on the luck of what is scheduled otherwise.
     void schedule_aside(duration delay, std::function<void()> action);
+    std::vector<event> take_due(std::vector<event>& from) const;
     double any_fraction();
     void beat(server& it);
     void state_bound(std::size_t n);
--- a/gateway/store_check.cpp
+++ b/gateway/store_check.cpp
@@ -1,5 +1,7 @@
 #include "gateway/store_check.hpp"
 
+#include "gateway/assigner_role.hpp"
+
 #include <algorithm>
 #include <random>
 #include <utility>
@@ -13,8 +15,6 @@
 constexpr duration call_timeout = milliseconds(200);
 constexpr duration choice_kept = seconds(1); // after a question
 constexpr duration min_read_period = milliseconds(100);
-// The key that is read; it need not exist.
-constexpr const char* read_key = "camphorrock/grant-bound";
 constexpr const char* answered_field = "answered_ms";
 
 } // namespace
@@ -93,7 +93,7 @@
     }
     is_reading_ = true;
     store_.get(
-        read_key,
+        bound_key, // it need not exist
         [this, now, alive = std::weak_ptr<const bool>(alive_)](const store_read& got)
         {
             if (alive.expired())
