--- a/review/common_2/testing/stand_in.hpp
+++ b/review/common_2/testing/stand_in.hpp
@@ -762,6 +762,22 @@
     int peer = 0;
 };
 
+// Returns a port that is free and that the system gives to no outgoing connection.
+inline int free_port()
+{
+    static int next = 12000 + static_cast<int>(getpid() * 37 % 18000);
+    while (true)
+    {
+        next = next >= 30000 ? 12000 : next + 1;
+        const auto [fd, port] = listen_at(next);
+        if (fd >= 0)
+        {
+            close(fd);
+            return port;
+        }
+    }
+}
+
 // The settings of a gateway, as deploy/gateway.yaml.in gives them.
 inline gateway_ports write_settings(const std::string& path,
                                     const std::string& id,
@@ -769,17 +785,9 @@
                                     unsigned memory_mb = 260)
 {
     gateway_ports at;
-    std::vector<int> held;
-    for (int* it : {&at.listen, &at.ready, &at.peer})
-    {
-        const auto [fd, port] = listen_at();
-        held.push_back(fd);
-        *it = port;
-    }
-    for (const int fd : held)
-    {
-        close(fd);
-    }
+    at.listen = free_port();
+    at.ready = free_port();
+    at.peer = free_port();
     std::ofstream out(path, std::ios::trunc);
     out << "id: \"" << id << "\"\nzone: \"zone-a\"\n"
         << "listen: \"127.0.0.1:" << at.listen << "\"\n"
