--- a/review/common_2/testing/stand_in.hpp
+++ b/review/common_2/testing/stand_in.hpp
@@ -412,6 +412,7 @@
 
     struct event
     {
+        std::int64_t written_at;
         std::uint64_t revision;
         std::string key;
         nlohmann::json row;
@@ -433,7 +434,7 @@
         it.value = value;
         it.revision = revision_;
         it.lease = lease_id;
-        events_.push_back({revision_, key, row_of(key, it)});
+        events_.push_back({now_ms(), revision_, key, row_of(key, it)});
     }
 
     void erase(const std::string& key)
@@ -441,7 +442,8 @@
         if (items_.erase(key) > 0)
         {
             events_.push_back(
-                {revision_,
+                {now_ms(),
+                 revision_,
                  key,
                  {{"key", key}, {"revision", revision_}, {"deleted", true}}});
         }
@@ -480,6 +482,11 @@
         {
             end_lease(id);
         }
+        while (!events_.empty() && now_ms() - events_.front().written_at > history_ms)
+        {
+            dropped_ = events_.front().revision;
+            events_.pop_front();
+        }
     }
 
     void serve(int fd)
@@ -595,6 +602,10 @@
         }
         while (true)
         {
+            if (after < dropped_)
+            {
+                return {410, nlohmann::json::object()};
+            }
             nlohmann::json rows = nlohmann::json::array();
             for (const event& it : events_)
             {
@@ -654,10 +665,13 @@
         return {200, {{"revision", revision_}}};
     }
 
+    static constexpr std::int64_t history_ms = 20000; // as the site files have it
+
     int port_ = 0;
     std::mutex mutex_;
     std::condition_variable changed_;
     std::uint64_t revision_ = 100;
+    std::uint64_t dropped_ = 0; // the history after this revision is kept
     std::uint64_t last_lease_ = 1000;
     std::map<std::string, item> items_;
     std::map<std::uint64_t, lease> leases_;
