--- a/app/events.cpp
+++ b/app/events.cpp
@@ -288,6 +288,12 @@
         severity::warning,
         "The load that a server reports contradicts the times of its answers; it is "
         "not used until it agrees again."},
+    event_row{event_id::watch_answer_too_large,
+              "watch_answer_too_large",
+              severity::warning,
+              "The answer to a watch of the store is larger than is accepted; gives both "
+              "sizes. After a poll or a check, the whole prefix is read instead; a page "
+              "is read again after a pause."},
     event_row{event_id::elected,
               "elected",
               severity::info,
--- a/app/events.hpp
+++ b/app/events.hpp
@@ -79,6 +79,7 @@
     warm_up_ended = 256,
     server_load_unreadable = 257,
     server_load_distrusted = 258,
+    watch_answer_too_large = 259,
 
     elected = 301,
     lease_lost = 302,
--- a/fakes/site/site_store.cpp
+++ b/fakes/site/site_store.cpp
@@ -250,17 +250,19 @@
     Json::Value body(Json::objectValue);
     body["items"] = Json::Value(Json::arrayValue);
     body["has_more"] = false;
+    std::size_t bytes = 0;
     for (const kv_entry& it : kv_.range(prefix_range(query_text(request, "prefix"))))
     {
         if (!after.empty() && it.key <= after)
         {
             continue;
         }
-        if (body["items"].size() >= options_.page_items)
+        if (body["items"].size() >= options_.page_items || bytes >= options_.page_bytes)
         {
             body["has_more"] = true;
             break;
         }
+        bytes += it.value.size();
         body["items"].append(make_item(it));
     }
     body["store_revision"] = Json::UInt64(kv_.revision());
--- a/fakes/site/site_store.hpp
+++ b/fakes/site/site_store.hpp
@@ -38,6 +38,8 @@
 struct site_store_options
 {
     std::size_t page_items = 500; // maximum number of items in a page of a range
+    // A page ends with the item whose value brings it to this size.
+    std::size_t page_bytes = 1'000'000;
     duration write_delay = milliseconds(300);
     std::uint64_t era = 0; // sent with all answers; 0: none is sent
     kv_engine_options kv;
--- a/net/answer_parser.cpp
+++ b/net/answer_parser.cpp
@@ -244,6 +244,25 @@
     return !rules_.is_head_request || is_empty || has_bodiless_status();
 }
 
+// Returns false if the body of an answer that is kept whole will exceed the bounds.
+bool answer_parser::claim_stated_length()
+{
+    const bool is_kept = !is_skipped_ && !rules_.is_streamed;
+    if (!is_kept || raw_.content_length == no_length)
+    {
+        return true;
+    }
+    const std::size_t room =
+        rules_.max_answer_bytes - std::min(answer_bytes_, rules_.max_answer_bytes);
+    if (raw_.content_length > room)
+    {
+        answer_bytes_ += raw_.content_length;
+        return false;
+    }
+    answer_.body.reserve(std::min<std::size_t>(raw_.content_length, max_reserved_bytes));
+    return true;
+}
+
 int answer_parser::on_headers_end(http_parser* raw)
 {
     answer_parser* self = self_of(raw);
@@ -271,12 +290,10 @@
     {
         return skip_body;
     }
-    const bool has_length = raw->content_length != no_length;
-    const bool is_kept = !self->is_skipped_ && !rules.is_streamed;
-    if (has_length && is_kept)
+    if (!self->claim_stated_length())
     {
-        self->answer_.body.reserve(static_cast<std::size_t>(
-            std::min<std::uint64_t>(raw->content_length, max_reserved_bytes)));
+        self->refuse(answer_state::too_large);
+        return refuse_answer;
     }
     return 0;
 }
--- a/net/answer_parser.hpp
+++ b/net/answer_parser.hpp
@@ -87,6 +87,13 @@
         return answer_.status;
     }
 
+    // The bytes of the own answer: of one that is too large, as its head states them or,
+    // if it states none, those that had arrived.
+    std::size_t answer_bytes() const
+    {
+        return answer_bytes_;
+    }
+
     // The own answer, once it is complete.
     http_response take_answer();
 
@@ -113,6 +120,7 @@
     bool has_bodiless_status() const;
     bool has_no_body() const;
     bool is_framed() const;
+    bool claim_stated_length();
     bool is_skippable() const;
 
     http_parser raw_{};
--- a/net/curl_exchange.cpp
+++ b/net/curl_exchange.cpp
@@ -1,5 +1,6 @@
 #include "net/curl_exchange.hpp"
 
+#include "core/base/number_text.hpp"
 #include "net/http_status.hpp"
 #include "net/request_text.hpp"
 #include "net/socket_options.hpp"
@@ -7,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <utility>
 
@@ -169,7 +171,7 @@
     }
     else if (is_too_large_)
     {
-        made.end = exchange_end::too_large;
+        made = give_up();
     }
     else if (code == CURLE_OK && is_answer_whole())
     {
@@ -201,6 +203,15 @@
     return made;
 }
 
+exchange_result curl_exchange::give_up() const
+{
+    exchange_result made;
+    made.is_connection_reused = is_reused_;
+    made.end = exchange_end::too_large;
+    made.answer_bytes = answer_bytes_;
+    return made;
+}
+
 std::string curl_exchange::take_pieces()
 {
     return std::exchange(pieces_, {});
@@ -230,7 +241,7 @@
         return 0;
     }
     it->add_header_line(std::string_view(data, size * n));
-    return size * n;
+    return it->claim_stated_length() ? size * n : 0;
 }
 
 std::size_t
@@ -337,6 +348,22 @@
     return !is_too_large_;
 }
 
+// Once the final headers are complete: returns false if the body will exceed the bounds.
+bool curl_exchange::claim_stated_length()
+{
+    const bool is_bounded = has_final_headers_ && may_have_body() && !on_stored_piece_;
+    const std::string_view text = answer_.headers.find("Content-Length").value_or("");
+    const std::size_t length = parse_number<std::size_t>(text).value_or(0);
+    const std::size_t room =
+        options_.max_answer_bytes - std::min(answer_bytes_, options_.max_answer_bytes);
+    if (is_bounded && length > room)
+    {
+        is_too_large_ = true;
+        answer_bytes_ += length;
+    }
+    return !is_too_large_;
+}
+
 // A status line starts a new answer, which discards interim ones (1xx). Lines after the
 // final headers are trailers and are ignored.
 void curl_exchange::add_header_line(std::string_view line)
@@ -364,12 +391,17 @@
     }
 }
 
+bool curl_exchange::may_have_body() const
+{
+    return request_.method != "HEAD" && answer_.status != http_status::no_content &&
+           answer_.status != http_status::not_modified;
+}
+
 // An answer that states neither length nor encoding ends where the connection closes, so
 // its body may be truncated.
 bool curl_exchange::is_answer_whole() const
 {
-    if (request_.method == "HEAD" || answer_.status == http_status::no_content ||
-        answer_.status == http_status::not_modified)
+    if (!may_have_body())
     {
         return has_final_headers_;
     }
--- a/net/curl_exchange.hpp
+++ b/net/curl_exchange.hpp
@@ -111,6 +111,9 @@
     // The result of an exchange that is ended by exchange_options::timeout.
     exchange_result time_out() const;
 
+    // The result of an exchange that is ended because its answer takes too much memory.
+    exchange_result give_up() const;
+
     // The part of a streamed body that arrived since the last call.
     std::string take_pieces();
 
@@ -132,7 +135,9 @@
     void set_method();
     void set_headers(const endpoint& to);
     bool count_answer_bytes(std::size_t n);
+    bool claim_stated_length();
     void add_header_line(std::string_view line);
+    bool may_have_body() const;
     bool is_answer_whole() const;
 
     exchange_id id_;
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -389,9 +389,11 @@
     // Ends an exchange whose answer takes too much of the memory budget.
     void evict(exchange_id id)
     {
-        exchange_result given_up;
-        given_up.end = exchange_end::too_large;
-        finish(id, std::move(given_up));
+        auto it = exchanges_.find(id.value);
+        if (it != exchanges_.end())
+        {
+            finish(id, it->second->curl.give_up());
+        }
     }
 
     void deliver_pieces(exchange_id id)
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -56,6 +56,9 @@
     bool is_connection_reused = false; // the connection had carried an earlier exchange
     // For `not_connected`: the other host refused the connection (nothing listens there).
     bool is_connection_refused = false;
+    // For `too_large`: the answer's size as its head states it or, if it states none,
+    // what had arrived.
+    std::size_t answer_bytes = 0;
     duration time_taken{}; // since send() or stream(); zero if it could not start
 };
 
--- a/net/socket_client.cpp
+++ b/net/socket_client.cpp
@@ -223,6 +223,7 @@
         {
             made.answer = it.take_answer();
         }
+        made.answer_bytes = made.end == exchange_end::too_large ? it.answer_bytes() : 0;
         if (it.is_reusable())
         {
             keep(*std::exchange(exchange->connection, std::nullopt),
@@ -257,9 +258,7 @@
             std::move(options),
             std::move(done),
             std::move(on_piece),
-            std::make_unique<memory_claim>(
-                options_.memory,
-                [this, id] { finish(id, make_end(exchange_end::too_large)); }),
+            std::make_unique<memory_claim>(options_.memory, [this, id] { evict(id); }),
             loop_.now()});
         made->time_limit =
             loop_.after(made->options.timeout, [this, id] { time_out(id); });
@@ -493,6 +492,15 @@
                                 : exchange_end::timed_out_before_send));
     }
 
+    // Ends an exchange whose answer takes too much of the memory budget.
+    void evict(exchange_id id)
+    {
+        exchange_result made = make_end(exchange_end::too_large);
+        const socket_exchange* it = find(id);
+        made.answer_bytes = it == nullptr ? 0 : it->memory->bytes();
+        finish(id, std::move(made));
+    }
+
     void deliver_pieces(exchange_id id)
     {
         socket_exchange* it = find(id);
--- a/net/socket_connection.cpp
+++ b/net/socket_connection.cpp
@@ -289,6 +289,11 @@
     return is_broken_ ? answer_state::invalid : parser_->state();
 }
 
+std::size_t socket_connection::answer_bytes() const
+{
+    return parser_->answer_bytes();
+}
+
 http_response socket_connection::take_answer()
 {
     return parser_->take_answer();
--- a/net/testing/http_client_test.cpp
+++ b/net/testing/http_client_test.cpp
@@ -260,10 +260,39 @@
                         "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" +
                             std::string(2000, 'x'),
                         "HTTP/1.1 200 OK\r\nA: " + std::string(2000, 'x') + "\r\n\r\n"));
-    CHECK(net.wait().end == exchange_end::too_large);
+    const exchange_result got = net.wait();
+    CHECK(got.end == exchange_end::too_large);
+    CHECK(got.answer_bytes >= 2000);
     net.read_to_end(*peer);
 }
 
+TEST_CASE("a head that states more than max_answer_bytes ends the exchange at once")
+{
+    const client_kind kind = GENERATE(client_kind::libcurl, client_kind::sockets);
+    client_fixture net(kind);
+    exchange_options options;
+    options.max_answer_bytes = 1000;
+
+    SECTION("if a body is due")
+    {
+        net.start({"GET", "/", {}, ""}, options);
+        std::unique_ptr<raw_peer> peer = net.accept();
+        peer->send("HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n");
+        const exchange_result got = net.wait();
+        CHECK(got.end == exchange_end::too_large);
+        CHECK(got.answer_bytes >= 2000);
+        CHECK(got.answer_bytes < 2100);
+        net.read_to_end(*peer);
+    }
+    SECTION("but not behind a HEAD request")
+    {
+        net.start({"HEAD", "/", {}, ""}, options);
+        std::unique_ptr<raw_peer> peer = net.accept();
+        peer->send("HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n");
+        CHECK(net.wait().end == exchange_end::answered);
+    }
+}
+
 TEST_CASE("a request is sent at most once")
 {
     const client_kind kind = GENERATE(client_kind::libcurl, client_kind::sockets);
