Answers of the store may hold what its largest value needs

A page of a range ends with the item that brings it to about 1 MB, so it may hold one value of any allowed size: with values of some 2 MB or more, a configuration could be too large to be read at all, by the first read as by each later one.

No deployment in force has larger values than 1 MiB, so nothing changes there.

--- a/gateway/gateway_settings.hpp
+++ b/gateway/gateway_settings.hpp
@@ -22,7 +22,8 @@
     endpoint metrics; // for Prometheus; empty: no metrics are served
     endpoint store;   // the key-value service
     unsigned processor_percent = 100; // CPU limit of the process, in percent of one core
-    std::size_t memory_bytes = std::size_t{256} << 20; // limit of the process
+    std::size_t memory_bytes = std::size_t{256} << 20;        // limit of the process
+    std::size_t max_store_value_bytes = std::size_t{1} << 20; // of a key in the store
     std::vector<endpoint> seeds; // `ready` of other gateways; some may be down
 
     duration stop_limit = seconds(5);    // longest time from SIGTERM to the exit
