A reset while the request is sent is no end of its answer

Cause: the system reports a reset once, to the first call on the socket. Where that was the write of the upload, the next read returned 0, which ends an answer without a length. The same holds for a server that ends its direction and then resets the connection, as one does that crashes while it has nothing to read: its end looked orderly.

Change: an answer that ends with its connection is whole only if no write of its request has failed and the socket holds no error. If the answer began before the request was sent, its end waits up to 0.1 s for a reset, while the rest of the request is sent. Answers with a length or chunks are as before.

--- a/net/socket_connection.cpp
+++ b/net/socket_connection.cpp
@@ -20,6 +20,8 @@
 namespace
 {
 
+// How long after the end of an answer a reset of its connection may arrive.
+constexpr duration max_reset_delay = milliseconds(100);
 constexpr std::size_t buffer_bytes = std::size_t{32} * 1024;
 
 bool is_to_wait(int ec)
@@ -166,6 +168,7 @@
     body_ = body;
     sent_bytes_ = 0;
     is_send_broken_ = false;
+    has_ended_ = false;
     is_early_ = false;
     is_broken_ = false;
     has_excess_ = false;
@@ -188,7 +191,8 @@
 }
 
 // Writes what the system takes. Returns false if the connection broke. What the other
-// side sent before can still be read then.
+// side sent before can still be read then. The system reports a reset only once: if that
+// is here, the end of what can be read looks orderly.
 bool socket_connection::write()
 {
     const std::size_t head_sent = std::min(sent_bytes_, head_.size());
@@ -215,6 +219,7 @@
     {
         return;
     }
+    is_broken_ = is_broken_ || is_reset_behind_end();
     write_watch_.reset();
     const bool is_answered = parser_->state() != answer_state::incomplete;
     if (is_answered)
@@ -244,7 +249,8 @@
         return;
     }
     is_early_ = is_early_ || !is_all_sent();
-    is_broken_ = n < 0;
+    has_ended_ = n == 0;
+    is_broken_ = n < 0 || is_reset_behind_end();
     parse({buf, static_cast<std::size_t>(std::max<ssize_t>(n, 0))});
     on_parsed();
 }
@@ -274,9 +280,14 @@
     }
     // The rest of a request is not sent after an answer of an error, and is after others.
     const bool is_sending = !is_all_sent() && !is_send_broken_;
-    const bool is_to_be_sent =
+    const bool is_accepted =
         state() == answer_state::complete && parser_->status() < http_status::bad_request;
-    if (is_sending && is_to_be_sent)
+    if (is_accepted && has_ended_ && is_early_)
+    {
+        await_reset();
+        return;
+    }
+    if (is_accepted && is_sending)
     {
         return;
     }
@@ -284,6 +295,27 @@
     owner_.on_answer_ended(*this);
 }
 
+// True if the other side has ended its direction and then reset the connection.
+bool socket_connection::is_reset_behind_end() const
+{
+    return has_ended_ && (is_send_broken_ || error_of(fd_) != 0);
+}
+
+// The answer, which began before the request was sent, has ended with the other side's
+// direction of the connection. A server that has closed both, or has crashed within the
+// answer, resets the connection when more of the request arrives.
+void socket_connection::await_reset()
+{
+    read_watch_.reset();
+    reset_limit_ = loop_.after(max_reset_delay,
+                               [this]
+                               {
+                                   write_watch_.reset();
+                                   is_broken_ = is_reset_behind_end();
+                                   owner_.on_answer_ended(*this);
+                               });
+}
+
 answer_state socket_connection::state() const
 {
     return is_broken_ ? answer_state::invalid : parser_->state();
--- a/net/socket_connection.hpp
+++ b/net/socket_connection.hpp
@@ -10,8 +10,10 @@
 //     if (it->is_clean() && it->send(...))  // owner.on_answer_ended(*it)
 //     if (it->is_reusable()) it->begin_idle();
 //
-// Invariant: a request is sent only while nothing is there to read, so that its answer
-// began after it was sent.
+// Invariants: a request is sent only while nothing is there to read, so that its answer
+// began after it was sent. An answer that ends with its connection is whole only if no
+// write of its request fails: a server that closes the connection before it has read the
+// request may have crashed within the answer.
 //
 // Cost: of an exchange, one system call each to look for bytes, to send and to receive,
 // if the messages are small.
@@ -134,6 +136,8 @@
     void read();
     void parse(std::string_view bytes);
     void on_parsed();
+    void await_reset();
+    bool is_reset_behind_end() const;
     bool is_all_sent() const;
 
     event_loop& loop_;
@@ -145,12 +149,14 @@
     std::optional<answer_parser> parser_; // of the exchange in flight
     std::string head_;
     std::string_view body_;
-    std::size_t sent_bytes_ = 0; // of head and body
-    bool is_send_broken_ = false;
-    bool is_early_ = false;   // the answer began before the request was sent in full
-    bool is_broken_ = false;  // the connection ended within the answer
-    bool has_excess_ = false; // bytes came behind the own answer
+    std::size_t sent_bytes_ = 0;  // of head and body
+    bool is_send_broken_ = false; // a write has failed
+    bool has_ended_ = false;      // the other side has ended its direction
+    bool is_early_ = false;       // the answer began before the request was sent in full
+    bool is_broken_ = false;      // the connection ended within the answer
+    bool has_excess_ = false;     // bytes came behind the own answer
     timer_handle connect_limit_;
+    timer_handle reset_limit_;
     watch_handle read_watch_;
     watch_handle write_watch_;
 };
--- a/net/testing/socket_client_test.cpp
+++ b/net/testing/socket_client_test.cpp
@@ -337,6 +337,67 @@
     }
 }
 
+// Guards against a part of an answer that reaches a caller as a whole one: a server
+// answered an upload early, without a length, and reset the connection; the write of the
+// upload took the system's error, and the read behind it saw an orderly end.
+TEST_CASE("an answer without a length, while the body is being sent, is")
+{
+    answers_fixture it;
+    constexpr std::size_t body_bytes = std::size_t{8} << 20;
+    const std::size_t part_bytes =
+        GENERATE(std::size_t{0}, std::size_t{1000}, std::size_t{200'000});
+    const std::string part =
+        "HTTP/1.1 200 OK\r\n" + own + "\r\n" + std::string(part_bytes, 'a');
+    it.start({.timeout = seconds(60), .allows_close_delimited = true},
+             {"POST", "/a", {}, std::string(body_bytes, 'x')});
+    run_until(*it.loop, [&] { return (it.connection = it.server.accept()) != nullptr; });
+    if (GENERATE(false, true))
+    {
+        it.connection->read_some();
+    }
+    it.connection->send(part);
+    if (GENERATE(false, true))
+    {
+        run_for(*it.loop, milliseconds(2)); // the part is read before what follows
+    }
+
+    SECTION("lost if the connection is reset")
+    {
+        it.connection->reset();
+        CHECK(it.end().end == exchange_end::connection_lost);
+        CHECK(it.got->answer.body.empty());
+    }
+    SECTION("lost if the server closes the connection with a part of the body unread")
+    {
+        it.connection->close();
+        CHECK(it.end().end == exchange_end::connection_lost);
+    }
+    SECTION("whole if the server ends its side in order")
+    {
+        it.connection->shut_down_sending();
+        CHECK(it.end().end == exchange_end::answered);
+        CHECK(it.got->answer.body.size() == part_bytes);
+    }
+    SECTION("lost if a reset comes behind the end, as of a server that has crashed")
+    {
+        it.connection->shut_down_sending();
+        it.connection->reset();
+        CHECK(it.end().end == exchange_end::connection_lost);
+    }
+    SECTION("whole if the server reads on behind the end")
+    {
+        it.connection->shut_down_sending();
+        run_until(*it.loop,
+                  [&]
+                  {
+                      it.connection->read_some();
+                      return it.got.has_value();
+                  });
+        CHECK(it.got->end == exchange_end::answered);
+        CHECK(it.got->answer.body.size() == part_bytes);
+    }
+}
+
 TEST_CASE("a long body arrives unchanged, and a request that was cut off is cancelled")
 {
     answers_fixture it;
