What a server has not read of an accepted request is delivered behind its answer

Cause: after an early success the rest is sent, and the exchange ends when its last byte was handed to the operating system. The connection can't be kept, and it is closed with a reset, which discards what the server has not read yet.

Change: behind a whole answer that is no error, a connection with a request body that was sent in full is closed in order, and without a limit on acknowledgements, so that the system delivers the rest. All other ends (time limits, callers that leave, answers of an error, broken connections) close with a reset as before, so that nothing arrives that nobody waits for.

--- a/net/socket_connection.cpp
+++ b/net/socket_connection.cpp
@@ -224,7 +224,7 @@
     const bool is_answered = parser_->state() != answer_state::incomplete;
     if (is_answered)
     {
-        owner_.on_answer_ended(*this);
+        end_answer();
     }
 }
 
@@ -245,7 +245,7 @@
     if (is_answered)
     {
         // Bytes, or the end, behind an answer that came before the request was sent.
-        owner_.on_answer_ended(*this);
+        end_answer();
         return;
     }
     is_early_ = is_early_ || !is_all_sent();
@@ -280,18 +280,33 @@
     }
     // The rest of a request is not sent after an answer of an error, and is after others.
     const bool is_sending = !is_all_sent() && !is_send_broken_;
-    const bool is_accepted =
-        state() == answer_state::complete && parser_->status() < http_status::bad_request;
-    if (is_accepted && has_ended_ && is_early_)
+    if (is_accepted() && has_ended_ && is_early_)
     {
         await_reset();
         return;
     }
-    if (is_accepted && is_sending)
+    if (is_accepted() && is_sending)
     {
         return;
     }
     write_watch_.reset();
+    end_answer();
+}
+
+// True after a whole answer that is not an error.
+bool socket_connection::is_accepted() const
+{
+    return state() == answer_state::complete &&
+           parser_->status() < http_status::bad_request;
+}
+
+// A server that has accepted a request may read the rest of it behind its answer.
+void socket_connection::end_answer()
+{
+    if (is_accepted() && is_all_sent() && !body_.empty() && !is_reusable())
+    {
+        deliver_behind_close(fd_);
+    }
     owner_.on_answer_ended(*this);
 }
 
@@ -312,7 +327,7 @@
                                {
                                    write_watch_.reset();
                                    is_broken_ = is_reset_behind_end();
-                                   owner_.on_answer_ended(*this);
+                                   end_answer();
                                });
 }
 
--- a/net/socket_connection.hpp
+++ b/net/socket_connection.hpp
@@ -138,6 +138,8 @@
     void parse(std::string_view bytes);
     void on_parsed();
     void await_reset();
+    void end_answer();
+    bool is_accepted() const;
     bool is_reset_behind_end() const;
     bool is_all_sent() const;
 
--- a/net/socket_options.cpp
+++ b/net/socket_options.cpp
@@ -39,4 +39,11 @@
     }
 }
 
+void deliver_behind_close(int fd)
+{
+    const linger no_linger{0, 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &no_linger, sizeof no_linger);
+    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
+}
+
 } // namespace camphorrock
--- a/net/socket_options.hpp
+++ b/net/socket_options.hpp
@@ -11,4 +11,8 @@
 // connected yet.
 void set_socket_options(int fd, const http_client_options& client);
 
+// When the socket is closed, the system goes on delivering what was sent, however late
+// the other side reads it.
+void deliver_behind_close(int fd);
+
 } // namespace camphorrock
--- a/net/testing/socket_client_test.cpp
+++ b/net/testing/socket_client_test.cpp
@@ -338,6 +338,38 @@
     }
 }
 
+// Guards against an upload that a server runs with a part of its body: the connection was
+// reset once the last byte was handed to the operating system, which then discarded what
+// the server had not read.
+TEST_CASE("a server that reads a request behind its success gets all of it")
+{
+    std::string body;
+    while (body.size() < (std::size_t{8} << 20))
+    {
+        body += std::to_string(body.size());
+    }
+    constexpr int rounds = 12; // how much is unread at the answer's end differs
+    for (int n = 0; n < rounds; ++n)
+    {
+        answers_fixture it(true);
+        it.start({.timeout = seconds(60)}, {"POST", "/a", {}, body});
+        run_until(*it.loop,
+                  [&] { return (it.connection = it.server.accept()) != nullptr; });
+        it.connection->send(answer(own, "new"));
+        std::string received;
+        run_until(*it.loop,
+                  [&]
+                  {
+                      received += it.got ? "" : it.connection->read_some();
+                      return it.got.has_value();
+                  });
+        CHECK(it.got->answer.body == "new");
+        run_for(*it.loop, milliseconds(20)); // the connection has been closed
+        received += read_to_end(*it.loop, *it.connection);
+        CHECK(received.ends_with("\r\n\r\n" + body));
+    }
+}
+
 // Guards against a part of an answer that reaches a caller as a whole one: a server
 // answered an upload early, without a length, and reset the connection; the write of the
 // upload took the system's error, and the read behind it saw an orderly end.
