--- a/app/events.cpp
+++ b/app/events.cpp
@@ -104,12 +104,14 @@
     event_row{event_id::attempt_failed,
               "attempt_failed",
               severity::info,
-              "An attempt returned no answer to forward to the client. Gives the status "
-              "that came (0: none) and whether it says \"not run\", whether the "
-              "connection had been used before, how many earlier attempts of the request "
-              "went to the same address, whether the request is sent again, and, if no "
-              "response came in time, what other requests there show of the cause: full, "
-              "slow, gone, lost (this connection alone) or unknown."},
+              "An attempt returned no answer to forward to the client. Gives how the "
+              "exchange ended, why the bytes of an invalid answer were refused "
+              "(`fault`), the status that came (0: none) and whether it says \"not "
+              "run\", whether the connection had been used before, how many earlier "
+              "attempts of the request went to the same address, whether the request is "
+              "sent again, and, if no response came in time, what other requests there "
+              "show of the cause: full, slow, gone, lost (this connection alone) or "
+              "unknown."},
     event_row{
         event_id::request_answered_here,
         "request_answered_here",
