--- a/net/answer_parser.hpp
+++ b/net/answer_parser.hpp
@@ -147,8 +147,7 @@
     std::string header_value_;
     std::string pieces_;
     std::optional<answer_line_check> line_; // the current line; empty within a body
-    std::uint64_t chunk_left_ =
-        0; // bytes of the chunk that are due; 0: there is no chunk
+    std::uint64_t chunk_left_ = 0;          // bytes of the current chunk that are due
     answer_fault fault_ = answer_fault::none;
     std::size_t head_bytes_ = 0;   // of all heads since the last answer that was skipped
     std::size_t answer_bytes_ = 0; // since then, too
