Test: an answer behind a status below 100 is not the own one

Found on reading the change again: the table of heads has status 000 without an answer behind it, which the parser refused before the fix as well. The case that reached callers is this one: the parser took 000 for an interim answer and the next answer on the connection for the own one.

--- a/net/testing/answer_parser_test.cpp
+++ b/net/testing/answer_parser_test.cpp
@@ -337,6 +337,17 @@
     check(single_bytes(text));
 }
 
+// Guards against a status 000 that is skipped like an interim answer, so that the caller
+// gets what follows it on the connection.
+TEST_CASE("an answer behind a status below 100 is not taken for the own one")
+{
+    const std::string first =
+        GENERATE(as<std::string>(), "000 OK", "099 OK", "020 OK", "000");
+    divide_at_every_byte("HTTP/1.1 " + first + "\r\n\r\n" + answer(own, "new"),
+                         [](const std::vector<std::string>& pieces)
+                         { CHECK(parse(pieces).state == answer_state::invalid); });
+}
+
 TEST_CASE("a chunk on which readers could differ is refused")
 {
     const std::string chunks = GENERATE(as<std::string>(),
