One rule for the size that an answer's head states

Both clients' checks of a stated length worked the rest of the bound out by themselves, and the sum that the log names could overflow for a length near the largest number. stated_size serves both.

--- a/net/answer_check.cpp
+++ b/net/answer_check.cpp
@@ -6,6 +6,7 @@
 #include <strings.h>
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -53,4 +54,10 @@
     return has_no_body && states_body ? answer_fault::unasked_body : answer_fault::none;
 }
 
+std::size_t stated_size(std::size_t counted, std::uint64_t length)
+{
+    constexpr std::size_t largest = std::numeric_limits<std::size_t>::max();
+    return length > largest - counted ? largest : counted + length;
+}
+
 } // namespace camphorrock
--- a/net/answer_check.hpp
+++ b/net/answer_check.hpp
@@ -6,6 +6,9 @@
 #include "net/answer_fault.hpp"
 #include "net/http_message.hpp"
 
+#include <cstddef>
+#include <cstdint>
+
 namespace camphorrock
 {
 
@@ -15,4 +18,8 @@
 // that is accepted.
 answer_fault check_answer(int status, bool is_http_1_0, const http_headers& headers);
 
+// The size of an answer of which `counted` bytes have arrived and `length` are stated to
+// follow; the largest number if it is larger.
+std::size_t stated_size(std::size_t counted, std::uint64_t length);
+
 } // namespace camphorrock
--- a/net/answer_parser.cpp
+++ b/net/answer_parser.cpp
@@ -318,11 +318,10 @@
     {
         return true;
     }
-    const std::size_t room =
-        rules_.max_answer_bytes - std::min(answer_bytes_, rules_.max_answer_bytes);
-    if (raw_.content_length > room)
+    const std::size_t size = stated_size(answer_bytes_, raw_.content_length);
+    if (size > rules_.max_answer_bytes)
     {
-        answer_bytes_ += raw_.content_length;
+        answer_bytes_ = size;
         return false;
     }
     answer_.body.reserve(std::min<std::size_t>(raw_.content_length, max_reserved_bytes));
--- a/net/curl_exchange.cpp
+++ b/net/curl_exchange.cpp
@@ -10,8 +10,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <cerrno>
+#include <cstdint>
 #include <utility>
 
 namespace camphorrock
@@ -364,15 +364,15 @@
 bool curl_exchange::claim_stated_length()
 {
     const bool is_bounded = has_final_headers_ && may_have_body() && !on_stored_piece_;
-    const std::string_view text = answer_.headers.find("Content-Length").value_or("");
-    const std::size_t length = parse_number<std::size_t>(text).value_or(0);
-    const std::size_t room =
-        options_.max_answer_bytes - std::min(answer_bytes_, options_.max_answer_bytes);
-    if (is_bounded && length > room)
+    if (!is_bounded)
     {
-        is_too_large_ = true;
-        answer_bytes_ += length;
+        return true;
     }
+    const std::string_view text = answer_.headers.find("Content-Length").value_or("");
+    const auto length = parse_number<std::uint64_t>(text).value_or(0);
+    const std::size_t size = stated_size(answer_bytes_, length);
+    is_too_large_ = size > options_.max_answer_bytes;
+    answer_bytes_ = is_too_large_ ? size : answer_bytes_;
     return !is_too_large_;
 }
 
