--- a/review/common_3/run_case.sh
+++ b/review/common_3/run_case.sh
@@ -3,9 +3,11 @@
 # start_case FOLDER PROGRAM GATEWAYS: starts PROGRAM, which has the store, the upstreams
 # and the clients, then that many gateways by the command of the deploy file, and exits
 # with the program's status once it has ended. The program prints what is to be done to
-# gateways, "KILL N", "START N", "STOP N" or "CONT N"; its other lines are shown.
+# gateways, "TERM N", "KILL N", "START N" (once it has ended), "STOP N" or "CONT N"; its
+# other lines are shown.
 #
-# PROCESSORS: the cores of each gateway, by its number; 0.2 unless it is set.
+# OWN_STORE_PORTS=yes: each gateway reaches the store at a port of its own, and PROGRAM gets
+# a list of them. PROCESSORS: the cores of each gateway, by its number; 0.2 unless it is set.
 
 ROOT="$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)"
 BIN="${REVIEW_BIN:-$ROOT/target/review_3}"
@@ -13,9 +15,12 @@
 CASE_PIDS=()
 declare -a PROCESSORS
 
+# Ends the processes that this script started. One that has ended already, whose id may
+# belong to another process by now, is left alone.
 stop_case() {
     local pid
     for pid in "${CASE_PIDS[@]}"; do
+        grep -qs "^PPid:[[:space:]]*$$\$" "/proc/$pid/status" || continue
         kill -CONT "$pid" 2>/dev/null
         kill -KILL "$pid" 2>/dev/null
         wait "$pid" 2>/dev/null
@@ -32,7 +37,7 @@
 listen: "127.0.0.1:${LISTEN[n]}"
 ready: "127.0.0.1:${READY[n]}"
 peer: "127.0.0.1:${PEER[n]}"
-store: "127.0.0.1:$STORE"
+store: "127.0.0.1:${STORES[n]:-$STORE}"
 processors: ${PROCESSORS[n]:-0.2}
 bounds:
   - "drain=2500ms"
@@ -57,13 +62,15 @@
     [ -x "$BIN/$program" ] && [ -x "$GATEWAY" ] || { echo "not built"; exit 2; }
     CASE_DIR="$(mktemp -d)" || exit 2
     trap stop_case EXIT
-    read -r -a ports < <("$BIN/free_ports" $((1 + 3 * count)))
-    STORE="${ports[0]}"
+    read -r -a ports < <("$BIN/free_ports" $((1 + 4 * count)))
+    STORE="${ports[0]}" STORES=()
     LISTEN=() READY=() PEER=() GATEWAY_PID=()
     for n in $(seq "$count"); do
         LISTEN[n]="${ports[3 * n - 2]}" READY[n]="${ports[3 * n - 1]}" PEER[n]="${ports[3 * n]}"
+        [ "${OWN_STORE_PORTS:-no}" = yes ] && STORES[n]="${ports[3 * count + n]}"
         write_settings "$n"
     done
+    [ "${OWN_STORE_PORTS:-no}" = yes ] && STORE="$(IFS=,; echo "${STORES[*]}")"
     exec 3< <(exec "$BIN/$program" "$STORE" "$(IFS=,; echo "${LISTEN[*]}")" \
         "$(IFS=,; echo "${READY[*]}")" "$folder/record.txt" "${TROUBLE:-1}")
     local stand_ins=$! line word
@@ -73,8 +80,8 @@
         read -r word n <<<"$line"
         case "$word" in
         KILL) kill -KILL "${GATEWAY_PID[n]}" && wait "${GATEWAY_PID[n]}" 2>/dev/null ;;
-        STOP | CONT) kill "-$word" "${GATEWAY_PID[n]}" ;;
-        START) start_gateway "$n" ;;
+        TERM | STOP | CONT) kill "-$word" "${GATEWAY_PID[n]}" ;;
+        START) wait "${GATEWAY_PID[n]}" 2>/dev/null; start_gateway "$n" ;;
         *) echo "$line" ;;
         esac
     done
--- a/review/common_3/testing/store.cpp
+++ b/review/common_3/testing/store.cpp
@@ -105,6 +105,53 @@
         .detach();
 }
 
+void platform_store::add_port(int port,
+                              std::string prefix,
+                              std::function<void()> on_check)
+{
+    more_ports_.push_back(std::make_unique<wire_server>(
+        port,
+        [this, port, prefix = std::move(prefix), on_check = std::move(on_check)](
+            const exchanged_message& request, const wire_peer& peer)
+        {
+            wire_answer answer = handle(request, peer);
+            const bool is_poll =
+                request.first_line.starts_with("GET /camphorrock/kv-watch?") &&
+                request.first_line.find("prefix=" + prefix + "&") != std::string::npos;
+            const bool is_check =
+                is_poll && request.first_line.find("wait_ms=0 ") != std::string::npos;
+            const bool has_changes =
+                answer.body.find("\"revision\"") != std::string::npos;
+            {
+                const std::lock_guard guard(lock_);
+                answer.headers["Store-Era"] = std::to_string(era_);
+                if (is_poll && !is_check && has_changes &&
+                    to_lose_.erase({port, prefix}) > 0)
+                {
+                    ++lost_answers_;
+                    answer.kind = answer_mode::silent;
+                }
+            }
+            if (is_check)
+            {
+                on_check();
+            }
+            return answer;
+        }));
+}
+
+void platform_store::lose_answer(int port, const std::string& prefix)
+{
+    const std::lock_guard guard(lock_);
+    to_lose_.insert({port, prefix});
+}
+
+int platform_store::lost_answers()
+{
+    const std::lock_guard guard(lock_);
+    return lost_answers_;
+}
+
 void platform_store::put(const std::string& key, const std::string& value)
 {
     const std::lock_guard guard(lock_);
--- a/review/common_3/testing/store.hpp
+++ b/review/common_3/testing/store.hpp
@@ -9,11 +9,15 @@
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace review3
 {
@@ -31,6 +35,15 @@
         return server_->port();
     }
 
+    // Serves at a further port. `on_check` is called with each poll of the prefix that
+    // does not wait, once it is answered.
+    void add_port(int port, std::string prefix, std::function<void()> on_check);
+    // The next answer with changes to a waiting poll of the prefix at that port is lost:
+    // it is not sent, and the connection returns nothing further.
+    void lose_answer(int port, const std::string& prefix);
+    // How many answers were lost.
+    int lost_answers();
+
     // Writes of the operator and the upstreams, which need no lease.
     void put(const std::string& key, const std::string& value);
     void erase(const std::string& key);
@@ -86,6 +99,9 @@
     std::optional<content> copy_;
     std::uint64_t era_ = 1;
     bool is_away_ = false;
+    std::vector<std::unique_ptr<wire_server>> more_ports_;
+    std::set<std::pair<int, std::string>> to_lose_;
+    int lost_answers_ = 0;
     std::unique_ptr<wire_server> server_;
 };
 
--- a/review/common_3/testing/upstream.cpp
+++ b/review/common_3/testing/upstream.cpp
@@ -305,15 +305,18 @@
     }
     ++running_;
     working_.push_back(key);
+    std::size_t run = 0;
     {
         const std::lock_guard noted(journal_.lock);
+        run = journal_.runs.size();
         journal_.runs.push_back({steady::now(),
                                  request.header("request-id"),
                                  options_.id,
                                  key,
-                                 held == nullptr ? 0 : held->fence});
+                                 held == nullptr ? 0 : held->fence,
+                                 {}});
     }
-    const auto ends_at = steady::now() + options_.work();
+    const auto ends_at = steady::now() + options_.work(request.first_line);
     // A caller that closes ends the work on its request.
     while (steady::now() < ends_at && !is_dead_ &&
            (options_.keeps_work || !peer.has_closed()))
@@ -323,6 +326,11 @@
             std::min<steady::duration>(check_period, ends_at - steady::now()));
         guard.lock();
     }
+    if (peer.has_closed() && steady::now() < ends_at)
+    {
+        const std::lock_guard noted(journal_.lock);
+        journal_.runs[run].cut_at = steady::now();
+    }
     --running_;
     working_.erase(std::find(working_.begin(), working_.end(), key));
     slot_freed_.notify_all();
--- a/review/common_3/testing/upstream.hpp
+++ b/review/common_3/testing/upstream.hpp
@@ -25,7 +25,9 @@
     unsigned queue = 12;
     bool hangs_when_full = false; // else it rejects with 503 and Not-Executed
     bool keeps_work = false;      // goes on with a request when its connection closes
-    std::function<std::chrono::microseconds()> work = []
+    // Of a request, by its first line.
+    std::function<std::chrono::microseconds(const std::string&)> work =
+        [](const std::string&)
     {
         return ms(50);
     };
@@ -39,6 +41,8 @@
     std::string upstream;
     unsigned key = 0;
     std::uint64_t fence = 0;
+    // When the caller closed the connection while the upstream was at work.
+    std::optional<steady::time_point> cut_at{};
 };
 
 // A time for which an upstream held keys.
