--- a/review/12/testing/case.cpp
+++ b/review/12/testing/case.cpp
@@ -32,11 +32,12 @@
 constexpr double usual_per_s = 760; // of 800 that the upstreams can do
 
 // The disruptions, within their doses of the site files.
-constexpr double burst_x = 1.8;
-constexpr std::chrono::seconds burst_for(5);
-constexpr ms round_time(6600);    // from one burst to the next
+constexpr double burst_x = 1.7;
+constexpr std::chrono::seconds burst_for(3);
+constexpr ms round_time(5000);    // from one burst to the next
 constexpr int replaced_count = 7; // of 16 in one release: a share of 0.44
-constexpr ms replace_gap(810);
+constexpr int replaced_at_once = 2;
+constexpr ms replace_gap(830);
 constexpr ms drain_time(4000); // an upstream goes on serving for so long
 constexpr std::chrono::seconds played(80);
 
@@ -172,11 +173,11 @@
         next_send +=
             std::chrono::duration_cast<steady::duration>(std::chrono::duration<double>(
                 pause(random) / (usual_per_s * (is_burst ? burst_x : 1.0))));
-        const int due =
-            is_in_round ? static_cast<int>(round) * replaced_count +
-                              std::min<int>(replaced_count,
-                                            static_cast<int>(into_round / replace_gap))
-                        : 0;
+        const int steps = 1 + static_cast<int>(into_round / replace_gap);
+        const int due = is_in_round
+                            ? static_cast<int>(round) * replaced_count +
+                                  std::min(replaced_count, steps * replaced_at_once)
+                            : 0;
         if (replaced < due)
         {
             ++replaced;
--- a/review/14/testing/case.cpp
+++ b/review/14/testing/case.cpp
@@ -26,7 +26,7 @@
 constexpr ms stable_window(3000);
 constexpr ms skew_max(5000);
 constexpr std::chrono::seconds calm_time(14); // before the changes
-constexpr ms second_change(300);              // behind the first one
+constexpr ms second_change(350);              // behind the first one
 constexpr double requests_per_s = 40;
 
 std::string config_text(int version, const std::string& service, const char* timeout)
