--- a/gateway/gateway_log.cpp
+++ b/gateway/gateway_log.cpp
@@ -193,6 +193,7 @@
          {"keys_term", inputs.assignment.term},
          {"keys_change", inputs.assignment.change},
          {"key", inputs.key ? std::to_string(inputs.key->value) : std::string()},
+         {"waited_for", name_of(inputs.waited_for)},
          {"fingerprint", inputs.fingerprint}});
 }
 
--- a/gateway/gateway_log.hpp
+++ b/gateway/gateway_log.hpp
@@ -14,6 +14,7 @@
 #include "core/gateway/links/link_monitor.hpp"
 #include "core/gateway/owners/key_orders.hpp"
 #include "core/gateway/owners/key_wait.hpp"
+#include "core/gateway/relay/request_progress.hpp"
 #include "core/gateway/retry/crash_messages.hpp"
 #include "core/gateway/servers/evacuations.hpp"
 #include "core/gateway/servers/latency_limit.hpp"
@@ -54,6 +55,8 @@
     config_version config;         // in force
     assignment_version assignment; // in force
     std::optional<shard_key> key;  // none for a service without keys
+    // What the request last waited for; `choosing` if it never waited.
+    request_phase waited_for = request_phase::choosing;
     // Of a request that is known to crash servers, or suspected of it; else empty.
     std::string fingerprint;
 };
--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -40,6 +40,43 @@
     request_.share_body();
 }
 
+bool request_relay::enter(request_phase to)
+{
+    if (!progress_.enter(to))
+    {
+        return false;
+    }
+    end_wait();
+    return true;
+}
+
+void request_relay::end_wait()
+{
+    phase_timer_.reset();
+    if (reservation_ && !reservation_->is_answered)
+    {
+        release_reservation();
+    }
+    if (token_ && token_->asked)
+    {
+        release_token();
+    }
+    if (permission_ && permission_->asked)
+    {
+        release_permission();
+    }
+}
+
+void request_relay::set_phase_timer(time_point when, void (request_relay::*go_on)())
+{
+    phase_timer_ = context_.loop.at(when, in_this_phase(go_on));
+}
+
+void request_relay::set_phase_timer(duration span, void (request_relay::*go_on)())
+{
+    phase_timer_ = context_.loop.after(span, in_this_phase(go_on));
+}
+
 void request_relay::start()
 {
     const std::weak_ptr<request_relay> weak = weak_from_this();
@@ -83,7 +120,7 @@
 
 void request_relay::answer_by(time_point when)
 {
-    if (!is_ended_ && when < deadline_)
+    if (!progress_.is_ended() && when < deadline_)
     {
         deadline_ = when;
         start_deadline_timer();
@@ -176,6 +213,10 @@
 
 void request_relay::try_send()
 {
+    if (!enter(request_phase::choosing))
+    {
+        return;
+    }
     if (context_.state.find_service(service_) == nullptr)
     {
         answer_locally(local_answer_reason::no_server);
@@ -210,7 +251,7 @@
     const std::optional<server_choice> to = choose_server(criteria);
     if (!to && rejected_)
     {
-        give_up(local_answer_reason::overloaded);
+        answer_locally(local_answer_reason::overloaded);
         return;
     }
     if (!to && !busy_servers_.empty())
@@ -304,7 +345,7 @@
 {
     if (key_ && !may_send_to_owner(sent_to_owner_))
     {
-        give_up(local_answer_reason::no_owner);
+        answer_locally(local_answer_reason::no_owner);
         return;
     }
     send_to(to);
@@ -312,14 +353,12 @@
 
 void request_relay::send_to(const server_choice& to)
 {
-    if (exchange_)
+    if (!enter(request_phase::in_flight_server))
     {
-        return; // several events may ask for an attempt; there is one at a time
+        return;
     }
     service_state* service = context_.state.find_service(service_);
     const time_point now = context_.loop.now();
-    is_waiting_for_owner_ = false;
-    owner_retry_timer_.reset();
     sent_to_ = to;
     sent_at_ = now;
     if (token_)
@@ -363,13 +402,7 @@
     exchange_ = context_.http.send(to.address,
                                    make_upstream_request(to, time_left()),
                                    options,
-                                   [weak](const exchange_result& got)
-                                   {
-                                       if (const auto self = weak.lock())
-                                       {
-                                           self->on_exchange_end(got);
-                                       }
-                                   });
+                                   in_this_phase(&request_relay::on_exchange_end));
     watch_for_silence(service->pool.overdue_after(to));
 }
 
@@ -422,7 +455,7 @@
 
 void request_relay::on_deadline()
 {
-    if (is_ended_)
+    if (progress_.is_ended())
     {
         return;
     }
@@ -432,13 +465,12 @@
     {
         log_failed_attempt(attempt_end::lost, no_response(), false, ended.silence);
     }
-    answer_locally(may_have_run_ ? local_answer_reason::timed_out
-                                 : local_answer_reason::waited_too_long);
+    answer_locally(local_answer_reason::waited_too_long);
 }
 
 void request_relay::on_client_left(bool is_noticed_late)
 {
-    if (is_ended_)
+    if (progress_.is_ended())
     {
         return;
     }
@@ -448,19 +480,26 @@
     finish();
 }
 
+void request_relay::end_flight()
+{
+    phase_timer_.reset();
+    exchange_.reset();
+    progress_.attempt_ended();
+}
+
 // Ends the attempt in flight, if there is one.
 request_relay::cancelled_attempt request_relay::cancel_attempt(cancel_reason why)
 {
-    silence_timer_.reset();
-    if (!exchange_)
+    if (!progress_.is_in_flight())
     {
         return {};
     }
     const bool may_be_sent = context_.http.cancel(*exchange_);
-    exchange_.reset();
-    if (peer_)
+    end_flight();
+    if (forwarding_)
     {
-        context_.peers->ended(*std::exchange(peer_, {}), peer_end::taken);
+        context_.peers->ended(forwarding_->to, peer_end::taken);
+        forwarding_.reset();
         return {may_be_sent};
     }
     note_link(attempt_evidence::none);
@@ -485,16 +524,15 @@
 
 void request_relay::finish()
 {
-    is_ended_ = true;
-    is_waiting_for_owner_ = false;
     cancel_attempt(cancel_reason::unwanted);
+    if (!enter(request_phase::ended))
+    {
+        return;
+    }
     release_reservation();
     release_token();
     release_permission();
     deadline_timer_.reset();
-    owner_retry_timer_.reset();
-    permission_timer_.reset();
-    room_timer_.reset();
     on_ended_(shared_from_this());
 }
 
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -26,9 +26,13 @@
 //   - a repeatable request whose attempt is probably lost is sent again, if a server has
 //     room for it; one that may only be late is waited for;
 //   - a request does not wait if the expected answer or the next owner of its key is
-//     already known to come too late.
+//     already known to come too late;
+//   - a request is in one phase (request_progress.hpp), and only what belongs to it goes
+//     on with the request: entering a phase ends the timer, the callbacks and the
+//     questions to other components of the one before.
 
 #include "core/gateway/config/gateway_routes.hpp"
+#include "core/gateway/relay/request_progress.hpp"
 #include "gateway/crash_agent.hpp"
 #include "gateway/forward_protocol.hpp"
 #include "gateway/gateway_codec.hpp"
@@ -46,6 +50,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace camphorrock
@@ -147,7 +152,7 @@
     // The permission for one attempt of a suspect, or the request for it.
     struct attempt_permission
     {
-        server_id server;
+        server_choice to;
         std::optional<trial_id> asked;   // empty after the answer
         std::optional<trial_id> granted; // empty before it, and after the attempt
     };
@@ -161,6 +166,25 @@
         std::optional<unsigned> other_requests; // in flight there, if known
     };
 
+    // The gateway that has the request, and why it was forwarded.
+    struct forwarding
+    {
+        endpoint to;
+        forward_reason why;
+    };
+
+    // Enters a phase. Returns false, without effect, if an attempt is in flight or the
+    // request has ended.
+    bool enter(request_phase to);
+    // Gives up what the present phase waits for.
+    void end_wait();
+    // Calls `go_on` at that time or after that span, unless the phase is left before.
+    void set_phase_timer(time_point when, void (request_relay::*go_on)());
+    void set_phase_timer(duration span, void (request_relay::*go_on)());
+    // Returns a function that calls `go_on`, unless the present phase has been left.
+    template<class... Args>
+    std::function<void(Args...)> in_this_phase(void (request_relay::*go_on)(Args...));
+
     bool read_request();
     void try_send();
     std::optional<server_choice> choose_server(server_criteria criteria);
@@ -170,6 +194,7 @@
     void send_if_owner_allows(const server_choice& to);
     bool is_reserved_at(const server_id& owner) const;
     void reserve_at(const server_id& owner);
+    void on_reservation_reply(std::optional<unsigned> other_requests);
     void release_reservation();
     std::optional<key_owner> find_owner() const;
     unsigned refusals_by(const key_owner& owner) const;
@@ -182,7 +207,7 @@
     // How long the request may wait for a token for the server.
     duration longest_token_wait(const server_choice& to) const;
     void ask_for_token(const server_choice& to, double rate);
-    void on_token_decision(const token_decision& decision);
+    void on_token_decision(token_decision decision);
     void send_with_token();
     bool is_token_missing() const;
     void release_token();
@@ -220,29 +245,34 @@
     bool is_permitted(const server_id& server) const;
     bool is_permission_missing();
     void ask_for_permission(const server_choice& to);
-    void on_permission_answer(const server_choice& to, trial_answer answer);
+    void on_permission_answer(trial_answer answer);
     bool may_still_use(const server_choice& to) const;
     void wait_for_permission();
     watched_attempt last_attempt();
     void note_attempt_end(attempt_end how);
-    void check_crash(bool is_sent_again);
+    void check_crash();
     void release_permission();
     bool may_retry(attempt_end how) const;
     bool claim_retry(attempt_end how);
     bool is_cut_off() const;
     void wait_for_links();
+    void on_links_known(link_state);
     bool may_go_by_peer() const;
     void go_by_peer(forward_reason why);
     bool try_peer(forward_reason why);
     void send_to_peer(const endpoint& to, forward_reason why);
     http_request make_forwarded_request() const;
     forward_end classify_forward(exchange_result& got) const;
-    void on_peer_end(exchange_result got, forward_reason why);
+    void on_peer_end(exchange_result got);
     void finish_forward(forward_end how, http_response answer);
     void decline(forward_end reason);
     void wait_for_owner();
+    // Sends the request if there is an owner that has not refused it.
+    void try_new_owner();
     void start_deadline_timer();
     void on_deadline();
+    // The attempt in flight has ended.
+    void end_flight();
     cancelled_attempt cancel_attempt(cancel_reason why);
     void watch_for_silence(duration span);
     void on_silence_check();
@@ -252,10 +282,10 @@
     void note_given_up(duration elapsed);
     void on_client_left(bool is_noticed_late);
     void forward_answer(http_response answer);
+    // Sends the request to no further server. `reason` holds only if no attempt can have
+    // run the request: one that is in flight is cancelled, and counts.
     void answer_locally(local_answer_reason reason);
-    // The same, for a request that is sent to no further server: `reason` holds only if
-    // no earlier attempt can have run it.
-    void give_up(local_answer_reason reason);
+    local_answer_reason proven_reason(local_answer_reason reason) const;
     local_answer_reason reason_after(attempt_end how) const;
     duration time_left() const;
     duration max_expected_latency() const;
@@ -282,15 +312,17 @@
     std::optional<request_fingerprint> fingerprint_; // empty until it is needed
     std::vector<server_id> busy_servers_;            // that run other suspects
     std::optional<time_point> permission_wait_end_;  // of a suspect that waits
-    std::optional<exchange_id> exchange_;            // the attempt in flight
-    link_agent::attempt_number link_attempt_ = 0;    // of the last attempt
-    std::optional<endpoint> peer_;                   // that has the request, if one has
-    std::vector<endpoint> tried_peers_;              // in order
-    server_choice sent_to_;                          // of the last attempt
-    time_point sent_at_{};                           // of the last attempt
-    std::vector<server_choice> tried_;               // one for each attempt, in order
-    key_owner sent_to_owner_;                        // of the last attempt with a key
-    std::optional<owner_refusal> refusal_;           // the last one, if any
+    request_progress progress_;
+    timer_handle phase_timer_;                    // of the present phase
+    std::optional<exchange_id> exchange_;         // the attempt in flight
+    link_agent::attempt_number link_attempt_ = 0; // of the last attempt
+    std::optional<forwarding> forwarding_;        // in flight, if one is
+    std::vector<endpoint> tried_peers_;           // in order
+    server_choice sent_to_;                       // of the last attempt
+    time_point sent_at_{};                        // of the last attempt
+    std::vector<server_choice> tried_;            // one for each attempt, in order
+    key_owner sent_to_owner_;                     // of the last attempt with a key
+    std::optional<owner_refusal> refusal_;        // the last one, if any
     unsigned possible_runs_ = 0;    // attempts that may have run the request
     unsigned attempts_not_run_ = 0; // failed attempts that did not run the request
     std::optional<rejected_latency> rejected_; // the last one, if any
@@ -302,14 +334,21 @@
     bool has_waited_for_room_ = false;
     // Of the attempt in flight, once its server has passed over it; see server_pool.
     std::optional<silence_class> passed_over_;
-    bool is_waiting_for_owner_ = false;
-    bool is_ended_ = false;
     timer_handle deadline_timer_;
-    timer_handle owner_retry_timer_;
-    timer_handle token_timer_;
-    timer_handle permission_timer_;
-    timer_handle room_timer_;
-    timer_handle silence_timer_;
 };
 
+template<class... Args>
+std::function<void(Args...)>
+request_relay::in_this_phase(void (request_relay::*go_on)(Args...))
+{
+    return [weak = weak_from_this(), number = progress_.number(), go_on](Args... args)
+    {
+        const std::shared_ptr<request_relay> self = weak.lock();
+        if (self && self->progress_.is_current(number))
+        {
+            ((*self).*go_on)(std::move(args)...);
+        }
+    };
+}
+
 } // namespace camphorrock
--- a/gateway/request_relay_answer.cpp
+++ b/gateway/request_relay_answer.cpp
@@ -74,8 +74,22 @@
     return min_retry_after + milliseconds(spread) + excess + pause_left_;
 }
 
-void request_relay::answer_locally(local_answer_reason reason)
+local_answer_reason request_relay::proven_reason(local_answer_reason reason) const
 {
+    if (!may_have_run_ || !is_not_run(reason))
+    {
+        return reason;
+    }
+    return reason == local_answer_reason::waited_too_long
+               ? local_answer_reason::timed_out
+               : local_answer_reason::server_lost;
+}
+
+void request_relay::answer_locally(local_answer_reason wanted)
+{
+    const bool was_sent = cancel_attempt(cancel_reason::unwanted).may_be_sent;
+    may_have_run_ = may_have_run_ || was_sent;
+    const local_answer_reason reason = proven_reason(wanted);
     service_state* service = context_.state.find_service(service_);
     if (is_admitted_ && service != nullptr && is_for_lack_of_room(reason))
     {
@@ -94,6 +108,7 @@
     inputs.config = context_.state.config().version;
     inputs.assignment = context_.state.assignment().version;
     inputs.key = key_;
+    inputs.waited_for = progress_.previous();
     if (standing() != crash_standing::clear)
     {
         inputs.fingerprint = text_of(fingerprint());
@@ -109,9 +124,4 @@
     finish();
 }
 
-void request_relay::give_up(local_answer_reason reason)
-{
-    answer_locally(may_have_run_ ? local_answer_reason::server_lost : reason);
-}
-
 } // namespace camphorrock
--- a/gateway/request_relay_attempt.cpp
+++ b/gateway/request_relay_attempt.cpp
@@ -102,8 +102,7 @@
 
 void request_relay::on_exchange_end(const exchange_result& got)
 {
-    exchange_.reset();
-    silence_timer_.reset();
+    end_flight();
     token_.reset();
     note_link(evidence_of(got.end));
     const attempt_end how = classify(got);
@@ -202,7 +201,7 @@
         got.end == exchange_end::connection_lost && context_.crashes != nullptr;
     if (is_checked)
     {
-        check_crash(is_sent_again);
+        check_crash();
     }
     if (how == attempt_end::not_owner)
     {
@@ -290,14 +289,8 @@
 
 void request_relay::watch_for_silence(duration span)
 {
-    silence_timer_ = context_.loop.after(std::max<duration>(span, min_silence_check),
-                                         [weak = weak_from_this()]
-                                         {
-                                             if (const auto self = weak.lock())
-                                             {
-                                                 self->on_silence_check();
-                                             }
-                                         });
+    set_phase_timer(std::max<duration>(span, min_silence_check),
+                    &request_relay::on_silence_check);
 }
 
 // Replaces an attempt that is probably lost. One that may only be late is worth waiting
@@ -305,10 +298,6 @@
 // place to others meanwhile.
 void request_relay::on_silence_check()
 {
-    if (is_ended_ || !exchange_ || peer_)
-    {
-        return;
-    }
     const time_point now = context_.loop.now();
     service_state* service = context_.state.find_service(service_);
     if (!passed_over_ && service != nullptr)
--- a/gateway/request_relay_crash.cpp
+++ b/gateway/request_relay_crash.cpp
@@ -41,7 +41,7 @@
 
 bool request_relay::is_permitted(const server_id& server) const
 {
-    return permission_ && permission_->granted && permission_->server == server;
+    return permission_ && permission_->granted && permission_->to.server == server;
 }
 
 // True if the attempt that is about to be sent needs a permission and has none, since the
@@ -57,27 +57,20 @@
 void request_relay::ask_for_permission(const server_choice& to)
 {
     release_permission();
-    is_waiting_for_owner_ = false;
-    owner_retry_timer_.reset();
+    enter(request_phase::permission_wait);
     watched_attempt attempt = last_attempt();
     attempt.server = to.server;
     attempt.address = to.address;
-    const std::weak_ptr<request_relay> weak = weak_from_this();
-    permission_ = attempt_permission{to.server, {}, {}};
-    permission_->asked =
-        context_.crashes->request_trial(attempt,
-                                        std::max<duration>(time_left(), milliseconds(1)),
-                                        [weak, to](trial_answer answer)
-                                        {
-                                            if (const auto self = weak.lock())
-                                            {
-                                                self->on_permission_answer(to, answer);
-                                            }
-                                        });
+    permission_ = attempt_permission{to, {}, {}};
+    permission_->asked = context_.crashes->request_trial(
+        attempt,
+        std::max<duration>(time_left(), milliseconds(1)),
+        in_this_phase(&request_relay::on_permission_answer));
 }
 
-void request_relay::on_permission_answer(const server_choice& to, trial_answer answer)
+void request_relay::on_permission_answer(trial_answer answer)
 {
+    const server_choice to = permission_->to;
     context_.log.trial_answered({request_id_, route_.name, service_}, to.server, answer);
     const std::optional<trial_id> asked = std::exchange(permission_->asked, {});
     switch (answer)
@@ -139,18 +132,11 @@
     }
     if (now + permission_retry_delay > std::min(*permission_wait_end_, deadline_))
     {
-        give_up(local_answer_reason::suspected);
+        answer_locally(local_answer_reason::suspected);
         return;
     }
-    const std::weak_ptr<request_relay> weak = weak_from_this();
-    permission_timer_ = context_.loop.after(permission_retry_delay,
-                                            [weak]
-                                            {
-                                                if (const auto self = weak.lock())
-                                                {
-                                                    self->try_send();
-                                                }
-                                            });
+    enter(request_phase::suspect_wait);
+    set_phase_timer(permission_retry_delay, &request_relay::try_send);
 }
 
 watched_attempt request_relay::last_attempt()
@@ -186,20 +172,13 @@
     permission_.reset();
 }
 
-// After an attempt that was cut off. Goes on with try_send() if the request is to be sent
-// again.
-void request_relay::check_crash(bool is_sent_again)
+// After an attempt that was cut off. Goes on with try_send(), unless the request is
+// answered meanwhile.
+void request_relay::check_crash()
 {
-    const std::weak_ptr<request_relay> weak = weak_from_this();
+    enter(request_phase::crash_check);
     context_.crashes->check_crash(last_attempt(),
-                                  [weak, is_sent_again]
-                                  {
-                                      const auto self = weak.lock();
-                                      if (self && is_sent_again && !self->is_ended_)
-                                      {
-                                          self->try_send();
-                                      }
-                                  });
+                                  in_this_phase(&request_relay::try_send));
     permission_.reset();
 }
 
--- a/gateway/request_relay_limit.cpp
+++ b/gateway/request_relay_limit.cpp
@@ -59,25 +59,16 @@
 void request_relay::ask_for_token(const server_choice& to, double rate)
 {
     release_token();
-    is_waiting_for_owner_ = false;
-    owner_retry_timer_.reset();
-    const duration max_wait = longest_token_wait(to);
-    const std::weak_ptr<request_relay> weak = weak_from_this();
+    enter(request_phase::token_wait);
     token_ = attempt_token{to, rate, {}, {}, false};
     token_->asked =
         context_.limits->request_token(to.server,
                                        rate,
-                                       max_wait,
-                                       [weak](const token_decision& decision)
-                                       {
-                                           if (const auto self = weak.lock())
-                                           {
-                                               self->on_token_decision(decision);
-                                           }
-                                       });
+                                       longest_token_wait(to),
+                                       in_this_phase(&request_relay::on_token_decision));
 }
 
-void request_relay::on_token_decision(const token_decision& decision)
+void request_relay::on_token_decision(token_decision decision)
 {
     const time_point now = context_.loop.now();
     token_->asked.reset();
@@ -100,25 +91,13 @@
         send_with_token();
         return;
     }
-    const std::weak_ptr<request_relay> weak = weak_from_this();
-    token_timer_ = context_.loop.at(token_->usable_at,
-                                    [weak]
-                                    {
-                                        if (const auto self = weak.lock())
-                                        {
-                                            self->send_with_token();
-                                        }
-                                    });
+    enter(request_phase::token_due_wait);
+    set_phase_timer(token_->usable_at, &request_relay::send_with_token);
 }
 
 // The state may have changed since the server was chosen.
 void request_relay::send_with_token()
 {
-    token_timer_.reset();
-    if (is_ended_ || !token_)
-    {
-        return;
-    }
     if (!may_still_use(token_->to) || is_token_outdated())
     {
         release_token();
@@ -155,7 +134,7 @@
 // lower rate from now on.
 void request_relay::return_outdated_token()
 {
-    if (!is_ended_ && token_ && token_timer_ && is_token_outdated())
+    if (is_token_outdated())
     {
         release_token();
         try_send();
@@ -177,7 +156,6 @@
         context_.limits->return_token(token_->to.server);
     }
     token_.reset();
-    token_timer_.reset();
 }
 
 } // namespace camphorrock
--- a/gateway/request_relay_owner.cpp
+++ b/gateway/request_relay_owner.cpp
@@ -97,37 +97,16 @@
     return reservation_ && reservation_->owner == owner && reservation_->is_answered;
 }
 
-// Goes on with try_send() once it is known how many requests the owner has.
+// Goes on with on_reservation_reply(), or with try_send() if no gateway counts.
 void request_relay::reserve_at(const server_id& owner)
 {
-    if (reservation_ && reservation_->owner == owner)
-    {
-        return; // the reply is still to come
-    }
     release_reservation();
+    enter(request_phase::reservation_wait);
     reservation_ = owner_reservation{owner, {}, false, {}};
-    const std::weak_ptr<request_relay> weak = weak_from_this();
-    auto on_reply = [weak](std::optional<unsigned> other_requests)
-    {
-        const std::shared_ptr<request_relay> self = weak.lock();
-        if (self != nullptr && self->reservation_)
-        {
-            self->reservation_->is_answered = true;
-            self->reservation_->other_requests = other_requests;
-            self->context_.loop.post(
-                [weak]
-                {
-                    const auto again = weak.lock();
-                    if (again != nullptr && !again->is_ended_ && !again->exchange_)
-                    {
-                        again->try_send();
-                    }
-                });
-        }
-    };
     if (context_.reservations != nullptr)
     {
-        reservation_->held = context_.reservations->reserve(owner, std::move(on_reply));
+        reservation_->held = context_.reservations->reserve(
+            owner, in_this_phase(&request_relay::on_reservation_reply));
     }
     if (!reservation_->held)
     {
@@ -136,6 +115,14 @@
     }
 }
 
+// May be called within reserve(), before it returns the reservation.
+void request_relay::on_reservation_reply(std::optional<unsigned> other_requests)
+{
+    reservation_->is_answered = true;
+    reservation_->other_requests = other_requests;
+    context_.loop.post(in_this_phase(&request_relay::try_send));
+}
+
 void request_relay::release_reservation()
 {
     if (reservation_ && reservation_->held)
@@ -162,33 +149,36 @@
     const bool is_stuck = context_.state.is_move_stuck(service_, *key_, now);
     if (now >= limit || is_stuck)
     {
-        give_up(local_answer_reason::no_owner);
+        answer_locally(local_answer_reason::no_owner);
         return;
     }
-    is_waiting_for_owner_ = true;
-    const std::weak_ptr<request_relay> weak = weak_from_this();
-    owner_retry_timer_ =
-        context_.loop.after(std::min<duration>(owner_retry_delay, limit - now),
-                            [weak]
-                            {
-                                if (const auto self = weak.lock())
-                                {
-                                    self->try_send();
-                                }
-                            });
+    enter(request_phase::owner_wait);
+    set_phase_timer(std::min<duration>(owner_retry_delay, limit - now),
+                    &request_relay::try_send);
 }
 
 void request_relay::on_state_changed()
 {
-    return_outdated_token();
-    if (is_waiting_for_owner_ && !is_ended_)
+    switch (progress_.phase())
     {
-        const std::optional<key_owner> found = find_owner();
-        const bool is_new = found && refusals_by(*found) == 0;
-        if (is_new)
-        {
-            try_send();
-        }
+    case request_phase::token_due_wait:
+        return_outdated_token();
+        break;
+    case request_phase::owner_wait:
+        try_new_owner();
+        break;
+    default:
+        break;
+    }
+}
+
+void request_relay::try_new_owner()
+{
+    const std::optional<key_owner> found = find_owner();
+    const bool is_new = found && refusals_by(*found) == 0;
+    if (is_new)
+    {
+        try_send();
     }
 }
 
--- a/gateway/request_relay_peer.cpp
+++ b/gateway/request_relay_peer.cpp
@@ -34,18 +34,13 @@
 // Goes on with try_send() as soon as it is known whether servers can be reached.
 void request_relay::wait_for_links()
 {
-    is_waiting_for_owner_ = false;
-    owner_retry_timer_.reset();
-    const std::weak_ptr<request_relay> weak = weak_from_this();
-    context_.links->when_known(
-        [weak](link_state)
-        {
-            const auto self = weak.lock();
-            if (self && !self->is_ended_ && !self->exchange_)
-            {
-                self->try_send();
-            }
-        });
+    enter(request_phase::links_wait);
+    context_.links->when_known(in_this_phase(&request_relay::on_links_known));
+}
+
+void request_relay::on_links_known(link_state)
+{
+    try_send();
 }
 
 bool request_relay::may_go_by_peer() const
@@ -69,7 +64,7 @@
         decline(forward_end::cut_off);
         return;
     }
-    give_up(local_answer_reason::unreachable);
+    answer_locally(local_answer_reason::unreachable);
 }
 
 // Returns false, without effect, if the request cannot go by another gateway.
@@ -93,12 +88,14 @@
 
 void request_relay::send_to_peer(const endpoint& to, forward_reason why)
 {
-    is_waiting_for_owner_ = false;
-    owner_retry_timer_.reset();
+    if (!enter(request_phase::in_flight_gateway))
+    {
+        return;
+    }
     release_reservation();
     release_token();
     release_permission();
-    peer_ = to;
+    forwarding_ = {to, why};
     tried_peers_.push_back(to);
     context_.log.request_forwarded(
         {request_id_, route_.name, service_}, to, why, context_.loop.now() - arrived_);
@@ -112,13 +109,7 @@
     exchange_ = context_.http.send(to,
                                    make_forwarded_request(),
                                    options,
-                                   [weak, why](exchange_result got)
-                                   {
-                                       if (const auto self = weak.lock())
-                                       {
-                                           self->on_peer_end(std::move(got), why);
-                                       }
-                                   });
+                                   in_this_phase(&request_relay::on_peer_end));
 }
 
 http_request request_relay::make_forwarded_request() const
@@ -152,10 +143,10 @@
     return is_own ? how : forward_end::unknown;
 }
 
-void request_relay::on_peer_end(exchange_result got, forward_reason why)
+void request_relay::on_peer_end(exchange_result got)
 {
-    exchange_.reset();
-    const endpoint peer = *std::exchange(peer_, {});
+    end_flight();
+    const auto [peer, why] = *std::exchange(forwarding_, {});
     if (got.end == exchange_end::withdrawn)
     {
         context_.peers->ended(peer, peer_end::taken);
@@ -222,8 +213,8 @@
 
 void request_relay::on_links_lost()
 {
-    const bool is_at_server = exchange_ && !peer_;
-    if (is_ended_ || !is_at_server || !route_.is_repeatable)
+    const bool is_at_server = progress_.phase() == request_phase::in_flight_server;
+    if (!is_at_server || !route_.is_repeatable)
     {
         return;
     }
--- a/gateway/request_relay_server.cpp
+++ b/gateway/request_relay_server.cpp
@@ -162,7 +162,7 @@
         const local_answer_reason reason = wait->is_for_limit
                                                ? local_answer_reason::limited
                                                : local_answer_reason::paused;
-        give_up(reason);
+        answer_locally(reason);
         return;
     }
     // With no server left that could become the owner, there is nothing to wait for.
@@ -174,7 +174,7 @@
         wait_for_owner();
         return;
     }
-    give_up(key_ ? local_answer_reason::no_owner : local_answer_reason::no_server);
+    answer_locally(key_ ? local_answer_reason::no_owner : local_answer_reason::no_server);
 }
 
 // The servers hold all that they can. The request waits once, if room is expected soon;
@@ -189,7 +189,7 @@
     }
     rejected_ = {};
     pause_left_ = to.room_in;
-    give_up(local_answer_reason::full);
+    answer_locally(local_answer_reason::full);
 }
 
 // A request that waits is not at its server, so it is not counted there meanwhile.
@@ -197,15 +197,8 @@
 {
     has_waited_for_room_ = true;
     release_reservation();
-    room_timer_ = context_.loop.after(span,
-                                      [weak = weak_from_this()]
-                                      {
-                                          const auto self = weak.lock();
-                                          if (self && !self->is_ended_)
-                                          {
-                                              self->try_send();
-                                          }
-                                      });
+    enter(request_phase::room_wait);
+    set_phase_timer(span, &request_relay::try_send);
 }
 
 } // namespace camphorrock
