A withdrawn attempt counts once towards the retry budget (BUDGET)

It is counted with the request now.

Test, failed before: 60 requests with a withdrawn attempt each left 37 retries, without one 27; both 27 now.

--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -367,13 +367,10 @@
     }
     tried_.push_back(to);
     service->pool.attempt_started(to, now);
-    if (tried_.size() == 1)
-    {
-        service->budget.record_first_attempt(now);
-    }
     if (!is_admitted_)
     {
         is_admitted_ = true;
+        service->budget.record_first_attempt(now);
         service->admission.note_sent(admission_terms(), now);
     }
     context_.log.attempt_started({request_id_, route_.name, service_},
