--- a/core/gateway/store/store_watchers.hpp
+++ b/core/gateway/store/store_watchers.hpp
@@ -32,4 +32,9 @@
                                        const fleet_gateway& self,
                                        store_watcher_options options = {});
 
+// Returns the peer addresses of the gateways that watch the store. O(gateways x log
+// gateways).
+std::vector<endpoint> store_watchers_of(const std::vector<fleet_gateway>& fleet,
+                                        store_watcher_options options = {});
+
 } // namespace camphorrock
--- a/core/gateway/store/testing/store_watchers_test.cpp
+++ b/core/gateway/store/testing/store_watchers_test.cpp
@@ -42,6 +42,9 @@
             }
         }
         const bool is_single_fleet = count <= store_watcher_options().max_single_fleet;
+        const std::vector<endpoint> listed = store_watchers_of(fleet);
+        CHECK(std::set<endpoint>(listed.begin(), listed.end()) == watchers);
+        CHECK(listed.size() == watchers.size());
         CHECK(watchers.size() == std::min(count, is_single_fleet ? 2 : 2 * zones));
 
         std::map<endpoint, unsigned> preferred_by;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -177,6 +177,7 @@
     link_agent_ = std::make_unique<link_agent>(*loop_, *state_, log_, *server_http_);
     BOOST_LEAF_ASSIGN(load_agent_,
                       load_agent::create(*loop_, *state_, log_, *link_agent_));
+    load_agent_->store_writes().connect(*store_);
     keep_verdicts();
     store_check_ =
         std::make_unique<store_check>(*loop_, *store_, *state_, *rpc_, rpc_methods_);
--- a/gateway/load_agent.cpp
+++ b/gateway/load_agent.cpp
@@ -58,7 +58,10 @@
       service_times_(loop,
                      state,
                      [this](const endpoint& to, std::string_view datagram)
-                     { send(to, datagram); })
+                     { send(to, datagram); }),
+      store_writes_(state,
+                    [this](const endpoint& to, std::string_view datagram)
+                    { send(to, datagram); })
 {
     last_report_.sender = state.draw_id();
 }
@@ -135,7 +138,8 @@
     }
     const bool is_taken =
         limits_.on_datagram(datagram) || crashes_.on_datagram(datagram) ||
-        peers_.on_datagram(datagram) || service_times_.on_datagram(datagram);
+        peers_.on_datagram(datagram) || service_times_.on_datagram(datagram) ||
+        store_writes_.on_datagram(datagram);
     if (!is_taken)
     {
         reservations_.on_datagram(datagram);
--- a/gateway/load_agent.hpp
+++ b/gateway/load_agent.hpp
@@ -3,9 +3,9 @@
 // Exchanges UDP reports of requests in flight with other gateways, so that each of them
 // knows how busy a server is with the requests of all. Owns the UDP socket, and with it
 // the reservations at single servers, the rate limits of servers, the requests that crash
-// servers, the gateways that reach none and the service times of owners, see
-// reservation_agent.hpp, limit_agent.hpp, crash_agent.hpp, peer_agent.hpp and
-// service_time_agent.hpp.
+// servers, the gateways that reach none, the service times of owners and the writes to
+// the store, see reservation_agent.hpp, limit_agent.hpp, crash_agent.hpp, peer_agent.hpp,
+// service_time_agent.hpp and store_write_agent.hpp.
 //
 // A gateway sends its reports to the members of its group only, so that the number of
 // reports that it receives does not grow with the fleet. With them it sends what servers
@@ -19,6 +19,7 @@
 #include "gateway/peer_agent.hpp"
 #include "gateway/reservation_agent.hpp"
 #include "gateway/service_time_agent.hpp"
+#include "gateway/store_write_agent.hpp"
 #include "net/event_loop.hpp"
 #include "net/udp_socket.hpp"
 
@@ -56,6 +57,11 @@
         return peers_;
     }
 
+    store_write_agent& store_writes()
+    {
+        return store_writes_;
+    }
+
     load_agent(const load_agent&) = delete;
     load_agent& operator=(const load_agent&) = delete;
 
@@ -80,6 +86,7 @@
     crash_agent crashes_;
     peer_agent peers_;
     service_time_agent service_times_;
+    store_write_agent store_writes_;
     gateway_load last_report_;
     std::uint64_t last_server_loads_ = 0; // sequence number
     sequence_filter server_loads_;        // received
--- a/store/store_client.hpp
+++ b/store/store_client.hpp
@@ -176,6 +176,13 @@
         return nullptr;
     }
 
+    // Sets a callback for each write of this client, of a key under no prefix that it
+    // watches, that took effect. Clients whose watches need no checks never call it.
+    virtual void on_unwatched_write(const std::function<void(store_revision)>&) {}
+
+    // Such a write of another program. The watches of both must be of the same prefixes.
+    virtual void note_unwatched_write(store_revision) {}
+
     // The latest era of the store in which it has answered; 0 if it has none. An answer
     // of another era than was known when the call was sent counts as none.
     virtual store_era era() const
