--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -282,9 +282,11 @@
     void note_given_up(duration elapsed);
     void on_client_left(bool is_noticed_late);
     void forward_answer(http_response answer);
-    // Sends the request to no further server. `reason` holds only if no attempt can have
-    // run the request: one that is in flight is cancelled, and counts.
-    void answer_locally(local_answer_reason reason);
+    // Sends the request to no further server, and cancels an attempt in flight. `wanted`
+    // is given only as far as it is proven.
+    void answer_locally(local_answer_reason wanted);
+    // The reason, or if it says "not run" and an attempt may have run the request, one
+    // that does not.
     local_answer_reason proven_reason(local_answer_reason reason) const;
     local_answer_reason reason_after(attempt_end how) const;
     duration time_left() const;
