--- a/gateway/request_relay_attempt.cpp
+++ b/gateway/request_relay_attempt.cpp
@@ -326,7 +326,8 @@
 }
 
 // True if the attempt is probably lost, and a server is expected to answer the request
-// in time if it is sent again.
+// in time if it is sent again. Asks what try_send() will ask once the attempt is
+// cancelled.
 bool request_relay::can_replace_attempt()
 {
     const time_point now = context_.loop.now();
@@ -358,11 +359,10 @@
             criteria.excluded.push_back(it.server);
         }
     }
-    const std::optional<server_choice> to =
-        service->pool.choose(criteria, context_.state.random(), now);
-    const answer_terms terms{time_left(), max_expected_latency()};
-    return to && to->room_in == duration::zero() &&
-           is_worth_sending(*to, latency_limit(*to, terms));
+    const std::optional<server_choice> to = choose_server(criteria);
+    rejected_.reset();
+    missing_room_.reset();
+    return to && to->room_in == duration::zero();
 }
 
 // True if the request may be sent again, if a retry budget allows it.
