--- a/app/events.cpp
+++ b/app/events.cpp
@@ -118,7 +118,8 @@
         severity::info,
         "The gateway answered a request itself, with the reason. Gives the load and "
         "the expected time by which it was refused, if it was, and the more urgent "
-        "priority, if any, for which room was missing."},
+        "priority, if any, for which room was missing. `waited_for`: the phase of the "
+        "request before its last choice of a server."},
     event_row{event_id::client_gone,
               "client_gone",
               severity::info,
