The relay asks one rule for each: the reason of a lost attempt, the servers left

proven_reason() chose between "timed out" and "server lost" beside reason_after(), by another rule; answer_locally() asks reason_after() now. So a request that is given up within 10 ms of its deadline after an attempt that may have run it gets 504 in place of 502, as one whose last attempt was lost does. try_send() and can_replace_attempt() built the servers left twice.

--- a/gateway/request_relay.cpp
+++ b/gateway/request_relay.cpp
@@ -237,13 +237,7 @@
         wait_for_links();
         return;
     }
-    server_criteria criteria;
-    criteria.bytes = request_.content().size();
-    criteria.excluded = busy_servers_;
-    for (const server_choice& it : tried_)
-    {
-        criteria.excluded.push_back(it.server);
-    }
+    server_criteria criteria = untried_servers();
     if (key_ && !require_owner(criteria))
     {
         return;
@@ -277,6 +271,18 @@
     send_with_limits(*to);
 }
 
+server_criteria request_relay::untried_servers() const
+{
+    server_criteria made;
+    made.bytes = request_.content().size();
+    made.excluded = busy_servers_;
+    for (const server_choice& it : tried_)
+    {
+        made.excluded.push_back(it.server);
+    }
+    return made;
+}
+
 admission_request request_relay::admission_terms() const
 {
     return {
--- a/gateway/request_relay.hpp
+++ b/gateway/request_relay.hpp
@@ -188,6 +188,8 @@
     bool read_request();
     void try_send();
     std::optional<server_choice> choose_server(server_criteria criteria);
+    // The servers that were not tried and run no other suspect.
+    server_criteria untried_servers() const;
     admission_request admission_terms() const;
     bool require_owner(server_criteria& criteria);
     void send_with_limits(const server_choice& to);
@@ -282,12 +284,10 @@
     void note_given_up(duration elapsed);
     void on_client_left(bool is_noticed_late);
     void forward_answer(http_response answer);
-    // Sends the request to no further server, and cancels an attempt in flight. `wanted`
-    // is given only as far as it is proven.
+    // Sends the request to no further server, and cancels an attempt in flight. Where
+    // `wanted` says "not run" and an attempt may have run the request, the reason is that
+    // of a lost attempt.
     void answer_locally(local_answer_reason wanted);
-    // The reason, or if it says "not run" and an attempt may have run the request, one
-    // that does not.
-    local_answer_reason proven_reason(local_answer_reason reason) const;
     local_answer_reason reason_after(attempt_end how) const;
     duration time_left() const;
     duration max_expected_latency() const;
--- a/gateway/request_relay_answer.cpp
+++ b/gateway/request_relay_answer.cpp
@@ -74,22 +74,13 @@
     return min_retry_after + milliseconds(spread) + excess + pause_left_;
 }
 
-local_answer_reason request_relay::proven_reason(local_answer_reason reason) const
-{
-    if (!may_have_run_ || !is_not_run(reason))
-    {
-        return reason;
-    }
-    return reason == local_answer_reason::waited_too_long
-               ? local_answer_reason::timed_out
-               : local_answer_reason::server_lost;
-}
-
 void request_relay::answer_locally(local_answer_reason wanted)
 {
     const bool was_sent = cancel_attempt(cancel_reason::unwanted).may_be_sent;
     may_have_run_ = may_have_run_ || was_sent;
-    const local_answer_reason reason = proven_reason(wanted);
+    const bool is_disproved = may_have_run_ && is_not_run(wanted);
+    const local_answer_reason reason =
+        is_disproved ? reason_after(attempt_end::lost) : wanted;
     service_state* service = context_.state.find_service(service_);
     if (is_admitted_ && service != nullptr && is_for_lack_of_room(reason))
     {
--- a/gateway/request_relay_attempt.cpp
+++ b/gateway/request_relay_attempt.cpp
@@ -340,8 +340,7 @@
     {
         return false;
     }
-    server_criteria criteria;
-    criteria.bytes = request_.content().size();
+    server_criteria criteria = untried_servers();
     if (key_)
     {
         const std::optional<key_owner> owner = find_owner();
@@ -350,14 +349,7 @@
             return false;
         }
         criteria.owner = owner->server;
-    }
-    else
-    {
-        criteria.excluded = busy_servers_;
-        for (const server_choice& it : tried_)
-        {
-            criteria.excluded.push_back(it.server);
-        }
+        criteria.excluded.clear();
     }
     const std::optional<server_choice> to = choose_server(criteria);
     rejected_.reset();
